Foundations: declarations, the fold of the log, HTTP server and stand-ins

Cause: an empty repository; the whole path needs a layout, checked declarations, a deterministic state and stand-ins before anything can run. Before: nothing.

--- /dev/null
+++ b/src/fleetlog/internal/logfollower.cpp
@@ -0,0 +1,100 @@
+#include "fleetlog/logfollower.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace turmericsill::fleetlog {
+
+using foundation::Errc;
+using foundation::milliseconds;
+
+namespace {
+
+    constexpr std::size_t pageRecords = 2000;
+    constexpr milliseconds pollWait { 1000 };
+    constexpr milliseconds minimumBackoff { 100 };
+    constexpr milliseconds maximumBackoff { 1000 };
+
+} // namespace
+
+LogFollower::LogFollower(platform::ILogClient& log, foundation::ITimerQueue& timers, const foundation::IClock& clock,
+    std::string stream)
+    : log_(log)
+    , timers_(timers)
+    , clock_(clock)
+    , stream_(std::move(stream))
+    , backoff_(minimumBackoff)
+{
+}
+
+void LogFollower::start()
+{
+    update_.state = fold_.state();
+    read();
+}
+
+void LogFollower::read()
+{
+    const auto requestedAt = clock_.now();
+    log_.read(stream_, fold_.nextOffset(), pageRecords, pollWait,
+        [this, requestedAt](const foundation::Result<platform::LogPage>& page) { onPage(requestedAt, page); });
+}
+
+void LogFollower::onPage(foundation::SteadyTime requestedAt, const foundation::Result<platform::LogPage>& page)
+{
+    if (!page) {
+        update_.logReachable = false;
+        if (page.error().code == Errc::RetentionPassed)
+            return halt("the log no longer keeps offset " + std::to_string(fold_.nextOffset()));
+        publish();
+        return retryLater();
+    }
+    backoff_ = minimumBackoff;
+    update_.logReachable = true;
+    if (!foldPage(*page))
+        return;
+    // Only a read that reached the tail shows that nothing newer was in the log when it was sent.
+    if (fold_.nextOffset() >= page->tail) {
+        update_.confirmedAt = requestedAt;
+        update_.caughtUp = true;
+    }
+    publish();
+    read();
+}
+
+bool LogFollower::foldPage(const platform::LogPage& page)
+{
+    std::uint64_t offset = page.from;
+    for (const auto& payload : page.payloads) {
+        auto verdict = fold_.applyPayload(offset, payload);
+        if (!verdict) {
+            halt(verdict.error().message());
+            return false;
+        }
+        if (verdictCallback_)
+            verdictCallback_(*verdict);
+        ++offset;
+    }
+    return true;
+}
+
+void LogFollower::halt(const std::string& reason)
+{
+    update_.haltReason = reason;
+    publish();
+}
+
+void LogFollower::retryLater()
+{
+    timers_.schedule(clock_.now() + backoff_, [this] { read(); });
+    backoff_ = std::min(backoff_ * 2, maximumBackoff);
+}
+
+void LogFollower::publish()
+{
+    update_.state = fold_.state();
+    if (updateCallback_)
+        updateCallback_(update_);
+}
+
+} // namespace turmericsill::fleetlog
--- /dev/null
+++ b/src/fleetstate/internal/fleetstate.cpp
@@ -0,0 +1,90 @@
+#include "fleetstate/types/fleetstate.h"
+
+#include "foundation/hash.h"
+
+namespace turmericsill::fleetstate {
+
+using declarations::Object;
+using declarations::ObjectKind;
+
+InstancePtr FleetState::findInstance(const std::string& name, std::string* poolName) const
+{
+    for (const auto& [pool, state] : pools) {
+        auto found = state->instances.find(name);
+        if (found == state->instances.end())
+            continue;
+        if (poolName)
+            *poolName = pool;
+        return found->second;
+    }
+    return nullptr;
+}
+
+const Object* FleetState::findObject(ObjectKind kind, const std::string& name) const
+{
+    const auto& table = tables.at(static_cast<std::size_t>(kind));
+    if (!table)
+        return nullptr;
+    auto found = table->objects.find(name);
+    return found == table->objects.end() ? nullptr : &found->second->object;
+}
+
+const declarations::Service* FleetState::findService(const std::string& name) const
+{
+    const Object* object = findObject(ObjectKind::Service, name);
+    return object ? std::get_if<declarations::Service>(object) : nullptr;
+}
+
+const EntryMember* FleetState::findMember(const std::string& entry, std::uint64_t incarnation) const
+{
+    auto found = roster.find(entry);
+    return found != roster.end() && found->second.incarnation == incarnation ? &found->second : nullptr;
+}
+
+std::vector<std::string> FleetState::admittedEntries() const
+{
+    std::vector<std::string> names;
+    for (const auto& [name, member] : roster) {
+        if (member.admitted)
+            names.push_back(name);
+    }
+    return names;
+}
+
+bool FleetState::isHeld(const Claim& claim) const { return findMember(claim.holder, claim.incarnation) != nullptr; }
+
+declarations::DeclarationSet FleetState::declarationSet() const
+{
+    declarations::DeclarationSet set;
+    for (const auto& table : tables) {
+        if (!table)
+            continue;
+        for (const auto& [name, holder] : table->objects)
+            set.emplace(declarations::ObjectKey { declarations::kindOf(holder->object), name }, holder->object);
+    }
+    for (const auto& [name, pool] : pools) {
+        set.emplace(declarations::ObjectKey { ObjectKind::Pool, name }, pool->declared);
+        for (const auto& [instanceName, instance] : pool->instances) {
+            if (instance->purpose != DrainPurpose::Remove)
+                set.emplace(declarations::ObjectKey { ObjectKind::Instance, instanceName }, instance->declared);
+        }
+    }
+    return set;
+}
+
+std::uint64_t FleetState::digest() const
+{
+    std::string text = std::to_string(nextOffset) + ":" + std::to_string(configVersion) + ":" + std::to_string(rosterVersion);
+    for (const auto& [name, pool] : pools) {
+        text += "|" + name + ":" + std::to_string(pool->declared.minimumHealthy) + ":"
+            + std::to_string(pool->declared.maximumOut) + ":" + pool->claim.holder + ":"
+            + std::to_string(pool->claim.epoch) + ":" + std::to_string(pool->instancesDigest);
+    }
+    for (const auto& table : tables)
+        text += "|" + std::to_string(table ? table->digest : 0);
+    for (const auto& [name, member] : roster)
+        text += "|" + name + ":" + std::to_string(member.incarnation) + (member.admitted ? "+" : "-");
+    return foundation::hashBytes(text);
+}
+
+} // namespace turmericsill::fleetstate
--- /dev/null
+++ b/src/fleetstate/internal/fold.cpp
@@ -0,0 +1,141 @@
+#include "fleetstate/fold.h"
+
+#include "fleetstate/internal/recorddecider.h"
+#include "fleetstate/internal/snapshotcodec.h"
+#include "fleetstate/recordcodec.h"
+#include "foundation/hash.h"
+
+#include <utility>
+
+namespace turmericsill::fleetstate {
+
+using foundation::Errc;
+using foundation::failure;
+using foundation::Result;
+
+namespace {
+
+    constexpr std::size_t maximumRecentIds = 4096;
+    constexpr std::size_t maximumHistory = 256;
+
+    /// Only operators' records stay in the history; controllers write far more of their own.
+    bool isOperatorRecord(const RecordBody& body)
+    {
+        return std::holds_alternative<ConfigChange>(body) || std::holds_alternative<DrainRequest>(body)
+            || std::holds_alternative<DrainCancel>(body);
+    }
+
+    /// Fills what the summary of an operator's record says about its author and subject.
+    struct SubjectReader {
+        ChangeSummary& summary;
+
+        void operator()(const ConfigChange& body) const
+        {
+            summary.operatorName = body.operatorName;
+            summary.subject = std::to_string(body.changes.size()) + " objects";
+            if (!body.reason.empty())
+                summary.subject += ": " + body.reason;
+        }
+        void operator()(const DrainRequest& body) const
+        {
+            summary.operatorName = body.operatorName;
+            summary.subject = body.instance;
+        }
+        void operator()(const DrainCancel& body) const
+        {
+            summary.operatorName = body.operatorName;
+            summary.subject = body.instance;
+        }
+        template <typename Other> void operator()(const Other&) const { }
+    };
+
+    ChangeSummaryPtr summarize(std::uint64_t offset, const Record& record, const std::string& reason, std::uint64_t version)
+    {
+        boost::intrusive_ptr<ChangeSummary> summary = new ChangeSummary();
+        summary->id = record.id;
+        summary->kind = kindName(record.body);
+        summary->writer = record.writer;
+        summary->offset = offset;
+        summary->version = version;
+        summary->writtenAtMs
+            = std::chrono::duration_cast<foundation::milliseconds>(record.writtenAt.time_since_epoch()).count();
+        summary->accepted = reason.empty();
+        summary->reason = reason;
+        std::visit(SubjectReader { *summary }, record.body);
+        return summary;
+    }
+
+} // namespace
+
+Fold::Fold()
+    : state_(new FleetState())
+{
+}
+
+Result<Verdict> Fold::applyPayload(std::uint64_t offset, std::string_view payload)
+{
+    auto record = decodeRecord(payload);
+    if (record)
+        return apply(offset, *record);
+    if (record.error().code == Errc::UnknownRecord)
+        return tl::unexpected(record.error());
+    // No program of ours writes malformed records, so every entry skips them alike.
+    mutableState().nextOffset = offset + 1;
+    return Verdict { {}, false, false, record.error().message() };
+}
+
+Verdict Fold::apply(std::uint64_t offset, const Record& record)
+{
+    FleetState& state = mutableState();
+    state.nextOffset = offset + 1;
+    if (!rememberId(record.id))
+        return { record.id, false, true, "repeated id" };
+    std::string reason = std::visit(RecordDecider(state, offset, record), record.body);
+    if (isOperatorRecord(record.body)) {
+        state.history.push_back(summarize(offset, record, reason, state.configVersion));
+        if (state.history.size() > maximumHistory)
+            state.history.erase(state.history.begin());
+    }
+    return { record.id, reason.empty(), false, reason };
+}
+
+bool Fold::rememberId(const std::string& id)
+{
+    const std::uint64_t hash = foundation::hashBytes(id);
+    if (!recentIds_.insert(hash).second)
+        return false;
+    recentIdOrder_.push_back(hash);
+    if (recentIdOrder_.size() > maximumRecentIds) {
+        recentIds_.erase(recentIdOrder_.front());
+        recentIdOrder_.pop_front();
+    }
+    return true;
+}
+
+FleetState& Fold::mutableState()
+{
+    if (state_->use_count() > 1)
+        state_ = new FleetState(*state_);
+    return *state_;
+}
+
+std::string Fold::encodeSnapshot() const
+{
+    return snapshotcodec::encode(*state_, { recentIdOrder_.begin(), recentIdOrder_.end() });
+}
+
+Result<Fold> Fold::fromSnapshot(std::string_view snapshot)
+{
+    auto decoded = snapshotcodec::decode(snapshot);
+    if (!decoded)
+        return tl::unexpected(decoded.error());
+    Fold fold;
+    fold.state_ = decoded->state;
+    for (std::uint64_t hash : decoded->recentIds) {
+        fold.recentIds_.insert(hash);
+        fold.recentIdOrder_.push_back(hash);
+    }
+    return fold;
+}
+
+} // namespace turmericsill::fleetstate
--- /dev/null
+++ b/src/fleetstate/internal/recorddecider.cpp
@@ -0,0 +1,331 @@
+#include "fleetstate/internal/recorddecider.h"
+
+#include "fleetstate/internal/stateeditor.h"
+#include "fleetstate/recordcodec.h"
+
+#include <algorithm>
+
+namespace turmericsill::fleetstate {
+
+using declarations::Instance;
+using declarations::ObjectChange;
+using declarations::ObjectKind;
+using declarations::Pool;
+
+namespace {
+
+    constexpr std::size_t maximumDepartures = 64;
+
+    bool contains(const FleetState& state, const declarations::Object& object)
+    {
+        const std::string& name = declarations::nameOf(object);
+        const ObjectKind kind = declarations::kindOf(object);
+        if (kind == ObjectKind::Pool)
+            return state.pools.count(name) != 0;
+        if (kind == ObjectKind::Instance)
+            return state.findInstance(name) != nullptr;
+        return state.findObject(kind, name) != nullptr;
+    }
+
+} // namespace
+
+std::string RecordDecider::lastChangeBy() const
+{
+    for (auto summary = state_.history.rbegin(); summary != state_.history.rend(); ++summary) {
+        if ((*summary)->accepted && (*summary)->kind == "config_change")
+            return (*summary)->operatorName + " (change " + (*summary)->id + ")";
+    }
+    return "nobody";
+}
+
+std::string RecordDecider::operator()(const ConfigChange& body)
+{
+    if (body.baseVersion != state_.configVersion)
+        return "planned on version " + std::to_string(body.baseVersion) + ", but version "
+            + std::to_string(state_.configVersion) + " is in force, published by " + lastChangeBy();
+    for (const auto& change : body.changes) {
+        std::string fault = checkChange(change);
+        if (fault.empty() && change.action == ObjectChange::Action::Remove
+            && declarations::kindOf(change.object) == ObjectKind::Pool)
+            fault = checkPoolRemoval(declarations::nameOf(change.object), body);
+        if (!fault.empty())
+            return fault;
+    }
+    // Objects come in the order of their kinds, so a pool is there before its instances.
+    for (const auto& change : body.changes) {
+        if (change.action != ObjectChange::Action::Remove)
+            carryOut(change);
+    }
+    for (auto change = body.changes.rbegin(); change != body.changes.rend(); ++change) {
+        if (change->action == ObjectChange::Action::Remove)
+            carryOut(*change);
+    }
+    ++state_.configVersion;
+    return {};
+}
+
+std::string RecordDecider::checkChange(const ObjectChange& change) const
+{
+    const bool exists = contains(state_, change.object);
+    const std::string& name = declarations::nameOf(change.object);
+    if (change.action == ObjectChange::Action::Add && exists) {
+        const bool leaving = declarations::kindOf(change.object) == ObjectKind::Instance
+            && state_.findInstance(name)->purpose == DrainPurpose::Remove;
+        return "\"" + name + "\" " + (leaving ? "is still being removed" : "exists already");
+    }
+    if (change.action != ObjectChange::Action::Add && !exists)
+        return "\"" + name + "\" does not exist";
+    if (change.action == ObjectChange::Action::Remove)
+        return {};
+    const auto* instance = std::get_if<Instance>(&change.object);
+    if (!instance || change.action == ObjectChange::Action::Add)
+        return {};
+    // An entry that lags would send work to the old address, so an address never changes in place.
+    if (state_.findInstance(name)->declared.address != instance->address)
+        return "the address of \"" + name + "\" cannot change; remove the instance and add it under another name";
+    return {};
+}
+
+std::string RecordDecider::checkPoolRemoval(const std::string& name, const ConfigChange&) const
+{
+    const std::size_t held = state_.pools.at(name)->instances.size();
+    if (held == 0)
+        return {};
+    return "pool \"" + name + "\" still holds " + std::to_string(held)
+        + " instances; move or remove them, then remove the pool";
+}
+
+void RecordDecider::carryOut(const ObjectChange& change)
+{
+    StateEditor editor(state_);
+    const std::string& name = declarations::nameOf(change.object);
+    const bool removes = change.action == ObjectChange::Action::Remove;
+    switch (declarations::kindOf(change.object)) {
+    case ObjectKind::Pool:
+        if (removes)
+            editor.removePool(name);
+        else
+            editor.addPool(std::get<Pool>(change.object));
+        return;
+    case ObjectKind::Instance:
+        carryOutInstance(change);
+        return;
+    default:
+        if (removes)
+            editor.removeObject(declarations::kindOf(change.object), name);
+        else
+            editor.putObject(change.object);
+    }
+}
+
+void RecordDecider::carryOutInstance(const ObjectChange& change)
+{
+    const auto& declared = std::get<Instance>(change.object);
+    if (change.action == ObjectChange::Action::Remove) {
+        removeInstance(declared.name);
+        return;
+    }
+    if (change.action == ObjectChange::Action::Update) {
+        updateInstance(declared);
+        return;
+    }
+    InstanceState added;
+    added.declared = declared;
+    putChanged(declared.pool, std::move(added));
+}
+
+// A change of pool only starts a drain here; the instance changes pool at the controller's transition.
+void RecordDecider::updateInstance(const Instance& declared)
+{
+    std::string pool;
+    InstanceState changed = *state_.findInstance(declared.name, &pool);
+    changed.declared = declared;
+    if (declared.pool != pool && changed.lifecycle != Lifecycle::Stopped) {
+        changed.lifecycle = Lifecycle::Draining;
+        changed.purpose = DrainPurpose::Move;
+    }
+    if (declared.pool == pool && changed.purpose == DrainPurpose::Move) {
+        changed.lifecycle = Lifecycle::Serving;
+        changed.purpose = DrainPurpose::None;
+    }
+    putChanged(pool, std::move(changed));
+}
+
+void RecordDecider::removeInstance(const std::string& name)
+{
+    std::string pool;
+    InstanceState changed = *state_.findInstance(name, &pool);
+    if (changed.lifecycle == Lifecycle::Serving)
+        changed.lifecycle = Lifecycle::Draining;
+    changed.purpose = DrainPurpose::Remove;
+    putChanged(pool, std::move(changed));
+}
+
+void RecordDecider::putChanged(const std::string& pool, InstanceState instance)
+{
+    instance.version = offset_ + 1;
+    StateEditor(state_).putInstance(pool, std::move(instance));
+}
+
+std::string RecordDecider::operator()(const DrainRequest& body)
+{
+    std::string pool;
+    InstancePtr instance = state_.findInstance(body.instance, &pool);
+    if (!instance)
+        return "instance \"" + body.instance + "\" does not exist";
+    if (instance->lifecycle != Lifecycle::Serving)
+        return "instance \"" + body.instance + "\" is already " + lifecycleName(instance->lifecycle);
+    if (instance->version != body.instanceVersion)
+        return "planned on version " + std::to_string(body.instanceVersion) + " of \"" + body.instance
+            + "\", but it is at version " + std::to_string(instance->version);
+    const PoolState& owner = *state_.pools.at(pool);
+    std::size_t out = 0;
+    for (const auto& [name, member] : owner.instances)
+        out += member->lifecycle != Lifecycle::Serving;
+    if (out >= owner.declared.maximumOut)
+        return "pool \"" + pool + "\" has " + std::to_string(out) + " instances out, its maximum_out";
+    if (owner.instances.size() - out <= owner.declared.minimumHealthy)
+        return "pool \"" + pool + "\" would fall below its minimum_healthy of "
+            + std::to_string(owner.declared.minimumHealthy);
+    InstanceState changed = *instance;
+    changed.lifecycle = Lifecycle::Draining;
+    changed.purpose = DrainPurpose::Reboot;
+    putChanged(pool, std::move(changed));
+    return {};
+}
+
+std::string RecordDecider::operator()(const DrainCancel& body)
+{
+    std::string pool;
+    InstancePtr instance = state_.findInstance(body.instance, &pool);
+    if (!instance)
+        return "instance \"" + body.instance + "\" does not exist";
+    if (instance->lifecycle != Lifecycle::Draining || instance->purpose != DrainPurpose::Reboot)
+        return "instance \"" + body.instance + "\" does not drain for a reboot";
+    if (instance->version != body.instanceVersion)
+        return "instance \"" + body.instance + "\" is at version " + std::to_string(instance->version);
+    InstanceState changed = *instance;
+    changed.lifecycle = Lifecycle::Serving;
+    changed.purpose = DrainPurpose::None;
+    putChanged(pool, std::move(changed));
+    return {};
+}
+
+std::string RecordDecider::operator()(const InstanceTransition& body)
+{
+    auto owner = state_.pools.find(body.pool);
+    if (owner == state_.pools.end())
+        return "pool \"" + body.pool + "\" does not exist";
+    const Claim& claim = owner->second->claim;
+    if (claim.epoch != body.epoch || claim.holder != record_.writer)
+        return "the claim on pool \"" + body.pool + "\" is at epoch " + std::to_string(claim.epoch) + " of " + claim.holder;
+    auto found = owner->second->instances.find(body.instance);
+    if (found == owner->second->instances.end())
+        return "instance \"" + body.instance + "\" is not in pool \"" + body.pool + "\"";
+    const InstancePtr instance = found->second;
+    if (instance->version != body.instanceVersion)
+        return "instance \"" + body.instance + "\" is at version " + std::to_string(instance->version);
+    if (instance->lifecycle == Lifecycle::Serving)
+        return "instance \"" + body.instance + "\" serves";
+    if (instance->purpose == DrainPurpose::Remove) {
+        StateEditor(state_).removeInstance(body.pool, body.instance);
+        return {};
+    }
+    if (instance->declared.pool != body.pool)
+        return moveInstance(*instance, body.pool);
+    InstanceState changed = *instance;
+    changed.lifecycle = body.to;
+    if (body.to == Lifecycle::Serving)
+        changed.purpose = DrainPurpose::None;
+    putChanged(body.pool, std::move(changed));
+    return {};
+}
+
+// This is the point in the log at which an instance changes pool.
+std::string RecordDecider::moveInstance(const InstanceState& instance, const std::string& fromPool)
+{
+    const std::string target = instance.declared.pool;
+    if (state_.pools.count(target) == 0)
+        return "pool \"" + target + "\" does not exist";
+    InstanceState changed = instance;
+    changed.lifecycle = Lifecycle::Serving;
+    changed.purpose = DrainPurpose::None;
+    StateEditor(state_).removeInstance(fromPool, instance.declared.name);
+    putChanged(target, std::move(changed));
+    return {};
+}
+
+std::string RecordDecider::operator()(const PoolClaim& body)
+{
+    auto found = state_.pools.find(body.pool);
+    if (found == state_.pools.end())
+        return "pool \"" + body.pool + "\" does not exist";
+    const Claim& claim = found->second->claim;
+    if (claim.epoch != body.expectedEpoch)
+        return "the claim is at epoch " + std::to_string(claim.epoch);
+    if (state_.isHeld(claim))
+        return "the claim is held by " + claim.holder;
+    const EntryMember* claimant = state_.findMember(body.holder, body.incarnation);
+    if (!claimant || !claimant->admitted)
+        return "entry \"" + body.holder + "\" is not admitted";
+    Claim& changed = StateEditor(state_).pool(body.pool).claim;
+    changed = { body.holder, body.incarnation, body.expectedEpoch + 1 };
+    return {};
+}
+
+std::string RecordDecider::operator()(const EntryJoin& body)
+{
+    auto found = state_.roster.find(body.entry);
+    if (found != state_.roster.end() && found->second.incarnation >= body.incarnation)
+        return "entry \"" + body.entry + "\" has joined with incarnation " + std::to_string(found->second.incarnation);
+    const auto departed = [&](const Departure& departure) {
+        return departure.entry == body.entry && departure.incarnation >= body.incarnation;
+    };
+    if (std::any_of(state_.departures.begin(), state_.departures.end(), departed))
+        return "this incarnation of entry \"" + body.entry + "\" has departed";
+    // A process that binds the same addresses proves that the older incarnation has ended.
+    auto& departures = state_.departures;
+    departures.erase(std::remove_if(departures.begin(), departures.end(),
+                         [&](const Departure& departure) { return departure.entry == body.entry; }),
+        departures.end());
+    state_.roster[body.entry]
+        = { body.entry, body.incarnation, body.dataCentre, body.peerAddress, body.callerAddress, false, offset_ };
+    ++state_.rosterVersion;
+    return {};
+}
+
+std::string RecordDecider::operator()(const EntryAdmit& body)
+{
+    if (!state_.findMember(body.entry, body.incarnation))
+        return "entry \"" + body.entry + "\" has not joined with this incarnation";
+    EntryMember& member = state_.roster[body.entry];
+    if (member.admitted)
+        return "entry \"" + body.entry + "\" is admitted already";
+    auto sponsor = state_.roster.find(body.sponsor);
+    const bool sponsored = sponsor != state_.roster.end() && sponsor->second.admitted;
+    if (!sponsored && !state_.admittedEntries().empty())
+        return "sponsor \"" + body.sponsor + "\" is not admitted";
+    member.admitted = true;
+    ++state_.rosterVersion;
+    return {};
+}
+
+std::string RecordDecider::operator()(const EntryLeave& body)
+{
+    if (!state_.findMember(body.entry, body.incarnation))
+        return "entry \"" + body.entry + "\" is not a member with this incarnation";
+    const bool ownLeave = body.planned && record_.writer == body.entry;
+    auto author = state_.roster.find(body.by);
+    const bool mayExpel = !body.planned && author != state_.roster.end() && author->second.admitted;
+    if (!ownLeave && !mayExpel)
+        return "\"" + body.by + "\" may not remove entry \"" + body.entry + "\"";
+    state_.roster.erase(body.entry);
+    ++state_.rosterVersion;
+    if (!body.planned)
+        state_.departures.push_back({ body.entry, body.incarnation, offset_ });
+    if (state_.departures.size() > maximumDepartures)
+        state_.departures.erase(state_.departures.begin());
+    return {};
+}
+
+} // namespace turmericsill::fleetstate
--- /dev/null
+++ b/src/foundation/internal/address.cpp
@@ -0,0 +1,31 @@
+#include "foundation/address.h"
+
+#include <boost/asio/ip/address.hpp>
+
+#include <charconv>
+
+namespace turmericsill::foundation {
+
+std::string Address::text() const { return ip + ":" + std::to_string(port); }
+
+Result<Address> parseAddress(const std::string& text)
+{
+    auto refuse = [&] { return failure(Errc::InvalidInput, "address.parse", text, "expected IP:PORT"); };
+    auto colon = text.rfind(':');
+    if (colon == std::string::npos)
+        return refuse();
+    Address address;
+    address.ip = text.substr(0, colon);
+    boost::system::error_code error;
+    boost::asio::ip::make_address(address.ip, error);
+    if (error)
+        return refuse();
+    const char* first = text.data() + colon + 1;
+    const char* last = text.data() + text.size();
+    auto parsed = std::from_chars(first, last, address.port);
+    if (parsed.ec != std::errc() || parsed.ptr != last || address.port == 0)
+        return refuse();
+    return address;
+}
+
+} // namespace turmericsill::foundation
--- /dev/null
+++ b/src/foundation/internal/hash.cpp
@@ -0,0 +1,34 @@
+#include "foundation/hash.h"
+
+#include <xxhash.h>
+
+#include <array>
+#include <cstdio>
+
+namespace turmericsill::foundation {
+
+std::uint64_t hashBytes(std::string_view bytes, std::uint64_t seed) { return XXH64(bytes.data(), bytes.size(), seed); }
+
+std::string rendezvousWinner(std::string_view key, const std::vector<std::string>& members)
+{
+    std::string winner;
+    std::uint64_t best = 0;
+    const std::uint64_t seed = hashBytes(key);
+    for (const auto& member : members) {
+        std::uint64_t weight = hashBytes(member, seed);
+        if (!winner.empty() && (weight < best || (weight == best && member >= winner)))
+            continue;
+        winner = member;
+        best = weight;
+    }
+    return winner;
+}
+
+std::string toHex(std::uint64_t value)
+{
+    std::array<char, 17> text {};
+    std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(value));
+    return text.data();
+}
+
+} // namespace turmericsill::foundation
--- /dev/null
+++ b/src/httpserver/internal/httpserver.cpp
@@ -0,0 +1,147 @@
+#include "httpserver/httpserver.h"
+
+#include "httpserver/internal/httpconnection.h"
+
+#include <utility>
+#include <vector>
+
+namespace turmericsill::httpserver {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using foundation::Errc;
+using foundation::failure;
+using foundation::Result;
+
+namespace {
+
+    constexpr foundation::milliseconds sweepInterval { 1000 };
+    constexpr int listenBacklog = 4096;
+    constexpr foundation::milliseconds acceptRetryDelay { 100 }; ///< After the process ran out of descriptors.
+
+} // namespace
+
+HttpResponse makeResponse(unsigned status, std::string body, const std::string& contentType)
+{
+    HttpResponse response(static_cast<http::status>(status), 11);
+    response.set(http::field::content_type, contentType);
+    response.body() = std::move(body);
+    response.prepare_payload();
+    return response;
+}
+
+HttpServer::HttpServer(asio::io_context& context, IHttpHandler& handler, const ServerLimits& limits)
+    : context_(context)
+    , handler_(handler)
+    , limits_(limits)
+    , acceptor_(context)
+    , acceptTimer_(context)
+    , sweepTimer_(context)
+{
+}
+
+HttpServer::~HttpServer()
+{
+    while (!connections_.empty()) {
+        HttpConnection& connection = connections_.front();
+        connections_.pop_front();
+        connection.detach();
+        connection.close();
+    }
+}
+
+Result<void> HttpServer::listen(const foundation::Address& address)
+{
+    boost::system::error_code error;
+    asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address.ip), address.port);
+    acceptor_.open(endpoint.protocol(), error);
+    if (!error)
+        acceptor_.set_option(asio::socket_base::reuse_address(true), error);
+    if (!error)
+        acceptor_.bind(endpoint, error);
+    if (!error)
+        acceptor_.listen(listenBacklog, error);
+    if (error)
+        return failure(Errc::Unavailable, "http.listen", address.text(), error.message());
+    accept();
+    sweepLater();
+    return {};
+}
+
+void HttpServer::accept()
+{
+    acceptor_.async_accept(context_, [this](boost::system::error_code error, asio::ip::tcp::socket socket) {
+        if (error == asio::error::operation_aborted || !acceptor_.is_open())
+            return;
+        if (error)
+            return acceptLater();
+        onAccept(std::move(socket));
+        accept();
+    });
+}
+
+void HttpServer::acceptLater()
+{
+    acceptTimer_.expires_after(acceptRetryDelay);
+    acceptTimer_.async_wait([this](boost::system::error_code error) {
+        if (!error && acceptor_.is_open())
+            accept();
+    });
+}
+
+void HttpServer::onAccept(asio::ip::tcp::socket socket)
+{
+    if (counters_.open >= limits_.maximumConnections) {
+        ++counters_.refusedConnections;
+        return;
+    }
+    ++counters_.accepted;
+    boost::intrusive_ptr<HttpConnection>(new HttpConnection(std::move(socket), *this))->start();
+}
+
+void HttpServer::sweepLater()
+{
+    sweepTimer_.expires_after(sweepInterval);
+    sweepTimer_.async_wait([this](boost::system::error_code error) {
+        if (error)
+            return;
+        closeIdleConnections();
+        sweepLater();
+    });
+}
+
+void HttpServer::closeIdleConnections()
+{
+    const auto idleBefore = std::chrono::steady_clock::now() - limits_.idleTimeout;
+    forEachConnection([&](HttpConnection& connection) {
+        if (!connection.isIdle() || connection.idleSince() >= idleBefore)
+            return;
+        ++counters_.timedOut;
+        connection.close();
+    });
+}
+
+// A connection may end while it is visited, so the visit holds all of them.
+template <typename Visit> void HttpServer::forEachConnection(Visit visit)
+{
+    std::vector<boost::intrusive_ptr<HttpConnection>> open;
+    for (auto& connection : connections_)
+        open.emplace_back(&connection);
+    for (auto& connection : open)
+        visit(*connection);
+}
+
+void HttpServer::beginShutdown()
+{
+    shuttingDown_ = true;
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+    forEachConnection([](HttpConnection& connection) { connection.closeIfIdle(); });
+}
+
+void HttpServer::closeAll()
+{
+    forEachConnection([](HttpConnection& connection) { connection.close(); });
+}
+
+} // namespace turmericsill::httpserver
--- /dev/null
+++ b/src/jsonsource/tests/documenttests.cpp
@@ -0,0 +1,55 @@
+#include "jsonsource/objectschema.h"
+
+#include <catch2/catch.hpp>
+
+using namespace turmericsill::jsonsource;
+
+TEST_CASE("document: each field knows its line", "[jsonsource]")
+{
+    Faults faults;
+    auto document = Document::parse("a.json", "// head\n{\n  \"a\": 1,\n  \"b\": [\n    2,\n    {\"c\": \"x\"}\n  ]\n}\n", faults);
+    REQUIRE(document);
+    CHECK(faults.empty());
+    CHECK(document->lineOf("/a") == 3);
+    CHECK(document->lineOf("/b/0") == 5);
+    CHECK(document->lineOf("/b/1/c") == 6);
+    CHECK(document->lineOf("/b/1/missing") == 6);
+    CHECK(document->value()["b"][1]["c"] == "x");
+}
+
+TEST_CASE("document: a repeated field and a syntax error are faults with their lines", "[jsonsource]")
+{
+    Faults faults;
+    CHECK(Document::parse("a.json", "{\n\"a\": 1,\n\"a\": 2}", faults));
+    REQUIRE(faults.size() == 1);
+    CHECK(faults[0].text() == "a.json:3: /a: a field may stand only once");
+
+    faults.clear();
+    CHECK_FALSE(Document::parse("a.json", "{\n\"a\": 1,\n}", faults));
+    REQUIRE(faults.size() == 1);
+    CHECK(faults[0].line == 3);
+}
+
+TEST_CASE("schema: every fault of an object is reported at once", "[jsonsource]")
+{
+    const ObjectSchema schema {
+        { "name", FieldType::Name, true, 0, 0, {} },
+        { "slots", FieldType::Integer, true, 1, 64, {} },
+        { "share", FieldType::Number, false, 0, 1, {} },
+        { "address", FieldType::Address, true, 0, 0, {} },
+        { "mode", FieldType::Choice, false, 0, 0, { "serve", "fence" } },
+    };
+    Faults faults;
+    auto document = Document::parse("a.json",
+        "{\n\"name\": \"Upper\",\n\"slots\": 65,\n\"share\": 1.5,\n\"address\": \"host:1\",\n\"mode\": \"x\",\n\"extra\": 1}",
+        faults);
+    REQUIRE(document);
+    checkObject(*document, "", schema, faults);
+    REQUIRE(faults.size() == 6);
+    CHECK(faults[0].text() == "a.json:7: /extra: unknown field; known are name, slots, share, address, mode");
+    CHECK(faults[1].line == 2);
+    CHECK(faults[2].text() == "a.json:3: /slots: expected a whole number from 1 to 64");
+    CHECK(faults[3].text() == "a.json:4: /share: expected a number from 0 to 1");
+    CHECK(faults[4].line == 5);
+    CHECK(faults[5].text() == "a.json:6: /mode: expected one of \"serve\" \"fence\"");
+}
--- /dev/null
+++ b/src/settings/internal/daemonsettings.cpp
@@ -0,0 +1,151 @@
+#include "settings/daemonsettings.h"
+
+#include "jsonsource/objectschema.h"
+
+namespace turmericsill::settings {
+
+namespace {
+
+    using foundation::Address;
+    using foundation::milliseconds;
+    using jsonsource::FieldSchema;
+    using jsonsource::FieldType;
+    using jsonsource::ObjectSchema;
+
+    constexpr double maximumIntervalMs = 600000;
+
+    FieldSchema required(const std::string& name, FieldType type) { return { name, type, true, 0, 0, {} }; }
+
+    FieldSchema integer(const std::string& name, double minimum, double maximum)
+    {
+        return { name, FieldType::Integer, false, minimum, maximum, {} };
+    }
+
+    const ObjectSchema& schema()
+    {
+        static const ObjectSchema fields {
+            required("entry", FieldType::Name),
+            required("data_centre", FieldType::Name),
+            required("caller_address", FieldType::Address),
+            required("operator_address", FieldType::Address),
+            required("telemetry_address", FieldType::Address),
+            required("peer_address", FieldType::Address),
+            required("platform_address", FieldType::Address),
+            { "log_stream", FieldType::Name, false, 0, 0, {} },
+            { "stale_serving", FieldType::Choice, false, 0, 0, { "serve", "fence" } },
+            integer("fence_after_ms", 1000, maximumIntervalMs),
+            integer("heartbeat_interval_ms", 50, 10000),
+            integer("suspect_after_ms", 200, maximumIntervalMs),
+            integer("append_interval_ms", 10, 10000),
+            integer("default_timeout_ms", 1, maximumIntervalMs),
+            integer("header_timeout_ms", 100, maximumIntervalMs),
+            integer("idle_timeout_ms", 100, maximumIntervalMs),
+            integer("shutdown_grace_ms", 0, maximumIntervalMs),
+            integer("maximum_connections", 1, 1000000),
+            integer("maximum_body_bytes", 1, 1 << 28),
+            integer("maximum_queued_requests", 1, 1000000),
+            { "trace_file", FieldType::Text, false, 0, 0, {} },
+        };
+        return fields;
+    }
+
+    /// Copies checked fields into typed settings; absent fields keep their defaults.
+    class FieldCopier {
+    public:
+        explicit FieldCopier(const nlohmann::json& object)
+            : object_(object)
+        {
+        }
+
+        void copy(const char* field, std::string& target) const
+        {
+            if (object_.contains(field))
+                target = object_[field].get<std::string>();
+        }
+
+        void copy(const char* field, Address& target) const
+        {
+            target = *foundation::parseAddress(object_[field].get<std::string>());
+        }
+
+        void copy(const char* field, milliseconds& target) const
+        {
+            if (object_.contains(field))
+                target = milliseconds(object_[field].get<std::int64_t>());
+        }
+
+        void copy(const char* field, std::size_t& target) const
+        {
+            if (object_.contains(field))
+                target = object_[field].get<std::size_t>();
+        }
+
+    private:
+        const nlohmann::json& object_;
+    };
+
+    DaemonSettings fromJson(const nlohmann::json& object)
+    {
+        DaemonSettings result;
+        FieldCopier copier(object);
+        copier.copy("entry", result.entry);
+        copier.copy("data_centre", result.dataCentre);
+        copier.copy("caller_address", result.callerAddress);
+        copier.copy("operator_address", result.operatorAddress);
+        copier.copy("telemetry_address", result.telemetryAddress);
+        copier.copy("peer_address", result.peerAddress);
+        copier.copy("platform_address", result.platformAddress);
+        copier.copy("log_stream", result.logStream);
+        copier.copy("fence_after_ms", result.fenceAfter);
+        copier.copy("heartbeat_interval_ms", result.heartbeatInterval);
+        copier.copy("suspect_after_ms", result.suspectAfter);
+        copier.copy("append_interval_ms", result.appendInterval);
+        copier.copy("default_timeout_ms", result.defaultTimeout);
+        copier.copy("header_timeout_ms", result.headerTimeout);
+        copier.copy("idle_timeout_ms", result.idleTimeout);
+        copier.copy("shutdown_grace_ms", result.shutdownGrace);
+        copier.copy("maximum_connections", result.maximumConnections);
+        copier.copy("maximum_body_bytes", result.maximumBodyBytes);
+        copier.copy("maximum_queued_requests", result.maximumQueuedRequests);
+        copier.copy("trace_file", result.traceFile);
+        if (object.value("stale_serving", "serve") == "fence")
+            result.staleServing = StaleServing::Fence;
+        return result;
+    }
+
+    void checkRelations(const DaemonSettings& settings, const jsonsource::Document& document, jsonsource::Faults& faults)
+    {
+        if (settings.suspectAfter < 2 * settings.heartbeatInterval)
+            document.addFault(faults, "/suspect_after_ms", "expected at least twice heartbeat_interval_ms");
+        if (settings.fenceAfter < settings.suspectAfter)
+            document.addFault(faults, "/fence_after_ms", "expected at least suspect_after_ms");
+    }
+
+} // namespace
+
+std::optional<DaemonSettings> parseDaemonSettings(
+    const std::string& file, const std::string& text, jsonsource::Faults& faults)
+{
+    const std::size_t faultsBefore = faults.size();
+    auto document = jsonsource::Document::parse(file, text, faults);
+    if (!document)
+        return std::nullopt;
+    jsonsource::checkObject(*document, "", schema(), faults);
+    if (faults.size() != faultsBefore)
+        return std::nullopt;
+    DaemonSettings result = fromJson(document->value());
+    checkRelations(result, *document, faults);
+    if (faults.size() != faultsBefore)
+        return std::nullopt;
+    return result;
+}
+
+std::optional<DaemonSettings> loadDaemonSettings(const std::string& path, jsonsource::Faults& faults)
+{
+    auto text = jsonsource::readFile(path, faults);
+    if (!text)
+        return std::nullopt;
+    return parseDaemonSettings(path, *text, faults);
+}
+
+} // namespace turmericsill::settings
--- /dev/null
+++ b/standins/endpoint/endpointservice.cpp
@@ -0,0 +1,77 @@
+#include "standins/endpoint/endpointservice.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <utility>
+
+namespace turmericsill::standins {
+
+using foundation::milliseconds;
+using httpserver::HttpExchangePtr;
+
+namespace {
+
+    constexpr std::size_t endpointConnections = 2000;
+
+} // namespace
+
+EndpointService::EndpointService(
+    boost::asio::io_context& context, std::string name, const foundation::Address& address, RunsByKey& runsByKey)
+    : context_(context)
+    , timers_(context)
+    , name_(std::move(name))
+    , address_(address)
+    , runsByKey_(runsByKey)
+{
+}
+
+foundation::Result<void> EndpointService::start()
+{
+    httpserver::ServerLimits limits;
+    limits.maximumConnections = endpointConnections;
+    server_ = std::make_unique<httpserver::HttpServer>(context_, *this, limits);
+    return server_->listen(address_);
+}
+
+void EndpointService::handle(const HttpExchangePtr& exchange)
+{
+    auto& request = exchange->request();
+    if (request.target() == "/standin/ping") {
+        exchange->respond(httpserver::makeResponse(200, "pong"));
+        return;
+    }
+    ++counts_.runs;
+    ++counts_.inProgress;
+    counts_.maximumInProgress = std::max(counts_.maximumInProgress, counts_.inProgress);
+    counts_.maximumConnections = std::max<std::uint64_t>(counts_.maximumConnections, server_->counters().open);
+    const std::string key(request["Idempotency-Key"]);
+    if (!key.empty())
+        ++runsByKey_[key];
+    const std::string work(request["X-Work-Ms"]);
+    const auto until = std::chrono::steady_clock::now() + milliseconds(std::atoll(work.c_str()));
+    timers_.schedule(until, [this, exchange, generation = generation_] { finish(exchange, generation); });
+}
+
+void EndpointService::finish(const HttpExchangePtr& exchange, std::uint64_t generation)
+{
+    if (generation != generation_)
+        return;
+    --counts_.inProgress;
+    const auto& request = exchange->request();
+    const nlohmann::json body { { "endpoint", name_ }, { "target", std::string(request.target()) },
+        { "request_id", std::string(request["X-Request-Id"]) }, { "body", request.body() } };
+    exchange->respond(httpserver::makeResponse(200, body.dump(), "application/json"));
+}
+
+void EndpointService::reboot(milliseconds duration)
+{
+    counts_.cutOff += counts_.inProgress;
+    counts_.inProgress = 0;
+    ++generation_;
+    server_.reset();
+    timers_.schedule(std::chrono::steady_clock::now() + duration, [this] { static_cast<void>(start()); });
+}
+
+EndpointCounts EndpointService::counts() const { return counts_; }
+
+} // namespace turmericsill::standins
--- /dev/null
+++ b/standins/endpoint/main.cpp
@@ -0,0 +1,134 @@
+// Stand-in for endpoint instances: one process serves every instance of a declarations folder.
+
+#include "declarations/folderloader.h"
+#include "foundation/address.h"
+#include "httpserver/httpserver.h"
+#include "platform/httpclient.h"
+#include "standins/endpoint/endpointservice.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <boost/asio/signal_set.hpp>
+
+#include <iostream>
+
+ABSL_FLAG(std::string, declarations, "", "folder whose instances are served");
+ABSL_FLAG(std::string, control, "127.0.0.1:20001", "IP:PORT of the control interface");
+ABSL_FLAG(std::string, platform, "127.0.0.1:20000", "IP:PORT of the platform, where the instances are registered");
+ABSL_FLAG(uint32_t, reboot_ms, 500, "how long a reboot takes");
+
+namespace turmericsill::standins {
+
+namespace {
+
+    /// Control interface: reboots, which the platform asks for, and counts.
+    class ControlHandler : public httpserver::IHttpHandler {
+    public:
+        explicit ControlHandler(foundation::milliseconds rebootDuration)
+            : rebootDuration_(rebootDuration)
+        {
+        }
+
+        void add(const std::string& name, std::unique_ptr<EndpointService> service)
+        {
+            services_.emplace(name, std::move(service));
+        }
+
+        RunsByKey& runsByKey() { return runsByKey_; }
+
+        void handle(const httpserver::HttpExchangePtr& exchange) override
+        {
+            const std::string target(exchange->request().target());
+            const std::string rebootPrefix = "/reboot?instance=";
+            if (target == "/stats") {
+                exchange->respond(httpserver::makeResponse(200, stats().dump(), "application/json"));
+                return;
+            }
+            auto found = services_.end();
+            if (target.rfind(rebootPrefix, 0) == 0)
+                found = services_.find(target.substr(rebootPrefix.size()));
+            if (found == services_.end()) {
+                exchange->respond(httpserver::makeResponse(404, "{}", "application/json"));
+                return;
+            }
+            found->second->reboot(rebootDuration_);
+            exchange->respond(httpserver::makeResponse(200, "{}", "application/json"));
+        }
+
+    private:
+        nlohmann::json stats() const
+        {
+            EndpointCounts sum;
+            for (const auto& [name, service] : services_) {
+                const EndpointCounts counts = service->counts();
+                sum.runs += counts.runs;
+                sum.inProgress += counts.inProgress;
+                sum.cutOff += counts.cutOff;
+                sum.maximumInProgress = std::max(sum.maximumInProgress, counts.maximumInProgress);
+                sum.maximumConnections = std::max(sum.maximumConnections, counts.maximumConnections);
+            }
+            std::uint64_t doubled = 0;
+            for (const auto& [key, runs] : runsByKey_)
+                doubled += runs > 1 ? runs - 1 : 0;
+            return { { "runs", sum.runs }, { "in_progress", sum.inProgress }, { "cut_off", sum.cutOff },
+                { "maximum_in_progress", sum.maximumInProgress }, { "maximum_connections", sum.maximumConnections },
+                { "doubled", doubled } };
+        }
+
+        foundation::milliseconds rebootDuration_;
+        std::map<std::string, std::unique_ptr<EndpointService>> services_;
+        RunsByKey runsByKey_;
+    };
+
+    int run()
+    {
+        jsonsource::Faults faults;
+        auto set = declarations::loadFolder(absl::GetFlag(FLAGS_declarations), faults);
+        auto control = foundation::parseAddress(absl::GetFlag(FLAGS_control));
+        auto platformAddress = foundation::parseAddress(absl::GetFlag(FLAGS_platform));
+        for (const auto& fault : faults)
+            std::cerr << fault.text() << "\n";
+        if (!set || !control || !platformAddress)
+            return 2;
+        boost::asio::io_context context(1);
+        ControlHandler handler(foundation::milliseconds(absl::GetFlag(FLAGS_reboot_ms)));
+        httpserver::HttpServer controlServer(context, handler, {});
+        if (auto listening = controlServer.listen(*control); !listening) {
+            std::cerr << listening.error().message() << "\n";
+            return 1;
+        }
+        platform::HttpClient registry(context, *platformAddress);
+        for (const auto& [key, object] : *set) {
+            const auto* instance = std::get_if<declarations::Instance>(&object);
+            if (!instance)
+                continue;
+            auto service = std::make_unique<EndpointService>(
+                context, key.name, foundation::parseAddress(instance->address).value(), handler.runsByKey());
+            if (auto started = service->start(); !started) {
+                std::cerr << started.error().message() << "\n";
+                return 1;
+            }
+            handler.add(key.name, std::move(service));
+            const nlohmann::json body { { "name", key.name }, { "probe", instance->address },
+                { "control", control->text() } };
+            registry.send(boost::beast::http::verb::post, "/instances", body.dump(), std::chrono::seconds(5),
+                "standin.register", [](const foundation::Result<platform::HttpAnswer>& answer) {
+                    if (!answer)
+                        std::cerr << answer.error().message() << "\n";
+                });
+        }
+        boost::asio::signal_set signals(context, SIGINT, SIGTERM);
+        signals.async_wait([&](boost::system::error_code, int) { context.stop(); });
+        context.run();
+        return 0;
+    }
+
+} // namespace
+
+} // namespace turmericsill::standins
+
+int main(int argc, char** argv)
+{
+    absl::ParseCommandLine(argc, argv);
+    return turmericsill::standins::run();
+}
--- /dev/null
+++ b/standins/platform/logstore.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace turmericsill::standins {
+
+/// Streams of records with offsets, held in memory.
+class LogStore {
+public:
+    struct Stream {
+        std::uint64_t first = 0; ///< Oldest offset that is still kept.
+        std::deque<std::string> records;
+
+        std::uint64_t tail() const { return first + records.size(); }
+    };
+
+    Stream& stream(const std::string& name) { return streams_[name]; }
+
+    /// Appends records and returns the offset of the first.
+    std::uint64_t append(const std::string& name, std::vector<std::string> records, std::size_t retain);
+
+private:
+    std::map<std::string, Stream> streams_;
+};
+
+} // namespace turmericsill::standins
--- /dev/null
+++ b/standins/platform/platformservice.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "foundation/asiotimerqueue.h"
+#include "httpserver/ihttphandler.h"
+#include "platform/httpclient.h"
+#include "standins/platform/faults.h"
+#include "standins/platform/logstore.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <functional>
+#include <memory>
+#include <set>
+
+namespace turmericsill::standins {
+
+/// The platform's HTTP interface as docs/PLATFORM.md states it: log, instance list and reboots.
+class PlatformService : public httpserver::IHttpHandler {
+public:
+    PlatformService(boost::asio::io_context& context, std::uint64_t seed);
+
+    void handle(const httpserver::HttpExchangePtr& exchange) override;
+
+private:
+    struct Query;
+
+    /// A process that the platform knows as an instance.
+    struct Instance {
+        foundation::Address probe; ///< The instance is gone when nothing accepts connections here.
+        foundation::Address control; ///< Empty for an instance that cannot be rebooted.
+        bool live = true;
+        bool leaving = false;
+        int failedProbes = 0;
+        std::uint64_t epoch = 0;
+    };
+
+    struct Waiter {
+        std::string stream;
+        std::uint64_t from;
+        std::size_t maximum;
+        httpserver::HttpExchangePtr exchange;
+        foundation::TimerId timer;
+    };
+
+    using Handler = std::function<void(const httpserver::HttpExchangePtr&, const Query&)>;
+
+    void route(const httpserver::HttpExchangePtr& exchange);
+    void append(const httpserver::HttpExchangePtr& exchange, const std::string& stream);
+    void read(const httpserver::HttpExchangePtr& exchange, const std::string& stream, const Query& query);
+    void answerRead(const httpserver::HttpExchangePtr& exchange, const std::string& stream, std::uint64_t from,
+        std::size_t maximum);
+    void wakeReaders(const std::string& stream);
+    void registerInstance(const httpserver::HttpExchangePtr& exchange);
+    void listInstances(const httpserver::HttpExchangePtr& exchange);
+    void reboot(const httpserver::HttpExchangePtr& exchange, const std::string& name);
+    void startReboot(const std::string& name, const std::string& operation);
+    void pollReboot(const std::string& name, const std::string& operation, int remaining);
+    void answerOperation(const httpserver::HttpExchangePtr& exchange, const std::string& operation);
+    void answerStats(const httpserver::HttpExchangePtr& exchange);
+    void probeInstances();
+    void probe(const std::string& name);
+    void onProbed(const std::string& name, bool reachable);
+    void refreshList();
+    void answer(const httpserver::HttpExchangePtr& exchange, unsigned status, const nlohmann::json& body);
+    void answerOrLose(const httpserver::HttpExchangePtr& exchange, unsigned status, const nlohmann::json& body);
+    void countAppend();
+
+    boost::asio::io_context& context_;
+    foundation::AsioTimerQueue timers_;
+    std::mt19937_64 random_;
+    Faults faults_;
+    LogStore log_;
+    std::map<std::uint64_t, Waiter> waiters_;
+    std::uint64_t nextWaiter_ = 1;
+    std::map<std::string, Instance> instances_;
+    nlohmann::json listed_ = nlohmann::json::array();
+    std::map<std::string, std::string> operations_;
+    std::uint64_t appends_ = 0;
+    std::uint64_t appendedRecords_ = 0;
+    std::uint64_t appendsThisSecond_ = 0;
+    std::uint64_t maximumAppendsPerSecond_ = 0;
+    foundation::SteadyTime secondStart_ {};
+    std::uint64_t reboots_ = 0;
+};
+
+} // namespace turmericsill::standins
