--- /dev/null
+++ b/scripts/install.sh
@@ -0,0 +1,27 @@
+#!/usr/bin/env bash
+# Installs what building, testing and running need, from Debian's packages.
+set -euo pipefail
+packages=(
+    g++ cmake ninja-build ccache git jq curl
+    clang-format clang-tidy
+    libboost-dev libboost-system-dev
+    libjsonrpccpp-dev libjsoncpp-dev
+    prometheus-cpp-dev
+    libabsl-dev
+    libgoogle-glog-dev
+    nlohmann-json3-dev
+    libexpected-dev
+    libxxhash-dev
+    catch2 libtrompeloeil-cpp-dev
+    libbenchmark-dev
+    gnuplot-nox
+)
+missing=()
+for package in "${packages[@]}"; do
+    dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'ok installed' || missing+=("$package")
+done
+[ ${#missing[@]} -eq 0 ] && exit 0
+[ "$(id -u)" -eq 0 ] || { echo "install.sh: run as root to install: ${missing[*]}" >&2; exit 1; }
+export DEBIAN_FRONTEND=noninteractive
+apt-get update -qq
+apt-get install -y -qq --no-install-recommends "${missing[@]}" >/dev/null
--- /dev/null
+++ b/src/callers/callerhandler.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "callers/dispatcher.h"
+#include "httpserver/ihttphandler.h"
+#include "telemetry/metrics.h"
+
+#include <random>
+
+namespace turmericsill::callers {
+
+/// Turns callers' HTTP requests into CallerRequest and replies into HTTP answers.
+class CallerHandler : public httpserver::IHttpHandler {
+public:
+    CallerHandler(Dispatcher& dispatcher, const foundation::IClock& clock, telemetry::ITracer& tracer,
+        telemetry::Metrics& metrics, foundation::milliseconds defaultTimeout, std::uint64_t seed);
+
+    void handle(const httpserver::HttpExchangePtr& exchange) override;
+
+private:
+    CallerRequestPtr buildRequest(const httpserver::HttpExchangePtr& exchange, const std::string& service);
+    void reply(const httpserver::HttpExchangePtr& exchange, const CallerRequest& request, CallerReply reply);
+    void recordSpan(const CallerRequest& request, const CallerReply& reply) const;
+    foundation::milliseconds timeoutOf(const httpserver::HttpRequest& request, const std::string& service) const;
+
+    Dispatcher& dispatcher_;
+    const foundation::IClock& clock_;
+    telemetry::ITracer& tracer_;
+    foundation::milliseconds defaultTimeout_;
+    std::mt19937_64 random_;
+    prometheus::Histogram& answeredSeconds_;
+    prometheus::Histogram& notRunSeconds_;
+    prometheus::Histogram& unknownSeconds_;
+};
+
+} // namespace turmericsill::callers
--- /dev/null
+++ b/src/callers/internal/callerhandler.cpp
@@ -0,0 +1,162 @@
+#include "callers/callerhandler.h"
+
+#include "callers/headerrules.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace turmericsill::callers {
+
+namespace http = boost::beast::http;
+using foundation::milliseconds;
+using httpserver::HttpExchangePtr;
+using httpserver::HttpRequest;
+using httpserver::HttpResponse;
+
+namespace {
+
+    constexpr milliseconds maximumTimeout { 600000 };
+    constexpr unsigned badRequest = 400;
+
+    std::string serviceOf(const HttpRequest& request)
+    {
+        const std::string target(request.target());
+        if (target.empty() || target.front() != '/')
+            return {};
+        return target.substr(1, target.find_first_of("/?", 1) - 1);
+    }
+
+    bool isIdempotentMethod(http::verb method)
+    {
+        return method == http::verb::get || method == http::verb::head || method == http::verb::put
+            || method == http::verb::delete_ || method == http::verb::options;
+    }
+
+    bool isIdempotent(const HttpRequest& request)
+    {
+        const auto stated = request["Turmericsill-Idempotent"];
+        if (stated == "true" || stated == "false")
+            return stated == "true";
+        return isIdempotentMethod(request.method());
+    }
+
+    HttpResponse makeRefusal(unsigned status, const std::string& reason)
+    {
+        HttpResponse response = httpserver::makeResponse(status, reason + "\n");
+        response.set("Turmericsill-Outcome", outcomeName(Outcome::NotRun));
+        return response;
+    }
+
+    HttpResponse makeReplyMessage(CallerReply& reply)
+    {
+        if (reply.outcome == Outcome::Answered) {
+            removeHopByHopFields(reply.answer);
+            reply.answer.set("Turmericsill-Outcome", outcomeName(reply.outcome));
+            return std::move(reply.answer);
+        }
+        HttpResponse response = httpserver::makeResponse(reply.status, reply.reason + "\n");
+        response.set("Turmericsill-Outcome", outcomeName(reply.outcome));
+        if (reply.status == static_cast<unsigned>(http::status::service_unavailable)) {
+            const auto seconds = std::max<std::int64_t>(1, (reply.retryAfter.count() + 999) / 1000);
+            response.set(http::field::retry_after, std::to_string(seconds));
+        }
+        return response;
+    }
+
+} // namespace
+
+CallerHandler::CallerHandler(Dispatcher& dispatcher, const foundation::IClock& clock, telemetry::ITracer& tracer,
+    telemetry::Metrics& metrics, milliseconds defaultTimeout, std::uint64_t seed)
+    : dispatcher_(dispatcher)
+    , clock_(clock)
+    , tracer_(tracer)
+    , defaultTimeout_(defaultTimeout)
+    , random_(seed)
+    , answeredSeconds_(
+          metrics.latency("caller_reply_seconds", "Time to a caller's reply", { { "outcome", "answered" } }))
+    , notRunSeconds_(metrics.latency("caller_reply_seconds", "Time to a caller's reply", { { "outcome", "not-run" } }))
+    , unknownSeconds_(metrics.latency("caller_reply_seconds", "Time to a caller's reply", { { "outcome", "unknown" } }))
+{
+}
+
+void CallerHandler::handle(const HttpExchangePtr& exchange)
+{
+    const HttpRequest& message = exchange->request();
+    const std::string service = serviceOf(message);
+    if (service.empty())
+        return exchange->respond(makeRefusal(badRequest, "expected a path /SERVICE/..."));
+    if (message.method() == http::verb::connect || message.method() == http::verb::trace
+        || message.method() == http::verb::unknown)
+        return exchange->respond(makeRefusal(405, "the method is not supported"));
+    const auto stated = message["Turmericsill-Timeout-Ms"];
+    if (!stated.empty() && timeoutOf(message, service) == milliseconds::zero())
+        return exchange->respond(
+            makeRefusal(badRequest, "Turmericsill-Timeout-Ms: expected a whole number from 1 to 600000"));
+    CallerRequestPtr request = buildRequest(exchange, service);
+    exchange->onAbandoned([this, request] { dispatcher_.abandon(request); });
+    dispatcher_.submit(request);
+}
+
+CallerRequestPtr CallerHandler::buildRequest(const HttpExchangePtr& exchange, const std::string& service)
+{
+    HttpRequest message = exchange->request();
+    const bool idempotent = isIdempotent(message);
+    const milliseconds timeout = timeoutOf(message, service);
+    auto parent = telemetry::TraceContext::parse({ message["traceparent"].data(), message["traceparent"].size() });
+    std::string key(message["Idempotency-Key"]);
+    removeHopByHopFields(message);
+    CallerRequestPtr request = new CallerRequest(std::move(message), idempotent, {});
+    request->service = service;
+    request->idempotencyKey = std::move(key);
+    request->receivedAt = clock_.now();
+    request->deadline = request->receivedAt + timeout;
+    request->trace = parent ? parent->child(random_) : telemetry::TraceContext::start(random_, tracer_.isEnabled());
+    request->parentSpanId = parent ? parent->spanId : std::string();
+    // The request is owned by whoever will reply, so the callback must not own it in turn.
+    request->onReply = [this, exchange, raw = request.get()](
+                           CallerReply replyToSend) { reply(exchange, *raw, std::move(replyToSend)); };
+    return request;
+}
+
+milliseconds CallerHandler::timeoutOf(const HttpRequest& request, const std::string& service) const
+{
+    const auto stated = request["Turmericsill-Timeout-Ms"];
+    if (!stated.empty()) {
+        std::int64_t value = 0;
+        const auto parsed = std::from_chars(stated.data(), stated.data() + stated.size(), value);
+        const bool valid = parsed.ec == std::errc() && parsed.ptr == stated.data() + stated.size() && value > 0
+            && value <= maximumTimeout.count();
+        return valid ? milliseconds(value) : milliseconds::zero();
+    }
+    const declarations::Service* declared = dispatcher_.findService(service);
+    return declared ? declared->timeout : defaultTimeout_;
+}
+
+void CallerHandler::reply(const HttpExchangePtr& exchange, const CallerRequest& request, CallerReply reply)
+{
+    recordSpan(request, reply);
+    const double seconds = std::chrono::duration<double>(clock_.now() - request.receivedAt).count();
+    prometheus::Histogram& histogram = reply.outcome == Outcome::Answered ? answeredSeconds_
+        : reply.outcome == Outcome::NotRun                                ? notRunSeconds_
+                                                                          : unknownSeconds_;
+    histogram.Observe(seconds);
+    exchange->respond(makeReplyMessage(reply));
+}
+
+void CallerHandler::recordSpan(const CallerRequest& request, const CallerReply& reply) const
+{
+    if (!tracer_.isEnabled())
+        return;
+    telemetry::Span span;
+    span.context = request.trace;
+    span.parentSpanId = request.parentSpanId;
+    span.name = "caller.request";
+    span.duration = std::chrono::duration_cast<milliseconds>(clock_.now() - request.receivedAt);
+    span.start = clock_.wallNow() - span.duration;
+    span.attributes = { { "service", request.service }, { "outcome", outcomeName(reply.outcome) },
+        { "attempts", std::to_string(request.attempts) } };
+    tracer_.record(span);
+}
+
+} // namespace turmericsill::callers
--- /dev/null
+++ b/src/callers/internal/callersmodule.cpp
@@ -0,0 +1,221 @@
+#include "callers/callersmodule.h"
+
+#include "callers/callerhandler.h"
+#include "callers/httpendpointtransport.h"
+#include "callers/rostershares.h"
+#include "fleetlog/types/stateupdate.h"
+#include "foundation/asiotimerqueue.h"
+#include "foundation/dutythread.h"
+#include "foundation/feed.h"
+#include "foundation/systemclock.h"
+#include "httpserver/httpserver.h"
+#include "membership/types/messages.h"
+#include "telemetry/readiness.h"
+
+#include <boost/asio/post.hpp>
+#include <future>
+#include <random>
+
+namespace turmericsill::callers {
+
+using foundation::milliseconds;
+using membership::CallerReport;
+using membership::ServingView;
+
+namespace {
+
+    constexpr milliseconds reportInterval { 50 };
+    constexpr std::size_t maximumAnswerBytes = 16u << 20;
+
+    httpserver::ServerLimits serverLimits(const settings::DaemonSettings& settings)
+    {
+        httpserver::ServerLimits limits;
+        limits.maximumConnections = settings.maximumConnections;
+        limits.maximumBodyBytes = settings.maximumBodyBytes;
+        limits.headerTimeout = settings.headerTimeout;
+        limits.idleTimeout = settings.idleTimeout;
+        return limits;
+    }
+
+    DispatcherOptions dispatcherOptions(const settings::DaemonSettings& settings)
+    {
+        DispatcherOptions options;
+        options.maximumQueued = settings.maximumQueuedRequests;
+        return options;
+    }
+
+} // namespace
+
+class CallersModule::Duty {
+public:
+    explicit Duty(const settings::DaemonSettings& daemonSettings)
+        : settings(daemonSettings)
+        , thread("callers")
+        , timers(thread.context())
+        , transport(thread.context(), maximumAnswerBytes)
+        , shares(daemonSettings.entry)
+        , reports(std::make_shared<foundation::Feed<CallerReport>>())
+        , counters(std::make_shared<foundation::Feed<DispatcherCounters>>())
+    {
+    }
+
+    void build(foundation::ModuleRegistry& registry)
+    {
+        auto metrics = registry.resolve<telemetry::Metrics>();
+        tracer = registry.resolve<telemetry::ITracer>();
+        readiness = registry.resolve<telemetry::Readiness>();
+        readiness->setReason("shares", "this entry has no share of the endpoints yet");
+        std::random_device seed;
+        dispatcher = std::make_unique<Dispatcher>(
+            transport, shares, timers, clock, *tracer, dispatcherOptions(settings), seed());
+        handler
+            = std::make_unique<CallerHandler>(*dispatcher, clock, *tracer, *metrics, settings.defaultTimeout, seed());
+        server = std::make_unique<httpserver::HttpServer>(thread.context(), *handler, serverLimits(settings));
+        queuedGauge = &metrics->gauge("caller_queued", "Requests that wait for a slot");
+        inProgressGauge = &metrics->gauge("caller_in_progress", "Attempts in progress on endpoints");
+        ejectedGauge = &metrics->gauge("endpoints_ejected", "Endpoints ejected for failures");
+        connectionsGauge = &metrics->gauge("caller_connections", "Open connections of callers");
+        attemptsGauge = &metrics->gauge("endpoint_attempts_total", "Attempts made on endpoints");
+        retriesGauge = &metrics->gauge("endpoint_retries_total", "Attempts made after a failed one");
+        shedGauge = &metrics->gauge("caller_shed_total", "Requests refused because of overload");
+        malformedGauge = &metrics->gauge("caller_malformed_total", "Malformed or oversized requests refused");
+        abandonedGauge = &metrics->gauge("caller_abandoned_total", "Callers that left before their reply");
+        lateGauge = &metrics->gauge("endpoint_late_answers_total", "Answers that came after the caller's timeout");
+    }
+
+    void onState(const fleetlog::StateUpdate& update)
+    {
+        if (!update.state)
+            return;
+        shares.onRoster(update.state->rosterVersion, update.state->admittedEntries());
+        dispatcher->applyState(update.state);
+        report();
+    }
+
+    void onServing(const ServingView& view)
+    {
+        serving = view;
+        dispatcher->setServingLimit(view.servingUntil);
+        if (shares.onSettled(view.settledRoster))
+            dispatcher->refreshShares();
+        updateReadiness();
+    }
+
+    void updateReadiness()
+    {
+        if (shares.hasShare())
+            readiness->clearReason("shares");
+        else
+            readiness->setReason("shares", "this entry has no share of the endpoints");
+        if (clock.now() < serving.servingUntil)
+            readiness->clearReason("fence");
+        else
+            readiness->setReason("fence", "this entry cannot confirm that its state is current");
+    }
+
+    // A roster is acknowledged only once nothing exceeds the shares that it grants.
+    void report()
+    {
+        if (dispatcher->keepsToShares())
+            acknowledged = shares.newestRoster();
+        reports->publish({ dispatcher->appliedOffset(), acknowledged, dispatcher->busyInstances() });
+    }
+
+    void reportRegularly()
+    {
+        report();
+        const DispatcherCounters now = dispatcher->counters();
+        counters->publish(now);
+        queuedGauge->Set(static_cast<double>(now.queued));
+        inProgressGauge->Set(static_cast<double>(now.inProgress));
+        ejectedGauge->Set(static_cast<double>(now.ejected));
+        attemptsGauge->Set(static_cast<double>(now.attempts));
+        retriesGauge->Set(static_cast<double>(now.retries));
+        shedGauge->Set(static_cast<double>(now.shed));
+        lateGauge->Set(static_cast<double>(now.lateAnswers));
+        const auto& http = server->counters();
+        connectionsGauge->Set(static_cast<double>(http.open));
+        malformedGauge->Set(static_cast<double>(http.malformed + http.oversized));
+        abandonedGauge->Set(static_cast<double>(http.abandoned));
+        updateReadiness();
+        timers.schedule(clock.now() + reportInterval, [this] { reportRegularly(); });
+    }
+
+    void notifyWhenIdle(const std::shared_ptr<std::promise<void>>& idle)
+    {
+        if (dispatcher->isIdle() && server->counters().open == 0)
+            return idle->set_value();
+        server->beginShutdown();
+        timers.schedule(clock.now() + reportInterval, [this, idle] { notifyWhenIdle(idle); });
+    }
+
+    settings::DaemonSettings settings;
+    foundation::SystemClock clock;
+    foundation::DutyThread thread;
+    foundation::AsioTimerQueue timers;
+    HttpEndpointTransport transport;
+    RosterShares shares;
+    std::shared_ptr<foundation::Feed<CallerReport>> reports;
+    std::shared_ptr<foundation::Feed<DispatcherCounters>> counters;
+    std::shared_ptr<telemetry::ITracer> tracer;
+    std::shared_ptr<telemetry::Readiness> readiness;
+    std::unique_ptr<Dispatcher> dispatcher;
+    std::unique_ptr<CallerHandler> handler;
+    std::unique_ptr<httpserver::HttpServer> server;
+    ServingView serving;
+    std::uint64_t acknowledged = 0;
+    prometheus::Gauge* queuedGauge = nullptr;
+    prometheus::Gauge* inProgressGauge = nullptr;
+    prometheus::Gauge* ejectedGauge = nullptr;
+    prometheus::Gauge* connectionsGauge = nullptr;
+    prometheus::Gauge* attemptsGauge = nullptr;
+    prometheus::Gauge* retriesGauge = nullptr;
+    prometheus::Gauge* shedGauge = nullptr;
+    prometheus::Gauge* malformedGauge = nullptr;
+    prometheus::Gauge* abandonedGauge = nullptr;
+    prometheus::Gauge* lateGauge = nullptr;
+};
+
+CallersModule::CallersModule(const settings::DaemonSettings& settings)
+    : duty_(std::make_unique<Duty>(settings))
+{
+}
+
+CallersModule::~CallersModule() = default;
+
+void CallersModule::registerExports(foundation::ModuleRegistry& registry)
+{
+    registry.provide(duty_->reports);
+    registry.provide(duty_->counters);
+}
+
+void CallersModule::resolveImports(foundation::ModuleRegistry& registry)
+{
+    duty_->build(registry);
+    registry.resolve<foundation::Feed<fleetlog::StateUpdate>>()->subscribe(
+        duty_->thread.context(), [duty = duty_.get()](const fleetlog::StateUpdate& update) { duty->onState(update); });
+    registry.resolve<foundation::Feed<ServingView>>()->subscribe(
+        duty_->thread.context(), [duty = duty_.get()](const ServingView& view) { duty->onServing(view); });
+}
+
+foundation::Result<void> CallersModule::start()
+{
+    auto listening = duty_->server->listen(duty_->settings.callerAddress);
+    if (!listening)
+        return listening;
+    boost::asio::post(duty_->thread.context(), [duty = duty_.get()] { duty->reportRegularly(); });
+    duty_->thread.start();
+    return {};
+}
+
+void CallersModule::drain(milliseconds grace)
+{
+    auto idle = std::make_shared<std::promise<void>>();
+    auto waiting = idle->get_future();
+    boost::asio::post(duty_->thread.context(), [duty = duty_.get(), idle] { duty->notifyWhenIdle(idle); });
+    waiting.wait_for(grace);
+}
+
+void CallersModule::stop() { duty_->thread.stop(); }
+
+} // namespace turmericsill::callers
--- /dev/null
+++ b/src/callers/internal/headerrules.cpp
@@ -0,0 +1,42 @@
+#include "callers/headerrules.h"
+
+#include <array>
+#include <boost/beast/http/rfc7230.hpp>
+#include <string>
+#include <vector>
+
+namespace turmericsill::callers {
+
+namespace {
+
+    namespace http = boost::beast::http;
+
+    constexpr std::array<http::field, 8> hopByHopFields { http::field::connection, http::field::keep_alive,
+        http::field::proxy_authenticate, http::field::proxy_authorization, http::field::te, http::field::trailer,
+        http::field::upgrade, http::field::proxy_connection };
+
+    template <typename Message> void removeFields(Message& message)
+    {
+        std::vector<std::string> named;
+        for (const auto& token : http::token_list(message[http::field::connection]))
+            named.emplace_back(token);
+        for (const auto& name : named)
+            message.erase(name);
+        for (http::field field : hopByHopFields)
+            message.erase(field);
+        // The body is held whole, so its length replaces any chunking.
+        message.chunked(false);
+    }
+
+} // namespace
+
+void removeHopByHopFields(httpserver::HttpRequest& request)
+{
+    removeFields(request);
+    request.erase(http::field::expect);
+    request.prepare_payload();
+}
+
+void removeHopByHopFields(httpserver::HttpResponse& response) { removeFields(response); }
+
+} // namespace turmericsill::callers
--- /dev/null
+++ b/src/callers/internal/retrybudget.cpp
@@ -0,0 +1,17 @@
+#include "callers/retrybudget.h"
+
+#include <algorithm>
+
+namespace turmericsill::callers {
+
+void RetryBudget::onFirstAttempt() { tokens_ = std::min(tokens_ + retriesPerAttempt, maximumTokens); }
+
+bool RetryBudget::tryTake()
+{
+    if (tokens_ < 1)
+        return false;
+    tokens_ -= 1;
+    return true;
+}
+
+} // namespace turmericsill::callers
--- /dev/null
+++ b/src/callers/internal/rostershares.cpp
@@ -0,0 +1,78 @@
+#include "callers/rostershares.h"
+
+#include "foundation/hash.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace turmericsill::callers {
+
+// The first roster is empty: an entry that starts has no share before the others have made room for it.
+RosterShares::RosterShares(std::string entry)
+    : entry_(std::move(entry))
+    , rosters_(1)
+{
+}
+
+bool RosterShares::onRoster(std::uint64_t version, const std::vector<std::string>& admitted)
+{
+    if (version <= rosters_.back().version)
+        return false;
+    if (rosters_.back().admitted == admitted) {
+        // Joins of entries that are not admitted change nothing, so they need no round of acknowledgements.
+        rosters_.back().version = version;
+        return false;
+    }
+    rosters_.push_back({ version, admitted });
+    return true;
+}
+
+bool RosterShares::onSettled(std::uint64_t version)
+{
+    bool changed = false;
+    while (rosters_.size() > 1 && rosters_[1].version <= version) {
+        rosters_.pop_front();
+        changed = true;
+    }
+    return changed;
+}
+
+bool RosterShares::hasShare() const
+{
+    return std::all_of(rosters_.begin(), rosters_.end(), [this](const Roster& roster) {
+        return std::binary_search(roster.admitted.begin(), roster.admitted.end(), entry_);
+    });
+}
+
+std::uint32_t RosterShares::slots(const declarations::Service& service, const std::string& instance) const
+{
+    return smallestShare(service.slotsPerInstance, instance);
+}
+
+std::uint32_t RosterShares::connections(const declarations::Service& service, const std::string& instance) const
+{
+    return smallestShare(service.connectionsPerInstance, instance);
+}
+
+std::uint32_t RosterShares::smallestShare(std::uint32_t limit, const std::string& instance) const
+{
+    std::uint32_t smallest = limit;
+    for (const auto& roster : rosters_)
+        smallest = std::min(smallest, shareOf(roster, limit, instance));
+    return smallest;
+}
+
+// What is left after equal shares goes to other entries on each instance, so that it evens out over a pool.
+std::uint32_t RosterShares::shareOf(const Roster& roster, std::uint32_t limit, const std::string& instance) const
+{
+    auto found = std::lower_bound(roster.admitted.begin(), roster.admitted.end(), entry_);
+    if (found == roster.admitted.end() || *found != entry_)
+        return 0;
+    const auto members = static_cast<std::uint32_t>(roster.admitted.size());
+    const auto rank = static_cast<std::uint32_t>(found - roster.admitted.begin());
+    const auto rotation = static_cast<std::uint32_t>(foundation::hashBytes(instance) % members);
+    const std::uint32_t position = (rank + rotation) % members;
+    return limit / members + (position < limit % members ? 1 : 0);
+}
+
+} // namespace turmericsill::callers
--- /dev/null
+++ b/src/callers/rostershares.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "callers/islotshares.h"
+
+#include <cstdint>
+#include <deque>
+#include <vector>
+
+namespace turmericsill::callers {
+
+/// Divides each endpoint's slots among the admitted entries.
+///
+/// While members may still follow different rosters, an entry keeps to the smallest of its shares under all of
+/// them, so that the sum over all entries never exceeds the limit.
+class RosterShares : public ISlotShares {
+public:
+    explicit RosterShares(std::string entry);
+
+    /// Takes a newer roster. Returns whether the shares may have changed.
+    bool onRoster(std::uint64_t version, const std::vector<std::string>& admitted);
+
+    /// All members keep to their shares of roster `version`. Returns whether the shares may have changed.
+    bool onSettled(std::uint64_t version);
+
+    /// Newest roster that this entry keeps to.
+    std::uint64_t newestRoster() const { return rosters_.back().version; }
+
+    /// Whether this entry has any share.
+    bool hasShare() const;
+
+    std::uint32_t slots(const declarations::Service& service, const std::string& instance) const override;
+    std::uint32_t connections(const declarations::Service& service, const std::string& instance) const override;
+
+private:
+    struct Roster {
+        std::uint64_t version = 0;
+        std::vector<std::string> admitted;
+    };
+
+    std::uint32_t smallestShare(std::uint32_t limit, const std::string& instance) const;
+    std::uint32_t shareOf(const Roster& roster, std::uint32_t limit, const std::string& instance) const;
+
+    std::string entry_;
+    std::deque<Roster> rosters_; ///< Oldest that some member may follow first; never empty.
+};
+
+} // namespace turmericsill::callers
--- a/src/declarations/internal/folderloader.cpp
+++ b/src/declarations/internal/folderloader.cpp
@@ -57,7 +57,8 @@
             auto kind = kindOfList(list);
             if (!kind) {
                 document.addFault(faults_, pointer,
-                    "unknown list; known are firms, regions, data_centres, racks, services, pools, instances, jobs, teams");
+                    "unknown list; known are firms, regions, data_centres, racks, services, pools, instances, jobs, "
+                    "teams");
                 return;
             }
             if (!value.is_array()) {
@@ -68,7 +69,8 @@
                 addObject(document, *kind, pointer + "/" + std::to_string(index), value[index]);
         }
 
-        void addObject(const Document& document, ObjectKind kind, const std::string& pointer, const nlohmann::json& value)
+        void addObject(
+            const Document& document, ObjectKind kind, const std::string& pointer, const nlohmann::json& value)
         {
             const std::size_t faultsBefore = faults_.size();
             jsonsource::checkObject(document, pointer, schemaOf(kind), faults_);
@@ -168,7 +170,8 @@
     {
         std::vector<std::filesystem::path> files;
         std::error_code error;
-        for (std::filesystem::directory_iterator entry(folder, error), end; !error && entry != end; entry.increment(error)) {
+        for (std::filesystem::directory_iterator entry(folder, error), end; !error && entry != end;
+             entry.increment(error)) {
             if (entry->path().extension() == ".json")
                 files.push_back(entry->path());
         }
--- a/src/declarations/internal/objectcodec.cpp
+++ b/src/declarations/internal/objectcodec.cpp
@@ -25,7 +25,10 @@
 
     json toJson(const Region& region) { return { { "name", region.name } }; }
 
-    json toJson(const DataCentre& dataCentre) { return { { "name", dataCentre.name }, { "region", dataCentre.region } }; }
+    json toJson(const DataCentre& dataCentre)
+    {
+        return { { "name", dataCentre.name }, { "region", dataCentre.region } };
+    }
 
     json toJson(const Rack& rack) { return { { "name", rack.name }, { "data_centre", rack.dataCentre } }; }
 
--- a/src/declarations/internal/objectschemas.cpp
+++ b/src/declarations/internal/objectschemas.cpp
@@ -49,31 +49,35 @@
 
     ObjectSchema instanceSchema()
     {
-        return { name("name"), FieldSchema { "address", FieldType::Address, true, 0, 0, {} }, name("rack"), name("pool"),
-            integer("cores", true, 1, 4096), integer("memory_gb", true, 1, 65536), integer("accelerators", false, 0, 64) };
+        return { name("name"), FieldSchema { "address", FieldType::Address, true, 0, 0, {} }, name("rack"),
+            name("pool"), integer("cores", true, 1, 4096), integer("memory_gb", true, 1, 65536),
+            integer("accelerators", false, 0, 64) };
     }
 
     ObjectSchema jobSchema()
     {
         return { name("name"), name("pool"), name("team"), integer("tasks", false, 1, maximumCount),
             number("cores", true, 0.01, 4096), number("memory_gb", true, 0.01, 65536),
-            integer("accelerators", false, 0, 64), integer("run_time_s", false, 0, maximumRunTimeS), boolean("urgent") };
+            integer("accelerators", false, 0, 64), integer("run_time_s", false, 0, maximumRunTimeS),
+            boolean("urgent") };
     }
 
     std::array<ObjectSchema, kindCount> buildSchemas()
     {
-        return { ObjectSchema { name("name"), number("roll_out_weight", false, 0, 100), number("moves_weight", false, 0, 100),
-                     number("buffer_weight", false, 0, 100) },
+        return { ObjectSchema { name("name"), number("roll_out_weight", false, 0, 100),
+                     number("moves_weight", false, 0, 100), number("buffer_weight", false, 0, 100) },
             ObjectSchema { name("name") }, ObjectSchema { name("name"), name("region") },
-            ObjectSchema { name("name"), name("data_centre") }, serviceSchema(), poolSchema(), instanceSchema(), jobSchema(),
-            ObjectSchema { name("name"), integer("cores", true, 0, maximumCount), integer("memory_gb", true, 0, maximumCount),
-                integer("accelerators", false, 0, maximumCount) } };
+            ObjectSchema { name("name"), name("data_centre") }, serviceSchema(), poolSchema(), instanceSchema(),
+            jobSchema(),
+            ObjectSchema { name("name"), integer("cores", true, 0, maximumCount),
+                integer("memory_gb", true, 0, maximumCount), integer("accelerators", false, 0, maximumCount) } };
     }
 
     std::array<std::vector<Reference>, kindCount> buildReferences()
     {
         std::array<std::vector<Reference>, kindCount> references;
-        auto at = [&](ObjectKind kind) -> std::vector<Reference>& { return references[static_cast<std::size_t>(kind)]; };
+        auto at
+            = [&](ObjectKind kind) -> std::vector<Reference>& { return references[static_cast<std::size_t>(kind)]; };
         at(ObjectKind::DataCentre) = { { "region", ObjectKind::Region } };
         at(ObjectKind::Rack) = { { "data_centre", ObjectKind::DataCentre } };
         at(ObjectKind::Service) = { { "pool", ObjectKind::Pool } };
--- a/src/declarations/objectcodec.h
+++ b/src/declarations/objectcodec.h
@@ -3,7 +3,6 @@
 #include "declarations/types/objects.h"
 
 #include <nlohmann/json.hpp>
-
 #include <string>
 
 namespace turmericsill::declarations {
--- a/src/declarations/tests/declarationstests.cpp
+++ b/src/declarations/tests/declarationstests.cpp
@@ -64,7 +64,8 @@
     std::string text = replaced(valid, "\"rack\": \"k1-r1\"", "\"rack\": \"k9\"");
     text = replaced(text, "127.0.0.1:9002", "127.0.0.1:9001");
     text = replaced(text, "\"minimum_healthy\": 1", "\"minimum_healthy\": 3");
-    text = replaced(text, "\"name\": \"krosno-1\", \"region\": \"south\"", "\"name\": \"krosno-1\", \"region\": \"north\"");
+    text = replaced(
+        text, "\"name\": \"krosno-1\", \"region\": \"south\"", "\"name\": \"krosno-1\", \"region\": \"north\"");
     CHECK_FALSE(load(text, faults));
     std::vector<std::string> texts;
     for (const auto& fault : faults)
@@ -99,7 +100,8 @@
 {
     jsonsource::Faults faults;
     auto before = load(valid, faults);
-    auto after = load(replaced(replaced(valid, "\"minimum_healthy\": 1", "\"minimum_healthy\": 2"), "\"w2\"", "\"w3\""), faults);
+    auto after = load(
+        replaced(replaced(valid, "\"minimum_healthy\": 1", "\"minimum_healthy\": 2"), "\"w2\"", "\"w3\""), faults);
     auto changes = diff(*before, *after);
     REQUIRE(changes.size() == 3);
     CHECK(changes[0].action == ObjectChange::Action::Remove);
--- a/src/declarations/types/objects.h
+++ b/src/declarations/types/objects.h
@@ -99,10 +99,7 @@
     ObjectKind kind;
     std::string name;
 
-    bool operator<(const ObjectKey& other) const
-    {
-        return kind != other.kind ? kind < other.kind : name < other.name;
-    }
+    bool operator<(const ObjectKey& other) const { return kind != other.kind ? kind < other.kind : name < other.name; }
     bool operator==(const ObjectKey& other) const { return kind == other.kind && name == other.name; }
 };
 
--- /dev/null
+++ b/src/fleetlog/fleetlogmodule.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "foundation/imodulesetup.h"
+#include "settings/daemonsettings.h"
+
+#include <memory>
+
+namespace turmericsill::fleetlog {
+
+/// The log duty. Provides ILogPort and Feed<StateUpdate>.
+class FleetLogModule : public foundation::IModuleSetup {
+public:
+    FleetLogModule(const settings::DaemonSettings& settings, std::uint64_t incarnation);
+    ~FleetLogModule() override;
+
+    std::string name() const override { return "fleetlog"; }
+    void registerExports(foundation::ModuleRegistry& registry) override;
+    void resolveImports(foundation::ModuleRegistry& registry) override;
+    foundation::Result<void> start() override;
+    void stop() override;
+
+private:
+    class Duty;
+
+    std::shared_ptr<Duty> duty_;
+};
+
+} // namespace turmericsill::fleetlog
--- a/src/fleetlog/internal/logfollower.cpp
+++ b/src/fleetlog/internal/logfollower.cpp
@@ -17,8 +17,8 @@
 
 } // namespace
 
-LogFollower::LogFollower(platform::ILogClient& log, foundation::ITimerQueue& timers, const foundation::IClock& clock,
-    std::string stream)
+LogFollower::LogFollower(
+    platform::ILogClient& log, foundation::ITimerQueue& timers, const foundation::IClock& clock, std::string stream)
     : log_(log)
     , timers_(timers)
     , clock_(clock)
@@ -59,9 +59,20 @@
         update_.caughtUp = true;
     }
     publish();
+    reportVerdicts();
     read();
 }
 
+// A writer learns of its record only after the state that contains it was published.
+void LogFollower::reportVerdicts()
+{
+    const std::vector<fleetstate::Verdict> verdicts = std::exchange(verdicts_, {});
+    if (!verdictCallback_)
+        return;
+    for (const auto& verdict : verdicts)
+        verdictCallback_(verdict);
+}
+
 bool LogFollower::foldPage(const platform::LogPage& page)
 {
     std::uint64_t offset = page.from;
@@ -71,8 +82,7 @@
             halt(verdict.error().message());
             return false;
         }
-        if (verdictCallback_)
-            verdictCallback_(*verdict);
+        verdicts_.push_back(std::move(*verdict));
         ++offset;
     }
     return true;
--- a/src/fleetlog/internal/logwriter.cpp
+++ b/src/fleetlog/internal/logwriter.cpp
@@ -14,7 +14,9 @@
 
     constexpr milliseconds appendTimeout { 3000 };
     constexpr milliseconds retryDelay { 500 };
-    constexpr milliseconds readBackPatience { 5000 }; ///< After an answered append, before the record is appended again.
+    constexpr milliseconds readBackPatience {
+        5000
+    }; ///< After an answered append, before the record is appended again.
     constexpr std::size_t maximumBatchBytes = 4u << 20;
 
 } // namespace
--- a/src/fleetlog/logfollower.h
+++ b/src/fleetlog/logfollower.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <string>
+#include <vector>
 
 namespace turmericsill::fleetlog {
 
@@ -15,8 +16,7 @@
 public:
     using UpdateCallback = std::function<void(const StateUpdate&)>;
     /// Called for each folded record, in the order of the log.
-    using VerdictCallback
-        = std::function<void(const fleetstate::Verdict&)>;
+    using VerdictCallback = std::function<void(const fleetstate::Verdict&)>;
 
     LogFollower(platform::ILogClient& log, foundation::ITimerQueue& timers, const foundation::IClock& clock,
         std::string stream);
@@ -35,6 +35,7 @@
     void read();
     void onPage(foundation::SteadyTime requestedAt, const foundation::Result<platform::LogPage>& page);
     bool foldPage(const platform::LogPage& page);
+    void reportVerdicts();
     void halt(const std::string& reason);
     void retryLater();
     void publish();
@@ -45,6 +46,7 @@
     std::string stream_;
     fleetstate::Fold fold_;
     StateUpdate update_;
+    std::vector<fleetstate::Verdict> verdicts_; ///< Of the page that was folded last.
     foundation::milliseconds backoff_;
     UpdateCallback updateCallback_;
     VerdictCallback verdictCallback_;
--- a/src/fleetstate/internal/fleetstate.cpp
+++ b/src/fleetstate/internal/fleetstate.cpp
@@ -20,9 +20,15 @@
     return nullptr;
 }
 
+PoolPtr FleetState::findPool(const std::string& name) const
+{
+    auto found = pools.find(name);
+    return found == pools.end() ? nullptr : found->second;
+}
+
 const Object* FleetState::findObject(ObjectKind kind, const std::string& name) const
 {
-    const auto& table = tables.at(static_cast<std::size_t>(kind));
+    const ObjectTablePtr& table = tableOf(kind);
     if (!table)
         return nullptr;
     auto found = table->objects.find(name);
@@ -74,7 +80,8 @@
 
 std::uint64_t FleetState::digest() const
 {
-    std::string text = std::to_string(nextOffset) + ":" + std::to_string(configVersion) + ":" + std::to_string(rosterVersion);
+    std::string text
+        = std::to_string(nextOffset) + ":" + std::to_string(configVersion) + ":" + std::to_string(rosterVersion);
     for (const auto& [name, pool] : pools) {
         text += "|" + name + ":" + std::to_string(pool->declared.minimumHealthy) + ":"
             + std::to_string(pool->declared.maximumOut) + ":" + pool->claim.holder + ":"
@@ -84,6 +91,8 @@
         text += "|" + std::to_string(table ? table->digest : 0);
     for (const auto& [name, member] : roster)
         text += "|" + name + ":" + std::to_string(member.incarnation) + (member.admitted ? "+" : "-");
+    for (const auto& departure : departures)
+        text += "|" + departure.entry + ":" + std::to_string(departure.incarnation);
     return foundation::hashBytes(text);
 }
 
--- a/src/fleetstate/internal/fold.cpp
+++ b/src/fleetstate/internal/fold.cpp
@@ -49,7 +49,8 @@
         template <typename Other> void operator()(const Other&) const { }
     };
 
-    ChangeSummaryPtr summarize(std::uint64_t offset, const Record& record, const std::string& reason, std::uint64_t version)
+    ChangeSummaryPtr summarize(
+        std::uint64_t offset, const Record& record, const std::string& reason, std::uint64_t version)
     {
         boost::intrusive_ptr<ChangeSummary> summary = new ChangeSummary();
         summary->id = record.id;
--- a/src/fleetstate/internal/recordcodec.cpp
+++ b/src/fleetstate/internal/recordcodec.cpp
@@ -16,7 +16,8 @@
     using nlohmann::json;
 
     constexpr std::array<const char*, std::variant_size_v<RecordBody>> kindNames { "config_change", "drain_request",
-        "drain_cancel", "instance_transition", "pool_claim", "entry_join", "entry_admit", "entry_leave" };
+        "drain_cancel", "instance_transition", "pool_claim", "entry_join", "entry_admit", "entry_leave",
+        "departure_resolved" };
     constexpr std::array<const char*, 3> lifecycleNames { "serving", "draining", "stopped" };
     constexpr std::array<const char*, 4> purposeNames { "none", "reboot", "move", "remove" };
 
@@ -77,7 +78,12 @@
     json toJson(const EntryLeave& body)
     {
         return { { "entry", body.entry }, { "incarnation", body.incarnation }, { "by", body.by },
-            { "planned", body.planned } };
+            { "planned", body.planned }, { "proven_gone", body.provenGone } };
+    }
+
+    json toJson(const DepartureResolved& body)
+    {
+        return { { "entry", body.entry }, { "incarnation", body.incarnation }, { "by", body.by } };
     }
 
     ConfigChange decodeConfigChange(const json& value)
@@ -125,7 +131,13 @@
 
     EntryLeave decodeEntryLeave(const json& value)
     {
-        return { value.at("entry"), value.at("incarnation"), value.at("by"), value.at("planned") };
+        return { value.at("entry"), value.at("incarnation"), value.at("by"), value.at("planned"),
+            value.at("proven_gone") };
+    }
+
+    DepartureResolved decodeDepartureResolved(const json& value)
+    {
+        return { value.at("entry"), value.at("incarnation"), value.at("by") };
     }
 
     Result<RecordBody> decodeBody(const std::string& kind, const json& value)
@@ -146,6 +158,8 @@
             return decodeEntryAdmit(value);
         if (kind == "entry_leave")
             return decodeEntryLeave(value);
+        if (kind == "departure_resolved")
+            return decodeDepartureResolved(value);
         return failure(Errc::UnknownRecord, "record.decode", {}, "kind " + kind);
     }
 
@@ -179,8 +193,7 @@
 
 std::string encodeRecord(const Record& record)
 {
-    const auto atMs
-        = std::chrono::duration_cast<foundation::milliseconds>(record.writtenAt.time_since_epoch()).count();
+    const auto atMs = std::chrono::duration_cast<foundation::milliseconds>(record.writtenAt.time_since_epoch()).count();
     json value { { "v", recordSchemaVersion }, { "id", record.id }, { "writer", record.writer }, { "at_ms", atMs },
         { "kind", kindName(record.body) },
         { "body", std::visit([](const auto& body) { return toJson(body); }, record.body) } };
--- a/src/fleetstate/internal/recorddecider.cpp
+++ b/src/fleetstate/internal/recorddecider.cpp
@@ -14,8 +14,6 @@
 
 namespace {
 
-    constexpr std::size_t maximumDepartures = 64;
-
     bool contains(const FleetState& state, const declarations::Object& object)
     {
         const std::string& name = declarations::nameOf(object);
@@ -218,7 +216,8 @@
         return "pool \"" + body.pool + "\" does not exist";
     const Claim& claim = owner->second->claim;
     if (claim.epoch != body.epoch || claim.holder != record_.writer)
-        return "the claim on pool \"" + body.pool + "\" is at epoch " + std::to_string(claim.epoch) + " of " + claim.holder;
+        return "the claim on pool \"" + body.pool + "\" is at epoch " + std::to_string(claim.epoch) + " of "
+            + claim.holder;
     auto found = owner->second->instances.find(body.instance);
     if (found == owner->second->instances.end())
         return "instance \"" + body.instance + "\" is not in pool \"" + body.pool + "\"";
@@ -316,15 +315,26 @@
         return "entry \"" + body.entry + "\" is not a member with this incarnation";
     const bool ownLeave = body.planned && record_.writer == body.entry;
     auto author = state_.roster.find(body.by);
-    const bool mayExpel = !body.planned && author != state_.roster.end() && author->second.admitted;
+    const bool mayExpel
+        = !body.planned && author != state_.roster.end() && (author->second.admitted || body.provenGone);
     if (!ownLeave && !mayExpel)
         return "\"" + body.by + "\" may not remove entry \"" + body.entry + "\"";
+    if (!body.planned)
+        state_.departures.push_back({ body.entry, body.incarnation, state_.rosterVersion });
     state_.roster.erase(body.entry);
     ++state_.rosterVersion;
-    if (!body.planned)
-        state_.departures.push_back({ body.entry, body.incarnation, offset_ });
-    if (state_.departures.size() > maximumDepartures)
-        state_.departures.erase(state_.departures.begin());
+    return {};
+}
+
+std::string RecordDecider::operator()(const DepartureResolved& body)
+{
+    auto& departures = state_.departures;
+    const auto resolved = std::find_if(departures.begin(), departures.end(), [&](const Departure& departure) {
+        return departure.entry == body.entry && departure.incarnation == body.incarnation;
+    });
+    if (resolved == departures.end())
+        return "entry \"" + body.entry + "\" has no unresolved departure with this incarnation";
+    departures.erase(resolved);
     return {};
 }
 
--- a/src/fleetstate/internal/recorddecider.h
+++ b/src/fleetstate/internal/recorddecider.h
@@ -25,6 +25,7 @@
     std::string operator()(const EntryJoin& body);
     std::string operator()(const EntryAdmit& body);
     std::string operator()(const EntryLeave& body);
+    std::string operator()(const DepartureResolved& body);
 
 private:
     std::string checkChange(const declarations::ObjectChange& change) const;
--- a/src/fleetstate/internal/snapshotcodec.cpp
+++ b/src/fleetstate/internal/snapshotcodec.cpp
@@ -124,7 +124,7 @@
             state.roster.emplace(member.entry, member);
         }
         for (const auto& item : value.at("departures"))
-            state.departures.push_back({ item.at("entry"), item.at("incarnation"), item.at("offset") });
+            state.departures.push_back({ item.at("entry"), item.at("incarnation"), item.at("roster_version") });
         for (const auto& item : value.at("history"))
             state.history.push_back(decodeSummary(item));
         value.at("recent_ids").get_to(decoded.recentIds);
@@ -143,14 +143,15 @@
         roster.push_back(encodeMember(member));
     json departures = json::array();
     for (const auto& departure : state.departures)
-        departures.push_back({ { "entry", departure.entry }, { "incarnation", departure.incarnation }, { "offset", departure.offset } });
+        departures.push_back({ { "entry", departure.entry }, { "incarnation", departure.incarnation },
+            { "roster_version", departure.rosterVersion } });
     json history = json::array();
     for (const auto& summary : state.history)
         history.push_back(encodeSummary(*summary));
     json value { { "v", recordSchemaVersion }, { "next_offset", state.nextOffset },
-        { "config_version", state.configVersion }, { "roster_version", state.rosterVersion }, { "pools", std::move(pools) },
-        { "tables", encodeTables(state) }, { "roster", std::move(roster) }, { "departures", std::move(departures) },
-        { "history", std::move(history) }, { "recent_ids", recentIds } };
+        { "config_version", state.configVersion }, { "roster_version", state.rosterVersion },
+        { "pools", std::move(pools) }, { "tables", encodeTables(state) }, { "roster", std::move(roster) },
+        { "departures", std::move(departures) }, { "history", std::move(history) }, { "recent_ids", recentIds } };
     std::string bytes;
     json::to_cbor(value, bytes);
     return bytes;
--- a/src/fleetstate/tests/foldtests.cpp
+++ b/src/fleetstate/tests/foldtests.cpp
@@ -53,7 +53,10 @@
         return result;
     }
 
-    InstancePtr find(const std::string& name, std::string* pool = nullptr) { return fold.state()->findInstance(name, pool); }
+    InstancePtr find(const std::string& name, std::string* pool = nullptr)
+    {
+        return fold.state()->findInstance(name, pool);
+    }
 
     Verdict drain(const std::string& name) { return add(DrainRequest { name, find(name)->version, "ania", "" }); }
 
@@ -87,7 +90,8 @@
 {
     Session session;
     session.addPool("calls", 0, 1);
-    Record record { "same", "entry-a", foundation::WallTime(), DrainRequest { "calls1", session.find("calls1")->version, "ania", "" } };
+    Record record { "same", "entry-a", foundation::WallTime(),
+        DrainRequest { "calls1", session.find("calls1")->version, "ania", "" } };
     CHECK(session.fold.apply(session.fold.nextOffset(), record).accepted);
     Verdict repeated = session.fold.apply(session.fold.nextOffset(), record);
     CHECK(repeated.duplicate);
@@ -122,9 +126,10 @@
     REQUIRE(session.add(PoolClaim { "calls", "entry-a", 1, 0 }).accepted);
     CHECK(session.add(PoolClaim { "calls", "entry-b", 1, 1 }).reason == "the claim is held by entry-a");
     REQUIRE(session.drain("calls1").accepted);
-    REQUIRE(session.add(EntryLeave { "entry-a", 1, "entry-b", false }, "entry-b").accepted);
+    REQUIRE(session.add(EntryLeave { "entry-a", 1, "entry-b", false, false }, "entry-b").accepted);
     REQUIRE(session.add(PoolClaim { "calls", "entry-b", 1, 1 }, "entry-b").accepted);
-    CHECK(session.step("calls1", "calls", Lifecycle::Stopped, 1).reason == "the claim on pool \"calls\" is at epoch 2 of entry-b");
+    CHECK(session.step("calls1", "calls", Lifecycle::Stopped, 1).reason
+        == "the claim on pool \"calls\" is at epoch 2 of entry-b");
     CHECK(session.step("calls1", "calls", Lifecycle::Stopped, 2, "entry-b").accepted);
     CHECK(session.find("calls1")->lifecycle == Lifecycle::Stopped);
     CHECK(session.step("calls1", "calls", Lifecycle::Serving, 2, "entry-b").accepted);
@@ -157,7 +162,8 @@
     REQUIRE(session.add(PoolClaim { "calls", "entry-a", 1, 0 }).accepted);
     Instance changed = session.find("calls1")->declared;
     changed.address = "127.0.0.1:1";
-    CHECK_THAT(session.change(ObjectChange::Action::Update, changed).reason, Catch::Matchers::StartsWith("the address of \"calls1\" cannot change"));
+    CHECK_THAT(session.change(ObjectChange::Action::Update, changed).reason,
+        Catch::Matchers::StartsWith("the address of \"calls1\" cannot change"));
     REQUIRE(session.change(ObjectChange::Action::Remove, session.find("calls1")->declared).accepted);
     CHECK(session.find("calls1")->lifecycle == Lifecycle::Draining);
     CHECK(session.change(ObjectChange::Action::Add, changed).reason == "\"calls1\" is still being removed");
@@ -170,17 +176,26 @@
     Session session;
     session.admit("entry-a");
     REQUIRE(session.add(EntryJoin { "entry-b", 1, "dc", "127.0.0.1:3", "127.0.0.1:4" }, "entry-b").accepted);
-    CHECK(session.add(EntryLeave { "entry-a", 1, "entry-b", false }, "entry-b").reason == "\"entry-b\" may not remove entry \"entry-a\"");
-    CHECK(session.add(EntryAdmit { "entry-b", 1, "entry-b" }, "entry-b").reason == "sponsor \"entry-b\" is not admitted");
+    CHECK(session.add(EntryLeave { "entry-a", 1, "entry-b", false, false }, "entry-b").reason
+        == "\"entry-b\" may not remove entry \"entry-a\"");
+    CHECK(
+        session.add(EntryAdmit { "entry-b", 1, "entry-b" }, "entry-b").reason == "sponsor \"entry-b\" is not admitted");
     CHECK(session.add(EntryJoin { "entry-a", 1, "dc", "127.0.0.1:1", "127.0.0.1:2" }, "entry-a").reason
         == "entry \"entry-a\" has joined with incarnation 1");
     REQUIRE(session.add(EntryJoin { "entry-a", 2, "dc", "127.0.0.1:1", "127.0.0.1:2" }, "entry-a").accepted);
     CHECK_FALSE(session.fold.state()->roster.at("entry-a").admitted);
     REQUIRE(session.add(EntryAdmit { "entry-b", 1, "entry-b" }, "entry-b").accepted);
-    REQUIRE(session.add(EntryLeave { "entry-a", 2, "entry-b", false }, "entry-b").accepted);
+    REQUIRE(session.add(EntryJoin { "entry-c", 1, "dc", "127.0.0.1:7", "127.0.0.1:8" }, "entry-c").accepted);
+    CHECK(session.add(EntryLeave { "entry-b", 1, "entry-c", false, true }, "entry-c").accepted);
+    REQUIRE(session.add(EntryJoin { "entry-b", 2, "dc", "127.0.0.1:3", "127.0.0.1:4" }, "entry-b").accepted);
+    REQUIRE(session.add(EntryAdmit { "entry-b", 2, "entry-b" }, "entry-b").accepted);
+    REQUIRE(session.add(EntryLeave { "entry-a", 2, "entry-b", false, false }, "entry-b").accepted);
     REQUIRE(session.fold.state()->departures.size() == 1);
     CHECK(session.add(EntryJoin { "entry-a", 2, "dc", "127.0.0.1:1", "127.0.0.1:2" }, "entry-a").reason
         == "this incarnation of entry \"entry-a\" has departed");
+    REQUIRE(session.add(DepartureResolved { "entry-a", 2, "entry-b" }, "entry-b").accepted);
+    CHECK(session.fold.state()->departures.empty());
+    CHECK_FALSE(session.add(DepartureResolved { "entry-a", 2, "entry-b" }, "entry-b").accepted);
 }
 
 TEST_CASE("fold: a published state never changes and equal logs give equal digests", "[fold]")
@@ -210,7 +225,8 @@
     REQUIRE(restored);
     CHECK(restored->state()->digest() == session.fold.state()->digest());
     CHECK(restored->encodeSnapshot() == session.fold.encodeSnapshot());
-    Record repeated { "r1", "entry-a", foundation::WallTime(), EntryJoin { "entry-z", 1, "dc", "127.0.0.1:5", "127.0.0.1:6" } };
+    Record repeated { "r1", "entry-a", foundation::WallTime(),
+        EntryJoin { "entry-z", 1, "dc", "127.0.0.1:5", "127.0.0.1:6" } };
     CHECK(restored->apply(restored->nextOffset(), repeated).duplicate);
     CHECK_FALSE(Fold::fromSnapshot("broken"));
 }
@@ -240,11 +256,13 @@
         PoolClaim { "p", "e", 8, 9 },
         EntryJoin { "e", 10, "dc", "127.0.0.1:1", "127.0.0.1:2" },
         EntryAdmit { "e", 11, "s" },
-        EntryLeave { "e", 12, "b", true },
+        EntryLeave { "e", 12, "b", true, false },
+        DepartureResolved { "e", 13, "b" },
     };
     REQUIRE(bodies.size() == std::variant_size_v<RecordBody>);
     for (const auto& body : bodies) {
-        const std::string encoded = encodeRecord({ "id", "w", foundation::WallTime(foundation::milliseconds(1234)), body });
+        const std::string encoded
+            = encodeRecord({ "id", "w", foundation::WallTime(foundation::milliseconds(1234)), body });
         auto decoded = decodeRecord(encoded);
         REQUIRE(decoded);
         CHECK(encodeRecord(*decoded) == encoded);
--- a/src/fleetstate/types/fleetstate.h
+++ b/src/fleetstate/types/fleetstate.h
@@ -2,10 +2,9 @@
 
 #include "fleetstate/types/records.h"
 
+#include <array>
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
-
-#include <array>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -66,11 +65,11 @@
     std::uint64_t joinedAt = 0; ///< Offset of the join.
 };
 
-/// An entry instance that was removed without a planned leave of its own.
+/// An entry instance that was removed without a planned leave of its own and may still be at work.
 struct Departure {
     std::string entry;
     std::uint64_t incarnation = 0;
-    std::uint64_t offset = 0;
+    std::uint64_t rosterVersion = 0; ///< Last roster that the entry was part of.
 };
 
 /// What became of an operator's or a controller's record.
@@ -98,12 +97,20 @@
     std::map<std::string, PoolPtr> pools;
     std::array<ObjectTablePtr, std::variant_size_v<declarations::Object>> tables;
     std::map<std::string, EntryMember> roster;
-    std::vector<Departure> departures; ///< Newest last, bounded.
+    std::vector<Departure> departures; ///< Unresolved; newest last.
     std::vector<ChangeSummaryPtr> history; ///< Newest last, bounded.
 
     /// Finds an instance and the pool that it belongs to; null when there is none.
     InstancePtr findInstance(const std::string& name, std::string* poolName = nullptr) const;
 
+    /// A pool; null when there is none.
+    PoolPtr findPool(const std::string& name) const;
+
+    const ObjectTablePtr& tableOf(declarations::ObjectKind kind) const
+    {
+        return tables.at(static_cast<std::size_t>(kind));
+    }
+
     /// The declared object of a kind other than Pool and Instance; null when there is none.
     const declarations::Object* findObject(declarations::ObjectKind kind, const std::string& name) const;
     const declarations::Service* findService(const std::string& name) const;
--- a/src/fleetstate/types/records.h
+++ b/src/fleetstate/types/records.h
@@ -52,7 +52,8 @@
     Lifecycle to = Lifecycle::Serving;
 };
 
-/// Takes control of a pool. Preconditions: `expectedEpoch` is current, its holder has departed, the claimant is admitted.
+/// Takes control of a pool. Preconditions: `expectedEpoch` is current, its holder has departed, the claimant is
+/// admitted.
 struct PoolClaim {
     std::string pool;
     std::string holder;
@@ -76,16 +77,26 @@
     std::string sponsor;
 };
 
-/// Removes an entry instance. A planned leave is written by the entry itself; otherwise `by` must be admitted.
+/// Removes an entry instance. A planned leave is written by the entry itself;
+/// otherwise `by` must be admitted, or any member that has proof from the instance list.
 struct EntryLeave {
     std::string entry;
     std::uint64_t incarnation = 0;
     std::string by;
     bool planned = false;
+    bool provenGone = false; ///< The instance list listed the entry and no longer does.
+};
+
+/// States that an entry which was removed without a planned leave can no longer be at work.
+/// Precondition: the departure is unresolved.
+struct DepartureResolved {
+    std::string entry;
+    std::uint64_t incarnation = 0;
+    std::string by;
 };
 
 using RecordBody = std::variant<ConfigChange, DrainRequest, DrainCancel, InstanceTransition, PoolClaim, EntryJoin,
-    EntryAdmit, EntryLeave>;
+    EntryAdmit, EntryLeave, DepartureResolved>;
 
 /// One record of the system's stream in the platform's log.
 struct Record {
--- a/src/foundation/channel.h
+++ b/src/foundation/channel.h
@@ -1,10 +1,9 @@
 #pragma once
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/lockfree/spsc_queue.hpp>
-
-#include <atomic>
 #include <cstddef>
 #include <functional>
 #include <memory>
--- a/src/foundation/errc.h
+++ b/src/foundation/errc.h
@@ -25,5 +25,6 @@
 } // namespace turmericsill::foundation
 
 namespace std {
-template <> struct is_error_code_enum<turmericsill::foundation::Errc> : true_type { };
+template <> struct is_error_code_enum<turmericsill::foundation::Errc> : true_type {
+};
 } // namespace std
--- a/src/foundation/internal/address.cpp
+++ b/src/foundation/internal/address.cpp
@@ -1,7 +1,6 @@
 #include "foundation/address.h"
 
 #include <boost/asio/ip/address.hpp>
-
 #include <charconv>
 
 namespace turmericsill::foundation {
--- a/src/foundation/internal/asiotimerqueue.cpp
+++ b/src/foundation/internal/asiotimerqueue.cpp
@@ -1,7 +1,6 @@
 #include "foundation/asiotimerqueue.h"
 
 #include <boost/asio/io_context.hpp>
-
 #include <utility>
 
 namespace turmericsill::foundation {
--- a/src/foundation/internal/hash.cpp
+++ b/src/foundation/internal/hash.cpp
@@ -1,9 +1,8 @@
 #include "foundation/hash.h"
 
-#include <xxhash.h>
-
 #include <array>
 #include <cstdio>
+#include <xxhash.h>
 
 namespace turmericsill::foundation {
 
--- a/src/foundation/result.h
+++ b/src/foundation/result.h
@@ -2,9 +2,8 @@
 
 #include "foundation/errc.h"
 
-#include <tl/expected.hpp>
-
 #include <string>
+#include <tl/expected.hpp>
 #include <utility>
 
 namespace turmericsill::foundation {
@@ -32,7 +31,8 @@
 /// A value, or the error that prevented it.
 template <typename T> using Result = tl::expected<T, Error>;
 
-inline tl::unexpected<Error> failure(std::error_code code, std::string step, std::string peer = {}, std::string detail = {})
+inline tl::unexpected<Error> failure(
+    std::error_code code, std::string step, std::string peer = {}, std::string detail = {})
 {
     return tl::unexpected<Error>(Error { code, std::move(step), std::move(peer), std::move(detail) });
 }
--- a/src/httpserver/httpexchange.h
+++ b/src/httpserver/httpexchange.h
@@ -4,7 +4,6 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
-
 #include <functional>
 #include <string>
 #include <utility>
--- a/src/httpserver/httpserver.h
+++ b/src/httpserver/httpserver.h
@@ -40,8 +40,8 @@
 private:
     friend class HttpConnection;
 
-/// Links a connection into its server's list.
-using ConnectionHook = boost::intrusive::list_base_hook<boost::intrusive::tag<HttpConnection>>;
+    /// Links a connection into its server's list.
+    using ConnectionHook = boost::intrusive::list_base_hook<boost::intrusive::tag<HttpConnection>>;
 
     template <typename Visit> void forEachConnection(Visit visit);
     void accept();
--- a/src/httpserver/internal/httpconnection.cpp
+++ b/src/httpserver/internal/httpconnection.cpp
@@ -3,7 +3,6 @@
 #include <boost/beast/core/bind_handler.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
-
 #include <utility>
 
 namespace turmericsill::httpserver {
--- a/src/httpserver/internal/httpconnection.h
+++ b/src/httpserver/internal/httpconnection.h
@@ -5,15 +5,13 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
-
 #include <optional>
 
 namespace turmericsill::httpserver {
 
 /// One client connection; serves as the exchange of the request in progress.
 /// It lives while an asynchronous operation or a handler refers to it.
-class HttpConnection final : public HttpExchange,
-                             public ConnectionHook {
+class HttpConnection final : public HttpExchange, public ConnectionHook {
 public:
     HttpConnection(boost::asio::ip::tcp::socket socket, HttpServer& server);
     ~HttpConnection() override;
--- a/src/jsonsource/document.h
+++ b/src/jsonsource/document.h
@@ -3,7 +3,6 @@
 #include "jsonsource/fault.h"
 
 #include <nlohmann/json.hpp>
-
 #include <optional>
 #include <string>
 #include <unordered_map>
--- a/src/jsonsource/internal/objectschema.cpp
+++ b/src/jsonsource/internal/objectschema.cpp
@@ -48,7 +48,8 @@
             return value.is_string() && foundation::parseAddress(value.get<std::string>()).has_value();
         case FieldType::Choice:
             return value.is_string()
-                && std::find(field.choices.begin(), field.choices.end(), value.get<std::string>()) != field.choices.end();
+                && std::find(field.choices.begin(), field.choices.end(), value.get<std::string>())
+                != field.choices.end();
         case FieldType::NameList:
             return isValidNameList(value);
         case FieldType::Object:
@@ -85,7 +86,8 @@
     std::ostringstream text;
     switch (type) {
     case FieldType::Name:
-        return "a name of lower-case letters, digits, '-' and '.', 1 to 63 characters, that starts with a letter or digit";
+        return "a name of lower-case letters, digits, '-' and '.', 1 to 63 characters, that starts with a letter or "
+               "digit";
     case FieldType::Text:
         return "a string of at most 1024 characters";
     case FieldType::Integer:
--- a/src/jsonsource/tests/documenttests.cpp
+++ b/src/jsonsource/tests/documenttests.cpp
@@ -7,7 +7,8 @@
 TEST_CASE("document: each field knows its line", "[jsonsource]")
 {
     Faults faults;
-    auto document = Document::parse("a.json", "// head\n{\n  \"a\": 1,\n  \"b\": [\n    2,\n    {\"c\": \"x\"}\n  ]\n}\n", faults);
+    auto document = Document::parse(
+        "a.json", "// head\n{\n  \"a\": 1,\n  \"b\": [\n    2,\n    {\"c\": \"x\"}\n  ]\n}\n", faults);
     REQUIRE(document);
     CHECK(faults.empty());
     CHECK(document->lineOf("/a") == 3);
@@ -41,7 +42,8 @@
     };
     Faults faults;
     auto document = Document::parse("a.json",
-        "{\n\"name\": \"Upper\",\n\"slots\": 65,\n\"share\": 1.5,\n\"address\": \"host:1\",\n\"mode\": \"x\",\n\"extra\": 1}",
+        "{\n\"name\": \"Upper\",\n\"slots\": 65,\n\"share\": 1.5,\n\"address\": \"host:1\",\n\"mode\": "
+        "\"x\",\n\"extra\": 1}",
         faults);
     REQUIRE(document);
     checkObject(*document, "", schema, faults);
--- /dev/null
+++ b/src/maintenance/internal/drainmachine.cpp
@@ -0,0 +1,90 @@
+#include "maintenance/drainmachine.h"
+
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/functor_row.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+
+namespace turmericsill::maintenance {
+
+namespace {
+
+    namespace msm = boost::msm;
+    namespace mpl = boost::mpl;
+    using msm::front::none;
+    using msm::front::Row;
+
+    struct Quiet { };
+    struct Stopped { };
+    struct RecordFailed { };
+    struct RebootTaken { };
+    struct RebootUnknown { };
+    struct RebootDone { };
+
+    struct Definition : msm::front::state_machine_def<Definition> {
+        using no_message_queue = int;
+        using no_exception_thrown = int;
+
+        struct Waiting : msm::front::state<> { };
+        struct Stopping : msm::front::state<> { };
+        struct Rebooting : msm::front::state<> { };
+        struct Polling : msm::front::state<> { };
+        struct Returning : msm::front::state<> { };
+
+        using initial_state = Waiting;
+
+        // Numbered by first appearance as a source, which DrainMachine::phase() relies on.
+        struct transition_table
+            : mpl::vector<Row<Waiting, Quiet, Stopping, none, none>, Row<Stopping, RecordFailed, Waiting, none, none>,
+                  Row<Rebooting, RebootTaken, Polling, none, none>, Row<Polling, RebootUnknown, Rebooting, none, none>,
+                  Row<Returning, RecordFailed, Polling, none, none>, Row<Waiting, Stopped, Rebooting, none, none>,
+                  Row<Stopping, Stopped, Rebooting, none, none>, Row<Polling, RebootDone, Returning, none, none>> { };
+
+        template <typename Fsm, typename Event> void no_transition(const Event&, Fsm&, int) { }
+    };
+
+} // namespace
+
+class DrainMachine::Machine : public msm::back::state_machine<Definition> { };
+
+DrainMachine::DrainMachine(fleetstate::Lifecycle lifecycle)
+    : machine_(std::make_unique<Machine>())
+{
+    machine_->start();
+    if (lifecycle == fleetstate::Lifecycle::Stopped)
+        onStopped();
+}
+
+DrainMachine::~DrainMachine() = default;
+
+void DrainMachine::onQuiet() { machine_->process_event(Quiet {}); }
+
+void DrainMachine::onStopped() { machine_->process_event(Stopped {}); }
+
+void DrainMachine::onRecordFailed() { machine_->process_event(RecordFailed {}); }
+
+void DrainMachine::onRebootTaken() { machine_->process_event(RebootTaken {}); }
+
+void DrainMachine::onRebootUnknown() { machine_->process_event(RebootUnknown {}); }
+
+void DrainMachine::onRebootDone() { machine_->process_event(RebootDone {}); }
+
+DrainMachine::Phase DrainMachine::phase() const { return static_cast<Phase>(machine_->current_state()[0]); }
+
+DrainAction DrainMachine::action() const
+{
+    switch (phase()) {
+    case Phase::Waiting:
+        return DrainAction::None;
+    case Phase::Stopping:
+        return DrainAction::RecordStopped;
+    case Phase::Rebooting:
+        return DrainAction::StartReboot;
+    case Phase::Polling:
+        return DrainAction::QueryReboot;
+    case Phase::Returning:
+        return DrainAction::RecordServing;
+    }
+    return DrainAction::None;
+}
+
+} // namespace turmericsill::maintenance
--- /dev/null
+++ b/src/maintenance/internal/maintenancemodule.cpp
@@ -0,0 +1,102 @@
+#include "maintenance/maintenancemodule.h"
+
+#include "fleetlog/ilogport.h"
+#include "foundation/asiotimerqueue.h"
+#include "foundation/dutythread.h"
+#include "foundation/feed.h"
+#include "foundation/systemclock.h"
+#include "maintenance/poolcontroller.h"
+#include "platform/httpplatform.h"
+#include "telemetry/metrics.h"
+
+#include <boost/asio/post.hpp>
+
+namespace turmericsill::maintenance {
+
+namespace {
+
+    constexpr foundation::milliseconds reportInterval { 500 };
+
+} // namespace
+
+class MaintenanceModule::Duty {
+public:
+    explicit Duty(const settings::DaemonSettings& daemonSettings)
+        : settings(daemonSettings)
+        , thread("maintenance")
+        , timers(thread.context())
+        , platform(thread.context(), daemonSettings.platformAddress)
+        , reports(std::make_shared<foundation::Feed<DrainReports>>())
+    {
+    }
+
+    void build(foundation::ModuleRegistry& registry)
+    {
+        auto metrics = registry.resolve<telemetry::Metrics>();
+        log = registry.resolve<fleetlog::ILogPort>()->connect(thread.context());
+        controller = std::make_unique<PoolController>(settings.entry, platform, *log, timers, clock);
+        drainsGauge = &metrics->gauge("drains", "Instances whose planned work this entry controls");
+        overdueGauge = &metrics->gauge("drains_overdue", "Drains past their pool's limit");
+        rebootsGauge = &metrics->gauge("reboots_total", "Reboots that the platform took from this entry");
+        movesGauge = &metrics->gauge("moves_total", "Instances that this entry moved to another pool");
+    }
+
+    void reportRegularly()
+    {
+        const DrainReports current = controller->reports();
+        std::size_t overdue = 0;
+        for (const auto& report : current)
+            overdue += report.overdue;
+        reports->publish(current);
+        drainsGauge->Set(static_cast<double>(current.size()));
+        overdueGauge->Set(static_cast<double>(overdue));
+        rebootsGauge->Set(static_cast<double>(controller->counters().reboots));
+        movesGauge->Set(static_cast<double>(controller->counters().moves));
+        timers.schedule(clock.now() + reportInterval, [this] { reportRegularly(); });
+    }
+
+    settings::DaemonSettings settings;
+    foundation::SystemClock clock;
+    foundation::DutyThread thread;
+    foundation::AsioTimerQueue timers;
+    platform::HttpInstancePlatform platform;
+    std::shared_ptr<foundation::Feed<DrainReports>> reports;
+    std::unique_ptr<fleetlog::IFleetLog> log;
+    std::unique_ptr<PoolController> controller;
+    prometheus::Gauge* drainsGauge = nullptr;
+    prometheus::Gauge* overdueGauge = nullptr;
+    prometheus::Gauge* rebootsGauge = nullptr;
+    prometheus::Gauge* movesGauge = nullptr;
+};
+
+MaintenanceModule::MaintenanceModule(const settings::DaemonSettings& settings)
+    : duty_(std::make_unique<Duty>(settings))
+{
+}
+
+MaintenanceModule::~MaintenanceModule() = default;
+
+void MaintenanceModule::registerExports(foundation::ModuleRegistry& registry) { registry.provide(duty_->reports); }
+
+void MaintenanceModule::resolveImports(foundation::ModuleRegistry& registry)
+{
+    duty_->build(registry);
+    registry.resolve<foundation::Feed<fleetlog::StateUpdate>>()->subscribe(duty_->thread.context(),
+        [duty = duty_.get()](const fleetlog::StateUpdate& update) { duty->controller->onState(update); });
+    registry.resolve<foundation::Feed<membership::PeersView>>()->subscribe(duty_->thread.context(),
+        [duty = duty_.get()](const membership::PeersView& view) { duty->controller->onPeers(view); });
+}
+
+foundation::Result<void> MaintenanceModule::start()
+{
+    boost::asio::post(duty_->thread.context(), [duty = duty_.get()] {
+        duty->controller->start();
+        duty->reportRegularly();
+    });
+    duty_->thread.start();
+    return {};
+}
+
+void MaintenanceModule::stop() { duty_->thread.stop(); }
+
+} // namespace turmericsill::maintenance
--- /dev/null
+++ b/src/maintenance/internal/poolcontroller.cpp
@@ -0,0 +1,280 @@
+#include "maintenance/poolcontroller.h"
+
+#include "foundation/hash.h"
+
+#include <algorithm>
+#include <glog/logging.h>
+#include <utility>
+
+namespace turmericsill::maintenance {
+
+using fleetlog::AppendOutcome;
+using fleetstate::DrainPurpose;
+using fleetstate::InstanceState;
+using fleetstate::Lifecycle;
+using fleetstate::PoolState;
+using foundation::milliseconds;
+
+namespace {
+
+    constexpr milliseconds tickInterval { 200 };
+    constexpr milliseconds claimInterval { 2000 }; ///< Before the same claim is tried again.
+    constexpr milliseconds pollInterval { 200 };
+    constexpr milliseconds retryInterval { 1000 };
+
+    const char* phaseName(DrainMachine::Phase phase)
+    {
+        switch (phase) {
+        case DrainMachine::Phase::Waiting:
+            return "waiting";
+        case DrainMachine::Phase::Stopping:
+            return "stopping";
+        case DrainMachine::Phase::Rebooting:
+        case DrainMachine::Phase::Polling:
+            return "rebooting";
+        case DrainMachine::Phase::Returning:
+            return "returning";
+        }
+        return "";
+    }
+
+} // namespace
+
+PoolController::PoolController(std::string entry, platform::IInstancePlatform& platform, fleetlog::IFleetLog& log,
+    foundation::ITimerQueue& timers, const foundation::IClock& clock)
+    : entry_(std::move(entry))
+    , platform_(platform)
+    , log_(log)
+    , timers_(timers)
+    , clock_(clock)
+{
+}
+
+void PoolController::start() { tick(); }
+
+void PoolController::tick()
+{
+    step();
+    timers_.schedule(clock_.now() + tickInterval, [this] { tick(); });
+}
+
+void PoolController::onState(const fleetlog::StateUpdate& update)
+{
+    update_ = update;
+    step();
+}
+
+void PoolController::onPeers(const membership::PeersView& view)
+{
+    peers_ = view;
+    step();
+}
+
+// A call back from the log or the platform may lead here again; the outer step then sees its effects.
+void PoolController::step()
+{
+    if (!update_.state || !update_.caughtUp || stepping_)
+        return;
+    stepping_ = true;
+    claimPools();
+    const fleetstate::FleetStatePtr state = update_.state;
+    for (const auto& [name, pool] : state->pools) {
+        if (holds(pool->claim))
+            followInstances(name, *pool);
+    }
+    for (auto drain = drains_.begin(); drain != drains_.end();) {
+        auto pool = state->findPool(drain->second->pool);
+        auto instance = pool && holds(pool->claim) && pool->instances.count(drain->first) != 0
+            ? pool->instances.at(drain->first)
+            : nullptr;
+        const bool ended = !instance || instance->lifecycle == Lifecycle::Serving;
+        drain = ended ? drains_.erase(drain) : std::next(drain);
+    }
+    stepping_ = false;
+}
+
+bool PoolController::holds(const fleetstate::Claim& claim) const
+{
+    const auto self = peers_.members.find(entry_);
+    return claim.holder == entry_ && self != peers_.members.end() && self->second.incarnation == claim.incarnation
+        && clock_.now() < peers_.certainUntil;
+}
+
+// Only a pool whose holder has departed is claimed, so a pause of a holder moves nothing.
+void PoolController::claimPools()
+{
+    const auto self = update_.state->roster.find(entry_);
+    const auto known = peers_.members.find(entry_);
+    if (self == update_.state->roster.end() || !self->second.admitted || known == peers_.members.end()
+        || known->second.incarnation != self->second.incarnation)
+        return;
+    const std::vector<std::string> admitted = update_.state->admittedEntries();
+    for (const auto& [name, pool] : update_.state->pools) {
+        if (update_.state->isHeld(pool->claim) || foundation::rendezvousWinner(name, admitted) != entry_)
+            continue;
+        auto& lastAttempt = claimAttempts_[name];
+        if (lastAttempt != foundation::SteadyTime {} && clock_.now() - lastAttempt < claimInterval)
+            continue;
+        lastAttempt = clock_.now();
+        log_.submit(fleetstate::PoolClaim { name, entry_, self->second.incarnation, pool->claim.epoch },
+            [this](
+                AppendOutcome outcome, const std::string&) { counters_.claims += outcome == AppendOutcome::Accepted; });
+    }
+}
+
+void PoolController::followInstances(const std::string& poolName, const PoolState& pool)
+{
+    for (const auto& [name, instance] : pool.instances) {
+        if (instance->lifecycle == Lifecycle::Serving)
+            continue;
+        DrainPtr& drain = drains_[name];
+        // Another controller may have taken steps meanwhile; the log's version shows it.
+        const bool outdated = drain && (drain->epoch != pool.claim.epoch || drain->version != instance->version);
+        if (outdated && instance->lifecycle == Lifecycle::Stopped && drain->epoch == pool.claim.epoch) {
+            drain->machine.onStopped();
+            drain->version = instance->version;
+        } else if (!drain || outdated) {
+            drain = std::make_shared<Drain>(instance->lifecycle, instance->version, pool.claim.epoch, clock_.now());
+        }
+        drain->pool = poolName;
+        stepDrain(name, pool, *instance);
+    }
+}
+
+void PoolController::stepDrain(const std::string& name, const PoolState& pool, const InstanceState& instance)
+{
+    const DrainPtr drain = drains_.at(name);
+    reportOverdue(name, pool, *drain);
+    if (drain->busy || clock_.now() < drain->nextStep)
+        return;
+    if (drain->machine.phase() == DrainMachine::Phase::Waiting) {
+        drain->waitingFor = waitingFor(instance);
+        if (!drain->waitingFor.empty())
+            return;
+        drain->machine.onQuiet();
+    }
+    act(name, instance, drain);
+}
+
+// Past its limit a drain is only reported: no request in progress is ever cut off.
+void PoolController::reportOverdue(const std::string& name, const PoolState& pool, Drain& drain)
+{
+    if (drain.overdueLogged || clock_.now() - drain.since <= pool.declared.drainLimit
+        || drain.machine.phase() != DrainMachine::Phase::Waiting)
+        return;
+    drain.overdueLogged = true;
+    LOG(WARNING) << "drain of " << name << " is past its limit; waiting for " << drain.waitingFor;
+}
+
+// Every entry that may still send work must have seen the drain and must have finished what it sent.
+std::string PoolController::waitingFor(const InstanceState& instance) const
+{
+    if (!peers_.unresolvedDepartures.empty())
+        return "departed entry " + peers_.unresolvedDepartures.front() + " to be surely gone";
+    for (const auto& [name, member] : update_.state->roster) {
+        auto progress = peers_.members.find(name);
+        if (progress == peers_.members.end() || progress->second.incarnation != member.incarnation)
+            return "entry " + name + " to report";
+        if (progress->second.appliedOffset < instance.version)
+            return "entry " + name + " to apply the drain";
+        const auto& busy = progress->second.busyInstances;
+        if (std::find(busy.begin(), busy.end(), instance.declared.name) != busy.end())
+            return "requests of entry " + name;
+    }
+    return {};
+}
+
+void PoolController::act(const std::string& name, const InstanceState& instance, const DrainPtr& drain)
+{
+    switch (drain->machine.action()) {
+    case DrainAction::None:
+        return;
+    case DrainAction::RecordStopped:
+        return record(name, instance, drain, Lifecycle::Stopped);
+    case DrainAction::StartReboot:
+        return startReboot(name, drain);
+    case DrainAction::QueryReboot:
+        return queryReboot(name, drain);
+    case DrainAction::RecordServing:
+        return record(name, instance, drain, Lifecycle::Serving);
+    }
+}
+
+void PoolController::record(const std::string& name, const InstanceState& instance, const DrainPtr& drain, Lifecycle to)
+{
+    drain->busy = true;
+    const bool moves = instance.purpose == DrainPurpose::Move;
+    log_.submit(fleetstate::InstanceTransition { name, instance.version, drain->pool, drain->epoch, to },
+        [this, drain, to, moves](AppendOutcome outcome, const std::string&) {
+            drain->busy = false;
+            if (outcome != AppendOutcome::Accepted) {
+                ++counters_.refused;
+                drain->nextStep = clock_.now() + retryInterval;
+                drain->machine.onRecordFailed();
+                return;
+            }
+            counters_.moves += moves;
+            counters_.stops += to == Lifecycle::Stopped && !moves;
+            counters_.returns += to == Lifecycle::Serving;
+        });
+}
+
+// The id names the stop in the log, so a controller that takes over repeats the same operation.
+std::string PoolController::operationId(const std::string& name, std::uint64_t version)
+{
+    return name + "." + std::to_string(version);
+}
+
+void PoolController::startReboot(const std::string& name, const DrainPtr& drain)
+{
+    drain->busy = true;
+    platform_.reboot(name, operationId(name, drain->version), drain->epoch,
+        [this, name, drain](const foundation::Result<void>& taken) {
+            drain->busy = false;
+            if (!taken) {
+                drain->nextStep = clock_.now() + retryInterval;
+                drain->waitingFor = taken.error().message();
+                return;
+            }
+            ++counters_.reboots;
+            drain->waitingFor.clear();
+            drain->machine.onRebootTaken();
+            drain->nextStep = clock_.now() + pollInterval;
+        });
+}
+
+void PoolController::queryReboot(const std::string& name, const DrainPtr& drain)
+{
+    drain->busy = true;
+    platform_.queryOperation(
+        operationId(name, drain->version), [this, drain](const foundation::Result<platform::OperationState>& state) {
+            drain->busy = false;
+            drain->nextStep = clock_.now() + pollInterval;
+            if (!state)
+                drain->waitingFor = state.error().message();
+            else if (*state == platform::OperationState::Done)
+                drain->machine.onRebootDone();
+            else if (*state == platform::OperationState::Unknown)
+                drain->machine.onRebootUnknown();
+            else if (*state == platform::OperationState::Failed)
+                drain->waitingFor = "an operator: the platform says that the reboot failed";
+        });
+}
+
+DrainReports PoolController::reports() const
+{
+    DrainReports reports;
+    for (const auto& [name, drain] : drains_) {
+        DrainReport report;
+        report.instance = name;
+        report.pool = drain->pool;
+        report.phase = phaseName(drain->machine.phase());
+        report.waitingFor = drain->waitingFor;
+        report.age = std::chrono::duration_cast<milliseconds>(clock_.now() - drain->since);
+        report.overdue = drain->overdueLogged;
+        reports.push_back(std::move(report));
+    }
+    return reports;
+}
+
+} // namespace turmericsill::maintenance
--- /dev/null
+++ b/src/maintenance/maintenancemodule.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "foundation/imodulesetup.h"
+#include "settings/daemonsettings.h"
+
+#include <memory>
+
+namespace turmericsill::maintenance {
+
+/// The maintenance duty. Provides Feed<DrainReports>.
+class MaintenanceModule : public foundation::IModuleSetup {
+public:
+    explicit MaintenanceModule(const settings::DaemonSettings& settings);
+    ~MaintenanceModule() override;
+
+    std::string name() const override { return "maintenance"; }
+    void registerExports(foundation::ModuleRegistry& registry) override;
+    void resolveImports(foundation::ModuleRegistry& registry) override;
+    foundation::Result<void> start() override;
+    void stop() override;
+
+private:
+    class Duty;
+
+    std::unique_ptr<Duty> duty_;
+};
+
+} // namespace turmericsill::maintenance
--- /dev/null
+++ b/src/membership/heartbeatcodec.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "foundation/result.h"
+#include "membership/types/messages.h"
+
+#include <string>
+#include <string_view>
+
+namespace turmericsill::membership {
+
+/// CBOR of a heartbeat, one datagram.
+std::string encodeHeartbeat(const Heartbeat& heartbeat);
+
+/// Errc::ProtocolViolation: the datagram is malformed.
+foundation::Result<Heartbeat> decodeHeartbeat(std::string_view datagram);
+
+} // namespace turmericsill::membership
--- /dev/null
+++ b/src/operators/rpc/operatorrpcclient.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "operators/rpc/ioperatorcalls.h"
+
+#include <memory>
+#include <string>
+
+namespace turmericsill {
+namespace operators {
+
+    /// Carries one JSON-RPC message to an entry and back.
+    class IRpcTransport {
+    public:
+        virtual ~IRpcTransport() = default;
+
+        /// Returns whether a response arrived; otherwise `response` holds the reason.
+        virtual bool exchange(const std::string& request, std::string& response) = 0;
+    };
+
+    /// Client side of the operators' calls. Transport failures are answers with code rpcTransportFailed.
+    class OperatorRpcClient : public IOperatorCalls {
+    public:
+        explicit OperatorRpcClient(IRpcTransport& transport);
+        ~OperatorRpcClient() override;
+
+        RpcAnswer status() override;
+        RpcAnswer history(int limit) override;
+        RpcAnswer change(const std::string& changeId) override;
+        RpcAnswer declarations() override;
+        RpcAnswer plan(const std::string& declarationsJson) override;
+        RpcAnswer apply(const std::string& declarationsJson, std::int64_t baseVersion, const std::string& changeId,
+            const std::string& author, const std::string& reason) override;
+        RpcAnswer drain(const std::string& instance, std::int64_t instanceVersion, const std::string& changeId,
+            const std::string& author, const std::string& reason) override;
+        RpcAnswer undrain(const std::string& instance, std::int64_t instanceVersion, const std::string& changeId,
+            const std::string& author) override;
+
+    private:
+        class Connector;
+        class Stub;
+
+        std::unique_ptr<Connector> connector_;
+        std::unique_ptr<Stub> stub_;
+    };
+
+    /// Code of an answer when no response arrived.
+    constexpr int rpcTransportFailed = -32099;
+
+} // namespace operators
+} // namespace turmericsill
--- a/src/platform/httpclient.h
+++ b/src/platform/httpclient.h
@@ -6,7 +6,6 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/http/verb.hpp>
-
 #include <functional>
 #include <memory>
 #include <string>
--- a/src/platform/internal/httpclient.cpp
+++ b/src/platform/internal/httpclient.cpp
@@ -4,7 +4,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
-
 #include <utility>
 
 namespace turmericsill::platform {
@@ -22,7 +21,8 @@
     /// One request on a connection of its own; keeps itself alive until it is done.
     class Exchange : public std::enable_shared_from_this<Exchange> {
     public:
-        Exchange(asio::io_context& context, const foundation::Address& server, std::string step, HttpClient::Callback done)
+        Exchange(
+            asio::io_context& context, const foundation::Address& server, std::string step, HttpClient::Callback done)
             : stream_(context)
             , server_(server)
             , step_(std::move(step))
--- a/src/platform/internal/httpplatform.cpp
+++ b/src/platform/internal/httpplatform.cpp
@@ -1,7 +1,6 @@
 #include "platform/httpplatform.h"
 
 #include <nlohmann/json.hpp>
-
 #include <utility>
 
 namespace turmericsill::platform {
@@ -114,8 +113,8 @@
     std::string body = json { { "operation", operationId }, { "epoch", epoch } }.dump();
     client_.send(verb::post, "/instances/" + instance + "/reboot", std::move(body), controlTimeout, "platform.reboot",
         [peer = peer_, done = std::move(done)](Result<HttpAnswer> answer) {
-            auto decoded = decodeAnswer<bool>(
-                std::move(answer), "platform.reboot", peer, [](const json&) { return true; });
+            auto decoded
+                = decodeAnswer<bool>(std::move(answer), "platform.reboot", peer, [](const json&) { return true; });
             done(decoded ? Result<void>() : tl::unexpected(decoded.error()));
         });
 }
--- a/src/settings/daemonsettings.h
+++ b/src/settings/daemonsettings.h
@@ -34,6 +34,7 @@
     foundation::milliseconds defaultTimeout { 10000 };
     foundation::milliseconds headerTimeout { 5000 };
     foundation::milliseconds idleTimeout { 60000 };
+    foundation::milliseconds shutdownNotice { 2000 }; ///< Unready but serving, for the balancer to notice.
     foundation::milliseconds shutdownGrace { 20000 };
     std::size_t maximumConnections = 12000;
     std::size_t maximumBodyBytes = 1 << 20;
--- a/src/settings/internal/daemonsettings.cpp
+++ b/src/settings/internal/daemonsettings.cpp
@@ -40,6 +40,7 @@
             integer("default_timeout_ms", 1, maximumIntervalMs),
             integer("header_timeout_ms", 100, maximumIntervalMs),
             integer("idle_timeout_ms", 100, maximumIntervalMs),
+            integer("shutdown_notice_ms", 0, maximumIntervalMs),
             integer("shutdown_grace_ms", 0, maximumIntervalMs),
             integer("maximum_connections", 1, 1000000),
             integer("maximum_body_bytes", 1, 1 << 28),
@@ -103,6 +104,7 @@
         copier.copy("default_timeout_ms", result.defaultTimeout);
         copier.copy("header_timeout_ms", result.headerTimeout);
         copier.copy("idle_timeout_ms", result.idleTimeout);
+        copier.copy("shutdown_notice_ms", result.shutdownNotice);
         copier.copy("shutdown_grace_ms", result.shutdownGrace);
         copier.copy("maximum_connections", result.maximumConnections);
         copier.copy("maximum_body_bytes", result.maximumBodyBytes);
@@ -113,7 +115,8 @@
         return result;
     }
 
-    void checkRelations(const DaemonSettings& settings, const jsonsource::Document& document, jsonsource::Faults& faults)
+    void checkRelations(
+        const DaemonSettings& settings, const jsonsource::Document& document, jsonsource::Faults& faults)
     {
         if (settings.suspectAfter < 2 * settings.heartbeatInterval)
             document.addFault(faults, "/suspect_after_ms", "expected at least twice heartbeat_interval_ms");
--- a/src/settings/tests/daemonsettingstests.cpp
+++ b/src/settings/tests/daemonsettingstests.cpp
@@ -37,7 +37,8 @@
     CHECK(result->staleServing == settings::StaleServing::Serve);
 }
 
-TEST_CASE("settings: unknown key, wrong type, bad address and value out of range are refused with their place", "[settings]")
+TEST_CASE(
+    "settings: unknown key, wrong type, bad address and value out of range are refused with their place", "[settings]")
 {
     struct Case {
         std::string from;
--- /dev/null
+++ b/src/telemetry/metrics.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <string>
+
+namespace turmericsill::telemetry {
+
+using Labels = std::map<std::string, std::string>;
+
+/// The process's metrics. Duties keep the references that they ask for; updating them is thread-safe.
+class Metrics {
+public:
+    Metrics();
+
+    prometheus::Counter& counter(const std::string& name, const std::string& help, const Labels& labels = {});
+    prometheus::Gauge& gauge(const std::string& name, const std::string& help, const Labels& labels = {});
+
+    /// A histogram of seconds with buckets from 0.5 ms to 30 s.
+    prometheus::Histogram& latency(const std::string& name, const std::string& help, const Labels& labels = {});
+
+    /// All metrics in Prometheus's text format.
+    std::string text() const;
+
+private:
+    std::shared_ptr<prometheus::Registry> registry_;
+};
+
+} // namespace turmericsill::telemetry
--- a/standins/endpoint/endpointservice.h
+++ b/standins/endpoint/endpointservice.h
@@ -3,10 +3,9 @@
 #include "foundation/asiotimerqueue.h"
 #include "httpserver/httpserver.h"
 
-#include <nlohmann/json.hpp>
-
 #include <map>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <string>
 
 namespace turmericsill::standins {
@@ -26,8 +25,8 @@
 /// One endpoint instance: works for as long as a request asks and answers with what it ran.
 class EndpointService : public httpserver::IHttpHandler {
 public:
-    EndpointService(boost::asio::io_context& context, std::string name, const foundation::Address& address,
-        RunsByKey& runsByKey);
+    EndpointService(
+        boost::asio::io_context& context, std::string name, const foundation::Address& address, RunsByKey& runsByKey);
 
     foundation::Result<void> start();
     void handle(const httpserver::HttpExchangePtr& exchange) override;
--- a/standins/endpoint/main.cpp
+++ b/standins/endpoint/main.cpp
@@ -9,7 +9,6 @@
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <boost/asio/signal_set.hpp>
-
 #include <iostream>
 
 ABSL_FLAG(std::string, declarations, "", "folder whose instances are served");
--- a/standins/platform/faults.h
+++ b/standins/platform/faults.h
@@ -3,7 +3,6 @@
 #include "foundation/iclock.h"
 
 #include <nlohmann/json.hpp>
-
 #include <random>
 
 namespace turmericsill::standins {
--- a/standins/platform/main.cpp
+++ b/standins/platform/main.cpp
@@ -7,7 +7,6 @@
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <boost/asio/signal_set.hpp>
-
 #include <iostream>
 
 ABSL_FLAG(std::string, address, "127.0.0.1:20000", "IP:PORT to listen on");
--- a/standins/platform/platformservice.cpp
+++ b/standins/platform/platformservice.cpp
@@ -187,7 +187,10 @@
     answer(exchange, 200, json::object());
 }
 
-void PlatformService::listInstances(const HttpExchangePtr& exchange) { answer(exchange, 200, { { "instances", listed_ } }); }
+void PlatformService::listInstances(const HttpExchangePtr& exchange)
+{
+    answer(exchange, 200, { { "instances", listed_ } });
+}
 
 void PlatformService::refreshList()
 {
@@ -227,9 +230,8 @@
     refreshList();
     platform::HttpClient client(context_, instances_.at(name).control);
     client.send(verb::post, "/reboot?instance=" + name, "{}", probeTimeout, "standin.reboot",
-        [this, name, operation](const foundation::Result<platform::HttpAnswer>&) {
-            pollReboot(name, operation, rebootPolls);
-        });
+        [this, name, operation](
+            const foundation::Result<platform::HttpAnswer>&) { pollReboot(name, operation, rebootPolls); });
 }
 
 void PlatformService::pollReboot(const std::string& name, const std::string& operation, int remaining)
@@ -280,8 +282,7 @@
         return;
     auto socket = std::make_shared<boost::asio::ip::tcp::socket>(context_);
     boost::asio::ip::tcp::endpoint endpoint(boost::asio::ip::make_address(instance.probe.ip), instance.probe.port);
-    socket->async_connect(endpoint,
-        [this, name, socket](boost::system::error_code error) { onProbed(name, !error); });
+    socket->async_connect(endpoint, [this, name, socket](boost::system::error_code error) { onProbed(name, !error); });
 }
 
 void PlatformService::onProbed(const std::string& name, bool reachable)
--- a/standins/platform/platformservice.h
+++ b/standins/platform/platformservice.h
@@ -7,7 +7,6 @@
 #include "standins/platform/logstore.h"
 
 #include <boost/asio/ip/tcp.hpp>
-
 #include <functional>
 #include <memory>
 #include <set>
