Sessions on an injected clock: golden files and a pause or kill at each step

Cause: the whole path had no proof under failure. Found by them: a killed entry's departure could not be proven when the instance list had not been asked since its join (drains then waited for ever); admission of a newcomer waited for a dead sponsor; the first read of the log waited 1 s for a record; a departure was forgotten when the roster changed meanwhile. Before: a drain whose controller died never ended.

--- /dev/null
+++ b/src/callers/tests/rostersharestests.cpp
@@ -0,0 +1,103 @@
+#include "callers/rostershares.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <memory>
+#include <random>
+
+using namespace turmericsill;
+using callers::RosterShares;
+
+namespace {
+
+declarations::Service makeService()
+{
+    declarations::Service service;
+    service.name = "calls";
+    service.slotsPerInstance = 8;
+    service.connectionsPerInstance = 64;
+    return service;
+}
+
+using Names = std::vector<std::string>;
+
+} // namespace
+
+TEST_CASE("shares: the whole limit is dealt out and evens out over instances", "[shares]")
+{
+    const Names names { "a", "b", "c" };
+    std::map<std::string, std::uint32_t> totals;
+    for (int instance = 0; instance < 300; ++instance) {
+        std::uint32_t sum = 0;
+        for (const auto& name : names) {
+            RosterShares shares(name);
+            shares.onRoster(1, names);
+            shares.onSettled(1);
+            const std::uint32_t slots = shares.slots(makeService(), "w" + std::to_string(instance));
+            sum += slots;
+            totals[name] += slots;
+        }
+        CHECK(sum == 8);
+    }
+    for (const auto& [name, total] : totals)
+        CHECK(total == Approx(800).epsilon(0.05));
+}
+
+TEST_CASE("shares: a newcomer has none before everybody has made room", "[shares]")
+{
+    RosterShares shares("c");
+    shares.onRoster(5, { "a", "b", "c" });
+    CHECK_FALSE(shares.hasShare());
+    CHECK(shares.slots(makeService(), "w") == 0);
+    CHECK(shares.onSettled(5));
+    CHECK(shares.hasShare());
+    CHECK(shares.slots(makeService(), "w") >= 2);
+}
+
+// Members learn of rosters and of their settling at different times; the sum must hold at every moment.
+TEST_CASE("shares: the sum never exceeds the limit while views differ", "[shares]")
+{
+    const Names all { "a", "b", "c", "d", "e", "f", "g", "h" };
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+        std::mt19937_64 random(seed);
+        std::map<std::string, std::unique_ptr<RosterShares>> members;
+        std::map<std::string, std::uint64_t> applied;
+        for (const auto& name : all)
+            members[name] = std::make_unique<RosterShares>(name);
+        std::vector<Names> rosters(1);
+        for (int step = 0; step < 200; ++step) {
+            const std::string& name = all[random() % all.size()];
+            switch (random() % 3) {
+            case 0: {
+                Names next;
+                for (const auto& candidate : all) {
+                    if (random() % 3 != 0)
+                        next.push_back(candidate);
+                }
+                rosters.push_back(next);
+                break;
+            }
+            case 1:
+                if (applied[name] + 1 < rosters.size()) {
+                    ++applied[name];
+                    members[name]->onRoster(applied[name], rosters[applied[name]]);
+                }
+                break;
+            default: {
+                std::uint64_t settled = rosters.size() - 1;
+                for (const auto& candidate : all)
+                    settled = std::min(settled, applied[candidate]);
+                members[name]->onSettled(settled);
+            }
+            }
+            std::uint32_t slots = 0;
+            std::uint32_t connections = 0;
+            for (const auto& member : members) {
+                slots += member.second->slots(makeService(), "w");
+                connections += member.second->connections(makeService(), "w");
+            }
+            REQUIRE(slots <= 8);
+            REQUIRE(connections <= 64);
+        }
+    }
+}
--- /dev/null
+++ b/src/daemon/tests/session.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "callers/dispatcher.h"
+#include "callers/rostershares.h"
+#include "daemon/tests/sessionworld.h"
+#include "fleetlog/fleetlog.h"
+#include "maintenance/poolcontroller.h"
+#include "membership/membership.h"
+
+#include <memory>
+
+namespace turmericsill::daemon::tests {
+
+/// Spans are of no interest to sessions.
+class SilentTracer : public telemetry::ITracer {
+public:
+    bool isEnabled() const override { return false; }
+    void record(const telemetry::Span&) override { }
+};
+
+/// The duties of one entry instance on one thread, joined as the modules join them.
+class SessionEntry {
+public:
+    SessionEntry(SessionWorld& world, const std::string& name, std::uint16_t port, settings::StaleServing policy);
+
+    void start();
+    void kill();
+
+    /// Submits a request and notes its reply.
+    void call(const std::string& id, const std::string& service, bool idempotent, milliseconds timeout);
+
+    fleetstate::FleetStatePtr state() const { return log.follower().fold().state(); }
+
+    SessionWorld& world;
+    std::string name;
+    EntryThread thread;
+    WorldLogClient logClient;
+    WorldInstancePlatform platform;
+    WorldPeerTransport peers;
+    WorldEndpointTransport endpoints;
+    SilentTracer tracer;
+    settings::DaemonSettings settings;
+    fleetlog::FleetLog log;
+    callers::RosterShares shares;
+    callers::Dispatcher dispatcher;
+    membership::Membership membership;
+    maintenance::PoolController controller;
+
+private:
+    void report();
+
+    std::uint64_t acknowledged_ = 0;
+};
+
+/// A whole session on an injected clock: entries, operators' records and callers, one event after the other.
+class Session {
+public:
+    explicit Session(std::uint64_t seed, settings::StaleServing policy = settings::StaleServing::Serve)
+        : world(seed)
+        , policy_(policy)
+    {
+    }
+
+    SessionEntry& addEntry(const std::string& name);
+    SessionEntry& entry(const std::string& name) { return *entries_.at(name); }
+    void kill(const std::string& name);
+    void pause(const std::string& name);
+    void resume(const std::string& name);
+    std::vector<std::string> livingEntries() const;
+
+    /// Publishes one pool of instances with a service of the same name.
+    void declarePool(const std::string& pool, std::size_t instances, std::uint32_t minimumHealthy);
+
+    /// Asks an entry to drain an instance and notes what becomes of it.
+    void drain(const std::string& entryName, const std::string& instance);
+
+    void run(milliseconds duration);
+
+    /// Promises that did not hold so far: doubled runs, false answers, requests cut off, limits exceeded,
+    /// entries whose states differ.
+    std::vector<std::string> brokenPromises() const;
+
+    /// Notes the difference whenever the state of an instance in the log changes.
+    void noteStateChanges();
+
+    std::string transcript() const;
+
+    SessionWorld world;
+
+private:
+    foundation::TimerQueue* nextQueue(SteadyTime& when);
+
+    settings::StaleServing policy_;
+    std::map<std::string, std::unique_ptr<SessionEntry>> entries_;
+    std::map<std::string, std::string> lastLifecycle_;
+    std::uint16_t nextPort_ = 7000;
+    std::uint64_t changes_ = 0;
+};
+
+/// Compares a transcript with its golden file. With UPDATE_GOLDEN set, it writes the file instead.
+void checkGolden(const std::string& name, const std::string& transcript);
+
+} // namespace turmericsill::daemon::tests
--- /dev/null
+++ b/src/daemon/tests/sessionworld.cpp
@@ -0,0 +1,151 @@
+#include "daemon/tests/sessionworld.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace turmericsill::daemon::tests {
+
+using foundation::Errc;
+using foundation::failure;
+using foundation::Result;
+
+namespace {
+
+    constexpr milliseconds connectDelay { 1 };
+    constexpr milliseconds platformDelay { 2 };
+    constexpr milliseconds readPoll { 5 };
+
+} // namespace
+
+void SessionWorld::deliver(EntryThread& thread, milliseconds delay, std::function<void()> callback)
+{
+    thread.timers.schedule(clock.now() + delay, std::move(callback));
+}
+
+void SessionWorld::later(milliseconds delay, std::function<void()> callback)
+{
+    timers.schedule(clock.now() + delay, std::move(callback));
+}
+
+void SessionWorld::note(const std::string& line)
+{
+    std::string time = std::to_string(clock.elapsed.count());
+    transcript.push_back(std::string(7 - std::min<std::size_t>(7, time.size()), ' ') + time + " " + line);
+}
+
+void WorldLogClient::append(
+    const std::string&, std::vector<std::string> payloads, milliseconds timeout, AppendCallback done)
+{
+    if (world_.logDown) {
+        world_.deliver(thread_, world_.logDelay, [done] { done(failure(Errc::Unavailable, "log.append")); });
+        return;
+    }
+    const std::uint64_t first = world_.log.size();
+    for (auto& payload : payloads)
+        world_.log.push_back(std::move(payload));
+    const bool loses = std::uniform_real_distribution<double>(0, 1)(world_.random) < world_.loseAppendAnswers;
+    if (loses)
+        world_.deliver(thread_, timeout, [done] { done(failure(Errc::Timeout, "log.append")); });
+    else
+        world_.deliver(thread_, world_.logDelay, [done, first] { done(first); });
+}
+
+void WorldLogClient::read(
+    const std::string&, std::uint64_t from, std::size_t maximum, milliseconds wait, ReadCallback done)
+{
+    answerRead(from, maximum, world_.clock.now() + wait, done);
+}
+
+void WorldLogClient::answerRead(std::uint64_t from, std::size_t maximum, SteadyTime until, const ReadCallback& done)
+{
+    if (world_.logDown) {
+        world_.deliver(thread_, world_.logDelay, [done] { done(failure(Errc::Unavailable, "log.read")); });
+        return;
+    }
+    if (from >= world_.log.size() && world_.clock.now() < until) {
+        world_.later(readPoll, [this, from, maximum, until, done] { answerRead(from, maximum, until, done); });
+        return;
+    }
+    platform::LogPage page;
+    page.from = from;
+    page.tail = world_.log.size();
+    for (std::uint64_t offset = from; offset < page.tail && page.payloads.size() < maximum; ++offset)
+        page.payloads.push_back(world_.log[offset]);
+    world_.deliver(thread_, world_.logDelay, [done, page] { done(page); });
+}
+
+void WorldInstancePlatform::listInstances(const std::vector<std::string>& names, ListCallback done)
+{
+    std::vector<platform::ListedInstance> list;
+    for (const auto& name : names) {
+        if (world_.listed.count(name) != 0)
+            list.push_back({ name, true });
+    }
+    world_.deliver(thread_, platformDelay, [done, list] { done(list); });
+}
+
+void WorldInstancePlatform::reboot(
+    const std::string& instance, const std::string& operationId, std::uint64_t, DoneCallback done)
+{
+    if (world_.operations.emplace(operationId, "running").second) {
+        auto& endpoint = world_.endpoints[instance];
+        endpoint.cutOff += endpoint.inProgress;
+        endpoint.rebooting = true;
+        world_.note("platform reboots " + instance);
+        world_.later(world_.rebootTime, [this, instance, operationId] {
+            world_.endpoints[instance].rebooting = false;
+            world_.operations[operationId] = "done";
+            world_.note("platform finished " + instance);
+        });
+    }
+    world_.deliver(thread_, platformDelay, [done] { done(Result<void>()); });
+}
+
+void WorldInstancePlatform::queryOperation(const std::string& operationId, OperationCallback done)
+{
+    auto found = world_.operations.find(operationId);
+    const auto state = found == world_.operations.end() ? platform::OperationState::Unknown
+        : found->second == "done"                       ? platform::OperationState::Done
+                                                        : platform::OperationState::Running;
+    world_.deliver(thread_, platformDelay, [done, state] { done(state); });
+}
+
+void WorldPeerTransport::send(const foundation::Address& peer, const std::string& datagram)
+{
+    if (world_.cutLinks.count({ self_, peer.text() }) != 0)
+        return;
+    world_.later(world_.peerDelay, [this, to = peer.text(), datagram] {
+        auto receiver = world_.peers.find(to);
+        if (receiver != world_.peers.end())
+            receiver->second(datagram);
+    });
+}
+
+void WorldEndpointTransport::start(const callers::AttemptTarget& target, const httpserver::HttpRequest& request,
+    SteadyTime, SteadyTime, callers::AttemptObserverPtr observer)
+{
+    const std::string instance = target.instance;
+    if (world_.endpoints[instance].rebooting) {
+        world_.deliver(thread_, connectDelay, [observer, instance] {
+            observer->onFailure({ Errc::Unavailable, "endpoint.connect", instance, "refused" });
+        });
+        return;
+    }
+    world_.deliver(thread_, connectDelay, [this, instance, observer, key = std::string(request["Idempotency-Key"])] {
+        if (!observer->onSending()) {
+            observer->onFailure({ Errc::Conflict, "endpoint.send", instance, "stopped" });
+            return;
+        }
+        auto& endpoint = world_.endpoints[instance];
+        endpoint.maximumInProgress = std::max(endpoint.maximumInProgress, ++endpoint.inProgress);
+        if (!key.empty())
+            ++world_.runsByKey[key];
+        world_.later(world_.work, [this, instance, observer] {
+            --world_.endpoints[instance].inProgress;
+            world_.deliver(thread_, milliseconds(0),
+                [observer, instance] { observer->onAnswer(httpserver::makeResponse(200, instance)); });
+        });
+    });
+}
+
+} // namespace turmericsill::daemon::tests
--- a/src/fleetlog/fleetlog.h
+++ b/src/fleetlog/fleetlog.h
@@ -16,6 +16,7 @@
     void submitWithId(const std::string& id, fleetstate::RecordBody body, LogWriter::Callback done) override;
 
     LogFollower& follower() { return follower_; }
+    const LogFollower& follower() const { return follower_; }
     const LogWriter& writer() const { return writer_; }
 
 private:
--- a/src/fleetlog/internal/logfollower.cpp
+++ b/src/fleetlog/internal/logfollower.cpp
@@ -36,7 +36,9 @@
 void LogFollower::read()
 {
     const auto requestedAt = clock_.now();
-    log_.read(stream_, fold_.nextOffset(), pageRecords, pollWait,
+    // Until the tail was reached once, nothing is gained by waiting for a record.
+    const milliseconds wait = update_.caughtUp ? pollWait : milliseconds(0);
+    log_.read(stream_, fold_.nextOffset(), pageRecords, wait,
         [this, requestedAt](const foundation::Result<platform::LogPage>& page) { onPage(requestedAt, page); });
 }
 
--- a/src/membership/departureledger.h
+++ b/src/membership/departureledger.h
@@ -6,7 +6,7 @@
 #include "settings/daemonsettings.h"
 
 #include <map>
-#include <set>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -17,38 +17,43 @@
 ///
 /// StaleServing::Fence: when the fence time has passed since its departure was read, because the entry
 /// stops by itself. StaleServing::Serve: when the platform's list, which had the entry, no longer has it,
-/// or when an entry that the list never had stayed away from it for the absence limit.
+/// or when an entry that the list never had was absent for longer than the list lags.
 class DepartureLedger {
 public:
-    DepartureLedger(settings::StaleServing policy, foundation::milliseconds fenceAfter);
+    explicit DepartureLedger(const settings::DaemonSettings& settings);
 
     void onState(const fleetstate::FleetState& state, foundation::SteadyTime now);
 
+    /// Takes an answer of the platform that was asked about every member and departed entry.
     void onInstanceList(const std::vector<platform::ListedInstance>& list, foundation::SteadyTime now);
 
     /// Departures that are unresolved in the log but proven here.
     std::vector<fleetstate::Departure> proven(foundation::SteadyTime now) const;
 
-    /// Whether the list had the entry once and has it no more.
-    bool isProvenGone(const std::string& entry) const { return gone_.count(entry) != 0; }
+    /// Whether the instance list proves that the entry is gone.
+    bool isProvenGone(const std::string& entry, foundation::SteadyTime now) const;
 
 private:
-    using Key = std::pair<std::string, std::uint64_t>; ///< Entry and incarnation.
+    /// What the list said of the newest incarnation of an entry.
+    struct Listing {
+        std::uint64_t incarnation = 0;
+        bool everListed = false;
+        std::optional<foundation::SteadyTime> absentSince;
+    };
 
     struct Pending {
         fleetstate::Departure departure;
         foundation::SteadyTime readAt {};
-        foundation::SteadyTime lastListed {}; ///< Last list that had the entry, or the first list that was seen.
-        bool listSeen = false;
     };
 
+    void follow(const std::string& entry, std::uint64_t incarnation);
     bool isProven(const Pending& pending, foundation::SteadyTime now) const;
 
     settings::StaleServing policy_;
     foundation::milliseconds fenceAfter_;
-    std::map<Key, Pending> pending_;
-    std::set<std::string> listed_; ///< Entries that the list had at some time.
-    std::set<std::string> gone_;
+    foundation::milliseconds listLag_;
+    std::vector<Pending> pending_;
+    std::map<std::string, Listing> listings_;
 };
 
 } // namespace turmericsill::membership
--- a/src/membership/internal/departureledger.cpp
+++ b/src/membership/internal/departureledger.cpp
@@ -13,61 +13,75 @@
     /// Added to the fence time for the transit of heartbeats and the rounding of timers.
     constexpr milliseconds fenceMargin { 1000 };
 
-    /// Longest lag of the instance list: an entry that lives is listed before this has passed.
-    constexpr milliseconds absenceLimit { 30000 };
-
 } // namespace
 
-DepartureLedger::DepartureLedger(settings::StaleServing policy, milliseconds fenceAfter)
-    : policy_(policy)
-    , fenceAfter_(fenceAfter)
+DepartureLedger::DepartureLedger(const settings::DaemonSettings& settings)
+    : policy_(settings.staleServing)
+    , fenceAfter_(settings.fenceAfter)
+    , listLag_(settings.instanceListLag)
 {
 }
 
+// What the list says of an older incarnation proves nothing of a newer one.
+void DepartureLedger::follow(const std::string& entry, std::uint64_t incarnation)
+{
+    Listing& listing = listings_[entry];
+    if (listing.incarnation < incarnation)
+        listing = { incarnation, false, std::nullopt };
+}
+
 void DepartureLedger::onState(const fleetstate::FleetState& state, SteadyTime now)
 {
-    std::map<Key, Pending> kept;
+    std::vector<Pending> kept;
     for (const auto& departure : state.departures) {
-        const Key key { departure.entry, departure.incarnation };
-        auto known = pending_.find(key);
-        kept[key] = known != pending_.end() ? known->second : Pending { departure, now, now, false };
+        follow(departure.entry, departure.incarnation);
+        auto known = std::find_if(pending_.begin(), pending_.end(), [&](const Pending& pending) {
+            return pending.departure.entry == departure.entry && pending.departure.incarnation == departure.incarnation;
+        });
+        kept.push_back(known != pending_.end() ? *known : Pending { departure, now });
     }
     pending_ = std::move(kept);
-    // A member that is back, or was never away, has proven nothing.
     for (const auto& [name, member] : state.roster)
-        gone_.erase(name);
+        follow(name, member.incarnation);
+    for (auto listing = listings_.begin(); listing != listings_.end();) {
+        const bool departed = std::any_of(pending_.begin(), pending_.end(),
+            [&](const Pending& pending) { return pending.departure.entry == listing->first; });
+        listing = departed || state.roster.count(listing->first) != 0 ? std::next(listing) : listings_.erase(listing);
+    }
 }
 
 void DepartureLedger::onInstanceList(const std::vector<platform::ListedInstance>& list, SteadyTime now)
 {
-    std::set<std::string> present;
-    for (const auto& instance : list)
-        present.insert(instance.name);
-    for (const auto& name : listed_) {
-        if (present.count(name) == 0)
-            gone_.insert(name);
+    for (auto& [name, listing] : listings_) {
+        const bool present = std::any_of(
+            list.begin(), list.end(), [&, &entry = name](const auto& instance) { return instance.name == entry; });
+        listing.everListed |= present;
+        if (present)
+            listing.absentSince.reset();
+        else if (!listing.absentSince)
+            listing.absentSince = now;
     }
-    for (const auto& name : present)
-        gone_.erase(name);
-    for (auto& [key, pending] : pending_) {
-        if (present.count(key.first) != 0 || !pending.listSeen)
-            pending.lastListed = now;
-        pending.listSeen = true;
-    }
-    listed_ = std::move(present);
+}
+
+bool DepartureLedger::isProvenGone(const std::string& entry, SteadyTime now) const
+{
+    auto found = listings_.find(entry);
+    if (found == listings_.end() || !found->second.absentSince)
+        return false;
+    return found->second.everListed || now >= *found->second.absentSince + listLag_;
 }
 
 bool DepartureLedger::isProven(const Pending& pending, SteadyTime now) const
 {
     if (policy_ == settings::StaleServing::Fence)
         return now >= pending.readAt + fenceAfter_ + fenceMargin;
-    return isProvenGone(pending.departure.entry) || (pending.listSeen && now >= pending.lastListed + absenceLimit);
+    return isProvenGone(pending.departure.entry, now);
 }
 
 std::vector<Departure> DepartureLedger::proven(SteadyTime now) const
 {
     std::vector<Departure> departures;
-    for (const auto& [key, pending] : pending_) {
+    for (const auto& pending : pending_) {
         if (isProven(pending, now))
             departures.push_back(pending.departure);
     }
--- a/src/membership/internal/membership.cpp
+++ b/src/membership/internal/membership.cpp
@@ -19,6 +19,8 @@
     constexpr milliseconds actionInterval { 2000 }; ///< Before the same record is submitted again.
     constexpr std::size_t keptDigests = 256;
     constexpr int lateTicksOfAPause = 2;
+    constexpr int heartbeatsOfAnActor = 2; ///< An entry that missed more is not relied on to act.
+    constexpr milliseconds leisurePollInterval { 10000 };
 
     bool contains(const std::vector<std::string>& names, const std::string& name)
     {
@@ -38,7 +40,7 @@
     , timers_(timers)
     , clock_(clock)
     , callbacks_(std::move(callbacks))
-    , departures_(settings.staleServing, settings.fenceAfter)
+    , departures_(settings)
 {
 }
 
@@ -118,6 +120,8 @@
     peer.lastHeard = clock_.now();
     peer.last = std::move(*heartbeat);
     compareDigests(peer.last);
+    if (update_.caughtUp && !peer.last.silentEntries.empty())
+        expelSilentPeers();
     publish();
 }
 
@@ -230,10 +234,18 @@
     return answering;
 }
 
-// One of the answering entries acts first; the log makes a second one harmless.
+// One of the entries that were heard lately acts first; the log makes a second one harmless.
 bool Membership::isChosenFor(const std::string& subject) const
 {
-    return foundation::rendezvousWinner(subject, answeringAdmitted()) == settings_.entry;
+    std::vector<std::string> candidates;
+    for (const auto& name : answeringAdmitted()) {
+        const auto peer = peers_.find(name);
+        const bool heardLately = peer != peers_.end()
+            && clock_.now() - peer->second.lastHeard <= heartbeatsOfAnActor * settings_.heartbeatInterval;
+        if (name == settings_.entry || heardLately)
+            candidates.push_back(name);
+    }
+    return foundation::rendezvousWinner(subject, candidates) == settings_.entry;
 }
 
 // A link that fails in one direction must not cost a member that the others hear.
@@ -259,7 +271,7 @@
     const bool cutOff = 2 * silentAdmitted > admitted;
     for (const auto& name : silent) {
         const EntryMember& member = update_.state->roster.at(name);
-        if (departures_.isProvenGone(name))
+        if (departures_.isProvenGone(name, clock_.now()))
             expel(member, true);
         else if (isAdmitted() && !cutOff && isChosenFor(name) && isSuspectedByAll(name))
             expel(member, false);
@@ -290,15 +302,21 @@
 // The list is asked at a low rate so that it is known who was on it before a departure.
 void Membership::pollInstances()
 {
-    const bool urgent = !update_.state->departures.empty() || !silentEntries().empty();
-    const std::string action = urgent ? "poll instances" : "poll instances at leisure";
-    static constexpr int leisure = 5;
-    if (pollingInstances_ || !mayAct(action))
+    // A list that is asked soon after a join shows later that the entry was there and is gone.
+    const bool urgent = !update_.state->departures.empty() || !silentEntries().empty()
+        || polledRoster_ != update_.state->rosterVersion;
+    const SteadyTime now = clock_.now();
+    if (pollingInstances_ || now < (urgent ? lastPoll_ + actionInterval : lastPoll_ + leisurePollInterval))
         return;
-    if (!urgent)
-        lastActions_[action] = clock_.now() + leisure * actionInterval;
+    lastPoll_ = now;
+    polledRoster_ = update_.state->rosterVersion;
+    std::vector<std::string> names;
+    for (const auto& [name, member] : update_.state->roster)
+        names.push_back(name);
+    for (const auto& departure : update_.state->departures)
+        names.push_back(departure.entry);
     pollingInstances_ = true;
-    instances_.listInstances([this](const foundation::Result<std::vector<platform::ListedInstance>>& list) {
+    instances_.listInstances(names, [this](const foundation::Result<std::vector<platform::ListedInstance>>& list) {
         pollingInstances_ = false;
         if (list)
             departures_.onInstanceList(*list, clock_.now());
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -82,6 +82,8 @@
     std::deque<std::pair<std::uint64_t, std::uint64_t>> digests_; ///< Own digests by offset, newest last.
     std::map<std::string, foundation::SteadyTime> lastActions_;
     foundation::SteadyTime lastTick_ {};
+    foundation::SteadyTime lastPoll_ {};
+    std::uint64_t polledRoster_ = 0; ///< Roster that the instance list was last asked about.
     std::uint64_t sequence_ = 0;
     std::uint64_t settledRoster_ = 0;
     bool wasMember_ = false;
--- a/src/platform/httpplatform.h
+++ b/src/platform/httpplatform.h
@@ -26,7 +26,7 @@
 public:
     HttpInstancePlatform(boost::asio::io_context& context, const foundation::Address& server);
 
-    void listInstances(ListCallback done) override;
+    void listInstances(const std::vector<std::string>& names, ListCallback done) override;
     void reboot(
         const std::string& instance, const std::string& operationId, std::uint64_t epoch, DoneCallback done) override;
     void queryOperation(const std::string& operationId, OperationCallback done) override;
--- a/src/platform/iinstanceplatform.h
+++ b/src/platform/iinstanceplatform.h
@@ -27,7 +27,8 @@
 
     virtual ~IInstancePlatform() = default;
 
-    virtual void listInstances(ListCallback done) = 0;
+    /// Lists those of the named instances that the platform knows.
+    virtual void listInstances(const std::vector<std::string>& names, ListCallback done) = 0;
 
     /// Starts a reboot. Repeating an operation's id has no further effect;
     /// an epoch lower than one that the platform has seen for the instance is refused with Errc::Conflict.
--- a/src/platform/internal/httpplatform.cpp
+++ b/src/platform/internal/httpplatform.cpp
@@ -99,9 +99,12 @@
 {
 }
 
-void HttpInstancePlatform::listInstances(ListCallback done)
+void HttpInstancePlatform::listInstances(const std::vector<std::string>& names, ListCallback done)
 {
-    client_.send(verb::get, "/instances", {}, controlTimeout, "platform.list",
+    std::string target = "/instances?names=";
+    for (std::size_t index = 0; index < names.size(); ++index)
+        target += (index == 0 ? "" : ",") + names[index];
+    client_.send(verb::get, target, {}, controlTimeout, "platform.list",
         [peer = peer_, done = std::move(done)](Result<HttpAnswer> answer) {
             done(decodeAnswer<std::vector<ListedInstance>>(std::move(answer), "platform.list", peer, decodeInstances));
         });
--- a/src/settings/daemonsettings.h
+++ b/src/settings/daemonsettings.h
@@ -29,7 +29,8 @@
     StaleServing staleServing = StaleServing::Serve;
     foundation::milliseconds fenceAfter { 6000 };
     foundation::milliseconds heartbeatInterval { 500 };
-    foundation::milliseconds suspectAfter { 3000 };
+    foundation::milliseconds suspectAfter { 2000 };
+    foundation::milliseconds instanceListLag { 10000 }; ///< Longest lag of the platform's instance list.
     foundation::milliseconds appendInterval { 40 };
     foundation::milliseconds defaultTimeout { 10000 };
     foundation::milliseconds headerTimeout { 5000 };
--- a/src/settings/internal/daemonsettings.cpp
+++ b/src/settings/internal/daemonsettings.cpp
@@ -36,6 +36,7 @@
             integer("fence_after_ms", 1000, maximumIntervalMs),
             integer("heartbeat_interval_ms", 50, 10000),
             integer("suspect_after_ms", 200, maximumIntervalMs),
+            integer("instance_list_lag_ms", 0, maximumIntervalMs),
             integer("append_interval_ms", 10, 10000),
             integer("default_timeout_ms", 1, maximumIntervalMs),
             integer("header_timeout_ms", 100, maximumIntervalMs),
@@ -100,6 +101,7 @@
         copier.copy("fence_after_ms", result.fenceAfter);
         copier.copy("heartbeat_interval_ms", result.heartbeatInterval);
         copier.copy("suspect_after_ms", result.suspectAfter);
+        copier.copy("instance_list_lag_ms", result.instanceListLag);
         copier.copy("append_interval_ms", result.appendInterval);
         copier.copy("default_timeout_ms", result.defaultTimeout);
         copier.copy("header_timeout_ms", result.headerTimeout);
--- a/src/settings/tests/daemonsettingstests.cpp
+++ b/src/settings/tests/daemonsettingstests.cpp
@@ -50,7 +50,7 @@
         { "\"entry-a\"", "7", "s.json:3: /entry: expected a name" },
         { "127.0.0.1:7104", "localhost:7104", "s.json:8: /peer_address: expected an address IP:PORT" },
         { "8000", "10", "s.json:10: /fence_after_ms: expected a whole number from 1000 to 600000" },
-        { "8000", "2000", "s.json:10: /fence_after_ms: expected at least suspect_after_ms" },
+        { "8000", "1500", "s.json:10: /fence_after_ms: expected at least suspect_after_ms" },
     };
     for (const auto& c : cases) {
         jsonsource::Faults faults;
--- a/standins/platform/platformservice.cpp
+++ b/standins/platform/platformservice.cpp
@@ -100,7 +100,7 @@
     if (isLog && parts.size() == 3 && parts[2] == "read")
         return read(exchange, parts[1], query);
     if (parts[0] == "instances" && parts.size() == 1)
-        return posts ? registerInstance(exchange) : listInstances(exchange);
+        return posts ? registerInstance(exchange) : listInstances(exchange, query);
     if (parts[0] == "instances" && parts.size() == 3 && parts[2] == "reboot" && posts)
         return reboot(exchange, parts[1]);
     if (parts[0] == "operations" && parts.size() == 2)
@@ -187,9 +187,18 @@
     answer(exchange, 200, json::object());
 }
 
-void PlatformService::listInstances(const HttpExchangePtr& exchange)
+void PlatformService::listInstances(const HttpExchangePtr& exchange, const Query& query)
 {
-    answer(exchange, 200, { { "instances", listed_ } });
+    auto names = query.parameters.find("names");
+    if (names == query.parameters.end())
+        return answer(exchange, 200, { { "instances", listed_ } });
+    const std::string wanted = "," + names->second + ",";
+    json list = json::array();
+    for (const auto& instance : listed_) {
+        if (wanted.find("," + instance.at("name").get<std::string>() + ",") != std::string::npos)
+            list.push_back(instance);
+    }
+    answer(exchange, 200, { { "instances", std::move(list) } });
 }
 
 void PlatformService::refreshList()
--- a/standins/platform/platformservice.h
+++ b/standins/platform/platformservice.h
@@ -50,7 +50,7 @@
         std::size_t maximum);
     void wakeReaders(const std::string& stream);
     void registerInstance(const httpserver::HttpExchangePtr& exchange);
-    void listInstances(const httpserver::HttpExchangePtr& exchange);
+    void listInstances(const httpserver::HttpExchangePtr& exchange, const Query& query);
     void reboot(const httpserver::HttpExchangePtr& exchange, const std::string& name);
     void startReboot(const std::string& name, const std::string& operation);
     void pollReboot(const std::string& name, const std::string& operation, int remaining);
