Reports and controller steps visit only what is under way, not the fleet

Change: targets with requests in progress are linked in an intrusive list, and each pool keeps an index of the instances that are away.

--- a/src/callers/dispatcher.h
+++ b/src/callers/dispatcher.h
@@ -16,6 +16,7 @@
 
 namespace turmericsill::callers {
 
+class ActiveTargets;
 class ServiceRoute;
 struct Endpoint;
 struct ServiceTarget;
@@ -56,7 +57,7 @@
     /// First offset that the state in use does not contain.
     std::uint64_t appliedOffset() const { return state_ ? state_->nextOffset : 0; }
 
-    DispatcherCounters counters() const;
+    const DispatcherCounters& counters() const { return counters_; }
 
     bool isIdle() const { return counters_.queued == 0 && counters_.inProgress == 0; }
 
@@ -95,6 +96,7 @@
     fleetstate::FleetStatePtr state_;
     std::map<std::string, boost::intrusive_ptr<Endpoint>> endpoints_;
     std::map<std::string, std::unique_ptr<ServiceRoute>> routes_;
+    std::unique_ptr<ActiveTargets> activeTargets_;
     RetryBudget retryBudget_;
     DispatcherCounters counters_;
     foundation::SteadyTime servingUntil_ = foundation::SteadyTime::max();
--- a/src/callers/internal/dispatcher.cpp
+++ b/src/callers/internal/dispatcher.cpp
@@ -132,11 +132,13 @@
     , tracer_(tracer)
     , options_(options)
     , random_(seed)
+    , activeTargets_(std::make_unique<ActiveTargets>())
 {
 }
 
 Dispatcher::~Dispatcher()
 {
+    activeTargets_->clear();
     for (auto& [name, route] : routes_) {
         while (!route->queue.empty())
             removeFromQueue(route->queue.front());
@@ -307,7 +309,8 @@
     ++request->attempts;
     ++counters_.attempts;
     ++counters_.inProgress;
-    ++target->inProgress;
+    if (target->inProgress++ == 0)
+        activeTargets_->push_back(*target);
     ++target->endpoint->inProgress;
     if (target->endpoint->health.isOnTrial())
         target->endpoint->health.onTrialStarted();
@@ -324,15 +327,18 @@
 void Dispatcher::onAttemptEnded(Attempt& attempt, Verdict verdict)
 {
     --counters_.inProgress;
-    --attempt.target->inProgress;
+    if (--attempt.target->inProgress == 0)
+        activeTargets_->erase(ActiveTargets::s_iterator_to(*attempt.target));
     --attempt.target->endpoint->inProgress;
     auto& health = attempt.target->endpoint->health;
+    counters_.ejected -= health.isOnTrial();
     if (verdict == Verdict::Healthy)
         health.onSuccess();
     else if (verdict == Verdict::Faulty)
         health.onFailure(clock_.now());
     else
         health.onTrialEnded();
+    counters_.ejected += health.isOnTrial();
     auto found = routes_.find(attempt.service);
     if (found == routes_.end())
         return;
@@ -423,33 +429,20 @@
         callback(std::move(reply));
 }
 
-std::vector<std::string> Dispatcher::busyInstances() const
-{
-    std::vector<std::string> busy;
-    for (const auto& [name, endpoint] : endpoints_) {
-        if (!endpoint->accepting && endpoint->inProgress > 0)
-            busy.push_back(name);
-    }
-    return busy;
-}
-
 bool Dispatcher::keepsToShares() const
 {
-    for (const auto& [name, route] : routes_) {
-        for (const auto& [instance, target] : route->targetsByInstance) {
-            if (target->inProgress > target->slots)
-                return false;
-        }
-    }
-    return true;
+    return std::none_of(activeTargets_->begin(), activeTargets_->end(),
+        [](const ServiceTarget& target) { return target.inProgress > target.slots; });
 }
 
-DispatcherCounters Dispatcher::counters() const
+std::vector<std::string> Dispatcher::busyInstances() const
 {
-    DispatcherCounters result = counters_;
-    for (const auto& [name, endpoint] : endpoints_)
-        result.ejected += endpoint->health.isOnTrial();
-    return result;
+    std::set<std::string> busy;
+    for (const ServiceTarget& target : *activeTargets_) {
+        if (!target.endpoint->accepting)
+            busy.insert(target.endpoint->instance);
+    }
+    return { busy.begin(), busy.end() };
 }
 
 } // namespace turmericsill::callers
--- a/src/callers/internal/serviceroute.h
+++ b/src/callers/internal/serviceroute.h
@@ -6,6 +6,7 @@
 #include "foundation/address.h"
 
 #include <boost/intrusive/list.hpp>
+#include <boost/intrusive/list_hook.hpp>
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 #include <map>
@@ -26,14 +27,18 @@
 
 using EndpointPtr = boost::intrusive_ptr<Endpoint>;
 
-/// One service on one endpoint instance.
-struct ServiceTarget : boost::intrusive_ref_counter<ServiceTarget, boost::thread_unsafe_counter> {
+/// One service on one endpoint instance. It is linked while it has requests in progress.
+struct ServiceTarget : boost::intrusive_ref_counter<ServiceTarget, boost::thread_unsafe_counter>,
+                       boost::intrusive::list_base_hook<> {
     EndpointPtr endpoint;
     std::uint32_t slots = 0;
     std::uint32_t connections = 1;
     std::uint32_t inProgress = 0;
 };
 
+/// Targets with requests in progress, so that reports do not visit the whole fleet.
+class ActiveTargets : public boost::intrusive::list<ServiceTarget> { };
+
 using ServiceTargetPtr = boost::intrusive_ptr<ServiceTarget>;
 
 /// A service with the targets of its pool and the requests that wait for one.
--- a/src/fleetstate/internal/recorddecider.cpp
+++ b/src/fleetstate/internal/recorddecider.cpp
@@ -177,9 +177,7 @@
         return "planned on version " + std::to_string(body.instanceVersion) + " of \"" + body.instance
             + "\", but it is at version " + std::to_string(instance->version);
     const PoolState& owner = *state_.pools.at(pool);
-    std::size_t out = 0;
-    for (const auto& [name, member] : owner.instances)
-        out += member->lifecycle != Lifecycle::Serving;
+    const std::size_t out = owner.away.size();
     if (out >= owner.declared.maximumOut)
         return "pool \"" + pool + "\" has " + std::to_string(out) + " instances out, its maximum_out";
     if (owner.instances.size() - out <= owner.declared.minimumHealthy)
--- a/src/fleetstate/internal/stateeditor.cpp
+++ b/src/fleetstate/internal/stateeditor.cpp
@@ -48,6 +48,10 @@
         target.instancesDigest -= place->digest;
     target.instancesDigest += instance.digest;
     place = new InstanceState(std::move(instance));
+    if (place->lifecycle == Lifecycle::Serving)
+        target.away.erase(place->declared.name);
+    else
+        target.away[place->declared.name] = place;
 }
 
 void StateEditor::removeInstance(const std::string& poolName, const std::string& name)
@@ -58,6 +62,7 @@
         return;
     target.instancesDigest -= found->second->digest;
     target.instances.erase(found);
+    target.away.erase(name);
 }
 
 ObjectTable& StateEditor::table(declarations::ObjectKind kind)
--- a/src/fleetstate/types/fleetstate.h
+++ b/src/fleetstate/types/fleetstate.h
@@ -35,6 +35,7 @@
     declarations::Pool declared;
     Claim claim;
     std::map<std::string, InstancePtr> instances;
+    std::map<std::string, InstancePtr> away; ///< Those of `instances` that do not serve.
     std::uint64_t instancesDigest = 0; ///< Sum of the instances' digests.
 };
 
--- a/src/maintenance/internal/poolcontroller.cpp
+++ b/src/maintenance/internal/poolcontroller.cpp
@@ -84,10 +84,7 @@
     }
     for (auto drain = drains_.begin(); drain != drains_.end();) {
         auto pool = state->findPool(drain->second->pool);
-        auto instance = pool && holds(pool->claim) && pool->instances.count(drain->first) != 0
-            ? pool->instances.at(drain->first)
-            : nullptr;
-        const bool ended = !instance || instance->lifecycle == Lifecycle::Serving;
+        const bool ended = !pool || !holds(pool->claim) || pool->away.count(drain->first) == 0;
         drain = ended ? drains_.erase(drain) : std::next(drain);
     }
     stepping_ = false;
@@ -124,9 +121,7 @@
 
 void PoolController::followInstances(const std::string& poolName, const PoolState& pool)
 {
-    for (const auto& [name, instance] : pool.instances) {
-        if (instance->lifecycle == Lifecycle::Serving)
-            continue;
+    for (const auto& [name, instance] : pool.away) {
         DrainPtr& drain = drains_[name];
         // Another controller may have taken steps meanwhile; the log's version shows it.
         const bool outdated = drain && (drain->epoch != pool.claim.epoch || drain->version != instance->version);
--- a/src/operators/internal/operatorservice.cpp
+++ b/src/operators/internal/operatorservice.cpp
@@ -134,14 +134,13 @@
     for (const auto& [name, pool] : sources_.log.state->pools) {
         std::array<std::size_t, 3> byLifecycle {};
         json away = json::array();
-        for (const auto& [instanceName, instance] : pool->instances) {
+        for (const auto& [instanceName, instance] : pool->away) {
             ++byLifecycle.at(static_cast<std::size_t>(instance->lifecycle));
-            if (instance->lifecycle == fleetstate::Lifecycle::Serving)
-                continue;
-            away.push_back(
-                { { "instance", instanceName }, { "lifecycle", fleetstate::lifecycleName(instance->lifecycle) },
-                    { "purpose", fleetstate::purposeName(instance->purpose) } });
+            away.push_back({ { "instance", instanceName },
+                { "lifecycle", fleetstate::lifecycleName(instance->lifecycle) },
+                { "purpose", fleetstate::purposeName(instance->purpose) } });
         }
+        byLifecycle[0] = pool->instances.size() - pool->away.size();
         pools.push_back({ { "name", name }, { "controller", pool->claim.holder }, { "epoch", pool->claim.epoch },
             { "serving", byLifecycle[0] }, { "draining", byLifecycle[1] }, { "stopped", byLifecycle[2] },
             { "minimum_healthy", pool->declared.minimumHealthy }, { "away", std::move(away) } });
