--- /dev/null
+++ b/src/foundation/internal/traffic.cpp
@@ -0,0 +1,11 @@
+#include "foundation/traffic.h"
+
+namespace turmericsill::foundation {
+
+Traffic& Traffic::ofProcess()
+{
+    static Traffic traffic;
+    return traffic;
+}
+
+} // namespace turmericsill::foundation
--- a/src/membership/internal/membershipmodule.cpp
+++ b/src/membership/internal/membershipmodule.cpp
@@ -5,6 +5,7 @@
 #include "foundation/dutythread.h"
 #include "foundation/feed.h"
 #include "foundation/systemclock.h"
+#include "foundation/traffic.h"
 #include "membership/membership.h"
 #include "membership/udppeertransport.h"
 #include "platform/httpplatform.h"
@@ -39,7 +40,13 @@
         log = registry.resolve<fleetlog::ILogPort>()->connect(thread.context());
         Membership::Callbacks callbacks;
         callbacks.onServingView = [this](const ServingView& view) { servingFeed->publish(view); };
-        callbacks.onPeersView = [this](const PeersView& view) { peersFeed->publish(view); };
+        sentGauge = &metrics->gauge("control_sent_bytes_total", "Payload bytes sent for control");
+        receivedGauge = &metrics->gauge("control_received_bytes_total", "Payload bytes received for control");
+        callbacks.onPeersView = [this](const PeersView& view) {
+            peersFeed->publish(view);
+            sentGauge->Set(static_cast<double>(foundation::Traffic::ofProcess().sent));
+            receivedGauge->Set(static_cast<double>(foundation::Traffic::ofProcess().received));
+        };
         callbacks.onDivergence = [this](const std::string& entry) { onDivergence(entry); };
         membership = std::make_unique<Membership>(
             settings, incarnation, transport, instances, *log, timers, clock, std::move(callbacks));
@@ -64,6 +71,8 @@
     std::unique_ptr<fleetlog::IFleetLog> log;
     std::unique_ptr<Membership> membership;
     prometheus::Counter* divergences = nullptr;
+    prometheus::Gauge* sentGauge = nullptr;
+    prometheus::Gauge* receivedGauge = nullptr;
 };
 
 MembershipModule::MembershipModule(const settings::DaemonSettings& settings, std::uint64_t incarnation)
--- a/src/membership/internal/udppeertransport.cpp
+++ b/src/membership/internal/udppeertransport.cpp
@@ -1,5 +1,7 @@
 #include "membership/udppeertransport.h"
 
+#include "foundation/traffic.h"
+
 #include <boost/asio/buffer.hpp>
 #include <utility>
 
@@ -36,6 +38,7 @@
 {
     boost::system::error_code ignored;
     asio::ip::udp::endpoint endpoint(asio::ip::make_address(peer.ip, ignored), peer.port);
+    foundation::Traffic::ofProcess().sent += datagram.size();
     socket_.send_to(asio::buffer(datagram), endpoint, 0, ignored);
 }
 
@@ -45,6 +48,7 @@
         asio::buffer(buffer_), sender_, [this](boost::system::error_code error, std::size_t bytes) {
             if (error == asio::error::operation_aborted)
                 return;
+            foundation::Traffic::ofProcess().received += bytes;
             if (!error)
                 onDatagram_(std::string_view(buffer_.data(), bytes));
             receive();
--- a/src/platform/internal/httpclient.cpp
+++ b/src/platform/internal/httpclient.cpp
@@ -1,5 +1,7 @@
 #include "platform/httpclient.h"
 
+#include "foundation/traffic.h"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -47,7 +49,10 @@
                 return fail(Errc::Unavailable, error);
             stream_.socket().set_option(asio::ip::tcp::no_delay(true));
             http::async_write(stream_, request_,
-                [self = shared_from_this()](beast::error_code failed, std::size_t) { self->onWrite(failed); });
+                [self = shared_from_this()](beast::error_code failed, std::size_t bytes) {
+                    foundation::Traffic::ofProcess().sent += bytes;
+                    self->onWrite(failed);
+                });
         }
 
         void onWrite(beast::error_code error)
@@ -55,7 +60,10 @@
             if (error)
                 return fail(Errc::ProtocolViolation, error);
             http::async_read(stream_, buffer_, parser_,
-                [self = shared_from_this()](beast::error_code failed, std::size_t) { self->onRead(failed); });
+                [self = shared_from_this()](beast::error_code failed, std::size_t bytes) {
+                    foundation::Traffic::ofProcess().received += bytes;
+                    self->onRead(failed);
+                });
         }
 
         void onRead(beast::error_code error)
