Caller path: concrete executor types, requests moved instead of copied

Cause: the profile of the callers' thread showed type-erased executors copied for each operation and one allocation for each copied header field. Change: TcpStream with io_context's executor; the handler moves the request out.

--- a/src/callers/internal/callerhandler.cpp
+++ b/src/callers/internal/callerhandler.cpp
@@ -100,7 +100,7 @@
 
 CallerRequestPtr CallerHandler::buildRequest(const HttpExchangePtr& exchange, const std::string& service)
 {
-    HttpRequest message = exchange->request();
+    HttpRequest message = std::move(exchange->request());
     const bool idempotent = isIdempotent(message);
     const milliseconds timeout = timeoutOf(message, service);
     auto parent = telemetry::TraceContext::parse({ message["traceparent"].data(), message["traceparent"].size() });
--- a/src/callers/internal/endpointconnection.h
+++ b/src/callers/internal/endpointconnection.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "callers/httpendpointtransport.h"
+#include "foundation/tcpstream.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <optional>
 
@@ -44,7 +44,7 @@
     HttpEndpointTransport::Key key_;
     std::string peer_;
     std::size_t maximumAnswerBytes_;
-    boost::beast::tcp_stream stream_;
+    foundation::TcpStream stream_;
     boost::beast::flat_buffer buffer_;
     std::optional<Parser> parser_;
     const httpserver::HttpRequest* request_ = nullptr;
--- a/src/httpserver/httpexchange.h
+++ b/src/httpserver/httpexchange.h
@@ -18,6 +18,7 @@
 public:
     virtual ~HttpExchange() = default;
 
+    /// The request; the handler may move it out.
     virtual HttpRequest& request() = 0;
 
     /// Sends the answer; only the first call has an effect.
--- a/src/httpserver/httpserver.h
+++ b/src/httpserver/httpserver.h
@@ -2,6 +2,7 @@
 
 #include "foundation/address.h"
 #include "foundation/result.h"
+#include "foundation/tcpstream.h"
 #include "httpserver/ihttphandler.h"
 #include "httpserver/types/serverlimits.h"
 
@@ -48,7 +49,7 @@
     void acceptLater();
     void sweepLater();
     void closeIdleConnections();
-    void onAccept(boost::asio::ip::tcp::socket socket);
+    void onAccept(foundation::TcpSocket socket);
 
     boost::asio::io_context& context_;
     IHttpHandler& handler_;
--- a/src/httpserver/internal/httpconnection.cpp
+++ b/src/httpserver/internal/httpconnection.cpp
@@ -18,7 +18,7 @@
 
 } // namespace
 
-HttpConnection::HttpConnection(asio::ip::tcp::socket socket, HttpServer& server)
+HttpConnection::HttpConnection(foundation::TcpSocket socket, HttpServer& server)
     : stream_(std::move(socket))
     , server_(&server)
 {
@@ -81,6 +81,9 @@
     if (error)
         return refuse(error);
     stream_.expires_never();
+    keepAlive_ = parser_->get().keep_alive();
+    isHead_ = parser_->get().method() == http::verb::head;
+    version_ = parser_->get().version();
     awaitingAnswer_ = true;
     watchClient();
     server_->handler_.handle(this);
@@ -147,11 +150,11 @@
         return;
     awaitingAnswer_ = false;
     clearAbandoned();
-    const bool keepAlive = parser_->get().keep_alive() && server_ && !server_->shuttingDown_;
-    response.version(parser_->get().version());
+    const bool keepAlive = keepAlive_ && server_ && !server_->shuttingDown_;
+    response.version(version_);
     response.keep_alive(keepAlive);
     // A HEAD answer announces the length of a body that it does not carry.
-    if (parser_->get().method() == http::verb::head)
+    if (isHead_)
         response.body().clear();
     else
         response.prepare_payload();
--- a/src/httpserver/internal/httpconnection.h
+++ b/src/httpserver/internal/httpconnection.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "foundation/tcpstream.h"
 #include "httpserver/httpserver.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <optional>
 
@@ -13,7 +13,7 @@
 /// It lives while an asynchronous operation or a handler refers to it.
 class HttpConnection final : public HttpExchange, public ConnectionHook {
 public:
-    HttpConnection(boost::asio::ip::tcp::socket socket, HttpServer& server);
+    HttpConnection(foundation::TcpSocket socket, HttpServer& server);
     ~HttpConnection() override;
 
     void start() { readRequest(); }
@@ -45,12 +45,15 @@
     void write(HttpResponse response);
     void onWritten(boost::beast::error_code error, bool closes);
 
-    boost::beast::tcp_stream stream_;
+    foundation::TcpStream stream_;
     boost::beast::flat_buffer buffer_;
     std::optional<Parser> parser_;
     std::optional<HttpResponse> response_;
     HttpServer* server_;
     foundation::SteadyTime idleSince_ {};
+    bool keepAlive_ = false; ///< Of the request in progress, which the handler may have taken.
+    bool isHead_ = false;
+    unsigned version_ = 11;
     bool awaitingAnswer_ = false;
     bool watching_ = false;
     bool parsing_ = false;
--- a/src/httpserver/internal/httpserver.cpp
+++ b/src/httpserver/internal/httpserver.cpp
@@ -70,7 +70,7 @@
 
 void HttpServer::accept()
 {
-    acceptor_.async_accept(context_, [this](boost::system::error_code error, asio::ip::tcp::socket socket) {
+    acceptor_.async_accept(context_, [this](boost::system::error_code error, foundation::TcpSocket socket) {
         if (error == asio::error::operation_aborted || !acceptor_.is_open())
             return;
         if (error)
@@ -89,7 +89,7 @@
     });
 }
 
-void HttpServer::onAccept(asio::ip::tcp::socket socket)
+void HttpServer::onAccept(foundation::TcpSocket socket)
 {
     if (counters_.open >= limits_.maximumConnections) {
         ++counters_.refusedConnections;
