At-most-once for keyed non-idempotent requests across entries

Cause: a repeat that reached another entry ran a second time. A home runs a request only while it is certain that no other entry can have replaced it. Ruled out: batched intents in the log (an append and a read-back before each request, and none runs while the log is down). Before: two copies through two entries ran twice.

--- a/benchmarks/proxybench.cpp
+++ b/benchmarks/proxybench.cpp
@@ -88,7 +88,8 @@
         , transport(thread.context(), 1 << 20)
         , shares("entry")
         , dispatcher(transport, shares, timers, clock, tracer, {}, 1)
-        , handler(dispatcher, clock, tracer, metrics, std::chrono::seconds(10), 1)
+        , atMostOnce("entry", dispatcher, transport, timers, clock)
+        , handler(dispatcher, atMostOnce, clock, tracer, metrics, std::chrono::seconds(10), 1)
         , server(thread.context(), handler, limits())
     {
         using declarations::ObjectChange;
@@ -124,6 +125,7 @@
     callers::HttpEndpointTransport transport;
     callers::RosterShares shares;
     callers::Dispatcher dispatcher;
+    callers::AtMostOnce atMostOnce;
     callers::CallerHandler handler;
     httpserver::HttpServer server;
 };
--- a/src/callers/callerhandler.h
+++ b/src/callers/callerhandler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "callers/atmostonce.h"
 #include "callers/dispatcher.h"
 #include "httpserver/ihttphandler.h"
 #include "telemetry/metrics.h"
@@ -11,7 +12,7 @@
 /// Turns callers' HTTP requests into CallerRequest and replies into HTTP answers.
 class CallerHandler : public httpserver::IHttpHandler {
 public:
-    CallerHandler(Dispatcher& dispatcher, const foundation::IClock& clock, telemetry::ITracer& tracer,
+    CallerHandler(Dispatcher& dispatcher, AtMostOnce& atMostOnce, const foundation::IClock& clock, telemetry::ITracer& tracer,
         telemetry::Metrics& metrics, foundation::milliseconds defaultTimeout, std::uint64_t seed);
 
     void handle(const httpserver::HttpExchangePtr& exchange) override;
@@ -23,6 +24,7 @@
     foundation::milliseconds timeoutOf(const httpserver::HttpRequest& request, const std::string& service) const;
 
     Dispatcher& dispatcher_;
+    AtMostOnce& atMostOnce_;
     const foundation::IClock& clock_;
     telemetry::ITracer& tracer_;
     foundation::milliseconds defaultTimeout_;
--- a/src/callers/dispatcher.h
+++ b/src/callers/dispatcher.h
@@ -42,6 +42,19 @@
     /// Takes a request; its reply comes at its deadline at the latest.
     void submit(const CallerRequestPtr& request);
 
+    /// The two halves of submit(): counts a request, and takes it to an endpoint.
+    void accept(const CallerRequestPtr& request);
+    void dispatch(const CallerRequestPtr& request);
+
+    /// Gives a request up at `when`, unless it has ended before; replaces an earlier time.
+    void armTimer(const CallerRequestPtr& request, foundation::SteadyTime when);
+
+    /// Ends a request that has not ended, with the outcome that its machine then shows.
+    void giveUp(const CallerRequestPtr& request, unsigned status, const std::string& reason);
+
+    /// Replies to a request whose machine has ended.
+    void finish(const CallerRequestPtr& request, CallerReply reply);
+
     /// The caller left: a request that was not started is dropped, one in progress goes on unseen.
     void abandon(const CallerRequestPtr& request);
 
@@ -79,11 +92,8 @@
     void drainQueue(ServiceRoute& route);
     void drainQueues();
     void resume(const CallerRequestPtr& request, const std::string& reason);
-    void armTimer(const CallerRequestPtr& request, foundation::SteadyTime when);
     void onTimer(const CallerRequestPtr& request);
     void removeFromQueue(CallerRequest& request);
-    void giveUp(const CallerRequestPtr& request, unsigned status, const std::string& reason);
-    void finish(const CallerRequestPtr& request, CallerReply reply);
     bool mayRetry(const CallerRequest& request);
 
     IEndpointTransport& transport_;
--- a/src/callers/internal/callerhandler.cpp
+++ b/src/callers/internal/callerhandler.cpp
@@ -41,6 +41,14 @@
         return isIdempotentMethod(request.method());
     }
 
+    RequestOrigin originOf(const HttpRequest& request)
+    {
+        const auto forwarded = request["Turmericsill-Forwarded"];
+        if (forwarded == "lookup")
+            return RequestOrigin::Lookup;
+        return forwarded == "run" ? RequestOrigin::Forwarded : RequestOrigin::Caller;
+    }
+
     HttpResponse makeRefusal(unsigned status, const std::string& reason)
     {
         HttpResponse response = httpserver::makeResponse(status, reason + "\n");
@@ -66,9 +74,10 @@
 
 } // namespace
 
-CallerHandler::CallerHandler(Dispatcher& dispatcher, const foundation::IClock& clock, telemetry::ITracer& tracer,
+CallerHandler::CallerHandler(Dispatcher& dispatcher, AtMostOnce& atMostOnce, const foundation::IClock& clock, telemetry::ITracer& tracer,
     telemetry::Metrics& metrics, milliseconds defaultTimeout, std::uint64_t seed)
     : dispatcher_(dispatcher)
+    , atMostOnce_(atMostOnce)
     , clock_(clock)
     , tracer_(tracer)
     , defaultTimeout_(defaultTimeout)
@@ -93,9 +102,10 @@
     if (!stated.empty() && timeoutOf(message, service) == milliseconds::zero())
         return exchange->respond(
             makeRefusal(badRequest, "Turmericsill-Timeout-Ms: expected a whole number from 1 to 600000"));
+    const RequestOrigin origin = originOf(message);
     CallerRequestPtr request = buildRequest(exchange, service);
-    exchange->onAbandoned([this, request] { dispatcher_.abandon(request); });
-    dispatcher_.submit(request);
+    exchange->onAbandoned([this, request] { atMostOnce_.abandon(request); });
+    atMostOnce_.submit(request, origin);
 }
 
 CallerRequestPtr CallerHandler::buildRequest(const HttpExchangePtr& exchange, const std::string& service)
@@ -106,6 +116,7 @@
     auto parent = telemetry::TraceContext::parse({ message["traceparent"].data(), message["traceparent"].size() });
     std::string key(message["Idempotency-Key"]);
     removeHopByHopFields(message);
+    message.erase("Turmericsill-Forwarded");
     CallerRequestPtr request = new CallerRequest(std::move(message), idempotent, {});
     request->service = service;
     request->idempotencyKey = std::move(key);
@@ -141,7 +152,10 @@
         : reply.outcome == Outcome::NotRun                                ? notRunSeconds_
                                                                           : unknownSeconds_;
     histogram.Observe(seconds);
-    exchange->respond(makeReplyMessage(reply));
+    HttpResponse message = makeReplyMessage(reply);
+    for (const auto& [field, value] : request.replyFields)
+        message.set(field, value);
+    exchange->respond(std::move(message));
 }
 
 void CallerHandler::recordSpan(const CallerRequest& request, const CallerReply& reply) const
--- a/src/callers/internal/callersmodule.cpp
+++ b/src/callers/internal/callersmodule.cpp
@@ -68,8 +68,8 @@
         std::random_device seed;
         dispatcher = std::make_unique<Dispatcher>(
             transport, shares, timers, clock, *tracer, dispatcherOptions(settings), seed());
-        handler
-            = std::make_unique<CallerHandler>(*dispatcher, clock, *tracer, *metrics, settings.defaultTimeout, seed());
+        atMostOnce = std::make_unique<AtMostOnce>(settings.entry, *dispatcher, transport, timers, clock);
+        handler = std::make_unique<CallerHandler>(*dispatcher, *atMostOnce, clock, *tracer, *metrics, settings.defaultTimeout, seed());
         server = std::make_unique<httpserver::HttpServer>(thread.context(), *handler, serverLimits(settings));
         queuedGauge = &metrics->gauge("caller_queued", "Requests that wait for a slot");
         inProgressGauge = &metrics->gauge("caller_in_progress", "Attempts in progress on endpoints");
@@ -88,6 +88,8 @@
         if (!update.state)
             return;
         shares.onRoster(update.state->rosterVersion, update.state->admittedEntries());
+        if (update.caughtUp)
+            atMostOnce->onState(*update.state);
         dispatcher->applyState(update.state);
         report();
     }
@@ -96,6 +98,8 @@
     {
         serving = view;
         dispatcher->setServingLimit(view.servingUntil);
+        atMostOnce->setCertainUntil(view.certainUntil);
+        atMostOnce->onSettled(view.settledRoster);
         if (shares.onSettled(view.settledRoster))
             dispatcher->refreshShares();
         updateReadiness();
@@ -160,6 +164,7 @@
     std::shared_ptr<telemetry::ITracer> tracer;
     std::shared_ptr<telemetry::Readiness> readiness;
     std::unique_ptr<Dispatcher> dispatcher;
+    std::unique_ptr<AtMostOnce> atMostOnce;
     std::unique_ptr<CallerHandler> handler;
     std::unique_ptr<httpserver::HttpServer> server;
     ServingView serving;
--- a/src/callers/internal/dispatcher.cpp
+++ b/src/callers/internal/dispatcher.cpp
@@ -56,7 +56,8 @@
     bool onSending() override
     {
         // The last check before anything leaves: the request may be done and the state may be stale.
-        if (request->machine.isDone() || dispatcher.clock_.now() >= dispatcher.servingUntil_)
+        const SteadyTime limit = std::min(dispatcher.servingUntil_, request->notAfter);
+        if (request->machine.isDone() || dispatcher.clock_.now() >= limit)
             return false;
         request->machine.onSent();
         return true;
@@ -247,7 +248,14 @@
 
 void Dispatcher::submit(const CallerRequestPtr& request)
 {
-    ++counters_.received;
+    accept(request);
+    dispatch(request);
+}
+
+void Dispatcher::accept(const CallerRequestPtr&) { ++counters_.received; }
+
+void Dispatcher::dispatch(const CallerRequestPtr& request)
+{
     auto found = routes_.find(request->service);
     if (found == routes_.end() || !findService(request->service))
         return giveUp(request, notFound, "no service \"" + request->service + "\"");
--- a/src/callers/internal/outcomemachine.cpp
+++ b/src/callers/internal/outcomemachine.cpp
@@ -132,6 +132,8 @@
 
 OutcomeMachine::~OutcomeMachine() = default;
 
+void OutcomeMachine::assumeMayHaveRun(bool mayHaveRun) { machine_->mayHaveRun = mayHaveRun; }
+
 void OutcomeMachine::onDispatched() { machine_->process_event(Dispatched {}); }
 
 void OutcomeMachine::onSent() { machine_->process_event(FirstByteSent {}); }
--- a/src/callers/outcomemachine.h
+++ b/src/callers/outcomemachine.h
@@ -21,6 +21,9 @@
     OutcomeMachine(const OutcomeMachine&) = delete;
     OutcomeMachine& operator=(const OutcomeMachine&) = delete;
 
+    /// Whether another copy of the request may have run, so that it cannot be called not run.
+    void assumeMayHaveRun(bool mayHaveRun);
+
     /// An attempt begins; nothing is sent yet.
     void onDispatched();
 
--- a/src/callers/types/callerrequest.h
+++ b/src/callers/types/callerrequest.h
@@ -8,8 +8,10 @@
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 #include <functional>
+#include <memory>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace turmericsill::callers {
 
@@ -38,6 +40,9 @@
     OutcomeMachine machine;
     ReplyCallback onReply; ///< Called once.
     std::uint32_t attempts = 0;
+    foundation::SteadyTime notAfter = foundation::SteadyTime::max(); ///< No byte is sent to an endpoint from then on.
+    std::shared_ptr<const httpserver::HttpRequest> forwarded; ///< Copy on its way to another entry.
+    std::vector<std::pair<std::string, std::string>> replyFields; ///< Header fields of a reply to another entry.
     foundation::TimerId timer = 0;
     bool queued = false;
 };
--- a/src/daemon/tests/session.cpp
+++ b/src/daemon/tests/session.cpp
@@ -30,6 +30,8 @@
         membership::Membership::Callbacks callbacks;
         callbacks.onServingView = [&entry](const membership::ServingView& view) {
             entry.dispatcher.setServingLimit(view.servingUntil);
+            entry.atMostOnce.setCertainUntil(view.certainUntil);
+            entry.atMostOnce.onSettled(view.settledRoster);
             if (entry.shares.onSettled(view.settledRoster))
                 entry.dispatcher.refreshShares();
         };
@@ -52,12 +54,15 @@
     , log(logClient, thread.timers, world.clock, "s", entryName, world.clock.elapsed.count(), settings.appendInterval)
     , shares(entryName)
     , dispatcher(endpoints, shares, thread.timers, world.clock, tracer, {}, entrySeed)
+    , atMostOnce(entryName, dispatcher, endpoints, thread.timers, world.clock)
     , membership(
           settings, world.clock.elapsed.count(), peers, platform, log, thread.timers, world.clock, makeCallbacks(*this))
     , controller(entryName, platform, log, thread.timers, world.clock)
 {
     log.follower().onUpdate([this](const fleetlog::StateUpdate& update) {
         shares.onRoster(update.state->rosterVersion, update.state->admittedEntries());
+        if (update.caughtUp)
+            atMostOnce.onState(*update.state);
         dispatcher.applyState(update.state);
         membership.onState(update);
         controller.onState(update);
@@ -71,6 +76,10 @@
     world.peers[settings.peerAddress.text()] = [this](const std::string& datagram) {
         world.deliver(thread, milliseconds(0), [this, datagram] { membership.onDatagram(datagram); });
     };
+    world.callers[settings.callerAddress.text()]
+        = [this](const httpserver::HttpRequest& message, std::function<void(httpserver::HttpResponse)> reply) {
+              world.deliver(thread, milliseconds(0), [this, message, reply] { takeForwarded(message, reply); });
+          };
     log.follower().start();
     membership.start();
     controller.start();
@@ -89,27 +98,67 @@
 {
     thread.killed = true;
     world.peers.erase(settings.peerAddress.text());
+    world.callers.erase(settings.callerAddress.text());
     world.listed.erase(name);
     world.note(name + " is killed");
 }
 
-void SessionEntry::call(const std::string& id, const std::string& service, bool idempotent, milliseconds timeout)
+callers::CallerRequestPtr SessionEntry::makeRequest(const std::string& service, const std::string& key, bool idempotent,
+    milliseconds timeout, callers::CallerRequest::ReplyCallback onReply)
 {
-    httpserver::HttpRequest message(boost::beast::http::verb::post, "/" + service + "/" + id, 11);
-    message.set("Idempotency-Key", id);
-    callers::CallerRequestPtr request = new callers::CallerRequest(
-        std::move(message), idempotent, [this, id](callers::CallerReply reply) {
-            const std::string where = reply.outcome == callers::Outcome::Answered ? reply.answer.body() : reply.reason;
-            ++world.replies[callers::outcomeName(reply.outcome)];
-            if (reply.outcome == callers::Outcome::NotRun && world.runsByKey.count(id) != 0)
-                world.broken.push_back(id + " was called not run, but it ran");
-            world.note(name + " tells " + id + ": " + callers::outcomeName(reply.outcome) + " (" + where + ")");
-        });
+    httpserver::HttpRequest message(boost::beast::http::verb::post, "/" + service + "/x", 11);
+    message.set("Idempotency-Key", key);
+    callers::CallerRequestPtr request
+        = new callers::CallerRequest(std::move(message), idempotent, std::move(onReply));
     request->service = service;
-    request->idempotencyKey = id;
     request->receivedAt = world.clock.now();
     request->deadline = world.clock.now() + timeout;
-    dispatcher.submit(request);
+    return request;
+}
+
+void SessionEntry::noteReply(const std::string& id, const std::string& key, const callers::CallerReply& reply)
+{
+    ++world.replies[callers::outcomeName(reply.outcome)];
+    if (reply.outcome == callers::Outcome::NotRun && world.runsByKey.count(key) != 0)
+        world.broken.push_back(id + " was called not run, but it ran");
+    const std::string where = reply.outcome == callers::Outcome::Answered ? reply.answer.body() : reply.reason;
+    world.note(name + " tells " + id + ": " + callers::outcomeName(reply.outcome) + " (" + where + ")");
+}
+
+void SessionEntry::call(const std::string& id, const std::string& service, bool idempotent, milliseconds timeout)
+{
+    dispatcher.submit(makeRequest(service, id, idempotent, timeout,
+        [this, id](const callers::CallerReply& reply) { noteReply(id, id, reply); }));
+}
+
+void SessionEntry::callWithKey(
+    const std::string& id, const std::string& service, const std::string& key, milliseconds timeout)
+{
+    auto request = makeRequest(
+        service, key, false, timeout, [this, id, key](const callers::CallerReply& reply) { noteReply(id, key, reply); });
+    request->idempotencyKey = key;
+    atMostOnce.submit(request, callers::RequestOrigin::Caller);
+}
+
+void SessionEntry::takeForwarded(
+    const httpserver::HttpRequest& message, std::function<void(httpserver::HttpResponse)> reply)
+{
+    const std::string target(message.target());
+    const milliseconds timeout(std::atoll(std::string(message["Turmericsill-Timeout-Ms"]).c_str()));
+    auto request = makeRequest(target.substr(1, target.find('/', 1) - 1), std::string(message["Idempotency-Key"]), false,
+        timeout, {});
+    request->idempotencyKey = std::string(message["Idempotency-Key"]);
+    request->onReply = [raw = request.get(), reply](const callers::CallerReply& told) {
+        httpserver::HttpResponse response = told.outcome == callers::Outcome::Answered
+            ? told.answer
+            : httpserver::makeResponse(told.status, told.reason + "\n");
+        response.set("Turmericsill-Outcome", callers::outcomeName(told.outcome));
+        for (const auto& [field, value] : raw->replyFields)
+            response.set(field, value);
+        reply(response);
+    };
+    const bool lookup = message["Turmericsill-Forwarded"] == "lookup";
+    atMostOnce.submit(request, lookup ? callers::RequestOrigin::Lookup : callers::RequestOrigin::Forwarded);
 }
 
 SessionEntry& Session::addEntry(const std::string& name)
--- a/src/daemon/tests/session.h
+++ b/src/daemon/tests/session.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "callers/atmostonce.h"
 #include "callers/dispatcher.h"
 #include "callers/rostershares.h"
+#include "foundation/hash.h"
 #include "daemon/tests/sessionworld.h"
 #include "fleetlog/fleetlog.h"
 #include "maintenance/poolcontroller.h"
@@ -29,6 +31,12 @@
     /// Submits a request and notes its reply.
     void call(const std::string& id, const std::string& service, bool idempotent, milliseconds timeout);
 
+    /// As above under an idempotency key.
+    void callWithKey(const std::string& id, const std::string& service, const std::string& key, milliseconds timeout);
+
+    /// Takes a request that another entry forwarded.
+    void takeForwarded(const httpserver::HttpRequest& message, std::function<void(httpserver::HttpResponse)> reply);
+
     fleetstate::FleetStatePtr state() const { return log.follower().fold().state(); }
 
     SessionWorld& world;
@@ -43,11 +51,15 @@
     fleetlog::FleetLog log;
     callers::RosterShares shares;
     callers::Dispatcher dispatcher;
+    callers::AtMostOnce atMostOnce;
     membership::Membership membership;
     maintenance::PoolController controller;
 
 private:
     void report();
+    callers::CallerRequestPtr makeRequest(const std::string& service, const std::string& key, bool idempotent,
+        milliseconds timeout, callers::CallerRequest::ReplyCallback onReply);
+    void noteReply(const std::string& id, const std::string& key, const callers::CallerReply& reply);
 
     std::uint64_t acknowledged_ = 0;
 };
--- a/src/daemon/tests/sessionworld.cpp
+++ b/src/daemon/tests/sessionworld.cpp
@@ -122,8 +122,10 @@
 }
 
 void WorldEndpointTransport::start(const callers::AttemptTarget& target, const httpserver::HttpRequest& request,
-    SteadyTime, SteadyTime, callers::AttemptObserverPtr observer)
+    SteadyTime, SteadyTime limit, callers::AttemptObserverPtr observer)
 {
+    if (!request["Turmericsill-Forwarded"].empty())
+        return startForward(target.address.text(), request, limit, observer);
     const std::string instance = target.instance;
     if (world_.endpoints[instance].rebooting) {
         world_.deliver(thread_, connectDelay, [observer, instance] {
@@ -148,4 +150,28 @@
     });
 }
 
+// A request to an entry that is paused or dies stays without an answer until its limit.
+void WorldEndpointTransport::startForward(const std::string& address, const httpserver::HttpRequest& request,
+    SteadyTime limit, const callers::AttemptObserverPtr& observer)
+{
+    world_.deliver(thread_, connectDelay, [this, address, request, limit, observer] {
+        auto entry = world_.callers.find(address);
+        if (entry == world_.callers.end())
+            return observer->onFailure({ Errc::Unavailable, "endpoint.connect", address, "refused" });
+        if (!observer->onSending())
+            return observer->onFailure({ Errc::Conflict, "endpoint.send", address, "stopped" });
+        auto ended = std::make_shared<bool>(false);
+        thread_.timers.schedule(limit, [observer, ended, address] {
+            if (!std::exchange(*ended, true))
+                observer->onFailure({ Errc::Timeout, "endpoint.receive", address, "no answer" });
+        });
+        entry->second(request, [this, observer, ended](httpserver::HttpResponse answer) {
+            world_.deliver(thread_, connectDelay, [observer, ended, answer] {
+                if (!std::exchange(*ended, true))
+                    observer->onAnswer(answer);
+            });
+        });
+    });
+}
+
 } // namespace turmericsill::daemon::tests
--- a/src/daemon/tests/sessionworld.h
+++ b/src/daemon/tests/sessionworld.h
@@ -67,6 +67,10 @@
     double loseAppendAnswers = 0;
     milliseconds logDelay { 2 };
 
+    /// Entries' callers' servers by address; the second argument takes the reply.
+    std::map<std::string,
+        std::function<void(const httpserver::HttpRequest&, std::function<void(httpserver::HttpResponse)>)>>
+        callers;
     std::map<std::string, std::function<void(const std::string&)>> peers; ///< Receivers by address.
     std::set<std::pair<std::string, std::string>> cutLinks; ///< Sender and receiver address.
     milliseconds peerDelay { 1 };
@@ -151,6 +155,9 @@
     void closeIdle(const std::string&) override { }
 
 private:
+    void startForward(const std::string& address, const httpserver::HttpRequest& request, SteadyTime limit,
+        const callers::AttemptObserverPtr& observer);
+
     SessionWorld& world_;
     EntryThread& thread_;
 };
--- a/src/fleetstate/internal/recorddecider.cpp
+++ b/src/fleetstate/internal/recorddecider.cpp
@@ -303,6 +303,7 @@
     if (!sponsored && !state_.admittedEntries().empty())
         return "sponsor \"" + body.sponsor + "\" is not admitted";
     member.admitted = true;
+    ++state_.admissions;
     ++state_.rosterVersion;
     return {};
 }
--- a/src/fleetstate/internal/snapshotcodec.cpp
+++ b/src/fleetstate/internal/snapshotcodec.cpp
@@ -111,6 +111,7 @@
         value.at("next_offset").get_to(state.nextOffset);
         value.at("config_version").get_to(state.configVersion);
         value.at("roster_version").get_to(state.rosterVersion);
+        value.at("admissions").get_to(state.admissions);
         for (const auto& pool : value.at("pools"))
             decodePool(pool, state);
         StateEditor editor(state);
@@ -150,6 +151,7 @@
         history.push_back(encodeSummary(*summary));
     json value { { "v", recordSchemaVersion }, { "next_offset", state.nextOffset },
         { "config_version", state.configVersion }, { "roster_version", state.rosterVersion },
+        { "admissions", state.admissions },
         { "pools", std::move(pools) }, { "tables", encodeTables(state) }, { "roster", std::move(roster) },
         { "departures", std::move(departures) }, { "history", std::move(history) }, { "recent_ids", recentIds } };
     std::string bytes;
--- a/src/fleetstate/types/fleetstate.h
+++ b/src/fleetstate/types/fleetstate.h
@@ -95,6 +95,7 @@
     std::uint64_t nextOffset = 0; ///< First offset that is not folded yet.
     std::uint64_t configVersion = 0;
     std::uint64_t rosterVersion = 0;
+    std::uint64_t admissions = 0; ///< Entries ever admitted; 0: no request was ever run.
     std::map<std::string, PoolPtr> pools;
     std::array<ObjectTablePtr, std::variant_size_v<declarations::Object>> tables;
     std::map<std::string, EntryMember> roster;
