--- a/benchmarks/proxybench.cpp
+++ b/benchmarks/proxybench.cpp
@@ -113,10 +113,17 @@
         shares.onSettled(1);
         dispatcher.applyState(fold.state());
         requireListening(server, entryPort);
+        keepAlive();
         thread.start();
     }
     ~Entry() { thread.stop(); }
 
+    void keepAlive()
+    {
+        dispatcher.noteAlive();
+        timers.schedule(clock.now() + std::chrono::milliseconds(50), [this] { keepAlive(); });
+    }
+
     foundation::SystemClock clock;
     foundation::DutyThread thread;
     foundation::AsioTimerQueue timers;
--- a/src/callers/dispatcher.h
+++ b/src/callers/dispatcher.h
@@ -2,6 +2,7 @@
 
 #include "callers/iendpointtransport.h"
 #include "callers/islotshares.h"
+#include "callers/pauseguard.h"
 #include "callers/retrybudget.h"
 #include "callers/types/callerrequest.h"
 #include "callers/types/dispatcheroptions.h"
@@ -39,6 +40,12 @@
     /// Requests are started only before this time; afterwards they are refused as not run.
     void setServingLimit(foundation::SteadyTime until) { servingUntil_ = until; }
 
+    /// Called regularly by the duty's timer, so that a pause of the process shows.
+    void noteAlive() { pauseGuard_.noteAlive(clock_.now()); }
+
+    /// A read of the log that was sent at `requestedAt` has ended and its state was applied.
+    void onLogRead(foundation::SteadyTime requestedAt);
+
     /// Takes a request; its reply comes at its deadline at the latest.
     void submit(const CallerRequestPtr& request);
 
@@ -92,6 +99,7 @@
     void drainQueue(ServiceRoute& route);
     void drainQueues();
     void resume(const CallerRequestPtr& request, const std::string& reason);
+    bool mayStart() const;
     void onTimer(const CallerRequestPtr& request);
     void removeFromQueue(CallerRequest& request);
     bool mayRetry(const CallerRequest& request);
@@ -109,6 +117,7 @@
     std::unique_ptr<ActiveTargets> activeTargets_;
     RetryBudget retryBudget_;
     DispatcherCounters counters_;
+    PauseGuard pauseGuard_;
     foundation::SteadyTime servingUntil_ = foundation::SteadyTime::max();
 };
 
--- a/src/callers/internal/callersmodule.cpp
+++ b/src/callers/internal/callersmodule.cpp
@@ -91,6 +91,7 @@
         if (update.caughtUp)
             atMostOnce->onState(*update.state);
         dispatcher->applyState(update.state);
+        dispatcher->onLogRead(update.requestedAt);
         report();
     }
 
@@ -127,6 +128,7 @@
 
     void reportRegularly()
     {
+        dispatcher->noteAlive();
         report();
         const DispatcherCounters now = dispatcher->counters();
         counters->publish(now);
--- a/src/callers/internal/dispatcher.cpp
+++ b/src/callers/internal/dispatcher.cpp
@@ -56,8 +56,7 @@
     bool onSending() override
     {
         // The last check before anything leaves: the request may be done and the state may be stale.
-        const SteadyTime limit = std::min(dispatcher.servingUntil_, request->notAfter);
-        if (request->machine.isDone() || dispatcher.clock_.now() >= limit)
+        if (request->machine.isDone() || !dispatcher.mayStart() || dispatcher.clock_.now() >= request->notAfter)
             return false;
         request->machine.onSent();
         return true;
@@ -134,6 +133,7 @@
     , options_(options)
     , random_(seed)
     , activeTargets_(std::make_unique<ActiveTargets>())
+    , pauseGuard_(clock.now())
 {
 }
 
@@ -299,12 +299,21 @@
     intrusive_ptr_release(&request);
 }
 
-bool Dispatcher::tryStart(ServiceRoute& route, const CallerRequestPtr& request)
+bool Dispatcher::mayStart() const
 {
     const SteadyTime now = clock_.now();
-    if (now >= servingUntil_)
-        return false;
-    ServiceTargetPtr target = route.pick(now, random_);
+    return now < servingUntil_ && !pauseGuard_.isHolding(now);
+}
+
+void Dispatcher::onLogRead(SteadyTime requestedAt)
+{
+    if (pauseGuard_.onLogRead(requestedAt))
+        drainQueues();
+}
+
+bool Dispatcher::tryStart(ServiceRoute& route, const CallerRequestPtr& request)
+{
+    ServiceTargetPtr target = mayStart() ? route.pick(clock_.now(), random_) : nullptr;
     if (!target)
         return false;
     startAttempt(route, target, request);
@@ -359,8 +368,7 @@
 {
     while (!route.queue.empty()) {
         CallerRequestPtr request(&route.queue.front());
-        const SteadyTime now = clock_.now();
-        ServiceTargetPtr target = now < servingUntil_ ? route.pick(now, random_) : nullptr;
+        ServiceTargetPtr target = mayStart() ? route.pick(clock_.now(), random_) : nullptr;
         if (!target)
             return;
         removeFromQueue(*request);
--- a/src/callers/tests/dispatchertests.cpp
+++ b/src/callers/tests/dispatchertests.cpp
@@ -82,6 +82,8 @@
     void advance(foundation::milliseconds duration)
     {
         clock.time += duration;
+        dispatcher.noteAlive();
+        dispatcher.onLogRead(clock.now());
         timers.runDue(clock.now());
     }
 
--- a/src/daemon/tests/atmostoncetests.cpp
+++ b/src/daemon/tests/atmostoncetests.cpp
@@ -235,7 +235,7 @@
 {
     Session session(11);
     startFleet(session);
-    session.world.logDown = true;
+    session.world.setLogDown(true);
     session.run(30s);
     const std::string key = keyWithHome(session, "entry-b");
     session.entry("entry-a").callWithKey("first", "calls", key, 2s);
--- a/src/daemon/tests/faultsessiontests.cpp
+++ b/src/daemon/tests/faultsessiontests.cpp
@@ -151,12 +151,12 @@
         startFleet(session);
         session.drain("entry-a", "calls-1");
         session.run(step);
-        session.world.logDown = true;
+        session.world.setLogDown(true);
         const std::size_t answeredBefore = session.world.replies["answered"];
         callFor(session, 60s, "");
         CHECK(session.world.replies["answered"] - answeredBefore > 4000);
         CHECK(session.world.replies["not-run"] == 0);
-        session.world.logDown = false;
+        session.world.setLogDown(false);
         session.run(5s);
         INFO("log down after " << step.count() << " ms");
         REQUIRE(session.brokenPromises() == nothing);
@@ -168,7 +168,7 @@
 {
     Session session(10, StaleServing::Fence);
     startFleet(session);
-    session.world.logDown = true;
+    session.world.setLogDown(true);
     for (const std::string peer : { "127.0.0.1:7011", "127.0.0.1:7021" })
         session.world.cutLinks.insert({ peer, "127.0.0.1:7001" });
     session.run(7500ms);
--- a/src/daemon/tests/session.cpp
+++ b/src/daemon/tests/session.cpp
@@ -64,6 +64,7 @@
         if (update.caughtUp)
             atMostOnce.onState(*update.state);
         dispatcher.applyState(update.state);
+        dispatcher.onLogRead(update.requestedAt);
         membership.onState(update);
         controller.onState(update);
         membership.onCallerReport({ dispatcher.appliedOffset(), acknowledged_, dispatcher.busyInstances() });
@@ -88,6 +89,7 @@
 
 void SessionEntry::report()
 {
+    dispatcher.noteAlive();
     if (dispatcher.keepsToShares())
         acknowledged_ = shares.newestRoster();
     membership.onCallerReport({ dispatcher.appliedOffset(), acknowledged_, dispatcher.busyInstances() });
@@ -256,6 +258,22 @@
         });
 }
 
+void Session::move(const std::string& entryName, const std::string& instance, const std::string& pool)
+{
+    SessionEntry& entry = *entries_.at(entryName);
+    const auto found = entry.state()->findInstance(instance);
+    REQUIRE(found);
+    fleetstate::ConfigChange change;
+    change.baseVersion = entry.state()->configVersion;
+    change.operatorName = "ania";
+    declarations::Instance moved = found->declared;
+    moved.pool = pool;
+    change.changes = { { declarations::ObjectChange::Action::Update, moved } };
+    entry.log.submit(change, [this, instance, pool](AppendOutcome outcome, const std::string& reason) {
+        world.note("move of " + instance + " to " + pool + ": " + (outcome == AppendOutcome::Accepted ? "accepted" : reason));
+    });
+}
+
 foundation::TimerQueue* Session::nextQueue(SteadyTime& when)
 {
     foundation::TimerQueue* next = nullptr;
--- a/src/daemon/tests/session.h
+++ b/src/daemon/tests/session.h
@@ -86,6 +86,9 @@
     /// Asks an entry to drain an instance and notes what becomes of it.
     void drain(const std::string& entryName, const std::string& instance);
 
+    /// Asks an entry to move an instance to another pool.
+    void move(const std::string& entryName, const std::string& instance, const std::string& pool);
+
     void run(milliseconds duration);
 
     /// Promises that did not hold so far: doubled runs, false answers, requests cut off, limits exceeded,
--- a/src/daemon/tests/sessionworld.cpp
+++ b/src/daemon/tests/sessionworld.cpp
@@ -14,6 +14,7 @@
     constexpr milliseconds connectDelay { 1 };
     constexpr milliseconds platformDelay { 2 };
     constexpr milliseconds readPoll { 5 };
+    constexpr milliseconds leavingLimit { 2000 }; ///< After which a leaving instance gets no new work.
 
 } // namespace
 
@@ -33,6 +34,37 @@
     transcript.push_back(std::string(7 - std::min<std::size_t>(7, time.size()), ' ') + time + " " + line);
 }
 
+void SessionWorld::setLogDown(bool down)
+{
+    if (logDown && !down)
+        logUpSince = clock.now();
+    logDown = down;
+    note(down ? "the log is down" : "the log is back");
+}
+
+void SessionWorld::checkWork(const std::string& service, const std::string& instance)
+{
+    std::string pool;
+    const auto found = truth.state()->findInstance(instance, &pool);
+    const auto* declared = truth.state()->findService(service);
+    if (!found || !declared) {
+        broken.push_back("work of " + service + " went to " + instance + ", which is gone");
+        return;
+    }
+    if (declared->pool != pool)
+        broken.push_back("work of pool " + declared->pool + " went to " + instance + " of pool " + pool);
+    if (found->lifecycle == fleetstate::Lifecycle::Stopped)
+        broken.push_back("work went to " + instance + ", which is stopped");
+    if (found->lifecycle != fleetstate::Lifecycle::Draining || logDown)
+        return;
+    // While the log is down it tells nobody, so the limit runs from when it can be read.
+    const SteadyTime told = std::max(drainingSince.at(instance), logUpSince);
+    if (clock.now() - told > leavingLimit)
+        broken.push_back("new work went to " + instance + " at " + std::to_string(clock.elapsed.count())
+            + " ms, though it was told to drain at "
+            + std::to_string(std::chrono::duration_cast<milliseconds>(told.time_since_epoch()).count()) + " ms");
+}
+
 void WorldLogClient::append(
     const std::string&, std::vector<std::string> payloads, milliseconds timeout, AppendCallback done)
 {
@@ -41,8 +73,18 @@
         return;
     }
     const std::uint64_t first = world_.log.size();
-    for (auto& payload : payloads)
+    for (auto& payload : payloads) {
+        static_cast<void>(world_.truth.applyPayload(world_.log.size(), payload));
         world_.log.push_back(std::move(payload));
+    }
+    for (const auto& [name, pool] : world_.truth.state()->pools) {
+        for (const auto& [instanceName, instance] : pool->instances) {
+            if (instance->lifecycle == fleetstate::Lifecycle::Draining)
+                world_.drainingSince.emplace(instanceName, world_.clock.now());
+            else
+                world_.drainingSince.erase(instanceName);
+        }
+    }
     const bool loses = std::uniform_real_distribution<double>(0, 1)(world_.random) < world_.loseAppendAnswers;
     if (loses)
         world_.deliver(thread_, timeout, [done] { done(failure(Errc::Timeout, "log.append")); });
@@ -133,11 +175,12 @@
         });
         return;
     }
-    world_.deliver(thread_, connectDelay, [this, instance, observer, key = std::string(request["Idempotency-Key"])] {
+    world_.deliver(thread_, connectDelay, [this, instance, service = target.service, observer, key = std::string(request["Idempotency-Key"])] {
         if (!observer->onSending()) {
             observer->onFailure({ Errc::Conflict, "endpoint.send", instance, "stopped" });
             return;
         }
+        world_.checkWork(service, instance);
         auto& endpoint = world_.endpoints[instance];
         endpoint.maximumInProgress = std::max(endpoint.maximumInProgress, ++endpoint.inProgress);
         if (!key.empty())
--- a/src/daemon/tests/sessionworld.h
+++ b/src/daemon/tests/sessionworld.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "callers/iendpointtransport.h"
+#include "fleetstate/fold.h"
 #include "foundation/timerqueue.h"
 #include "membership/ipeertransport.h"
 #include "platform/iinstanceplatform.h"
@@ -57,13 +58,22 @@
 
     void note(const std::string& line);
 
+    /// Takes the log down or brings it back.
+    void setLogDown(bool down);
+
+    /// Checks, against the log as it is now, that an instance may receive work of a service.
+    void checkWork(const std::string& service, const std::string& instance);
+
     ManualClock clock;
     foundation::TimerQueue timers;
     std::mt19937_64 random;
     std::vector<std::string> transcript;
 
     std::vector<std::string> log;
+    fleetstate::Fold truth; ///< Fold of the whole log, whatever the entries have read.
+    std::map<std::string, SteadyTime> drainingSince;
     bool logDown = false;
+    SteadyTime logUpSince {};
     double loseAppendAnswers = 0;
     milliseconds logDelay { 2 };
 
--- a/src/fleetlog/internal/logfollower.cpp
+++ b/src/fleetlog/internal/logfollower.cpp
@@ -44,6 +44,7 @@
 
 void LogFollower::onPage(foundation::SteadyTime requestedAt, const foundation::Result<platform::LogPage>& page)
 {
+    update_.requestedAt = requestedAt;
     if (!page) {
         update_.logReachable = false;
         if (page.error().code == Errc::RetentionPassed)
--- a/src/fleetstate/internal/recorddecider.cpp
+++ b/src/fleetstate/internal/recorddecider.cpp
@@ -319,7 +319,7 @@
     if (!ownLeave && !mayExpel)
         return "\"" + body.by + "\" may not remove entry \"" + body.entry + "\"";
     if (!body.planned)
-        state_.departures.push_back({ body.entry, body.incarnation, state_.rosterVersion });
+        state_.departures.push_back({ body.entry, body.incarnation });
     state_.roster.erase(body.entry);
     ++state_.rosterVersion;
     return {};
--- a/src/fleetstate/internal/snapshotcodec.cpp
+++ b/src/fleetstate/internal/snapshotcodec.cpp
@@ -125,7 +125,7 @@
             state.roster.emplace(member.entry, member);
         }
         for (const auto& item : value.at("departures"))
-            state.departures.push_back({ item.at("entry"), item.at("incarnation"), item.at("roster_version") });
+            state.departures.push_back({ item.at("entry"), item.at("incarnation") });
         for (const auto& item : value.at("history"))
             state.history.push_back(decodeSummary(item));
         value.at("recent_ids").get_to(decoded.recentIds);
@@ -144,8 +144,7 @@
         roster.push_back(encodeMember(member));
     json departures = json::array();
     for (const auto& departure : state.departures)
-        departures.push_back({ { "entry", departure.entry }, { "incarnation", departure.incarnation },
-            { "roster_version", departure.rosterVersion } });
+        departures.push_back({ { "entry", departure.entry }, { "incarnation", departure.incarnation } });
     json history = json::array();
     for (const auto& summary : state.history)
         history.push_back(encodeSummary(*summary));
--- a/src/fleetstate/types/fleetstate.h
+++ b/src/fleetstate/types/fleetstate.h
@@ -70,7 +70,6 @@
 struct Departure {
     std::string entry;
     std::uint64_t incarnation = 0;
-    std::uint64_t rosterVersion = 0; ///< Last roster that the entry was part of.
 };
 
 /// What became of an operator's or a controller's record.
--- a/src/membership/internal/membership.cpp
+++ b/src/membership/internal/membership.cpp
@@ -352,10 +352,10 @@
 
 std::uint64_t Membership::settledRoster() const
 {
+    // A departed entry may still keep to any roster that it was part of, whatever the others acknowledge.
+    if (!update_.state->departures.empty())
+        return settledRoster_;
     std::uint64_t settled = report_.acknowledgedRoster;
-    // A departed entry may still use its shares of the last roster that it was part of.
-    for (const auto& departure : update_.state->departures)
-        settled = std::min(settled, departure.rosterVersion);
     for (const auto& [name, member] : update_.state->roster) {
         if (name == settings_.entry || !member.admitted)
             continue;
