Certainty needs an answered heartbeat; drains read members and departures from one state

Change: a peer vouches only from the time at which the heartbeat that it answers was sent; departures come from the controller's own state.

--- a/src/daemon/tests/sessionworld.h
+++ b/src/daemon/tests/sessionworld.h
@@ -90,6 +90,8 @@
     milliseconds rebootTime { 500 };
     std::map<std::string, EndpointState> endpoints;
     std::map<std::string, std::size_t> runsByKey;
+    std::map<std::string, SteadyTime> firstRunAt; ///< By key.
+    std::set<std::string> copiesThatRan; ///< By the id that the caller gave its copy.
     std::map<std::string, std::size_t> replies; ///< By outcome.
     std::vector<std::string> broken; ///< Promises that did not hold, one line each.
     milliseconds work { 20 };
--- a/src/maintenance/internal/poolcontroller.cpp
+++ b/src/maintenance/internal/poolcontroller.cpp
@@ -164,8 +164,9 @@
 // Every entry that may still send work must have seen the drain and must have finished what it sent.
 std::string PoolController::waitingFor(const InstanceState& instance) const
 {
-    if (!peers_.unresolvedDepartures.empty())
-        return "departed entry " + peers_.unresolvedDepartures.front() + " to be surely gone";
+    // Members and departures must come from one state: the peers' view may be older or newer than it.
+    if (!update_.state->departures.empty())
+        return "departed entry " + update_.state->departures.front().entry + " to be surely gone";
     for (const auto& [name, member] : update_.state->roster) {
         auto progress = peers_.members.find(name);
         if (progress == peers_.members.end() || progress->second.incarnation != member.incarnation)
--- a/src/membership/internal/heartbeatcodec.cpp
+++ b/src/membership/internal/heartbeatcodec.cpp
@@ -12,9 +12,10 @@
 // An array rather than an object: field names would be most of the datagram.
 std::string encodeHeartbeat(const Heartbeat& heartbeat)
 {
-    const json value = json::array({ heartbeat.entry, heartbeat.incarnation, heartbeat.sequence,
-        heartbeat.appliedOffset, heartbeat.rosterVersion, heartbeat.acknowledgedRoster, heartbeat.logReachable,
-        heartbeat.digestOffset, heartbeat.digest, heartbeat.busyInstances, heartbeat.silentEntries });
+    const json value
+        = json::array({ heartbeat.entry, heartbeat.incarnation, heartbeat.sequence, heartbeat.appliedOffset,
+            heartbeat.rosterVersion, heartbeat.acknowledgedRoster, heartbeat.logReachable, heartbeat.digestOffset,
+            heartbeat.digest, heartbeat.busyInstances, heartbeat.silentEntries, heartbeat.heardSequences });
     std::string datagram;
     json::to_cbor(value, datagram);
     return datagram;
@@ -37,6 +38,7 @@
         value.at(field++).get_to(heartbeat.digest);
         value.at(field++).get_to(heartbeat.busyInstances);
         value.at(field++).get_to(heartbeat.silentEntries);
+        value.at(field++).get_to(heartbeat.heardSequences);
         return heartbeat;
     } catch (const std::exception& error) {
         return failure(Errc::ProtocolViolation, "heartbeat.decode", {}, error.what());
--- a/src/membership/internal/membership.cpp
+++ b/src/membership/internal/membership.cpp
@@ -18,6 +18,7 @@
 
     constexpr milliseconds actionInterval { 2000 }; ///< Before the same record is submitted again.
     constexpr std::size_t keptDigests = 256;
+    constexpr std::size_t keptHeartbeats = 256;
     constexpr int lateTicksOfAPause = 2;
     constexpr int heartbeatsOfAnActor = 2; ///< An entry that missed more is not relied on to act.
     constexpr milliseconds leisurePollInterval { 10000 };
@@ -87,7 +88,7 @@
     for (const auto& [name, member] : update_.state->roster) {
         Peer& peer = peers_[name];
         if (peer.incarnation != member.incarnation)
-            peer = { member.incarnation, now, {} };
+            peer = { member.incarnation, now, {}, {} };
     }
     digests_.emplace_back(update_.state->nextOffset, update_.state->digest());
     if (digests_.size() > keptDigests)
@@ -119,12 +120,25 @@
         return;
     peer.lastHeard = clock_.now();
     peer.last = std::move(*heartbeat);
+    noteVouching(peer);
     compareDigests(peer.last);
     if (update_.caughtUp && !peer.last.silentEntries.empty())
         expelSilentPeers();
     publish();
 }
 
+// A datagram may have waited in a buffer, so what it says is only known to be newer than what it answers.
+void Membership::noteVouching(Peer& peer) const
+{
+    auto heard = peer.last.heardSequences.find(settings_.entry);
+    if (heard == peer.last.heardSequences.end())
+        return;
+    for (const auto& [sequence, time] : sentAt_) {
+        if (sequence == heard->second)
+            peer.vouchedAt = std::max(peer.vouchedAt, time);
+    }
+}
+
 void Membership::compareDigests(const Heartbeat& heartbeat)
 {
     for (const auto& [offset, digest] : digests_) {
@@ -151,6 +165,14 @@
     heartbeat.digest = digests_.empty() ? 0 : digests_.back().second;
     heartbeat.busyInstances = report_.busyInstances;
     heartbeat.silentEntries = silentEntries();
+    for (const auto& [name, member] : update_.state->roster) {
+        auto peer = peers_.find(name);
+        if (peer != peers_.end() && peer->second.last.sequence > 0)
+            heartbeat.heardSequences[name] = peer->second.last.sequence;
+    }
+    sentAt_.emplace_back(heartbeat.sequence, clock_.now());
+    if (sentAt_.size() > keptHeartbeats)
+        sentAt_.pop_front();
     const std::string datagram = encodeHeartbeat(heartbeat);
     for (const auto& [name, member] : update_.state->roster) {
         if (name == settings_.entry)
@@ -340,7 +362,7 @@
             continue;
         auto peer = peers_.find(name);
         const bool agrees = peer != peers_.end() && peer->second.last.rosterVersion == update_.state->rosterVersion;
-        vouched = agrees ? std::min(vouched, peer->second.lastHeard + settings_.fenceAfter) : SteadyTime {};
+        vouched = agrees ? std::min(vouched, peer->second.vouchedAt + settings_.fenceAfter) : SteadyTime {};
         if (!agrees)
             break;
     }
@@ -382,8 +404,6 @@
 PeersView Membership::peersView() const
 {
     PeersView view;
-    for (const auto& departure : update_.state->departures)
-        view.unresolvedDepartures.push_back(departure.entry);
     view.certainUntil = certainUntil();
     for (const auto& [name, member] : update_.state->roster) {
         if (name == settings_.entry)
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -43,6 +43,7 @@
     struct Peer {
         std::uint64_t incarnation = 0;
         foundation::SteadyTime lastHeard {};
+        foundation::SteadyTime vouchedAt {}; ///< When the newest heartbeat was sent that the peer has answered.
         Heartbeat last;
     };
 
@@ -60,6 +61,7 @@
     std::vector<std::string> answeringAdmitted() const;
     bool isChosenFor(const std::string& subject) const;
     void pollInstances();
+    void noteVouching(Peer& peer) const;
     void compareDigests(const Heartbeat& heartbeat);
     void publish();
     foundation::SteadyTime certainUntil() const;
@@ -85,6 +87,7 @@
     foundation::SteadyTime lastPoll_ {};
     std::uint64_t polledRoster_ = 0; ///< Roster that the instance list was last asked about.
     std::uint64_t sequence_ = 0;
+    std::deque<std::pair<std::uint64_t, foundation::SteadyTime>> sentAt_; ///< Own heartbeats, newest last.
     std::uint64_t settledRoster_ = 0;
     bool wasMember_ = false;
     bool leaving_ = false;
--- a/src/membership/types/messages.h
+++ b/src/membership/types/messages.h
@@ -21,6 +21,7 @@
     std::uint64_t digestOffset = 0; ///< Offset of the state that `digest` is of.
     std::uint64_t digest = 0;
     std::vector<std::string> busyInstances; ///< Not serving, but requests of this entry are in progress there.
+    std::map<std::string, std::uint64_t> heardSequences; ///< Newest heartbeat that was heard of each member.
     std::vector<std::string> silentEntries; ///< Members that this entry has not heard from.
 };
 
@@ -48,7 +49,6 @@
 /// What the membership duty tells the maintenance duty.
 struct PeersView {
     std::map<std::string, MemberProgress> members; ///< By entry, this one included.
-    std::vector<std::string> unresolvedDepartures; ///< Entries that may still be at work.
     foundation::SteadyTime certainUntil {};
 };
 
