Former homes speak only for rosters that they saw; answers with a stated length are bounded

An entry that was paused skipped the roster under which it would have been the key's home, and vouched for it from an older one. Separately, a test showed that Beast's body limit does not bound an answer that states its length. Change: a lookup names the roster; a former home that did not see it says unknown. The stated length is checked against the limit before the body.

--- a/src/callers/homedirectory.h
+++ b/src/callers/homedirectory.h
@@ -15,6 +15,7 @@
 struct FormerHome {
     std::string entry;
     std::string address; ///< Of its callers' server; empty when it is gone or was replaced.
+    std::uint64_t rosterVersion = 0; ///< Newest roster under which it was the home.
 };
 
 /// Knows which entry is the home of an idempotency key, and which entries were before.
@@ -39,9 +40,9 @@
     /// Nothing: a roster under which this entry became the home has not taken effect yet.
     std::optional<std::vector<FormerHome>> formerHomes(const std::string& key, foundation::WallTime since) const;
 
-    /// Since when this entry saw every request under the key, up to the last time that it was the key's home.
-    /// Nothing when it never was.
-    std::optional<foundation::WallTime> memorySince(const std::string& key) const;
+    /// Since when this entry saw every request under the key, up to the time when roster `version` was in effect.
+    /// Nothing when it did not see that roster or was not the home under it.
+    std::optional<foundation::WallTime> memorySince(const std::string& key, std::uint64_t version) const;
 
 private:
     struct Member {
--- a/src/callers/internal/atmostonce.cpp
+++ b/src/callers/internal/atmostonce.cpp
@@ -149,9 +149,9 @@
 // A former home never runs the request; it tells since when it would have seen one.
 void AtMostOnce::answerLookup(const CallerRequestPtr& request)
 {
-    const auto since = directory_.memorySince(request->idempotencyKey);
+    const auto since = directory_.memorySince(request->idempotencyKey, request->lookupRoster);
     if (!since)
-        return endAs(request, Outcome::Unknown, "never was the home of this key");
+        return endAs(request, Outcome::Unknown, "does not know that it was the home of this key");
     const auto sinceMs = std::chrono::duration_cast<milliseconds>(since->time_since_epoch()).count();
     request->replyFields
         = { { "Turmericsill-Lookup", lookupAbsent }, { "Turmericsill-Memory-Since-Ms", std::to_string(sinceMs) } };
@@ -263,6 +263,7 @@
     request->machine.onDispatched();
     auto message = std::make_shared<httpserver::HttpRequest>(request->message);
     message->set("Turmericsill-Forwarded", lookup ? "lookup" : "run");
+    message->set("Turmericsill-Roster", std::to_string(home.rosterVersion));
     message->set("Turmericsill-Idempotent", "false");
     const auto left = std::chrono::duration_cast<milliseconds>(request->deadline - clock_.now());
     message->set("Turmericsill-Timeout-Ms", std::to_string(std::max<std::int64_t>(1, left.count())));
--- a/src/callers/internal/callerhandler.cpp
+++ b/src/callers/internal/callerhandler.cpp
@@ -115,11 +115,16 @@
     const milliseconds timeout = timeoutOf(message, service);
     auto parent = telemetry::TraceContext::parse({ message["traceparent"].data(), message["traceparent"].size() });
     std::string key(message["Idempotency-Key"]);
+    const auto roster = message["Turmericsill-Roster"];
+    std::uint64_t lookupRoster = 0;
+    std::from_chars(roster.data(), roster.data() + roster.size(), lookupRoster);
     removeHopByHopFields(message);
     message.erase("Turmericsill-Forwarded");
+    message.erase("Turmericsill-Roster");
     CallerRequestPtr request = new CallerRequest(std::move(message), idempotent, {});
     request->service = service;
     request->idempotencyKey = std::move(key);
+    request->lookupRoster = lookupRoster;
     request->receivedAt = clock_.now();
     request->deadline = request->receivedAt + timeout;
     request->trace = parent ? parent->child(random_) : telemetry::TraceContext::start(random_, tracer_.isEnabled());
--- a/src/callers/internal/endpointconnection.h
+++ b/src/callers/internal/endpointconnection.h
@@ -35,8 +35,10 @@
     void connect(const foundation::Address& address);
     void send();
     void receive();
+    void onHeader(boost::beast::error_code error);
     void onReceived(boost::beast::error_code error);
-    bool isWhole() const;
+    void failReceiving(const boost::beast::error_code& error);
+    bool statesLength() const;
     void fail(foundation::Errc code, const std::string& step, const std::string& detail);
 
     HttpEndpointTransport& transport_;
--- a/src/callers/internal/homedirectory.cpp
+++ b/src/callers/internal/homedirectory.cpp
@@ -58,7 +58,7 @@
     auto now = newest.find(entry);
     const bool stillThere
         = then != epoch.members.end() && now != newest.end() && then->second.incarnation == now->second.incarnation;
-    return { entry, stillThere ? now->second.address : std::string() };
+    return { entry, stillThere ? now->second.address : std::string(), epoch.rosterVersion };
 }
 
 bool HomeDirectory::wonBy(const std::string& entry, const std::string& key, const Epoch& epoch) const
@@ -85,12 +85,13 @@
     return former;
 }
 
-std::optional<WallTime> HomeDirectory::memorySince(const std::string& key) const
+// A process that was paused may have skipped rosters, and knows nothing of what happened under them.
+std::optional<WallTime> HomeDirectory::memorySince(const std::string& key, std::uint64_t version) const
 {
     std::size_t index = epochs_.size();
-    while (index > 0 && !wonBy(entry_, key, epochs_[index - 1]))
+    while (index > 0 && epochs_[index - 1].rosterVersion > version)
         --index;
-    if (index == 0)
+    if (index == 0 || epochs_[index - 1].rosterVersion != version || !wonBy(entry_, key, epochs_[index - 1]))
         return std::nullopt;
     while (index > 1 && wonBy(entry_, key, epochs_[index - 2]))
         --index;
--- a/src/callers/types/callerrequest.h
+++ b/src/callers/types/callerrequest.h
@@ -41,6 +41,7 @@
     ReplyCallback onReply; ///< Called once.
     std::uint32_t attempts = 0;
     foundation::SteadyTime notAfter = foundation::SteadyTime::max(); ///< No byte is sent to an endpoint from then on.
+    std::uint64_t lookupRoster = 0; ///< For a lookup by another entry: the roster that it asks about.
     std::shared_ptr<const httpserver::HttpRequest> forwarded; ///< Copy on its way to another entry.
     std::vector<std::pair<std::string, std::string>> replyFields; ///< Header fields of a reply to another entry.
     foundation::TimerId timer = 0;
--- a/src/daemon/tests/session.cpp
+++ b/src/daemon/tests/session.cpp
@@ -156,6 +156,7 @@
     auto request = makeRequest(std::string(message["X-Copy-Id"]), target.substr(1, target.find('/', 1) - 1),
         std::string(message["Idempotency-Key"]), false, timeout, {});
     request->idempotencyKey = std::string(message["Idempotency-Key"]);
+    request->lookupRoster = std::strtoull(std::string(message["Turmericsill-Roster"]).c_str(), nullptr, 10);
     request->onReply = [raw = request.get(), reply](const callers::CallerReply& told) {
         httpserver::HttpResponse response = told.outcome == callers::Outcome::Answered
             ? told.answer
--- a/src/httpserver/httpserver.h
+++ b/src/httpserver/httpserver.h
@@ -36,6 +36,9 @@
     /// Closes every connection at once.
     void closeAll();
 
+    /// Port that the server listens on; chosen by the system when the address had none.
+    std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+
     const ServerCounters& counters() const { return counters_; }
 
 private:
