Endpoint connections: a pool outlives its last connection

Cause: entries aborted with a corrupted heap some seconds after another entry was killed (seen in scripts/demo.sh: 15,312 of 29,786 requests lost). Closing the last idle connection erased its pool while takeIdle() still used it; the keyed requests to other entries made this common. Change: a pool stays when its last connection ends and goes when its instance leaves. Test: an endpoint that closes its only idle connection, three times.

--- a/src/callers/internal/httpendpointtransport.cpp
+++ b/src/callers/internal/httpendpointtransport.cpp
@@ -67,27 +67,28 @@
     pools_[connection->key()].idle.push_back(connection);
 }
 
+// A pool stays when its last connection ends, because its user may still hold a reference to it.
 void HttpEndpointTransport::onClosed(const Key& key)
 {
     auto found = pools_.find(key);
-    if (found == pools_.end())
-        return;
-    Pool& pool = found->second;
-    if (--pool.open == 0 && pool.idle.empty())
-        pools_.erase(found);
+    if (found != pools_.end())
+        --found->second.open;
 }
 
 void HttpEndpointTransport::closeIdle(const std::string& instance)
 {
     std::deque<std::shared_ptr<EndpointConnection>> closing;
-    for (auto pool = pools_.lower_bound({ instance, "" }); pool != pools_.end() && pool->first.first == instance;
-         ++pool) {
+    auto pool = pools_.lower_bound({ instance, "" });
+    for (; pool != pools_.end() && pool->first.first == instance; ++pool) {
         for (auto& connection : pool->second.idle)
             closing.push_back(std::move(connection));
         pool->second.idle.clear();
     }
     for (auto& connection : closing)
         connection->close();
+    closing.clear();
+    for (pool = pools_.lower_bound({ instance, "" }); pool != pools_.end() && pool->first.first == instance;)
+        pool = pool->second.open == 0 ? pools_.erase(pool) : std::next(pool);
 }
 
 } // namespace turmericsill::callers
--- a/src/callers/tests/endpointtransporttests.cpp
+++ b/src/callers/tests/endpointtransporttests.cpp
@@ -168,6 +168,21 @@
     CHECK(bench.connections == 2);
 }
 
+TEST_CASE("endpoint transport: an endpoint that closes its only idle connection costs the next request nothing",
+    "[transport]")
+{
+    Bench bench;
+    for (int index = 0; index < 3; ++index) {
+        auto observer = bench.exchange(whole, true);
+        REQUIRE(observer->answer);
+        const auto past = std::chrono::steady_clock::now() + 5ms;
+        bench.runUntil([&] { return std::chrono::steady_clock::now() > past; });
+    }
+    CHECK(bench.connections == 3);
+    bench.transport.closeIdle("w1");
+    REQUIRE(bench.exchange(whole)->answer);
+}
+
 TEST_CASE("endpoint transport: an interim answer is not taken for the answer", "[transport]")
 {
     Bench bench;
