Only the odd one out of diverging entries becomes unready

Cause: reading the code: each entry that saw another digest made itself unready, so one wrong entry would have taken all of them out. Change: an entry is unready when it differs from most of at least two others; the metric counts every difference. Before: one diverging entry of three made three unready. After: one (test). Conclusion: of two entries neither can tell, and both go on serving.

--- a/src/daemon/tests/faultsessiontests.cpp
+++ b/src/daemon/tests/faultsessiontests.cpp
@@ -1,4 +1,5 @@
 #include "daemon/tests/session.h"
+#include "membership/heartbeatcodec.h"
 
 #include <catch2/catch.hpp>
 
@@ -232,3 +233,24 @@
     CHECK(lifecycleOf(session, "entry-d", "calls-1") == Lifecycle::Serving);
     CHECK(session.brokenPromises() == noBrokenPromise);
 }
+
+TEST_CASE("faults: one entry that differs makes no other unready, one that differs from most is the odd one out",
+    "[session][faults]")
+{
+    Session session(14);
+    startFleet(session);
+    auto tellOtherDigest = [&](const std::string& from) {
+        membership::Heartbeat heartbeat;
+        heartbeat.entry = from;
+        heartbeat.incarnation = 1000;
+        heartbeat.sequence = 100000;
+        heartbeat.digestOffset = session.entry("entry-a").state()->nextOffset;
+        heartbeat.digest = 1;
+        session.entry("entry-a").membership.onDatagram(membership::encodeHeartbeat(heartbeat));
+    };
+    tellOtherDigest("entry-b");
+    CHECK(session.transcript().find("DIVERGENCE with entry-b\n") != std::string::npos);
+    CHECK(session.transcript().find("odd one out") == std::string::npos);
+    tellOtherDigest("entry-c");
+    CHECK(session.transcript().find("DIVERGENCE with entry-c, odd one out\n") != std::string::npos);
+}
--- a/src/membership/internal/membership.cpp
+++ b/src/membership/internal/membership.cpp
@@ -88,7 +88,7 @@
     for (const auto& [name, member] : update_.state->roster) {
         Peer& peer = peers_[name];
         if (peer.incarnation != member.incarnation)
-            peer = { member.incarnation, now, {}, {} };
+            peer = { member.incarnation, now, {}, {}, false };
     }
     digests_.emplace_back(update_.state->nextOffset, update_.state->digest());
     if (digests_.size() > keptDigests)
@@ -121,7 +121,7 @@
     peer.lastHeard = clock_.now();
     peer.last = std::move(*heartbeat);
     noteVouching(peer);
-    compareDigests(peer.last);
+    compareDigests(peer);
     if (update_.caughtUp && !peer.last.silentEntries.empty())
         expelSilentPeers();
     publish();
@@ -136,16 +136,33 @@
     }
 }
 
-void Membership::compareDigests(const Heartbeat& heartbeat)
+void Membership::compareDigests(Peer& peer)
 {
     for (const auto& [offset, digest] : digests_) {
-        if (offset != heartbeat.digestOffset || digest == heartbeat.digest)
+        if (offset != peer.last.digestOffset)
             continue;
-        callbacks_.onDivergence(heartbeat.entry);
+        peer.diverges = digest != peer.last.digest;
+        if (peer.diverges)
+            callbacks_.onDivergence(peer.last.entry, isOddOneOut());
         return;
     }
 }
 
+// Of two entries that differ neither can tell which one is wrong, so it takes at least two others to say so.
+bool Membership::isOddOneOut() const
+{
+    std::size_t members = 0;
+    std::size_t diverging = 0;
+    for (const auto& [name, member] : update_.state->roster) {
+        auto peer = peers_.find(name);
+        if (name == settings_.entry || peer == peers_.end())
+            continue;
+        ++members;
+        diverging += peer->second.diverges;
+    }
+    return members >= 2 && 2 * diverging > members;
+}
+
 void Membership::sendHeartbeats()
 {
     if (!update_.state || leaving_)
--- a/src/membership/internal/membershipmodule.cpp
+++ b/src/membership/internal/membershipmodule.cpp
@@ -47,15 +47,17 @@
             sentGauge->Set(static_cast<double>(foundation::Traffic::ofProcess().sent));
             receivedGauge->Set(static_cast<double>(foundation::Traffic::ofProcess().received));
         };
-        callbacks.onDivergence = [this](const std::string& entry) { onDivergence(entry); };
+        callbacks.onDivergence
+            = [this](const std::string& entry, bool isOddOneOut) { onDivergence(entry, isOddOneOut); };
         membership = std::make_unique<Membership>(
             settings, incarnation, transport, instances, *log, timers, clock, std::move(callbacks));
     }
 
-    void onDivergence(const std::string& entry)
+    void onDivergence(const std::string& entry, bool isOddOneOut)
     {
         divergences->Increment();
-        readiness->setReason("divergence", "the state differs from that of entry " + entry + " at the same offset");
+        if (isOddOneOut)
+            readiness->setReason("divergence", "the state differs from that of most entries, " + entry + " among them");
     }
 
     settings::DaemonSettings settings;
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -21,7 +21,8 @@
     struct Callbacks {
         std::function<void(const ServingView&)> onServingView;
         std::function<void(const PeersView&)> onPeersView;
-        std::function<void(const std::string& entry)> onDivergence; ///< An entry has another state at the same offset.
+        /// An entry has another state at the same offset; `isOddOneOut`: so do most of the others.
+        std::function<void(const std::string& entry, bool isOddOneOut)> onDivergence;
     };
 
     Membership(const settings::DaemonSettings& settings, std::uint64_t incarnation, IPeerTransport& transport,
@@ -45,6 +46,7 @@
         foundation::SteadyTime lastHeard {};
         foundation::SteadyTime vouchedAt {}; ///< When the newest heartbeat was sent that the peer has answered.
         Heartbeat last;
+        bool diverges = false; ///< Its newest digest that could be compared differed.
     };
 
     void tick();
@@ -62,7 +64,8 @@
     bool isChosenFor(const std::string& subject) const;
     void pollInstances();
     void noteVouching(Peer& peer) const;
-    void compareDigests(const Heartbeat& heartbeat);
+    void compareDigests(Peer& peer);
+    bool isOddOneOut() const;
     void publish();
     foundation::SteadyTime certainUntil() const;
     std::uint64_t settledRoster() const;
