A forwarded request no longer keeps a flag that nothing reads

Cause: reading the whole change: AtMostOnce::Forward stored whether it is a lookup, though the answer's own header decides what follows. Change: the member and its constructor argument are gone; what the remaining homes are for is said. Before and after: 91 tests pass. Conclusion: behaviour unchanged.

--- a/src/callers/internal/atmostonce.cpp
+++ b/src/callers/internal/atmostonce.cpp
@@ -30,11 +30,10 @@
 /// One request on its way to another entry.
 class AtMostOnce::Forward final : public IAttemptObserver {
 public:
-    Forward(AtMostOnce& owner, CallerRequestPtr forwarded, std::vector<FormerHome> remainingHomes, bool isLookup)
+    Forward(AtMostOnce& owner, CallerRequestPtr forwarded, std::vector<FormerHome> remainingHomes)
         : atMostOnce(owner)
         , request(std::move(forwarded))
         , remaining(std::move(remainingHomes))
-        , lookup(isLookup)
     {
     }
 
@@ -90,8 +89,7 @@
 
     AtMostOnce& atMostOnce;
     CallerRequestPtr request;
-    std::vector<FormerHome> remaining;
-    bool lookup;
+    std::vector<FormerHome> remaining; ///< Former homes that are still to be asked.
 };
 
 AtMostOnce::AtMostOnce(std::string entry, Dispatcher& dispatcher, IEndpointTransport& peers,
@@ -268,7 +266,7 @@
     const auto left = std::chrono::duration_cast<milliseconds>(request->deadline - clock_.now());
     message->set("Turmericsill-Timeout-Ms", std::to_string(std::max<std::int64_t>(1, left.count())));
     message->set("traceparent", request->trace.header());
-    boost::intrusive_ptr<Forward> observer = new Forward(*this, request, std::move(remaining), lookup);
+    boost::intrusive_ptr<Forward> observer = new Forward(*this, request, std::move(remaining));
     request->forwarded = message;
     peers_.start({ "forward", home.entry, *address, peerConnections, true }, *message, request->deadline,
         request->deadline, observer);
