Sessions start their three entries in one place

Change: Session::startThreeEntries(); each file keeps what it declares. Conclusion: behaviour and assertions unchanged.

--- a/src/daemon/tests/explorationtests.cpp
+++ b/src/daemon/tests/explorationtests.cpp
@@ -19,9 +19,7 @@
         : session_(seed, seed % 2 == 0 ? settings::StaleServing::Serve : settings::StaleServing::Fence)
         , random_(seed)
     {
-        for (const std::string name : { "entry-a", "entry-b", "entry-c" })
-            session_.addEntry(name);
-        session_.run(3s);
+        session_.startThreeEntries();
         session_.declarePool("calls", 3, 1);
         session_.run(300ms);
         session_.declarePool("billing", 2, 0);
--- a/src/daemon/tests/faultsessiontests.cpp
+++ b/src/daemon/tests/faultsessiontests.cpp
@@ -13,9 +13,7 @@
 
 void startFleet(Session& session)
 {
-    for (const std::string name : { "entry-a", "entry-b", "entry-c" })
-        session.addEntry(name);
-    session.run(3s);
+    session.startThreeEntries();
     session.declarePool("calls", 3, 1);
     session.run(3s);
 }
--- a/src/daemon/tests/goldensessiontests.cpp
+++ b/src/daemon/tests/goldensessiontests.cpp
@@ -11,9 +11,7 @@
 /// Three entries that share two pools.
 void startFleet(Session& session)
 {
-    for (const std::string name : { "entry-a", "entry-b", "entry-c" })
-        session.addEntry(name);
-    session.run(3s);
+    session.startThreeEntries();
     session.declarePool("calls", 3, 1);
     session.run(200ms);
     session.declarePool("billing", 2, 0);
--- a/src/daemon/tests/session.cpp
+++ b/src/daemon/tests/session.cpp
@@ -181,6 +181,13 @@
     return *(entries_[name] = std::move(entry));
 }
 
+void Session::startThreeEntries()
+{
+    for (const std::string name : { "entry-a", "entry-b", "entry-c" })
+        addEntry(name);
+    run(std::chrono::seconds(3));
+}
+
 void Session::kill(const std::string& name) { entries_.at(name)->kill(); }
 
 void Session::pause(const std::string& name)
--- a/src/daemon/tests/session.h
+++ b/src/daemon/tests/session.h
@@ -69,6 +69,9 @@
     }
 
     SessionEntry& addEntry(const std::string& name);
+
+    /// Starts entry-a, entry-b and entry-c and runs until they are admitted and have their shares.
+    void startThreeEntries();
     SessionEntry& entry(const std::string& name) { return *entries_.at(name); }
     void kill(const std::string& name);
     void pause(const std::string& name);
