--- a/standins/caller/loadgenerator.cpp
+++ b/standins/caller/loadgenerator.cpp
@@ -197,7 +197,7 @@
     std::discrete_distribution<std::size_t> choose(weights.begin(), weights.end());
     const std::string& service = plan_.services[choose(random_)];
     const std::string id = "r" + std::to_string(plan_.seed) + "-" + std::to_string(++sequence_);
-    http::request<http::string_body> request(http::verb::post, "/" + service + "/work/" + id, 11);
+    http::request<http::string_body> request(http::verb::post, "/" + service + "/run/" + id, 11);
     const auto& entry = plan_.entries[nextEntry_ % plan_.entries.size()];
     request.set(http::field::host, entry.text());
     request.set("X-Request-Id", id);
