--- /dev/null
+++ b/src/control/controlduty.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "control/controller.h"
+#include "eventlog/icontrolgroup.h"
+#include "fleet/imachinecontrol.h"
+
+#include <memory>
+#include <string>
+
+namespace turmericsill::control {
+
+/// Who this process is.
+struct EntryIdentity {
+    std::string entry;
+    std::uint64_t incarnation = 0; ///< Start of the process, in milliseconds since 1970.
+};
+
+/// Keeps this entry in the group of entries, and controls the fleet while the group has dealt control to it.
+///
+/// Control begins with a claim that takes effect only at the end of the log that this entry has read, under an epoch
+/// above every earlier one. It ends as soon as the group deals it elsewhere, the log fences this entry, or an
+/// instance has seen a higher token.
+class ControlDuty {
+public:
+    ControlDuty(const ControllerContext& context, eventlog::IControlGroup& group, fleet::IMachineControl& machines,
+        const ControlSettings& settings, EntryIdentity identity);
+
+    ControlDuty(const ControlDuty&) = delete;
+    ControlDuty& operator=(const ControlDuty&) = delete;
+
+    void start();
+
+    /// Hands control over and leaves the group.
+    void stop(std::function<void()> done);
+
+    void setConfiguration(const fleet::FleetConfiguration& configuration);
+    void onTableChanged();
+
+    bool isController() const { return controller_ != nullptr; }
+
+    /// When the group last confirmed this entry's membership.
+    foundation::SteadyTime confirmedAt() const { return confirmedAt_; }
+
+private:
+    void join();
+    void scheduleJoin();
+    void onJoined(const foundation::Result<eventlog::GroupAssignment>& assignment, foundation::SteadyTime sentAt);
+    void beginClaim();
+    void appendClaim();
+    void onClaimAppended(const foundation::Result<eventlog::AppendReceipt>& answer, const jobs::Claimed& claim);
+    void beginControl(const jobs::Claimed& claim);
+    void endControl(const std::string& reason);
+    void retryClaim();
+    void tick();
+
+    ControllerContext context_;
+    eventlog::IControlGroup& group_;
+    fleet::IMachineControl& machines_;
+    ControlSettings settings_;
+    EntryIdentity identity_;
+    fleet::FleetConfiguration configuration_;
+    std::unique_ptr<Controller> controller_;
+    std::uint64_t generation_ = 0;
+    std::uint64_t lowestEpoch_ = 0; ///< Epochs below were refused.
+    foundation::SteadyTime confirmedAt_ {};
+    bool isDealtControl_ = false;
+    bool isClaiming_ = false;
+    bool isStopping_ = false;
+};
+
+} // namespace turmericsill::control
--- /dev/null
+++ b/src/control/controller.h
@@ -0,0 +1,134 @@
+#pragma once
+
+#include "control/internal/instancesession.h"
+#include "control/internal/isessionobserver.h"
+#include "control/types/controlsettings.h"
+#include "eventlog/controllerwriter.h"
+#include "eventlog/jobfollower.h"
+#include "fleet/ifleetsource.h"
+#include "fleet/iinstancecontrol.h"
+#include "foundation/iclock.h"
+#include "foundation/itimerqueue.h"
+#include "scheduling/types/poolview.h"
+#include "telemetry/ieventsink.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace turmericsill::control {
+
+/// What a controller works with; all of it outlives the controller.
+struct ControllerContext {
+    eventlog::IEventLog& log;
+    eventlog::JobFollower& follower;
+    fleet::IFleetSource& fleetSource;
+    fleet::IInstanceControl& instances;
+    foundation::IClock& clock;
+    foundation::ITimerQueue& timers;
+    telemetry::IEventSink& events;
+};
+
+/// Runs the fleet's jobs for as long as this entry is the controller.
+/// Every intent stands in the log before its order is sent, every end before it is acknowledged, so that the next
+/// controller knows from the log each run that may exist.
+class Controller : private ISessionObserver {
+public:
+    /// `deposed` is called once, when another controller has taken over.
+    Controller(const ControllerContext& context, const ControlSettings& settings, std::uint64_t epoch,
+        std::function<void(const std::string& reason)> deposed);
+    ~Controller() override;
+
+    Controller(const Controller&) = delete;
+    Controller& operator=(const Controller&) = delete;
+
+    void start();
+
+    /// Takes the operators' newer configuration.
+    void setConfiguration(const fleet::FleetConfiguration& configuration);
+
+    /// The follower has folded new records.
+    void onTableChanged();
+
+    /// Regular work; `isConfirmed`: the log has confirmed control lately.
+    void tick(bool isConfirmed);
+
+    std::uint64_t epoch() const { return sessionContext_.epoch; }
+
+    const std::map<std::string, InstanceSessionPtr>& sessions() const { return sessions_; }
+
+    /// Instances that get no new work because their machines are about to be moved or maintained.
+    void setReserved(std::set<std::string> instances) { reserved_ = std::move(instances); }
+
+    /// Stops a long-running task so that it starts elsewhere.
+    void relocate(InstanceSession& session, const jobs::TaskId& task);
+
+    /// Writes that an upkeep begins; calls back when it stands in the log.
+    void recordUpkeep(std::uint64_t wave, const std::string& machine, std::function<void()> stored);
+
+    /// The instance's machine was given to other work, which ended its life.
+    void noteTaken(const std::string& instance);
+
+    /// What found no room at the last planning, by pool.
+    const std::map<std::string, scheduling::PoolPlan>& lastPlans() const { return lastPlans_; }
+
+private:
+    void onRunEnded(InstanceSession& session, const jobs::RunEnded& record) override;
+    void onEndsListed(InstanceSession& session, std::uint64_t number) override;
+    void onStartRefused(
+        InstanceSession& session, const jobs::TaskId& task, fleet::StartVerdict verdict) override;
+    void onLifeOver(InstanceSession& session, std::int64_t born) override;
+    void onContactChanged(InstanceSession& session, bool inContact, const std::string& reason) override;
+    void onFenced(InstanceSession& session) override;
+
+    void loadInstances();
+    void watchInstances();
+    void onInstanceChange(const fleet::InstanceChange& change);
+    InstanceSessionPtr open(const fleet::InstanceReport& report);
+    void inheritRuns();
+    void write(const jobs::Record& record);
+    void schedulePlan();
+    void plan();
+    void stopRunsOfFinalJobs();
+    void failIfExhausted(const jobs::TaskId& task);
+    void forgetOldJobs();
+    std::map<std::string, scheduling::PoolView> poolViews() const;
+    std::string poolOf(const jobs::Job& job) const;
+    bool mayTakeWork(const InstanceSession& session) const;
+    scheduling::InstanceView viewOf(const InstanceSession& session) const;
+    void start(const scheduling::Placement& placement);
+    void order(const scheduling::Placement& placement);
+    void noteOutcome(const InstanceSession& session, jobs::RunEnd how);
+    void depose(const std::string& reason);
+    template <typename Action> void later(milliseconds delay, Action action);
+
+    /// What the ends of an instance's runs tell about it.
+    struct Record {
+        int failuresInARow = 0;
+        foundation::SteadyTime excludedUntil {};
+        bool isOnTrial = false;
+    };
+
+    ControllerContext context_;
+    ControlSettings settings_;
+    SessionContext sessionContext_;
+    std::function<void(const std::string&)> deposed_;
+    eventlog::ControllerWriter writer_;
+    fleet::FleetConfiguration configuration_;
+    std::map<std::string, InstanceSessionPtr> sessions_; ///< By instance.
+    std::map<std::string, Record> records_; ///< By instance.
+    std::set<std::string> reserved_;
+    std::set<jobs::TaskId> blocked_; ///< Refused as invalid a moment ago.
+    std::map<std::string, scheduling::PoolPlan> lastPlans_;
+    std::map<jobs::JobId, foundation::SteadyTime> finalSince_;
+    std::uint64_t instancesNext_ = 0;
+    bool instancesLoaded_ = false;
+    bool planScheduled_ = false;
+    bool isConfirmed_ = true;
+    bool isDeposed_ = false;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace turmericsill::control
--- /dev/null
+++ b/src/control/internal/controlduty.cpp
@@ -0,0 +1,179 @@
+#include "control/controlduty.h"
+
+#include "jobs/recordcodec.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace turmericsill::control {
+
+using eventlog::AppendReceipt;
+using eventlog::GroupAssignment;
+using foundation::Errc;
+using foundation::Result;
+using foundation::SteadyTime;
+using jobs::Claimed;
+
+namespace {
+
+    constexpr milliseconds timeToLive { 1300 }; ///< Three tries to join; the platform's least is 1 s.
+    constexpr milliseconds joinInterval { 400 };
+    constexpr milliseconds claimTimeout { 700 };
+    constexpr milliseconds claimRetryDelay { 20 };
+    constexpr milliseconds tickInterval { 50 };
+
+} // namespace
+
+ControlDuty::ControlDuty(const ControllerContext& context, eventlog::IControlGroup& group,
+    fleet::IMachineControl& machines, const ControlSettings& settings, EntryIdentity identity)
+    : context_(context)
+    , group_(group)
+    , machines_(machines)
+    , settings_(settings)
+    , identity_(std::move(identity))
+{
+}
+
+void ControlDuty::start()
+{
+    confirmedAt_ = context_.clock.now();
+    join();
+    tick();
+}
+
+void ControlDuty::setConfiguration(const fleet::FleetConfiguration& configuration)
+{
+    configuration_ = configuration;
+    if (controller_)
+        controller_->setConfiguration(configuration);
+}
+
+void ControlDuty::onTableChanged()
+{
+    if (controller_)
+        controller_->onTableChanged();
+}
+
+void ControlDuty::join()
+{
+    if (isStopping_)
+        return;
+    group_.join(generation_, timeToLive,
+        [this, sentAt = context_.clock.now()](const Result<GroupAssignment>& assignment) { onJoined(assignment, sentAt); });
+}
+
+void ControlDuty::scheduleJoin()
+{
+    context_.timers.schedule(context_.clock.now() + joinInterval, [this] { join(); });
+}
+
+void ControlDuty::onJoined(const Result<GroupAssignment>& assignment, SteadyTime sentAt)
+{
+    if (isStopping_)
+        return;
+    scheduleJoin();
+    if (!assignment)
+        return;
+    confirmedAt_ = sentAt;
+    const bool isNewGeneration = assignment->generation != generation_;
+    generation_ = assignment->generation;
+    if (isNewGeneration) {
+        context_.events.write("group.generation",
+            { { "generation", generation_ }, { "dealt_control", assignment->isController } });
+    }
+    isDealtControl_ = assignment->isController;
+    if (!isDealtControl_ && controller_) {
+        endControl("the group dealt control elsewhere");
+        // The next holder is dealt control once this entry has joined under the new generation.
+        return join();
+    }
+    if (isDealtControl_ && !controller_)
+        beginClaim();
+}
+
+void ControlDuty::beginClaim()
+{
+    if (std::exchange(isClaiming_, true))
+        return;
+    appendClaim();
+}
+
+void ControlDuty::appendClaim()
+{
+    context_.follower.readToEnd([this](const Result<void>& read) {
+        const Claimed& latest = context_.follower.table().claim();
+        if (isStopping_ || !isDealtControl_) {
+            isClaiming_ = false;
+            return;
+        }
+        if (!read)
+            return retryClaim();
+        const std::uint64_t epoch = std::max({ generation_, latest.epoch + 1, lowestEpoch_ });
+        const Claimed claim { epoch, identity_.entry, identity_.incarnation };
+        eventlog::AppendRequest request;
+        request.payloads.push_back(jobs::encode(claim, epoch));
+        request.expectedEnd = context_.follower.offset();
+        request.position = eventlog::ProducerPosition { epoch, 0 };
+        context_.log.append(std::move(request), claimTimeout,
+            [this, claim](const Result<AppendReceipt>& answer) { onClaimAppended(answer, claim); });
+    });
+}
+
+// Each attempt has an epoch of its own, so that an attempt that takes effect late is told from the one that counts.
+void ControlDuty::onClaimAppended(const Result<AppendReceipt>& answer, const Claimed& claim)
+{
+    if (answer && isDealtControl_ && !isStopping_) {
+        context_.follower.applyOwn(claim);
+        return beginControl(claim);
+    }
+    lowestEpoch_ = claim.epoch + 1;
+    retryClaim();
+}
+
+void ControlDuty::retryClaim()
+{
+    context_.timers.schedule(context_.clock.now() + claimRetryDelay, [this] {
+        if (isDealtControl_ && !isStopping_)
+            return appendClaim();
+        isClaiming_ = false;
+    });
+}
+
+void ControlDuty::beginControl(const Claimed& claim)
+{
+    isClaiming_ = false;
+    lowestEpoch_ = claim.epoch + 1;
+    context_.follower.beginControl(claim.epoch);
+    controller_ = std::make_unique<Controller>(context_, settings_, claim.epoch, [this](const std::string& reason) {
+        // The controller is in the middle of a step.
+        context_.timers.schedule(context_.clock.now(), [this, reason] { endControl(reason); });
+    });
+    controller_->setConfiguration(configuration_);
+    controller_->start();
+}
+
+void ControlDuty::endControl(const std::string& reason)
+{
+    if (!controller_)
+        return;
+    context_.events.write("control.ends", { { "epoch", controller_->epoch() }, { "reason", reason } });
+    controller_.reset();
+    context_.follower.endControl();
+}
+
+void ControlDuty::tick()
+{
+    if (controller_)
+        controller_->tick(context_.clock.now() - confirmedAt_ < settings_.lease.outageLimit);
+    if (!isStopping_)
+        context_.timers.schedule(context_.clock.now() + tickInterval, [this] { tick(); });
+}
+
+void ControlDuty::stop(std::function<void()> done)
+{
+    isStopping_ = true;
+    endControl("this entry stops");
+    group_.leave(std::move(done));
+}
+
+} // namespace turmericsill::control
--- /dev/null
+++ b/src/control/internal/controller.cpp
@@ -0,0 +1,542 @@
+#include "control/controller.h"
+
+#include "scheduling/placementplanner.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace turmericsill::control {
+
+using fleet::StartVerdict;
+using foundation::Errc;
+using foundation::Result;
+using jobs::Job;
+using jobs::RunEnd;
+using jobs::RunEnded;
+using jobs::RunIntended;
+using jobs::TaskId;
+using jobs::TaskPhase;
+
+namespace {
+
+    constexpr milliseconds planDelay { 2 }; ///< Gathers what arrives together into one plan and one append.
+    constexpr milliseconds watchWait { 1000 };
+    constexpr milliseconds watchPause { 100 }; ///< Instances' entries change about 30 times a second.
+    constexpr milliseconds reloadDelay { 200 };
+    constexpr milliseconds invalidBackoff { 1000 }; ///< Before a task that was refused as invalid is tried again.
+    constexpr int failuresBeforeExclusion = 3; ///< In a row; more than a job's own fault explains.
+    constexpr milliseconds exclusion { 3000 }; ///< Before an instance that fails everything gets one task on trial.
+    constexpr milliseconds refusalPause { 500 }; ///< After an instance refused work.
+
+    milliseconds timeOfDay(const foundation::IClock& clock)
+    {
+        return std::chrono::duration_cast<milliseconds>(clock.wallNow().time_since_epoch());
+    }
+
+    std::string_view toText(RunEnd how)
+    {
+        switch (how) {
+        case RunEnd::Done:
+            return "done";
+        case RunEnd::Failed:
+            return "failed";
+        case RunEnd::Stopped:
+            return "stopped";
+        case RunEnd::LeaseExpired:
+            return "lease-expired";
+        case RunEnd::PeerEnded:
+            return "peer-ended";
+        case RunEnd::GangIncomplete:
+            return "gang-incomplete";
+        case RunEnd::NeverStarted:
+            return "never-started";
+        case RunEnd::InstanceGone:
+            return "instance-gone";
+        }
+        return "unknown";
+    }
+
+    std::string_view toText(StartVerdict verdict)
+    {
+        switch (verdict) {
+        case StartVerdict::Started:
+            return "started";
+        case StartVerdict::Fenced:
+            return "fenced";
+        case StartVerdict::Superseded:
+            return "superseded";
+        case StartVerdict::LeaseOver:
+            return "lease-over";
+        case StartVerdict::NoRoom:
+            return "no-room";
+        case StartVerdict::TicketInvalid:
+            return "ticket-invalid";
+        case StartVerdict::Invalid:
+            return "invalid";
+        case StartVerdict::Unhealthy:
+            return "unhealthy";
+        }
+        return "unknown";
+    }
+
+} // namespace
+
+Controller::Controller(const ControllerContext& context, const ControlSettings& settings, std::uint64_t epoch,
+    std::function<void(const std::string&)> deposed)
+    : context_(context)
+    , settings_(settings)
+    , sessionContext_ { context.instances, context.clock, *this, epoch, settings.lease, context.clock.now() }
+    , deposed_(std::move(deposed))
+    , writer_(context.log, context.clock, context.timers, epoch, 1, [this] { depose("fenced by the log"); })
+{
+}
+
+Controller::~Controller()
+{
+    *alive_ = false;
+    writer_.stop();
+    for (auto& [name, session] : sessions_)
+        session->close();
+}
+
+template <typename Action> void Controller::later(milliseconds delay, Action action)
+{
+    context_.timers.schedule(context_.clock.now() + delay, [alive = alive_, action] {
+        if (*alive)
+            action();
+    });
+}
+
+void Controller::start()
+{
+    context_.events.write("control.begins",
+        { { "epoch", sessionContext_.epoch }, { "offset", context_.follower.offset() },
+            { "open_jobs", static_cast<std::uint64_t>(context_.follower.table().openJobs().size()) } });
+    inheritRuns();
+    loadInstances();
+}
+
+void Controller::setConfiguration(const fleet::FleetConfiguration& configuration)
+{
+    configuration_ = configuration;
+    schedulePlan();
+}
+
+void Controller::depose(const std::string& reason)
+{
+    if (std::exchange(isDeposed_, true))
+        return;
+    deposed_(reason);
+}
+
+// Runs whose instance has no entry yet are kept under their life alone.
+void Controller::inheritRuns()
+{
+    for (const Job& job : context_.follower.table().openJobs()) {
+        for (const auto& [number, occurrence] : job.occurrences) {
+            for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+                const auto& tasks = occurrence.steps[step].tasks;
+                for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+                    const jobs::Task& task = tasks[index];
+                    if (task.phase != TaskPhase::Active)
+                        continue;
+                    auto& session = sessions_[task.life.instance];
+                    if (!session) {
+                        fleet::InstanceReport unlisted;
+                        unlisted.life = task.life;
+                        session = new InstanceSession(unlisted, sessionContext_);
+                        session->setListed(false);
+                    }
+                    session->track({ job.id, number, step, index }, task.lastRun,
+                        scheduling::reservedBy(job.spec.steps[step]), job.spec.steps[step].isLongRunning, true);
+                }
+            }
+        }
+    }
+}
+
+void Controller::loadInstances()
+{
+    context_.fleetSource.loadInstances([this, alive = alive_](const Result<fleet::InstanceChanges>& loaded) {
+        if (!*alive)
+            return;
+        if (!loaded)
+            return later(reloadDelay, [this] { loadInstances(); });
+        std::set<std::string> present;
+        for (const auto& change : loaded->changes) {
+            present.insert(change.instance);
+            onInstanceChange(change);
+        }
+        for (auto& [name, session] : sessions_) {
+            if (!present.count(name))
+                session->setListed(false);
+        }
+        instancesNext_ = loaded->next;
+        instancesLoaded_ = true;
+        watchInstances();
+    });
+}
+
+void Controller::watchInstances()
+{
+    context_.fleetSource.watchInstances(
+        instancesNext_, watchWait, [this, alive = alive_](const Result<fleet::InstanceChanges>& changes) {
+            if (!*alive)
+                return;
+            if (!changes && changes.error().code == Errc::RetentionPassed)
+                return loadInstances();
+            if (!changes)
+                return later(reloadDelay, [this] { watchInstances(); });
+            instancesNext_ = changes->next;
+            for (const auto& change : changes->changes)
+                onInstanceChange(change);
+            later(watchPause, [this] { watchInstances(); });
+        });
+}
+
+void Controller::onInstanceChange(const fleet::InstanceChange& change)
+{
+    const auto found = sessions_.find(change.instance);
+    if (!change.report) {
+        if (found != sessions_.end())
+            found->second->setListed(false);
+        return schedulePlan();
+    }
+    if (found == sessions_.end()) {
+        open(*change.report);
+        return schedulePlan();
+    }
+    const InstanceSessionPtr session = found->second;
+    // An entry that was written before the present life is stale.
+    if (change.report->life.born < session->life().born)
+        return;
+    if (change.report->life.born > session->life().born && session->life().born != 0) {
+        onLifeOver(*session, change.report->life.born);
+        open(*change.report);
+        return schedulePlan();
+    }
+    if (change.report->isDraining && !session->report().isDraining)
+        context_.events.write("instance.drains", { { "instance", change.instance } });
+    session->update(*change.report);
+    schedulePlan();
+}
+
+InstanceSessionPtr Controller::open(const fleet::InstanceReport& report)
+{
+    InstanceSessionPtr session(new InstanceSession(report, sessionContext_));
+    sessions_[report.life.instance] = session;
+    session->tick(isConfirmed_);
+    return session;
+}
+
+void Controller::onTableChanged()
+{
+    if (context_.follower.table().claim().epoch > sessionContext_.epoch)
+        return depose("a later claim stands in the log");
+    schedulePlan();
+}
+
+void Controller::tick(bool isConfirmed)
+{
+    isConfirmed_ = isConfirmed;
+    const auto sessions = sessions_;
+    for (const auto& [name, session] : sessions) {
+        session->tick(isConfirmed);
+        if (isDeposed_)
+            return;
+        if (!session->isListed() && session->runs().empty()) {
+            session->close();
+            sessions_.erase(name);
+            context_.instances.forget(session->report().address);
+        }
+    }
+    forgetOldJobs();
+    schedulePlan();
+    writer_.flush();
+}
+
+void Controller::write(const jobs::Record& record)
+{
+    context_.follower.applyOwn(record);
+    writer_.write(record);
+}
+
+void Controller::schedulePlan()
+{
+    if (std::exchange(planScheduled_, true))
+        return;
+    later(planDelay, [this] {
+        planScheduled_ = false;
+        plan();
+    });
+}
+
+void Controller::plan()
+{
+    if (isDeposed_)
+        return;
+    context_.follower.beginDueOccurrences(timeOfDay(context_.clock));
+    stopRunsOfFinalJobs();
+    // Intents could not be written now, and plans made later know more.
+    if (instancesLoaded_ && isConfirmed_ && !writer_.isStalled() && configuration_.version > 0) {
+        auto views = poolViews();
+        const scheduling::PlacementPlanner planner(configuration_);
+        lastPlans_.clear();
+        for (auto& [pool, view] : views) {
+            scheduling::PoolPlan plan = planner.plan(view);
+            for (const auto& placement : plan.placements)
+                start(placement);
+            if (!plan.placements.empty()) {
+                writer_.afterStored([this, placements = plan.placements] {
+                    for (const auto& placement : placements)
+                        order(placement);
+                });
+            }
+            lastPlans_[pool] = std::move(plan);
+        }
+    }
+    writer_.flush();
+}
+
+std::string Controller::poolOf(const Job& job) const
+{
+    const fleet::Queue* queue = configuration_.findQueue(job.queue);
+    return queue ? queue->pool : job.pool;
+}
+
+bool Controller::mayTakeWork(const InstanceSession& session) const
+{
+    const auto record = records_.find(session.life().instance);
+    const bool isExcluded = record != records_.end() && context_.clock.now() < record->second.excludedUntil;
+    return session.isListed() && session.isInContact() && !session.report().isDraining && !isExcluded
+        && !reserved_.count(session.life().instance);
+}
+
+scheduling::InstanceView Controller::viewOf(const InstanceSession& session) const
+{
+    scheduling::InstanceView view;
+    view.report = &session.report();
+    view.free = session.free();
+    for (const auto& [task, run] : session.runs()) {
+        ++view.tasksOfStep[scheduling::stepOf(task)];
+        view.longRunningTasks += run.isLongRunning;
+    }
+    const auto record = records_.find(session.life().instance);
+    view.isOnTrial = record != records_.end() && record->second.isOnTrial;
+    return view;
+}
+
+std::map<std::string, scheduling::PoolView> Controller::poolViews() const
+{
+    std::map<std::string, scheduling::PoolView> views;
+    for (const Job& job : context_.follower.table().openJobs()) {
+        if (!job.isFinal())
+            views[poolOf(job)].jobs.push_back(&job);
+    }
+    for (const auto& [name, session] : sessions_) {
+        const auto view = views.find(session->report().pool);
+        if (view != views.end() && mayTakeWork(*session))
+            view->second.instances.push_back(viewOf(*session));
+    }
+    for (auto& [pool, view] : views)
+        view.blocked = &blocked_;
+    return views;
+}
+
+void Controller::start(const scheduling::Placement& placement)
+{
+    const auto found = sessions_.find(placement.life.instance);
+    const Job* job = context_.follower.table().find(placement.task.job);
+    if (found == sessions_.end() || !job)
+        return;
+    write(RunIntended { placement.task, placement.run, placement.life });
+    found->second->track(placement.task, placement.run, placement.resources,
+        job->spec.steps[placement.task.step].isLongRunning, false);
+}
+
+// Between the intent and its record the job may have been cancelled and the instance lost.
+void Controller::order(const scheduling::Placement& placement)
+{
+    const auto found = sessions_.find(placement.life.instance);
+    if (found == sessions_.end() || found->second->life() != placement.life)
+        return;
+    const Job* job = context_.follower.table().find(placement.task.job);
+    const jobs::Task* task = context_.follower.table().find(placement.task);
+    if (!job || !task || task->lastRun != placement.run)
+        return;
+    if (job->isFinal())
+        found->second->requestStop(placement.task, false);
+    const bool continues = job->spec.steps[placement.task.step].checkpoints;
+    context_.events.write("run.ordered",
+        { { "task", jobs::toText(placement.task) }, { "run", std::uint64_t(placement.run) },
+            { "instance", placement.life.instance }, { "epoch", sessionContext_.epoch },
+            { "offset", context_.follower.offset() }, { "configuration", configuration_.version } });
+    found->second->order(
+        placement.task, job->spec.payload, continues ? task->checkpoint : std::string(), {});
+}
+
+void Controller::stopRunsOfFinalJobs()
+{
+    std::set<jobs::JobId> ending;
+    for (const Job& job : context_.follower.table().openJobs()) {
+        if (job.isFinal())
+            ending.insert(job.id);
+    }
+    if (ending.empty())
+        return;
+    const auto sessions = sessions_;
+    for (const auto& [name, session] : sessions) {
+        std::vector<TaskId> stops;
+        for (const auto& [task, run] : session->runs()) {
+            if (ending.count(task.job) && !run.isStopping)
+                stops.push_back(task);
+        }
+        for (const auto& task : stops)
+            session->requestStop(task, false);
+    }
+}
+
+void Controller::relocate(InstanceSession& session, const TaskId& task)
+{
+    context_.events.write(
+        "run.relocated", { { "task", jobs::toText(task) }, { "instance", session.life().instance } });
+    session.requestStop(task, true);
+}
+
+void Controller::recordUpkeep(std::uint64_t wave, const std::string& machine, std::function<void()> stored)
+{
+    write(jobs::UpkeepBegun { wave, machine });
+    writer_.afterStored(std::move(stored));
+    writer_.flush();
+}
+
+void Controller::noteTaken(const std::string& instance)
+{
+    const auto found = sessions_.find(instance);
+    if (found != sessions_.end())
+        onLifeOver(*found->second, 0);
+}
+
+void Controller::onRunEnded(InstanceSession& session, const RunEnded& record)
+{
+    context_.events.write("run.ended",
+        { { "task", jobs::toText(record.task) }, { "run", std::uint64_t(record.run) },
+            { "instance", session.life().instance }, { "how", std::string(toText(record.how)) },
+            { "epoch", sessionContext_.epoch } });
+    write(record);
+    noteOutcome(session, record.how);
+    if (record.how == RunEnd::Failed)
+        failIfExhausted(record.task);
+    schedulePlan();
+}
+
+void Controller::noteOutcome(const InstanceSession& session, RunEnd how)
+{
+    if (how != RunEnd::Done && how != RunEnd::Failed)
+        return;
+    Record& record = records_[session.life().instance];
+    if (how == RunEnd::Done) {
+        record = {};
+        return;
+    }
+    ++record.failuresInARow;
+    if (record.failuresInARow < failuresBeforeExclusion && !record.isOnTrial)
+        return;
+    record.isOnTrial = true;
+    record.excludedUntil = context_.clock.now() + exclusion;
+    context_.events.write("instance.excluded",
+        { { "instance", session.life().instance }, { "failures", std::int64_t(record.failuresInARow) } });
+}
+
+void Controller::failIfExhausted(const TaskId& id)
+{
+    const Job* job = context_.follower.table().find(id.job);
+    if (!job || job->isFinal() || job->spec.steps[id.step].isLongRunning)
+        return;
+    const fleet::Queue* queue = configuration_.findQueue(job->queue);
+    if (!queue)
+        return;
+    const auto& step = job->occurrences.at(id.occurrence).steps[id.step];
+    std::uint32_t failures = step.tasks[id.index].failures;
+    if (job->spec.steps[id.step].isGang) {
+        failures = 0;
+        for (const auto& member : step.tasks)
+            failures += member.failures;
+    }
+    if (failures < queue->maximumAttempts)
+        return;
+    context_.events.write("job.failed",
+        { { "job", jobs::toText(id.job) }, { "task", jobs::toText(id) }, { "failures", std::uint64_t(failures) },
+            { "allowed", std::uint64_t(queue->maximumAttempts) }, { "configuration", configuration_.version } });
+    write(jobs::JobFailed { id.job });
+}
+
+void Controller::onEndsListed(InstanceSession& session, std::uint64_t number)
+{
+    writer_.afterStored([keep = InstanceSessionPtr(&session), number] { keep->acknowledge(number); });
+    writer_.flush();
+}
+
+void Controller::onStartRefused(InstanceSession& session, const TaskId& task, StartVerdict verdict)
+{
+    context_.events.write("run.refused",
+        { { "task", jobs::toText(task) }, { "instance", session.life().instance },
+            { "verdict", std::string(toText(verdict)) } });
+    if (verdict == StartVerdict::Invalid) {
+        blocked_.insert(task);
+        later(invalidBackoff, [this, task] { blocked_.erase(task); });
+        return;
+    }
+    Record& record = records_[session.life().instance];
+    record.excludedUntil = std::max(record.excludedUntil, context_.clock.now() + refusalPause);
+}
+
+void Controller::onLifeOver(InstanceSession& session, std::int64_t born)
+{
+    const InstanceSessionPtr keep(&session);
+    context_.events.write(
+        "instance.life-over", { { "instance", session.life().instance }, { "born", born } });
+    session.close();
+    session.endAll(RunEnd::InstanceGone);
+    records_.erase(session.life().instance);
+    const auto found = sessions_.find(session.life().instance);
+    if (found == sessions_.end() || found->second != keep)
+        return;
+    sessions_.erase(found);
+    // The entry in the store follows later; until then the new life is known by its start alone.
+    if (born != 0 && session.isListed()) {
+        fleet::InstanceReport report = session.report();
+        report.life.born = born;
+        open(report);
+    }
+    schedulePlan();
+}
+
+void Controller::onContactChanged(InstanceSession& session, bool inContact, const std::string& reason)
+{
+    context_.events.write(inContact ? "instance.regained" : "instance.lost",
+        { { "instance", session.life().instance }, { "reason", reason } });
+    schedulePlan();
+}
+
+void Controller::onFenced(InstanceSession& session)
+{
+    depose("instance " + session.life().instance + " has seen a higher token");
+}
+
+void Controller::forgetOldJobs()
+{
+    const auto now = context_.clock.now();
+    std::vector<jobs::JobId> old;
+    for (const Job& job : context_.follower.table().finalJobs()) {
+        const auto since = finalSince_.emplace(job.id, now).first->second;
+        if (now - since >= settings_.statusRetention)
+            old.push_back(job.id);
+    }
+    for (const auto id : old) {
+        finalSince_.erase(id);
+        write(jobs::JobForgotten { id });
+    }
+}
+
+} // namespace turmericsill::control
--- /dev/null
+++ b/src/control/types/controlsettings.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "control/types/leaseterms.h"
+
+namespace turmericsill::control {
+
+/// Bounds that the controller keeps.
+struct ControlSettings {
+    LeaseTerms lease;
+    milliseconds statusRetention { 130000 }; ///< How long a final job is reported; the platform asks for 120 s.
+    milliseconds holderInterval { 3000 }; ///< Orders for one machine by two holders lie at least this far apart.
+    milliseconds noticeInterval { 4500 }; ///< A task that is not at work for this long counts as away.
+};
+
+} // namespace turmericsill::control
--- /dev/null
+++ b/src/entryd/internal/entryprocess.cpp
@@ -0,0 +1,176 @@
+#include "entryd/entryprocess.h"
+
+#include <csignal>
+#include <utility>
+
+namespace turmericsill::entryd {
+
+using foundation::milliseconds;
+using foundation::Result;
+
+namespace {
+
+    constexpr std::size_t storeConnections = 12; ///< Three long reads, two appends, and reads for callers.
+    constexpr std::size_t machineControlConnections = 4;
+    constexpr milliseconds balancerNotice { 2300 }; ///< Two of the balancer's checks, one a second.
+    constexpr milliseconds stopReserve { 1500 }; ///< Of the grace period, left unused.
+    constexpr milliseconds stopCheckInterval { 50 };
+    constexpr milliseconds readinessInterval { 100 };
+    constexpr milliseconds longestUnconfirmed { 1800 }; ///< Without an answer of the store: four joins.
+
+    std::uint64_t startOfProcess()
+    {
+        const auto now = std::chrono::system_clock::now().time_since_epoch();
+        return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(now).count());
+    }
+
+    httpserver::ServerLimits callerLimits()
+    {
+        httpserver::ServerLimits limits;
+        limits.maximumConnections = 3000; // Of 4,100 descriptors, the rest for files, instances and the store.
+        return limits;
+    }
+
+} // namespace
+
+EntryProcess::EntryProcess(settings::EntrySettings settings, std::string settingsPath)
+    : settings_(std::move(settings))
+    , settingsPath_(std::move(settingsPath))
+    , timers_(context_)
+    , events_(settings_.entry, clock_)
+    , store_(context_, settings_.storeAddress, storeConnections)
+    , machineControl_(context_, settings_.machineControlAddress, machineControlConnections)
+    , log_(store_, settings_.entry)
+    , fleetSource_(store_,
+          [this](const foundation::Error& error) {
+              events_.write("entry.foreign", { { "reason", error.message() } });
+          })
+    , instances_(context_)
+    , machines_(machineControl_, settings_.entry)
+    , follower_(log_, clock_, timers_, eventlog::FollowerOptions())
+    , submitter_(log_, clock_, timers_)
+    , service_(follower_, submitter_, clock_, events_)
+    , declarations_(fleetSource_, clock_, timers_, events_)
+    , control_({ log_, follower_, fleetSource_, instances_, clock_, timers_, events_ }, log_, machines_,
+          controlSettings(), { settings_.entry, startOfProcess() })
+    , jobFront_(service_, clock_)
+    , readyFront_(readiness_)
+    , telemetryHandler_(metrics_, readiness_)
+    , callerServer_(context_, jobFront_, callerLimits())
+    , readyServer_(context_, readyFront_, httpserver::ServerLimits())
+    , telemetryServer_(context_, telemetryHandler_, httpserver::ServerLimits())
+    , signals_(context_, SIGTERM, SIGINT, SIGHUP)
+{
+}
+
+control::ControlSettings EntryProcess::controlSettings() const
+{
+    control::ControlSettings result;
+    result.lease.longestLease = settings_.longestLease;
+    result.lease.length = std::min(result.lease.length, settings_.longestLease);
+    result.holderInterval = settings_.holderInterval;
+    result.noticeInterval = settings_.noticeInterval;
+    result.statusRetention = settings_.statusRetention;
+    return result;
+}
+
+void EntryProcess::connectDuties()
+{
+    service_.setControlProbe([this] { return control_.isController(); });
+    declarations_.onConfiguration([this](const fleet::FleetConfiguration& configuration) {
+        service_.setConfiguration(configuration);
+        control_.setConfiguration(configuration);
+    });
+    follower_.onChange([this] { control_.onTableChanged(); });
+}
+
+Result<void> EntryProcess::listen()
+{
+    if (auto listening = readyServer_.listen(settings_.healthAddress); !listening)
+        return listening;
+    if (auto listening = telemetryServer_.listen(settings_.telemetryAddress); !listening)
+        return listening;
+    return callerServer_.listen(settings_.callerAddress);
+}
+
+Result<void> EntryProcess::run()
+{
+    readiness_.setReason("starting", "the declarations and the job log were not read yet");
+    connectDuties();
+    if (auto listening = listen(); !listening)
+        return listening;
+    events_.write("process.start", { { "caller_address", settings_.callerAddress.text() } });
+    watchSignals();
+    follower_.start();
+    declarations_.start();
+    control_.start();
+    watchReadiness();
+    context_.run();
+    events_.write("process.stop", { { "offset", follower_.offset() } });
+    return {};
+}
+
+void EntryProcess::watchReadiness()
+{
+    if (declarations_.version() > 0 && follower_.hasCaughtUp())
+        readiness_.clearReason("starting");
+    if (clock_.now() - control_.confirmedAt() > longestUnconfirmed)
+        readiness_.setReason("store", "the platform's store does not answer this entry");
+    else
+        readiness_.clearReason("store");
+    timers_.schedule(clock_.now() + readinessInterval, [this] { watchReadiness(); });
+}
+
+void EntryProcess::watchSignals()
+{
+    signals_.async_wait([this](boost::system::error_code error, int signal) {
+        if (error)
+            return;
+        onSignal(signal);
+        watchSignals();
+    });
+}
+
+void EntryProcess::onSignal(int signal)
+{
+    if (signal == SIGHUP)
+        return reload();
+    if (!std::exchange(isStopping_, true))
+        beginStop();
+}
+
+// Addresses cannot change while the process runs; the bounds are taken when control next begins.
+void EntryProcess::reload()
+{
+    jsonsource::Faults faults;
+    auto settings = settings::loadEntrySettings(settingsPath_, faults);
+    for (const auto& fault : faults)
+        events_.write("settings.fault", { { "fault", fault.text() } });
+    if (settings) {
+        settings_.shutdownGrace = settings->shutdownGrace;
+        events_.write("process.reload", { { "settings", settingsPath_ } });
+    }
+}
+
+// The balancer needs two checks to notice; until then this entry serves as before.
+void EntryProcess::beginStop()
+{
+    events_.write("process.stopping", { { "grace_ms", std::int64_t(settings_.shutdownGrace.count()) } });
+    readiness_.setReason("stopping", "this entry was told to stop");
+    stopDeadline_ = clock_.now() + settings_.shutdownGrace - stopReserve;
+    control_.stop([this] { hasLeft_ = true; });
+    timers_.schedule(clock_.now() + balancerNotice, [this] {
+        callerServer_.beginShutdown();
+        finishStop();
+    });
+}
+
+void EntryProcess::finishStop()
+{
+    const bool isDone = hasLeft_ && callerServer_.counters().open == 0;
+    if (isDone || clock_.now() >= stopDeadline_)
+        return context_.stop();
+    timers_.schedule(clock_.now() + stopCheckInterval, [this] { finishStop(); });
+}
+
+} // namespace turmericsill::entryd
--- /dev/null
+++ b/src/eventlog/ieventlog.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "foundation/iclock.h"
+#include "foundation/result.h"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace turmericsill::eventlog {
+
+/// Makes a writer's appends take effect once, and those of a writer that it replaced not at all.
+struct ProducerPosition {
+    std::uint64_t epoch = 0; ///< A higher one fences every lower one.
+    std::uint64_t sequence = 0; ///< Appends of an epoch count from 0.
+};
+
+struct AppendRequest {
+    std::vector<std::string> payloads;
+    std::optional<std::uint64_t> expectedEnd; ///< The append takes effect only at this offset.
+    std::optional<ProducerPosition> position;
+};
+
+/// Where the payloads of an append stand.
+struct AppendReceipt {
+    std::uint64_t offset = 0; ///< Of the first payload.
+    std::uint64_t end = 0; ///< First offset after the log's last record.
+};
+
+/// Records from an offset on.
+struct LogPage {
+    std::uint64_t from = 0;
+    std::uint64_t end = 0; ///< First offset after the log's last record, when the page was read.
+    std::vector<std::string> payloads;
+};
+
+/// The log of accepted jobs and of what the controller did about them.
+class IEventLog {
+public:
+    using AppendCallback = std::function<void(foundation::Result<AppendReceipt>)>;
+    using ReadCallback = std::function<void(foundation::Result<LogPage>)>;
+
+    virtual ~IEventLog() = default;
+
+    /// Appends all payloads or none. Errors: Unavailable: surely not appended; Conflict: the log does not end at
+    /// `expectedEnd`; Fenced: a higher epoch writes; any other leaves open whether the append takes effect.
+    virtual void append(AppendRequest request, foundation::milliseconds timeout, AppendCallback done) = 0;
+
+    /// Reads from `from` on and waits up to `wait` for the first record.
+    /// Errc::RetentionPassed: the log no longer holds `from`.
+    virtual void read(std::uint64_t from, foundation::milliseconds wait, ReadCallback done) = 0;
+};
+
+} // namespace turmericsill::eventlog
--- /dev/null
+++ b/src/eventlog/internal/controllerwriter.cpp
@@ -0,0 +1,98 @@
+#include "eventlog/controllerwriter.h"
+
+#include "jobs/recordcodec.h"
+
+#include <utility>
+
+namespace turmericsill::eventlog {
+
+using foundation::Errc;
+using foundation::milliseconds;
+using foundation::Result;
+
+namespace {
+
+    constexpr milliseconds appendTimeout { 600 };
+    constexpr milliseconds retryDelay { 50 };
+    constexpr milliseconds stallThreshold { 400 }; ///< An append is answered within about 10 ms.
+
+} // namespace
+
+ControllerWriter::ControllerWriter(IEventLog& log, foundation::IClock& clock, foundation::ITimerQueue& timers,
+    std::uint64_t epoch, std::uint64_t firstSequence, std::function<void()> fenced)
+    : log_(log)
+    , clock_(clock)
+    , timers_(timers)
+    , epoch_(epoch)
+    , sequence_(firstSequence)
+    , fenced_(std::move(fenced))
+{
+}
+
+void ControllerWriter::write(const jobs::Record& record) { queued_.push_back(jobs::encode(record, epoch_)); }
+
+void ControllerWriter::afterStored(StoredCallback done)
+{
+    if (!queued_.empty())
+        afterQueued_.push_back(std::move(done));
+    else if (underWay_)
+        afterBatch_.push_back(std::move(done));
+    else
+        done();
+}
+
+void ControllerWriter::flush()
+{
+    if (underWay_ || queued_.empty() || !*alive_)
+        return;
+    batch_ = std::move(queued_);
+    queued_.clear();
+    afterBatch_ = std::move(afterQueued_);
+    afterQueued_.clear();
+    underWay_ = true;
+    batchSince_ = clock_.now();
+    sendBatch();
+}
+
+void ControllerWriter::sendBatch()
+{
+    AppendRequest request;
+    request.payloads = batch_;
+    request.position = ProducerPosition { epoch_, sequence_ };
+    log_.append(std::move(request), appendTimeout, [this, alive = alive_](const Result<AppendReceipt>& answer) {
+        if (*alive)
+            onAnswer(answer);
+    });
+}
+
+void ControllerWriter::onAnswer(const Result<AppendReceipt>& answer)
+{
+    if (!answer && answer.error().code == Errc::Fenced) {
+        stop();
+        return fenced_();
+    }
+    if (!answer) {
+        timers_.schedule(clock_.now() + retryDelay, [this, alive = alive_] {
+            if (*alive)
+                sendBatch();
+        });
+        return;
+    }
+    ++sequence_;
+    underWay_ = false;
+    auto stored = std::move(afterBatch_);
+    afterBatch_.clear();
+    const auto alive = alive_;
+    for (auto& callback : stored) {
+        callback();
+        if (!*alive)
+            return;
+    }
+    flush();
+}
+
+bool ControllerWriter::isStalled() const { return underWay_ && clock_.now() - batchSince_ > stallThreshold; }
+
+void ControllerWriter::stop() { *alive_ = false; }
+
+} // namespace turmericsill::eventlog
--- /dev/null
+++ b/src/eventlog/jobsubmitter.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "eventlog/ieventlog.h"
+#include "foundation/iclock.h"
+#include "foundation/itimerqueue.h"
+#include "jobs/types/records.h"
+
+#include <functional>
+#include <vector>
+
+namespace turmericsill::eventlog {
+
+/// What became of a caller's record.
+enum class AppendOutcome : std::uint8_t {
+    Stored,
+    NotStored, ///< Surely; and it never will be.
+    Unknown, ///< An attempt had no answer, so the record may still be stored.
+};
+
+/// Appends callers' records for this entry. One append is under way at a time; what comes meanwhile goes into the
+/// next. Records may be stored twice, which the fold of the log allows for.
+class JobSubmitter {
+public:
+    using Callback = std::function<void(AppendOutcome)>;
+
+    JobSubmitter(IEventLog& log, foundation::IClock& clock, foundation::ITimerQueue& timers);
+
+    JobSubmitter(const JobSubmitter&) = delete;
+    JobSubmitter& operator=(const JobSubmitter&) = delete;
+
+    /// Appends a record; gives up at `deadline`.
+    void submit(const jobs::Record& record, foundation::SteadyTime deadline, Callback done);
+
+private:
+    struct Pending {
+        std::string payload;
+        foundation::SteadyTime submittedAt;
+        foundation::SteadyTime deadline;
+        Callback done;
+        bool mayBeStored = false;
+    };
+
+    void appendNext();
+    void onAnswer(const foundation::Result<AppendReceipt>& answer);
+    void giveUpExpired();
+    bool isExpired(const Pending& pending) const;
+
+    IEventLog& log_;
+    foundation::IClock& clock_;
+    foundation::ITimerQueue& timers_;
+    std::vector<Pending> waiting_;
+    std::vector<Pending> underWay_;
+    bool retryScheduled_ = false;
+};
+
+} // namespace turmericsill::eventlog
--- a/src/foundation/errc.h
+++ b/src/foundation/errc.h
@@ -15,6 +15,8 @@
     UnknownRecord,
     CapacityExceeded,
     RetentionPassed,
+    Fenced, ///< A later holder has taken over.
+    WrongInstance, ///< The address belongs to another instance or life.
 };
 
 /// Category "turmericsill" of the codes above.
--- a/src/foundation/internal/errc.cpp
+++ b/src/foundation/internal/errc.cpp
@@ -31,6 +31,10 @@
                 return "capacity exceeded";
             case Errc::RetentionPassed:
                 return "retention passed";
+            case Errc::Fenced:
+                return "fenced by a later holder";
+            case Errc::WrongInstance:
+                return "another instance answers";
             }
             return "unknown error";
         }
--- /dev/null
+++ b/src/jobs/internal/job.cpp
@@ -0,0 +1,58 @@
+#include "jobs/types/job.h"
+
+#include <algorithm>
+
+namespace turmericsill::jobs {
+
+bool Occurrence::isDone() const
+{
+    return std::all_of(steps.begin(), steps.end(), [](const StepState& step) { return step.isDone(); });
+}
+
+bool Occurrence::isReady(const JobSpec& spec, std::size_t step) const
+{
+    const auto& dependsOn = spec.steps[step].dependsOn;
+    return std::all_of(dependsOn.begin(), dependsOn.end(), [&](std::uint32_t other) { return steps[other].isDone(); });
+}
+
+milliseconds Job::dueAt(std::uint32_t occurrence) const
+{
+    return isScheduled() ? spec.schedule.first + occurrence * spec.schedule.interval : milliseconds(0);
+}
+
+// Completion goes before cancellation, so that the order of the two in the log makes no difference.
+JobState Job::state() const
+{
+    if (doneOccurrences == occurrenceCount())
+        return JobState::Completed;
+    if (isCancelled)
+        return JobState::Cancelled;
+    if (hasFailed)
+        return JobState::Failed;
+    return hasStarted ? JobState::Running : JobState::Queued;
+}
+
+bool Job::isFinal() const { return isCancelled || hasFailed || doneOccurrences == occurrenceCount(); }
+
+Occurrence& Job::begin(std::uint32_t occurrence)
+{
+    auto [found, isNew] = occurrences.try_emplace(occurrence);
+    if (isNew) {
+        for (const auto& step : spec.steps) {
+            found->second.steps.emplace_back();
+            found->second.steps.back().tasks.resize(step.count);
+        }
+    }
+    return found->second;
+}
+
+const Task* Job::find(const TaskId& id) const
+{
+    const auto found = occurrences.find(id.occurrence);
+    if (found == occurrences.end() || id.step >= found->second.steps.size())
+        return nullptr;
+    const auto& tasks = found->second.steps[id.step].tasks;
+    return id.index < tasks.size() ? &tasks[id.index] : nullptr;
+}
+
+} // namespace turmericsill::jobs
--- /dev/null
+++ b/src/jobs/types/taskid.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <tuple>
+
+namespace turmericsill::jobs {
+
+/// Job id that the caller chose: sixteen lower-case hexadecimal digits.
+using JobId = std::uint64_t;
+
+std::optional<JobId> parseJobId(std::string_view text);
+std::string toText(JobId id);
+
+/// Names one task of one occurrence of a job.
+struct TaskId {
+    JobId job = 0;
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+    std::uint32_t index = 0;
+
+    bool operator==(const TaskId& other) const { return key() == other.key(); }
+    bool operator<(const TaskId& other) const { return key() < other.key(); }
+
+    std::tuple<JobId, std::uint32_t, std::uint32_t, std::uint32_t> key() const
+    {
+        return { job, occurrence, step, index };
+    }
+};
+
+/// "JOB.OCCURRENCE.STEP.INDEX", and back.
+std::string toText(const TaskId& id);
+std::optional<TaskId> parseTaskId(std::string_view text);
+
+} // namespace turmericsill::jobs
--- /dev/null
+++ b/src/settings/entrysettings.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "foundation/address.h"
+#include "foundation/iclock.h"
+#include "jsonsource/fault.h"
+
+#include <cstddef>
+#include <optional>
+#include <string>
+
+namespace turmericsill::settings {
+
+/// Settings of an entry instance that runs jobs.
+struct EntrySettings {
+    std::string entry;
+    std::string dataCentre;
+    foundation::Address callerAddress;
+    foundation::Address healthAddress;
+    foundation::Address telemetryAddress;
+    foundation::Address storeAddress;
+    foundation::Address machineControlAddress;
+    foundation::milliseconds longestLease { 10000 };
+    foundation::milliseconds holderInterval { 3000 };
+    foundation::milliseconds noticeInterval { 4500 };
+    foundation::milliseconds statusRetention { 120000 };
+    foundation::milliseconds shutdownGrace { 6000 };
+};
+
+/// Reads and checks a settings file, JSON with comments; every fault is reported with its line and field.
+std::optional<EntrySettings> loadEntrySettings(const std::string& path, jsonsource::Faults& faults);
+
+/// As above, from a text that is already in memory.
+std::optional<EntrySettings> parseEntrySettings(
+    const std::string& file, const std::string& text, jsonsource::Faults& faults);
+
+} // namespace turmericsill::settings
--- a/src/settings/internal/daemonsettings.cpp
+++ b/src/settings/internal/daemonsettings.cpp
@@ -1,13 +1,12 @@
 #include "settings/daemonsettings.h"
 
 #include "jsonsource/objectschema.h"
+#include "settings/internal/fieldcopier.h"
 
 namespace turmericsill::settings {
 
 namespace {
 
-    using foundation::Address;
-    using foundation::milliseconds;
     using jsonsource::FieldSchema;
     using jsonsource::FieldType;
     using jsonsource::ObjectSchema;
@@ -52,41 +51,6 @@
         return fields;
     }
 
-    /// Copies checked fields into typed settings; absent fields keep their defaults.
-    class FieldCopier {
-    public:
-        explicit FieldCopier(const nlohmann::json& object)
-            : object_(object)
-        {
-        }
-
-        void copy(const char* field, std::string& target) const
-        {
-            if (object_.contains(field))
-                target = object_[field].get<std::string>();
-        }
-
-        void copy(const char* field, Address& target) const
-        {
-            target = *foundation::parseAddress(object_[field].get<std::string>());
-        }
-
-        void copy(const char* field, milliseconds& target) const
-        {
-            if (object_.contains(field))
-                target = milliseconds(object_[field].get<std::int64_t>());
-        }
-
-        void copy(const char* field, std::size_t& target) const
-        {
-            if (object_.contains(field))
-                target = object_[field].get<std::size_t>();
-        }
-
-    private:
-        const nlohmann::json& object_;
-    };
-
     DaemonSettings fromJson(const nlohmann::json& object)
     {
         DaemonSettings result;
--- /dev/null
+++ b/src/settings/internal/entrysettings.cpp
@@ -0,0 +1,84 @@
+#include "settings/entrysettings.h"
+
+#include "jsonsource/objectschema.h"
+#include "settings/internal/fieldcopier.h"
+
+namespace turmericsill::settings {
+
+namespace {
+
+    using jsonsource::FieldSchema;
+    using jsonsource::FieldType;
+    using jsonsource::ObjectSchema;
+
+    constexpr double maximumIntervalMs = 600000;
+
+    FieldSchema required(const std::string& name, FieldType type) { return { name, type, true, 0, 0, {} }; }
+
+    FieldSchema interval(const std::string& name, double minimum)
+    {
+        return { name, FieldType::Integer, false, minimum, maximumIntervalMs, {} };
+    }
+
+    const ObjectSchema& schema()
+    {
+        static const ObjectSchema fields {
+            required("entry", FieldType::Name),
+            required("data_centre", FieldType::Name),
+            required("caller_address", FieldType::Address),
+            required("health_address", FieldType::Address),
+            required("telemetry_address", FieldType::Address),
+            required("store_address", FieldType::Address),
+            required("machine_control_address", FieldType::Address),
+            interval("longest_lease_ms", 1000),
+            interval("holder_interval_ms", 0),
+            interval("notice_interval_ms", 0),
+            interval("status_retention_ms", 1000),
+            interval("shutdown_grace_ms", 500),
+        };
+        return fields;
+    }
+
+    EntrySettings fromJson(const nlohmann::json& object)
+    {
+        EntrySettings result;
+        const FieldCopier copier(object);
+        copier.copy("entry", result.entry);
+        copier.copy("data_centre", result.dataCentre);
+        copier.copy("caller_address", result.callerAddress);
+        copier.copy("health_address", result.healthAddress);
+        copier.copy("telemetry_address", result.telemetryAddress);
+        copier.copy("store_address", result.storeAddress);
+        copier.copy("machine_control_address", result.machineControlAddress);
+        copier.copy("longest_lease_ms", result.longestLease);
+        copier.copy("holder_interval_ms", result.holderInterval);
+        copier.copy("notice_interval_ms", result.noticeInterval);
+        copier.copy("status_retention_ms", result.statusRetention);
+        copier.copy("shutdown_grace_ms", result.shutdownGrace);
+        return result;
+    }
+
+} // namespace
+
+std::optional<EntrySettings> parseEntrySettings(
+    const std::string& file, const std::string& text, jsonsource::Faults& faults)
+{
+    const std::size_t faultsBefore = faults.size();
+    auto document = jsonsource::Document::parse(file, text, faults);
+    if (!document)
+        return std::nullopt;
+    jsonsource::checkObject(*document, "", schema(), faults);
+    if (faults.size() != faultsBefore)
+        return std::nullopt;
+    return fromJson(document->value());
+}
+
+std::optional<EntrySettings> loadEntrySettings(const std::string& path, jsonsource::Faults& faults)
+{
+    auto text = jsonsource::readFile(path, faults);
+    if (!text)
+        return std::nullopt;
+    return parseEntrySettings(path, *text, faults);
+}
+
+} // namespace turmericsill::settings
--- /dev/null
+++ b/src/settings/internal/fieldcopier.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "foundation/address.h"
+#include "foundation/iclock.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <string>
+
+namespace turmericsill::settings {
+
+/// Copies checked fields into typed settings; absent fields keep their defaults.
+class FieldCopier {
+public:
+    explicit FieldCopier(const nlohmann::json& object)
+        : object_(object)
+    {
+    }
+
+    void copy(const char* field, std::string& target) const
+    {
+        if (object_.contains(field))
+            target = object_[field].get<std::string>();
+    }
+
+    void copy(const char* field, foundation::Address& target) const
+    {
+        target = *foundation::parseAddress(object_[field].get<std::string>());
+    }
+
+    void copy(const char* field, foundation::milliseconds& target) const
+    {
+        if (object_.contains(field))
+            target = foundation::milliseconds(object_[field].get<std::int64_t>());
+    }
+
+    void copy(const char* field, std::size_t& target) const
+    {
+        if (object_.contains(field))
+            target = object_[field].get<std::size_t>();
+    }
+
+private:
+    const nlohmann::json& object_;
+};
+
+} // namespace turmericsill::settings
