Inherited runs without an address no longer end the process

Ruled out: memory limit and signals; the log shows the exception at take-over. Change: a session without an address neither renews nor sends orders.

--- a/src/control/internal/instancesession.cpp
+++ b/src/control/internal/instancesession.cpp
@@ -189,7 +189,7 @@
 
 void InstanceSession::sendStop(const TaskId& task, TrackedRun& run)
 {
-    if (run.stopUnderWay)
+    if (run.stopUnderWay || !hasAddress())
         return;
     run.stopUnderWay = true;
     run.lastAttemptAt = context_.clock.now();
@@ -231,7 +231,7 @@
 
 bool InstanceSession::isRenewalDue() const
 {
-    if (isRenewing_ || isClosed_)
+    if (isRenewing_ || isClosed_ || !hasAddress())
         return false;
     const auto sinceLast = context_.clock.now() - renewedAt_;
     if (!isSynced_ || failures_ > 0)
--- a/src/control/internal/instancesession.h
+++ b/src/control/internal/instancesession.h
@@ -73,6 +73,9 @@
     bool isInContact() const { return isSynced_ && failures_ == 0 && foreignRuns_.empty(); }
     bool isSynced() const { return isSynced_; }
 
+    /// Whether its address is known; a run may be inherited before the instance's entry is read.
+    bool hasAddress() const { return !report_.address.ip.empty(); }
+
     /// Capacity less what tracked runs hold.
     jobs::Resources free() const;
 
