Machines follow demand and waves are kept: the fleet steward

Ruled out: order within a pool; the other pools stood idle meanwhile. Change: planMoves() and planUpkeep() decide without I/O; FleetSteward lists machines, empties, relocates long-running tasks within their budgets, orders.

--- a/src/control/controlduty.h
+++ b/src/control/controlduty.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "control/controller.h"
+#include "control/fleetsteward.h"
 #include "eventlog/icontrolgroup.h"
 #include "fleet/imachinecontrol.h"
 
@@ -36,6 +37,9 @@
     void setConfiguration(const fleet::FleetConfiguration& configuration);
     void onTableChanged();
 
+    /// A wave of upkeep that operators asked for.
+    void addWave(const fleet::UpkeepWave& wave);
+
     bool isController() const { return controller_ != nullptr; }
 
     /// When the group last confirmed this entry's membership.
@@ -59,7 +63,9 @@
     ControlSettings settings_;
     EntryIdentity identity_;
     fleet::FleetConfiguration configuration_;
+    std::map<std::uint64_t, std::pair<fleet::UpkeepWave, foundation::SteadyTime>> waves_; ///< With when they were read.
     std::unique_ptr<Controller> controller_;
+    std::unique_ptr<FleetSteward> steward_; ///< Of the controller.
     std::uint64_t generation_ = 0;
     std::uint64_t lowestEpoch_ = 0; ///< Epochs below were refused.
     foundation::SteadyTime confirmedAt_ {};
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -65,8 +65,9 @@
     /// Stops a long-running task so that it starts elsewhere.
     void relocate(InstanceSession& session, const jobs::TaskId& task);
 
-    /// Writes that an upkeep begins; calls back when it stands in the log.
-    void recordUpkeep(std::uint64_t wave, const std::string& machine, std::function<void()> stored);
+    /// Writes that a machine's upkeep for a wave has begun.
+    void recordUpkeep(std::uint64_t wave, const std::string& machine);
+    bool hasBegunUpkeep(std::uint64_t wave, const std::string& machine) const;
 
     /// The instance's machine was given to other work, which ended its life.
     void noteTaken(const std::string& instance);
--- a/src/control/internal/controlduty.cpp
+++ b/src/control/internal/controlduty.cpp
@@ -21,6 +21,7 @@
     constexpr milliseconds claimTimeout { 700 };
     constexpr milliseconds claimRetryDelay { 20 };
     constexpr milliseconds tickInterval { 50 };
+    constexpr milliseconds holderMargin { 300 }; ///< Added to the interval between holders' orders for a machine.
 
 } // namespace
 
@@ -44,8 +45,18 @@
 void ControlDuty::setConfiguration(const fleet::FleetConfiguration& configuration)
 {
     configuration_ = configuration;
-    if (controller_)
-        controller_->setConfiguration(configuration);
+    if (!controller_)
+        return;
+    controller_->setConfiguration(configuration);
+    steward_->setConfiguration(configuration);
+}
+
+void ControlDuty::addWave(const fleet::UpkeepWave& wave)
+{
+    const auto entry = waves_.emplace(wave.number, std::pair(wave, context_.clock.now())).first;
+    entry->second.first = wave;
+    if (steward_)
+        steward_->addWave(wave, entry->second.second);
 }
 
 void ControlDuty::onTableChanged()
@@ -148,6 +159,11 @@
         // The controller is in the middle of a step.
         context_.timers.schedule(context_.clock.now(), [this, reason] { endControl(reason); });
     });
+    const auto mayOrderFrom = context_.clock.now() + settings_.holderInterval + holderMargin;
+    steward_ = std::make_unique<FleetSteward>(context_, machines_, *controller_, settings_, mayOrderFrom);
+    steward_->setConfiguration(configuration_);
+    for (const auto& [number, wave] : waves_)
+        steward_->addWave(wave.first, wave.second);
     controller_->setConfiguration(configuration_);
     controller_->start();
 }
@@ -157,6 +173,7 @@
     if (!controller_)
         return;
     context_.events.write("control.ends", { { "epoch", controller_->epoch() }, { "reason", reason } });
+    steward_.reset();
     controller_.reset();
     context_.follower.endControl();
 }
@@ -165,6 +182,9 @@
 {
     if (controller_)
         controller_->tick(context_.clock.now() - confirmedAt_ < settings_.lease.outageLimit);
+    // Machines check no tokens, so control must be confirmed by the group just now.
+    if (steward_ && context_.clock.now() - confirmedAt_ < timeToLive)
+        steward_->tick();
     if (!isStopping_)
         context_.timers.schedule(context_.clock.now() + tickInterval, [this] { tick(); });
 }
--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -403,13 +403,17 @@
     session.requestStop(task, true);
 }
 
-void Controller::recordUpkeep(std::uint64_t wave, const std::string& machine, std::function<void()> stored)
+void Controller::recordUpkeep(std::uint64_t wave, const std::string& machine)
 {
     write(jobs::UpkeepBegun { wave, machine });
-    writer_.afterStored(std::move(stored));
     writer_.flush();
 }
 
+bool Controller::hasBegunUpkeep(std::uint64_t wave, const std::string& machine) const
+{
+    return context_.follower.table().hasBegunUpkeep(wave, machine);
+}
+
 void Controller::noteTaken(const std::string& instance)
 {
     const auto found = sessions_.find(instance);
--- a/src/entryd/internal/entryprocess.cpp
+++ b/src/entryd/internal/entryprocess.cpp
@@ -81,6 +81,7 @@
         service_.setConfiguration(configuration);
         control_.setConfiguration(configuration);
     });
+    declarations_.onWave([this](const fleet::UpkeepWave& wave) { control_.addWave(wave); });
     follower_.onChange([this] { control_.onTableChanged(); });
 }
 
--- a/src/fleet/types/fleet.h
+++ b/src/fleet/types/fleet.h
@@ -86,6 +86,7 @@
     MachineState state = MachineState::Down;
     std::string dataCentre;
     std::string instance; ///< That runs on it; empty: none.
+    jobs::Resources capacity;
 };
 
 } // namespace turmericsill::fleet
