An inherited lease counts as the longest until this controller has renewed it

Ruled out: late orders under the old token, and pages read across a rebuild. Change: the first answer sets the bound to the instance's clock plus the longest lease. The event log's limit is 3,000 lines a second of an event for now. Conclusion: long-running tasks that nobody restarts are next.

--- a/src/control/internal/instancesession.cpp
+++ b/src/control/internal/instancesession.cpp
@@ -305,6 +305,9 @@
         return context_.observer.onLifeOver(*this, answer->born);
     noteClock(answer->clock);
     const bool wasSynced = std::exchange(isSynced_, true);
+    // The former controller's lease may last this long; its end is not told.
+    if (!wasSynced)
+        leaseSent_ = std::max(leaseSent_, answer->clock + context_.terms.longestLease);
     noteAnswer();
     reconcile(*answer, sentAt);
     if (isClosed_)
--- a/src/telemetry/internal/jsoneventlog.cpp
+++ b/src/telemetry/internal/jsoneventlog.cpp
@@ -12,7 +12,7 @@
 namespace {
 
     constexpr std::size_t queueLines = 8192; ///< About 2 MB of lines.
-    constexpr unsigned linesPerSecond = 400; ///< Of one event; a busy controller starts some 300 runs a second.
+    constexpr unsigned linesPerSecond = 3000; ///< Of one event; a busy controller starts some 300 runs a second.
 
 } // namespace
 
