Former controllers are asked whether they still renew; draining instances are evacuated

Ruled out: a shorter outage limit, which would end all work in a long outage of the store. Change: a claim tells the entry's address and time; a new controller asks former ones until they say that they have stopped; the same entry's earlier process has.

--- a/src/control/controlduty.h
+++ b/src/control/controlduty.h
@@ -14,6 +14,7 @@
 struct EntryIdentity {
     std::string entry;
     std::uint64_t incarnation = 0; ///< Start of the process, in milliseconds since 1970.
+    std::string address; ///< Where it tells whether it controls.
 };
 
 /// Keeps this entry in the group of entries, and controls the fleet while the group has dealt control to it.
@@ -42,6 +43,9 @@
 
     bool isController() const { return controller_ != nullptr; }
 
+    /// What this entry says of its control when another one asks.
+    PeerControlState state() const;
+
     /// When the group last confirmed this entry's membership.
     foundation::SteadyTime confirmedAt() const { return confirmedAt_; }
 
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "control/formercontrollers.h"
 #include "control/internal/instancesession.h"
 #include "control/internal/isessionobserver.h"
 #include "control/types/controlsettings.h"
@@ -29,6 +30,7 @@
     foundation::IClock& clock;
     foundation::ITimerQueue& timers;
     telemetry::IEventSink& events;
+    IPeerControl& peers;
 };
 
 /// Runs the fleet's jobs for as long as this entry is the controller.
@@ -114,6 +116,7 @@
 
     ControllerContext context_;
     ControlSettings settings_;
+    FormerControllers former_;
     SessionContext sessionContext_;
     std::function<void(const std::string&)> deposed_;
     eventlog::ControllerWriter writer_;
--- a/src/control/fleetsteward.h
+++ b/src/control/fleetsteward.h
@@ -63,6 +63,7 @@
     void planWaves();
     void planWave(Wave& wave);
     void emptyMachines();
+    void evacuateDraining();
     void emptyMachine(const std::string& machine, Work& work);
     bool mayRelocate(const jobs::TaskId& task) const;
     bool hasRoomElsewhere(const InstanceSession& session, const jobs::TaskId& task) const;
--- a/src/control/internal/controlduty.cpp
+++ b/src/control/internal/controlduty.cpp
@@ -120,7 +120,9 @@
         if (!read)
             return retryClaim();
         const std::uint64_t epoch = std::max({ generation_, latest.epoch + 1, lowestEpoch_ });
-        const Claimed claim { epoch, identity_.entry, identity_.incarnation };
+        const auto timeOfDay
+            = std::chrono::duration_cast<milliseconds>(context_.clock.wallNow().time_since_epoch());
+        const Claimed claim { epoch, identity_.entry, identity_.incarnation, identity_.address, timeOfDay };
         eventlog::AppendRequest request;
         request.payloads.push_back(jobs::encode(claim, epoch));
         request.expectedEnd = context_.follower.offset();
@@ -178,6 +180,11 @@
     context_.follower.endControl();
 }
 
+PeerControlState ControlDuty::state() const
+{
+    return { identity_.incarnation, controller_ ? controller_->epoch() : 0 };
+}
+
 void ControlDuty::tick()
 {
     if (controller_)
--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -85,7 +85,8 @@
     std::function<void(const std::string&)> deposed)
     : context_(context)
     , settings_(settings)
-    , sessionContext_ { context.instances, context.clock, *this, epoch, settings.lease, context.clock.now() }
+    , former_(context.peers, context.clock, context.timers, context.events, settings.lease)
+    , sessionContext_ { context.instances, context.clock, *this, former_, epoch, settings.lease }
     , deposed_(std::move(deposed))
     , writer_(context.log, context.clock, context.timers, epoch, 1, [this] { depose("fenced by the log"); })
 {
@@ -112,6 +113,7 @@
     context_.events.write("control.begins",
         { { "epoch", sessionContext_.epoch }, { "offset", context_.follower.offset() },
             { "open_jobs", static_cast<std::uint64_t>(context_.follower.table().openJobs().size()) } });
+    former_.begin(context_.follower.table().claims());
     inheritRuns();
     loadInstances();
 }
--- a/src/control/internal/fleetsteward.cpp
+++ b/src/control/internal/fleetsteward.cpp
@@ -71,6 +71,7 @@
         else
             idleSince_.erase(name);
     }
+    evacuateDraining();
     if (!isListing_ && now - listedAt_ >= listInterval)
         listMachines();
     if (!hasList_ || now < mayOrderFrom_)
@@ -211,6 +212,22 @@
         beginUpkeep(machine, work);
 }
 
+// An instance that drains ends within seconds, with everything on it.
+void FleetSteward::evacuateDraining()
+{
+    for (const auto& [name, session] : controller_.sessions()) {
+        if (!session->report().isDraining || !session->isListed())
+            continue;
+        std::vector<TaskId> leaving;
+        for (const auto& [task, run] : session->runs()) {
+            if (run.isLongRunning && !run.isStopping && hasRoomElsewhere(*session, task))
+                leaving.push_back(task);
+        }
+        for (const auto& task : leaving)
+            controller_.relocate(*session, task);
+    }
+}
+
 // Planned work may keep away as many tasks of a step as its budget says, those that are away anyhow included.
 bool FleetSteward::mayRelocate(const TaskId& task) const
 {
--- a/src/control/internal/instancesession.cpp
+++ b/src/control/internal/instancesession.cpp
@@ -62,11 +62,8 @@
     const auto now = context_.clock.now();
     const bool hasInherited = std::any_of(
         runs_.begin(), runs_.end(), [](const auto& entry) { return entry.second.state == OrderState::Inherited; });
-    if (hasInherited || !clock_) {
-        // The former controller may have renewed until the outage limit, for the longest lease.
-        const auto bound = context_.terms.outageLimit + context_.terms.longestLease;
-        return now - context_.controlSince > bound / context_.terms.slowestClock;
-    }
+    if (hasInherited || !clock_)
+        return now > context_.former.leasesOverAt();
     const auto elapsed = std::chrono::duration_cast<std::chrono::duration<double, std::milli>>(now - clockAt_);
     const double lowest = static_cast<double>(clock_->count()) + elapsed.count() * context_.terms.slowestClock;
     return lowest > static_cast<double>((leaseSent_ + leaseMargin).count());
--- a/src/control/internal/instancesession.h
+++ b/src/control/internal/instancesession.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "control/formercontrollers.h"
 #include "control/internal/isessionobserver.h"
 #include "control/types/leaseterms.h"
 #include "fleet/iinstancecontrol.h"
@@ -48,9 +49,9 @@
     fleet::IInstanceControl& control;
     foundation::IClock& clock;
     ISessionObserver& observer;
+    const FormerControllers& former;
     std::uint64_t epoch = 0;
     LeaseTerms terms;
-    foundation::SteadyTime controlSince {};
 };
 
 /// The controller's dealings with one life of an instance: its lease, its clock, the runs that may be there.
--- a/src/entryd/entryprocess.h
+++ b/src/entryd/entryprocess.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "control/controlduty.h"
+#include "control/httppeercontrol.h"
 #include "entry/declarationwatcher.h"
 #include "entry/jobservice.h"
 #include "eventlog/jobfollower.h"
@@ -25,6 +26,18 @@
 
 namespace turmericsill::entryd {
 
+/// Answers other entries' questions about control, and everything else as telemetry.
+class ControlStateHandler : public httpserver::IHttpHandler {
+public:
+    ControlStateHandler(const control::ControlDuty& control, telemetry::TelemetryHandler& telemetry);
+
+    void handle(const httpserver::HttpExchangePtr& exchange) override;
+
+private:
+    const control::ControlDuty& control_;
+    telemetry::TelemetryHandler& telemetry_;
+};
+
 /// One entry instance that accepts jobs and, while it is dealt control, runs them.
 /// All duties share one thread: an entry has a quarter of a core, where each wake-up of a further thread costs more
 /// than the work it carries; see docs/design/platform.md.
@@ -67,10 +80,12 @@
     eventlog::JobSubmitter submitter_;
     entry::JobService service_;
     entry::DeclarationWatcher declarations_;
+    control::HttpPeerControl peers_;
     control::ControlDuty control_;
     platform::JobFront jobFront_;
     platform::ReadyFront readyFront_;
     telemetry::TelemetryHandler telemetryHandler_;
+    ControlStateHandler peerHandler_;
     httpserver::HttpServer callerServer_;
     httpserver::HttpServer readyServer_;
     httpserver::HttpServer telemetryServer_;
--- a/src/entryd/internal/entryprocess.cpp
+++ b/src/entryd/internal/entryprocess.cpp
@@ -33,6 +33,22 @@
 
 } // namespace
 
+ControlStateHandler::ControlStateHandler(
+    const control::ControlDuty& control, telemetry::TelemetryHandler& telemetry)
+    : control_(control)
+    , telemetry_(telemetry)
+{
+}
+
+void ControlStateHandler::handle(const httpserver::HttpExchangePtr& exchange)
+{
+    if (exchange->request().target() != control::controlStatePath)
+        return telemetry_.handle(exchange);
+    constexpr unsigned statusOk = 200;
+    exchange->respond(
+        httpserver::makeResponse(statusOk, control::encodeControlState(control_.state()), "application/json"));
+}
+
 EntryProcess::EntryProcess(settings::EntrySettings settings, std::string settingsPath)
     : settings_(std::move(settings))
     , settingsPath_(std::move(settingsPath))
@@ -51,14 +67,16 @@
     , submitter_(log_, clock_, timers_)
     , service_(follower_, submitter_, clock_, events_)
     , declarations_(fleetSource_, clock_, timers_, events_)
-    , control_({ log_, follower_, fleetSource_, instances_, clock_, timers_, events_ }, log_, machines_,
-          controlSettings(), { settings_.entry, startOfProcess() })
+    , peers_(context_)
+    , control_({ log_, follower_, fleetSource_, instances_, clock_, timers_, events_, peers_ }, log_, machines_,
+          controlSettings(), { settings_.entry, startOfProcess(), settings_.telemetryAddress.text() })
     , jobFront_(service_, clock_)
     , readyFront_(readiness_)
     , telemetryHandler_(metrics_, readiness_)
+    , peerHandler_(control_, telemetryHandler_)
     , callerServer_(context_, jobFront_, callerLimits())
     , readyServer_(context_, readyFront_, httpserver::ServerLimits())
-    , telemetryServer_(context_, telemetryHandler_, httpserver::ServerLimits())
+    , telemetryServer_(context_, peerHandler_, httpserver::ServerLimits())
     , signals_(context_, SIGTERM, SIGINT, SIGHUP)
 {
 }
--- a/src/jobs/internal/jobtable.cpp
+++ b/src/jobs/internal/jobtable.cpp
@@ -9,6 +9,7 @@
 
     /// Cancelled ids without a job; a submission that comes later than this many others is not recognized.
     constexpr std::size_t maximumCancelledUnknown = 20000;
+    constexpr std::size_t rememberedClaims = 16; ///< More than change hands while a lease lasts.
 
 } // namespace
 
@@ -64,6 +65,21 @@
     return upkeepBegun_.count({ wave, machine }) > 0;
 }
 
+const Claimed& JobTable::claim() const
+{
+    static const Claimed none;
+    return claims_.empty() ? none : claims_.back();
+}
+
+void JobTable::apply(const Claimed& record)
+{
+    if (record.epoch <= claim().epoch)
+        return;
+    claims_.push_back(record);
+    if (claims_.size() > rememberedClaims)
+        claims_.pop_front();
+}
+
 void JobTable::apply(const Submitted& record)
 {
     if (jobs_.count(record.job))
--- a/src/jobs/internal/recordcodec.cpp
+++ b/src/jobs/internal/recordcodec.cpp
@@ -72,7 +72,8 @@
     struct FieldWriter {
         json operator()(const Claimed& record) const
         {
-            return json::array({ record.epoch, record.entry, record.incarnation });
+            return json::array(
+                { record.epoch, record.entry, record.incarnation, record.address, record.claimedAt.count() });
         }
         json operator()(const Submitted& record) const
         {
@@ -127,7 +128,8 @@
         switch (kind) {
         case 0:
             return Claimed { fields.at(0).get<std::uint64_t>(), fields.at(1).get<std::string>(),
-                fields.at(2).get<std::uint64_t>() };
+                fields.at(2).get<std::uint64_t>(), fields.at(3).get<std::string>(),
+                milliseconds(fields.at(4).get<std::int64_t>()) };
         case 1:
             return submittedFrom(fields);
         case 2:
--- a/src/jobs/jobtable.h
+++ b/src/jobs/jobtable.h
@@ -44,14 +44,17 @@
     /// Accepted jobs of a queue of which no task has started.
     std::size_t pendingJobs(const std::string& queue) const;
 
-    /// The latest claim.
-    const Claimed& claim() const { return claim_; }
+    /// The latest claim; its epoch is 0 when there is none.
+    const Claimed& claim() const;
+
+    /// The latest claims, the oldest first.
+    const std::deque<Claimed>& claims() const { return claims_; }
 
     /// Whether the upkeep of a machine for a wave has begun.
     bool hasBegunUpkeep(std::uint64_t wave, const std::string& machine) const;
 
 private:
-    void apply(const Claimed& record) { claim_ = record; }
+    void apply(const Claimed& record);
     void apply(const Submitted& record);
     void apply(const Cancelled& record);
     void apply(const RunIntended& record);
@@ -71,7 +74,7 @@
     std::unordered_set<JobId> cancelledUnknown_; ///< Cancelled before their submission was read.
     std::deque<JobId> cancelledOrder_;
     std::set<std::pair<std::uint64_t, std::string>> upkeepBegun_;
-    Claimed claim_;
+    std::deque<Claimed> claims_;
 };
 
 } // namespace turmericsill::jobs
--- a/src/jobs/types/records.h
+++ b/src/jobs/types/records.h
@@ -35,7 +35,9 @@
 struct Claimed {
     std::uint64_t epoch = 0;
     std::string entry;
-    std::uint64_t incarnation = 0;
+    std::uint64_t incarnation = 0; ///< Start of the entry's process, in milliseconds since 1970.
+    std::string address; ///< Where the entry tells whether it still controls.
+    milliseconds claimedAt { 0 }; ///< Time of day at the entry.
 };
 
 /// A caller's job was accepted.
