A job's end is shown only once it stands in the log

Ruled out: early acknowledgement of ends (renewals logged: ack stayed at 21 of 25), damaged records (0 unknown), overlapping reads. Change: a job that is final by unstored records is shown as running. Appends and their delay are logged.

--- a/src/control/controlduty.h
+++ b/src/control/controlduty.h
@@ -43,6 +43,9 @@
 
     bool isController() const { return controller_ != nullptr; }
 
+    /// Whether what this entry knows of a job's end stands in the log.
+    bool isStored(jobs::JobId job) const { return !controller_ || controller_->isStored(job); }
+
     /// What this entry says of its control when another one asks.
     PeerControlState state() const;
 
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -59,6 +59,9 @@
 
     std::uint64_t epoch() const { return sessionContext_.epoch; }
 
+    /// Whether every record that ended the job stands in the log.
+    bool isStored(jobs::JobId job) const { return !unstoredFinal_.count(job); }
+
     const std::map<std::string, InstanceSessionPtr>& sessions() const { return sessions_; }
 
     /// Instances that get no new work because their machines are about to be moved or maintained.
@@ -92,6 +95,7 @@
     InstanceSessionPtr open(const fleet::InstanceReport& report);
     void inheritRuns();
     void write(const jobs::Record& record);
+    void writeEnd(const jobs::Record& record, jobs::JobId job);
     void schedulePlan();
     void plan();
     void stopRunsOfFinalJobs();
@@ -127,6 +131,7 @@
     std::set<jobs::TaskId> blocked_; ///< Refused as invalid a moment ago.
     std::map<std::string, scheduling::PoolPlan> lastPlans_;
     std::map<jobs::JobId, foundation::SteadyTime> finalSince_;
+    std::set<jobs::JobId> unstoredFinal_; ///< Final by records that are not in the log yet.
     std::uint64_t instancesNext_ = 0;
     bool instancesLoaded_ = false;
     bool planScheduled_ = false;
--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -88,7 +88,7 @@
     , former_(context.peers, context.clock, context.timers, context.events, settings.lease)
     , sessionContext_ { context.instances, context.clock, *this, former_, epoch, settings.lease }
     , deposed_(std::move(deposed))
-    , writer_(context.log, context.clock, context.timers, epoch, 1, [this] { depose("fenced by the log"); })
+    , writer_(context.log, context.clock, context.timers, context.events, epoch, 1, [this] { depose("fenced by the log"); })
 {
 }
 
@@ -112,6 +112,7 @@
 {
     context_.events.write("control.begins",
         { { "epoch", sessionContext_.epoch }, { "offset", context_.follower.offset() },
+            { "unknown_records", context_.follower.unknownRecords() },
             { "open_jobs", static_cast<std::uint64_t>(context_.follower.table().openJobs().size()) } });
     former_.begin(context_.follower.table().claims());
     inheritRuns();
@@ -263,6 +264,15 @@
     writer_.write(record);
 }
 
+void Controller::writeEnd(const jobs::Record& record, jobs::JobId id)
+{
+    write(record);
+    const Job* job = context_.follower.table().find(id);
+    if (!job || !job->isFinal() || !unstoredFinal_.insert(id).second)
+        return;
+    writer_.afterStored([this, id] { unstoredFinal_.erase(id); });
+}
+
 void Controller::schedulePlan()
 {
     if (std::exchange(planScheduled_, true))
@@ -429,7 +439,7 @@
         { { "task", jobs::toText(record.task) }, { "run", std::uint64_t(record.run) },
             { "instance", session.life().instance }, { "how", std::string(toText(record.how)) },
             { "epoch", sessionContext_.epoch } });
-    write(record);
+    writeEnd(record, record.task.job);
     noteOutcome(session, record.how);
     if (record.how == RunEnd::Failed)
         failIfExhausted(record.task);
@@ -474,7 +484,7 @@
     context_.events.write("job.failed",
         { { "job", jobs::toText(id.job) }, { "task", jobs::toText(id) }, { "failures", std::uint64_t(failures) },
             { "allowed", std::uint64_t(queue->maximumAttempts) }, { "configuration", configuration_.version } });
-    write(jobs::JobFailed { id.job });
+    writeEnd(jobs::JobFailed { id.job }, id.job);
 }
 
 void Controller::onEndsListed(InstanceSession& session, std::uint64_t number)
--- a/src/entry/internal/jobservice.cpp
+++ b/src/entry/internal/jobservice.cpp
@@ -50,6 +50,12 @@
 {
 }
 
+void JobService::setControlProbe(std::function<bool()> isController, std::function<bool(JobId)> isStored)
+{
+    isController_ = std::move(isController);
+    isStored_ = std::move(isStored);
+}
+
 const fleet::FleetConfiguration* JobService::configuration() const
 {
     return configuration_.version > 0 ? &configuration_ : nullptr;
@@ -92,6 +98,10 @@
     const jobs::Job* job = follower_.table().find(id);
     if (!job)
         return { JobKnowledge::NotKnown, jobs::JobState::Queued };
+    // The next controller would not know of an end that is not in the log, and might run the task again.
+    const bool isOver = job->state() == jobs::JobState::Completed || job->state() == jobs::JobState::Failed;
+    if (isOver && !isStored_(id))
+        return { JobKnowledge::Known, jobs::JobState::Running };
     return { JobKnowledge::Known, job->state() };
 }
 
--- a/src/entry/jobservice.h
+++ b/src/entry/jobservice.h
@@ -17,8 +17,9 @@
 
     void setConfiguration(const fleet::FleetConfiguration& configuration) { configuration_ = configuration; }
 
-    /// Tells whether this entry controls the fleet, and so knows the latest state without reading.
-    void setControlProbe(std::function<bool()> isController) { isController_ = std::move(isController); }
+    /// Tells whether this entry controls the fleet, and so knows the latest state without reading, and whether what
+    /// it knows of a job stands in the log already.
+    void setControlProbe(std::function<bool()> isController, std::function<bool(jobs::JobId)> isStored);
 
     const fleet::FleetConfiguration* configuration() const override;
     void submit(const fleet::Queue& queue, jobs::JobId id, jobs::JobSpec spec, foundation::SteadyTime deadline,
@@ -39,6 +40,7 @@
     telemetry::IEventSink& events_;
     fleet::FleetConfiguration configuration_;
     std::function<bool()> isController_ = [] { return false; };
+    std::function<bool(jobs::JobId)> isStored_ = [](jobs::JobId) { return true; };
 };
 
 } // namespace turmericsill::entry
--- a/src/entryd/internal/entryprocess.cpp
+++ b/src/entryd/internal/entryprocess.cpp
@@ -94,7 +94,8 @@
 
 void EntryProcess::connectDuties()
 {
-    service_.setControlProbe([this] { return control_.isController(); });
+    service_.setControlProbe(
+        [this] { return control_.isController(); }, [this](jobs::JobId job) { return control_.isStored(job); });
     declarations_.onConfiguration([this](const fleet::FleetConfiguration& configuration) {
         service_.setConfiguration(configuration);
         control_.setConfiguration(configuration);
--- a/src/eventlog/controllerwriter.h
+++ b/src/eventlog/controllerwriter.h
@@ -4,6 +4,7 @@
 #include "foundation/iclock.h"
 #include "foundation/itimerqueue.h"
 #include "jobs/types/records.h"
+#include "telemetry/ieventsink.h"
 
 #include <functional>
 #include <memory>
@@ -19,8 +20,9 @@
     using StoredCallback = std::function<void()>;
 
     /// `fenced` is called once, when a later controller has taken over.
-    ControllerWriter(IEventLog& log, foundation::IClock& clock, foundation::ITimerQueue& timers, std::uint64_t epoch,
-        std::uint64_t firstSequence, std::function<void()> fenced);
+    ControllerWriter(IEventLog& log, foundation::IClock& clock, foundation::ITimerQueue& timers,
+        telemetry::IEventSink& events, std::uint64_t epoch, std::uint64_t firstSequence,
+        std::function<void()> fenced);
 
     ~ControllerWriter() { stop(); }
     ControllerWriter(const ControllerWriter&) = delete;
@@ -48,6 +50,7 @@
     IEventLog& log_;
     foundation::IClock& clock_;
     foundation::ITimerQueue& timers_;
+    telemetry::IEventSink& events_;
     std::uint64_t epoch_;
     std::uint64_t sequence_;
     std::function<void()> fenced_;
--- a/src/eventlog/internal/controllerwriter.cpp
+++ b/src/eventlog/internal/controllerwriter.cpp
@@ -19,10 +19,11 @@
 } // namespace
 
 ControllerWriter::ControllerWriter(IEventLog& log, foundation::IClock& clock, foundation::ITimerQueue& timers,
-    std::uint64_t epoch, std::uint64_t firstSequence, std::function<void()> fenced)
+    telemetry::IEventSink& events, std::uint64_t epoch, std::uint64_t firstSequence, std::function<void()> fenced)
     : log_(log)
     , clock_(clock)
     , timers_(timers)
+    , events_(events)
     , epoch_(epoch)
     , sequence_(firstSequence)
     , fenced_(std::move(fenced))
@@ -72,12 +73,18 @@
         return fenced_();
     }
     if (!answer) {
+        events_.write("log.append-unanswered",
+            { { "epoch", epoch_ }, { "sequence", sequence_ }, { "reason", answer.error().message() } });
         timers_.schedule(clock_.now() + retryDelay, [this, alive = alive_] {
             if (*alive)
                 sendBatch();
         });
         return;
     }
+    const auto took = std::chrono::duration_cast<milliseconds>(clock_.now() - batchSince_);
+    events_.write("log.appended",
+        { { "epoch", epoch_ }, { "sequence", sequence_ }, { "offset", answer->offset },
+            { "records", static_cast<std::uint64_t>(batch_.size()) }, { "took_ms", std::int64_t(took.count()) } });
     ++sequence_;
     underWay_ = false;
     auto stored = std::move(afterBatch_);
