An emulator of the platform, scenario tests and a seeded exploration; six faults found by it

Change: claims are read back; lives are replaced in one place and adopt runs; acknowledgements wait for an answer after a silence; one chain of joins. The emulator binds orders that are carried out late to the life that holds them, as the platform's pages say that the instance itself carries them out late.

--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -93,6 +93,7 @@
     void watchInstances();
     void onInstanceChange(const fleet::InstanceChange& change);
     InstanceSessionPtr open(const fleet::InstanceReport& report);
+    void replaceLife(InstanceSession& session, const fleet::InstanceReport& report);
     void inheritRuns();
     void write(const jobs::Record& record);
     void writeEnd(const jobs::Record& record, jobs::JobId job);
--- a/src/control/internal/controlduty.cpp
+++ b/src/control/internal/controlduty.cpp
@@ -82,9 +82,8 @@
 {
     if (isStopping_)
         return;
-    scheduleJoin();
     if (!assignment)
-        return;
+        return scheduleJoin();
     confirmedAt_ = sentAt;
     const bool isNewGeneration = assignment->generation != generation_;
     generation_ = assignment->generation;
@@ -98,6 +97,7 @@
         // The next holder is dealt control once this entry has joined under the new generation.
         return join();
     }
+    scheduleJoin();
     if (isDealtControl_ && !controller_)
         beginClaim();
 }
@@ -133,14 +133,23 @@
 }
 
 // Each attempt has an epoch of its own, so that an attempt that takes effect late is told from the one that counts.
+// Another process may have claimed under the same epoch and the log then repeats its answer, so the claim is read back.
 void ControlDuty::onClaimAppended(const Result<AppendReceipt>& answer, const Claimed& claim)
 {
-    if (answer && isDealtControl_ && !isStopping_) {
-        context_.follower.applyOwn(claim);
-        return beginControl(claim);
-    }
     lowestEpoch_ = claim.epoch + 1;
-    retryClaim();
+    context_.events.write("control.claimed",
+        { { "epoch", claim.epoch }, { "offset", context_.follower.offset() },
+            { "outcome", answer ? std::string("appended") : answer.error().message() } });
+    if (!answer)
+        return retryClaim();
+    context_.follower.readToEnd([this, claim](const Result<void>& read) {
+        const Claimed& latest = context_.follower.table().claim();
+        const bool isOurs = latest.epoch == claim.epoch && latest.entry == claim.entry
+            && latest.incarnation == claim.incarnation;
+        if (!read || !isOurs || !isDealtControl_ || isStopping_)
+            return retryClaim();
+        beginControl(claim);
+    });
 }
 
 void ControlDuty::retryClaim()
@@ -155,7 +164,6 @@
 void ControlDuty::beginControl(const Claimed& claim)
 {
     isClaiming_ = false;
-    lowestEpoch_ = claim.epoch + 1;
     context_.follower.beginControl(claim.epoch);
     controller_ = std::make_unique<Controller>(context_, settings_, claim.epoch, [this](const std::string& reason) {
         // The controller is in the middle of a step.
--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -214,9 +214,8 @@
     if (change.report->life.born < session->life().born)
         return;
     if (change.report->life.born > session->life().born && session->life().born != 0) {
-        onLifeOver(*session, change.report->life.born);
-        open(*change.report);
-        return schedulePlan();
+        session->setListed(true);
+        return replaceLife(*session, *change.report);
     }
     if (change.report->isDraining && !session->report().isDraining)
         context_.events.write("instance.drains", { { "instance", change.instance } });
@@ -512,19 +511,35 @@
     const InstanceSessionPtr keep(&session);
     context_.events.write(
         "instance.life-over", { { "instance", session.life().instance }, { "born", born } });
+    if (born != 0) {
+        // The entry in the store follows later; until then the new life is known by its start alone.
+        fleet::InstanceReport report = session.report();
+        report.life.born = born;
+        return replaceLife(session, report);
+    }
     session.close();
     session.endAll(RunEnd::InstanceGone);
     records_.erase(session.life().instance);
     const auto found = sessions_.find(session.life().instance);
-    if (found == sessions_.end() || found->second != keep)
+    if (found != sessions_.end() && found->second == keep)
+        sessions_.erase(found);
+    schedulePlan();
+}
+
+void Controller::replaceLife(InstanceSession& session, const fleet::InstanceReport& report)
+{
+    const InstanceSessionPtr earlier(&session);
+    const auto found = sessions_.find(session.life().instance);
+    if (found == sessions_.end() || found->second != earlier)
         return;
-    sessions_.erase(found);
-    // The entry in the store follows later; until then the new life is known by its start alone.
-    if (born != 0 && session.isListed()) {
-        fleet::InstanceReport report = session.report();
-        report.life.born = born;
-        open(report);
-    }
+    earlier->close();
+    records_.erase(report.life.instance);
+    InstanceSessionPtr later(new InstanceSession(report, sessionContext_));
+    later->setListed(earlier->isListed());
+    later->adoptRuns(*earlier);
+    found->second = later;
+    earlier->endAll(RunEnd::InstanceGone); // Those that were not ordered yet.
+    later->tick(isConfirmed_);
     schedulePlan();
 }
 
--- a/src/control/internal/instancesession.cpp
+++ b/src/control/internal/instancesession.cpp
@@ -63,7 +63,7 @@
     const bool hasInherited = std::any_of(
         runs_.begin(), runs_.end(), [](const auto& entry) { return entry.second.state == OrderState::Inherited; });
     if (hasInherited || !clock_)
-        return now > context_.former.leasesOverAt();
+        return now > std::max(context_.former.leasesOverAt(), adoptedLeasesOverAt_);
     const auto elapsed = std::chrono::duration_cast<std::chrono::duration<double, std::milli>>(now - clockAt_);
     const double lowest = static_cast<double>(clock_->count()) + elapsed.count() * context_.terms.slowestClock;
     return lowest > static_cast<double>((leaseSent_ + leaseMargin).count());
@@ -270,7 +270,8 @@
     isRenewing_ = true;
     renewedAt_ = context_.clock.now();
     fleet::RenewRequest request;
-    request.acknowledgedEnds = acknowledgedEnds_;
+    // After a silence another life may answer, whose ends are numbered anew.
+    request.acknowledgedEnds = failures_ == 0 ? acknowledgedEnds_ : 0;
     const bool hasRuns = !runs_.empty() || !foreignRuns_.empty();
     if (clock_ && !runs_.empty()) {
         // An instance that does not answer gets no longer lease, so that its runs are over some time.
@@ -376,6 +377,27 @@
     context_.observer.onRunEnded(*this, { task, number, how, checkpoint });
 }
 
+void InstanceSession::adoptRuns(InstanceSession& earlier)
+{
+    for (auto& [task, run] : earlier.runs_) {
+        if (run.state == OrderState::Recording)
+            continue;
+        const bool isUnsettled = run.state == OrderState::Sent || run.state == OrderState::Unanswered;
+        TrackedRun adopted = run;
+        adopted.state = isUnsettled ? OrderState::Unanswered : OrderState::Inherited;
+        adopted.isStopping = run.isStopping || isUnsettled;
+        adopted.stopUnderWay = false;
+        adopted.settledAt.reset();
+        adopted.lastAttemptAt = {};
+        runs_[task] = std::move(adopted);
+    }
+    for (const auto& [task, run] : runs_)
+        earlier.runs_.erase(task);
+    // An end of a lease by the earlier life's clock means nothing to this one, which shortens it to the longest.
+    const auto longest = context_.terms.longestLease / context_.terms.slowestClock;
+    adoptedLeasesOverAt_ = context_.clock.now() + std::chrono::duration_cast<SteadyTime::duration>(longest);
+}
+
 void InstanceSession::endAll(RunEnd how)
 {
     std::vector<TaskId> tasks;
--- a/src/control/internal/instancesession.h
+++ b/src/control/internal/instancesession.h
@@ -96,6 +96,10 @@
     /// Renews, repeats what had no answer, notices a lease that is surely over. `mayRenew`: control is confirmed.
     void tick(bool mayRenew);
 
+    /// Takes the runs of the instance's earlier life. Orders for that life may have reached this one, or still may, so
+    /// each run is settled by what this life lists; those whose order had no answer are stopped first.
+    void adoptRuns(InstanceSession& earlier);
+
     /// Ends every tracked run.
     void endAll(jobs::RunEnd how);
 
@@ -138,6 +142,7 @@
     std::optional<fleet::InstanceTime> clock_; ///< Its clock when it last answered,
     foundation::SteadyTime clockAt_ {}; ///< and when that answer came.
     fleet::InstanceTime leaseSent_ { 0 }; ///< Latest end of the lease in any order or renewal.
+    foundation::SteadyTime adoptedLeasesOverAt_ = foundation::SteadyTime::min();
     std::uint64_t listedEnds_ = 0;
     std::uint64_t acknowledgedEnds_ = 0;
     foundation::SteadyTime renewedAt_ {};
--- /dev/null
+++ b/src/emulator/emulatedlog.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "eventlog/icontrolgroup.h"
+#include "eventlog/ieventlog.h"
+#include "foundation/iclock.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace turmericsill::emulator {
+
+using foundation::milliseconds;
+
+/// The state of the platform's log and of the group of entries, without transport.
+class EmulatedLog {
+public:
+    explicit EmulatedLog(const foundation::IClock& clock);
+
+    /// Errors: Conflict: another end; Fenced: a lower epoch, or a sequence that does not follow.
+    foundation::Result<eventlog::AppendReceipt> append(const eventlog::AppendRequest& request);
+    eventlog::LogPage read(std::uint64_t from) const;
+
+    eventlog::GroupAssignment join(const std::string& member, milliseconds timeToLive);
+    void leave(const std::string& member);
+
+    /// Deals control to another member without being asked.
+    void dealAnew();
+
+    const std::vector<std::string>& records() const { return records_; }
+
+private:
+    void expireMembers();
+    void chooseHolder(const std::string& except);
+
+    const foundation::IClock& clock_;
+    std::vector<std::string> records_;
+    std::uint64_t epoch_ = 0;
+    std::uint64_t nextSequence_ = 0;
+    std::map<std::uint64_t, eventlog::AppendReceipt> receipts_; ///< Of the epoch's appends, by sequence.
+    std::map<std::string, foundation::SteadyTime> members_; ///< Until when each lives.
+    std::string holder_; ///< Empty: nobody.
+    std::string successor_; ///< Gets control once the holder has joined; empty: no change is under way.
+    std::uint64_t generation_ = 0;
+};
+
+} // namespace turmericsill::emulator
--- /dev/null
+++ b/src/emulator/entryport.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "control/ipeercontrol.h"
+#include "emulator/emulatedplatform.h"
+#include "eventlog/icontrolgroup.h"
+#include "eventlog/ieventlog.h"
+#include "fleet/ifleetsource.h"
+#include "fleet/iinstancecontrol.h"
+#include "fleet/imachinecontrol.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace turmericsill::emulator {
+
+/// The platform as one process of an entry sees it. Answers that arrive after the process has ended are dropped;
+/// what it sent takes effect all the same.
+class EntryPort : public eventlog::IEventLog,
+                  public eventlog::IControlGroup,
+                  public fleet::IFleetSource,
+                  public fleet::IInstanceControl,
+                  public fleet::IMachineControl,
+                  public control::IPeerControl {
+public:
+    using AskPeer = std::function<foundation::Result<control::PeerControlState>(const foundation::Address&)>;
+
+    EntryPort(EmulatedPlatform& platform, foundation::IClock& clock, std::string entry, AskPeer askPeer);
+    ~EntryPort() override;
+
+    void append(eventlog::AppendRequest request, milliseconds timeout, AppendCallback done) override;
+    void read(std::uint64_t from, milliseconds wait, ReadCallback done) override;
+    void join(std::uint64_t generation, milliseconds timeToLive, JoinCallback done) override;
+    void leave(std::function<void()> done) override;
+
+    void loadDeclarations(OperatorCallback done) override;
+    void watchDeclarations(std::uint64_t from, milliseconds wait, OperatorCallback done) override;
+    void loadInstances(InstanceCallback done) override;
+    void watchInstances(std::uint64_t from, milliseconds wait, InstanceCallback done) override;
+    void reportWave(
+        std::uint64_t wave, bool completed, std::function<void(foundation::Result<void>)> done) override;
+
+    void start(const fleet::InstanceHandle& instance, const fleet::StartOrder& order, StartCallback done) override;
+    void stop(const fleet::InstanceHandle& instance, const jobs::TaskId& task, std::uint32_t run,
+        StopCallback done) override;
+    void renew(
+        const fleet::InstanceHandle& instance, const fleet::RenewRequest& request, RenewCallback done) override;
+    void pace(const fleet::InstanceHandle& instance, const jobs::TaskId& task, std::uint32_t run, int percent,
+        StopCallback done) override;
+    void forget(const foundation::Address&) override { }
+
+    void list(ListCallback done) override;
+    void move(const std::string& machine, const std::string& pool, std::uint64_t token, OrderCallback done) override;
+    void beginUpkeep(
+        const std::string& machine, std::uint64_t wave, std::uint64_t token, OrderCallback done) override;
+
+    void ask(const foundation::Address& peer, Callback done) override;
+
+private:
+    bool isStoreReachable() const;
+    void later(milliseconds delay, std::function<void()> action, bool survivesProcess);
+    void answer(milliseconds delay, std::function<void()> action) { later(delay, std::move(action), false); }
+
+    /// Sends an order: lost on the way, carried out late, carried out without an answer, or answered.
+    template <typename Carry, typename Fail> void order(const fleet::InstanceHandle& instance, Carry carry, Fail fail);
+
+    EmulatedPlatform& platform_;
+    foundation::IClock& clock_;
+    std::string entry_;
+    AskPeer askPeer_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace turmericsill::emulator
--- /dev/null
+++ b/src/emulator/internal/emulatedlog.cpp
@@ -0,0 +1,112 @@
+#include "emulator/emulatedlog.h"
+
+namespace turmericsill::emulator {
+
+using eventlog::AppendReceipt;
+using eventlog::AppendRequest;
+using eventlog::GroupAssignment;
+using eventlog::LogPage;
+using foundation::Errc;
+using foundation::failure;
+using foundation::Result;
+
+EmulatedLog::EmulatedLog(const foundation::IClock& clock)
+    : clock_(clock)
+{
+}
+
+Result<AppendReceipt> EmulatedLog::append(const AppendRequest& request)
+{
+    static const std::string step = "emulator.append";
+    if (request.position && request.position->epoch < epoch_)
+        return failure(Errc::Fenced, step);
+    if (request.position && request.position->epoch == epoch_) {
+        const auto repeated = receipts_.find(request.position->sequence);
+        if (repeated != receipts_.end())
+            return repeated->second;
+        if (request.position->sequence != nextSequence_)
+            return failure(Errc::Fenced, step, {}, "sequence");
+    }
+    if (request.expectedEnd && *request.expectedEnd != records_.size())
+        return failure(Errc::Conflict, step);
+    const std::uint64_t offset = records_.size();
+    records_.insert(records_.end(), request.payloads.begin(), request.payloads.end());
+    const AppendReceipt receipt { offset, records_.size() };
+    if (request.position) {
+        if (request.position->epoch > epoch_)
+            receipts_.clear();
+        epoch_ = request.position->epoch;
+        nextSequence_ = request.position->sequence + 1;
+        receipts_[request.position->sequence] = receipt;
+    }
+    return receipt;
+}
+
+LogPage EmulatedLog::read(std::uint64_t from) const
+{
+    LogPage page { from, records_.size(), {} };
+    if (from < records_.size())
+        page.payloads.assign(records_.begin() + static_cast<std::ptrdiff_t>(from), records_.end());
+    return page;
+}
+
+GroupAssignment EmulatedLog::join(const std::string& member, milliseconds timeToLive)
+{
+    if (!members_.count(member))
+        ++generation_;
+    members_[member] = clock_.now() + timeToLive;
+    expireMembers();
+    if (holder_ == member && !successor_.empty()) {
+        holder_ = members_.count(successor_) ? successor_ : std::string();
+        successor_.clear();
+        ++generation_;
+    }
+    if (holder_.empty())
+        chooseHolder({});
+    return { generation_, holder_ == member && successor_.empty() };
+}
+
+void EmulatedLog::leave(const std::string& member)
+{
+    members_.erase(member);
+    expireMembers();
+}
+
+void EmulatedLog::expireMembers()
+{
+    for (auto member = members_.begin(); member != members_.end();) {
+        if (member->second < clock_.now())
+            member = members_.erase(member);
+        else
+            ++member;
+    }
+    if (!holder_.empty() && !members_.count(holder_)) {
+        holder_.clear();
+        successor_.clear();
+        ++generation_;
+    }
+}
+
+void EmulatedLog::chooseHolder(const std::string& except)
+{
+    for (const auto& [member, until] : members_) {
+        if (member == except)
+            continue;
+        holder_ = member;
+        ++generation_;
+        return;
+    }
+}
+
+void EmulatedLog::dealAnew()
+{
+    expireMembers();
+    ++generation_;
+    auto next = members_.upper_bound(holder_);
+    if (next == members_.end())
+        next = members_.begin();
+    if (next != members_.end() && next->first != holder_)
+        successor_ = next->first;
+}
+
+} // namespace turmericsill::emulator
--- /dev/null
+++ b/src/emulator/internal/entryport.cpp
@@ -0,0 +1,240 @@
+#include "emulator/entryport.h"
+
+#include <random>
+
+namespace turmericsill::emulator {
+
+using eventlog::AppendReceipt;
+using fleet::InstanceHandle;
+using foundation::Errc;
+using foundation::failure;
+using foundation::Result;
+
+namespace {
+
+    constexpr milliseconds orderDelay { 2 }; ///< One way.
+    constexpr milliseconds orderTimeout { 400 };
+    constexpr milliseconds longestLateness { 12000 }; ///< Of an order without an answer.
+    constexpr milliseconds shortestLateness { 500 };
+    constexpr milliseconds directoryInterval { 200 }; ///< Between two looks of a watch.
+
+} // namespace
+
+EntryPort::EntryPort(EmulatedPlatform& platform, foundation::IClock& clock, std::string entry, AskPeer askPeer)
+    : platform_(platform)
+    , clock_(clock)
+    , entry_(std::move(entry))
+    , askPeer_(std::move(askPeer))
+{
+}
+
+EntryPort::~EntryPort() { *alive_ = false; }
+
+void EntryPort::later(milliseconds delay, std::function<void()> action, bool survivesProcess)
+{
+    platform_.network().schedule(
+        clock_.now() + delay, [alive = alive_, action = std::move(action), survivesProcess] {
+            if (survivesProcess || *alive)
+                action();
+        });
+}
+
+bool EntryPort::isStoreReachable() const
+{
+    return !platform_.faults().storeDown && !platform_.faults().entriesCutFromStore.count(entry_);
+}
+
+void EntryPort::append(eventlog::AppendRequest request, milliseconds timeout, AppendCallback done)
+{
+    if (!isStoreReachable())
+        return answer(orderDelay, [done] { done(failure(Errc::Unavailable, "log.append")); });
+    const bool isLost = platform_.draw(platform_.faults().lostAnswers);
+    const auto delay = platform_.faults().storeDelay;
+    later(
+        delay,
+        [this, &platform = platform_, alive = alive_, request, timeout, done, isLost] {
+            auto receipt = platform.log().append(request);
+            if (!*alive)
+                return;
+            if (isLost)
+                return answer(timeout, [done] { done(failure(Errc::Timeout, "log.append")); });
+            answer(orderDelay, [done, receipt] { done(receipt); });
+        },
+        true);
+}
+
+void EntryPort::read(std::uint64_t from, milliseconds wait, ReadCallback done)
+{
+    if (!isStoreReachable())
+        return answer(orderDelay, [done] { done(failure(Errc::Unavailable, "log.read")); });
+    answer(platform_.faults().storeDelay, [this, from, wait, done] {
+        auto page = platform_.log().read(from);
+        const milliseconds step { 10 };
+        if (page.payloads.empty() && wait > step)
+            return answer(step, [this, from, wait, step, done] { read(from, wait - step, done); });
+        done(page);
+    });
+}
+
+void EntryPort::join(std::uint64_t, milliseconds timeToLive, JoinCallback done)
+{
+    if (!isStoreReachable())
+        return answer(orderDelay, [done] { done(failure(Errc::Unavailable, "group.join")); });
+    answer(platform_.faults().storeDelay,
+        [this, timeToLive, done] { done(platform_.log().join(entry_, timeToLive)); });
+}
+
+void EntryPort::leave(std::function<void()> done)
+{
+    platform_.log().leave(entry_);
+    answer(orderDelay, std::move(done));
+}
+
+void EntryPort::loadDeclarations(OperatorCallback done)
+{
+    answer(orderDelay, [this, done] { done(fleet::OperatorChanges { platform_.configuration(), {}, 0 }); });
+}
+
+void EntryPort::watchDeclarations(std::uint64_t, milliseconds, OperatorCallback done)
+{
+    answer(directoryInterval, [this, done] { done(fleet::OperatorChanges { platform_.configuration(), {}, 0 }); });
+}
+
+// Each look returns every entry, and the names that have gone since the process began.
+void EntryPort::loadInstances(InstanceCallback done)
+{
+    if (!isStoreReachable())
+        return answer(orderDelay, [done] { done(failure(Errc::Unavailable, "instances.load")); });
+    answer(platform_.faults().storeDelay, [this, done] {
+        fleet::InstanceChanges changes;
+        for (const auto& [name, report] : platform_.entries())
+            changes.changes.push_back({ name, report });
+        done(changes);
+    });
+}
+
+void EntryPort::watchInstances(std::uint64_t, milliseconds, InstanceCallback done)
+{
+    answer(directoryInterval, [done] { done(failure(Errc::RetentionPassed, "instances.watch")); });
+}
+
+void EntryPort::reportWave(std::uint64_t, bool, std::function<void(Result<void>)> done)
+{
+    answer(orderDelay, [done] { done({}); });
+}
+
+template <typename Carry, typename Fail> void EntryPort::order(const InstanceHandle& handle, Carry carry, Fail fail)
+{
+    auto& faults = platform_.faults();
+    if (faults.unreachableInstances.count(handle.instance))
+        return answer(orderTimeout, [fail] { fail(Errc::Timeout); });
+    if (platform_.draw(faults.lateOrders)) {
+        // The instance holds the order, so the order ends with the instance's life.
+        std::uniform_int_distribution<std::int64_t> lateness(shortestLateness.count(), longestLateness.count());
+        const EmulatedInstance* holder = platform_.at(handle.address);
+        const std::int64_t born = holder ? holder->report().life.born : 0;
+        later(
+            milliseconds(lateness(platform_.random())),
+            [&platform = platform_, handle, carry, born] {
+                EmulatedInstance* instance = platform.at(handle.address);
+                if (!instance || instance->report().life != jobs::InstanceLife { handle.instance, born })
+                    return;
+                platform.rulebook().setCarryingLate(true);
+                carry(*instance);
+                platform.rulebook().setCarryingLate(false);
+            },
+            true);
+        return answer(orderTimeout, [fail] { fail(Errc::Timeout); });
+    }
+    const bool isLost = platform_.draw(faults.lostOrderAnswers);
+    later(
+        orderDelay,
+        [this, &platform = platform_, alive = alive_, handle, carry, fail, isLost] {
+            EmulatedInstance* instance = platform.at(handle.address);
+            if (!instance) {
+                if (*alive)
+                    answer(orderDelay, [fail] { fail(Errc::Unavailable); });
+                return;
+            }
+            auto reply = carry(*instance);
+            if (!*alive)
+                return;
+            if (isLost)
+                return answer(orderTimeout, [fail] { fail(Errc::Timeout); });
+            answer(orderDelay, [reply] { reply(); });
+        },
+        true);
+}
+
+void EntryPort::start(const InstanceHandle& handle, const fleet::StartOrder& startOrder, StartCallback done)
+{
+    order(
+        handle,
+        [&platform = platform_, startOrder, token = handle.token, done](EmulatedInstance& instance) {
+            const auto result = instance.start(
+                startOrder, token, [&platform](const jobs::TaskId& task) { return platform.planOf(task); });
+            return std::function<void()>([done, result] { done(result); });
+        },
+        [done](Errc code) { done(failure(code, "instance.start")); });
+}
+
+void EntryPort::stop(const InstanceHandle& handle, const jobs::TaskId& task, std::uint32_t run, StopCallback done)
+{
+    order(
+        handle,
+        [task, run, token = handle.token, done](EmulatedInstance& instance) {
+            const auto result = instance.stop(task, run, token);
+            return std::function<void()>([done, result] { done(result); });
+        },
+        [done](Errc code) { done(failure(code, "instance.stop")); });
+}
+
+// An answer that may wait for an end is given at short intervals instead.
+void EntryPort::renew(const InstanceHandle& handle, const fleet::RenewRequest& request, RenewCallback done)
+{
+    constexpr milliseconds look { 100 };
+    const milliseconds wait = request.wait.count() > 0 ? look : milliseconds(0);
+    order(
+        handle,
+        [this, alive = alive_, request, token = handle.token, done, wait](EmulatedInstance& instance) {
+            const auto result = instance.renew(request, token);
+            return std::function<void()>([this, alive, done, result, wait] {
+                if (*alive)
+                    answer(wait, [done, result] { done(result); });
+            });
+        },
+        [done](Errc code) { done(failure(code, "instance.renew")); });
+}
+
+void EntryPort::pace(const InstanceHandle&, const jobs::TaskId&, std::uint32_t, int, StopCallback done)
+{
+    answer(orderDelay, [done] { done({}); });
+}
+
+void EntryPort::list(ListCallback done)
+{
+    answer(orderDelay, [this, done] {
+        std::vector<fleet::MachineReport> machines;
+        for (const auto& [name, report] : platform_.entries())
+            machines.push_back({ report.machine, report.pool, fleet::MachineState::Up, report.dataCentre, name,
+                report.capacity });
+        done(std::move(machines));
+    });
+}
+
+void EntryPort::move(const std::string&, const std::string&, std::uint64_t, OrderCallback done)
+{
+    answer(orderDelay, [done] { done(fleet::MachineVerdict::Refused); });
+}
+
+void EntryPort::beginUpkeep(const std::string&, std::uint64_t, std::uint64_t, OrderCallback done)
+{
+    answer(orderDelay, [done] { done(fleet::MachineVerdict::Refused); });
+}
+
+void EntryPort::ask(const foundation::Address& peer, Callback done)
+{
+    answer(orderDelay, [this, peer, done] { done(askPeer_(peer)); });
+}
+
+} // namespace turmericsill::emulator
--- /dev/null
+++ b/src/emulator/tests/controltests.cpp
@@ -0,0 +1,190 @@
+#include "emulator/tests/fixtures.h"
+
+#include <catch2/catch.hpp>
+
+using namespace turmericsill;
+using namespace turmericsill::emulator;
+using fixtures::job;
+using fixtures::step;
+using fixtures::World;
+
+namespace {
+
+entry::JobStatus statusOf(World& world, const std::string& entryName, jobs::JobId id)
+{
+    entry::JobStatus seen;
+    world.emulation.look(entryName, id, [&](entry::JobStatus status) { seen = status; });
+    world.emulation.run(milliseconds(50));
+    return seen;
+}
+
+std::size_t runsOf(World& world, jobs::JobId id)
+{
+    std::size_t runs = 0;
+    for (const auto& [name, instance] : world.emulation.platform().instances()) {
+        for (const auto& task : instance->running())
+            runs += task.job == id;
+    }
+    return runs;
+}
+
+/// An entry that does not control.
+std::string otherEntry(World& world)
+{
+    for (const auto& name : world.emulation.liveEntries()) {
+        if (name != world.emulation.controller())
+            return name;
+    }
+    return {};
+}
+
+} // namespace
+
+TEST_CASE("control: a job of two steps runs in order and is shown as completed by every entry", "[emulation]")
+{
+    World world(1);
+    world.emulation.submit("e-1", 0xa1, job({ step(6, 2000), step(3, 2000, { 0 }) }));
+    world.emulation.run(milliseconds(100));
+    CHECK(runsOf(world, 0xa1) == 6);
+    CHECK(statusOf(world, "e-2", 0xa1).state == jobs::JobState::Running);
+    world.emulation.run(milliseconds(5000));
+    for (const char* name : { "e-1", "e-2", "e-3" })
+        CHECK(statusOf(world, name, 0xa1).state == jobs::JobState::Completed);
+    CHECK(world.broken().empty());
+}
+
+TEST_CASE("control: a new controller takes the runs over without starting one again", "[emulation]")
+{
+    World world(2);
+    world.emulation.submit(otherEntry(world), 0xa2, job({ step(8, 2000) }));
+    world.emulation.run(milliseconds(100));
+    REQUIRE(runsOf(world, 0xa2) == 8);
+    const std::string former = world.emulation.controller();
+    world.emulation.killEntry(former);
+    world.emulation.run(milliseconds(5000));
+    REQUIRE(!world.emulation.controller().empty());
+    CHECK(world.emulation.controller() != former);
+    CHECK(statusOf(world, otherEntry(world), 0xa2).state == jobs::JobState::Completed);
+    CHECK(world.broken().empty());
+}
+
+// A new controller knows no end of the former one's lease; it must not take that for a lease that is over.
+TEST_CASE("control: runs that are inherited and answered for do not expire at the take-over", "[emulation]")
+{
+    World world(3);
+    auto lasting = step(4, 2000);
+    lasting.isLongRunning = true;
+    world.emulation.submit("e-1", 0xa3, job({ lasting }));
+    // Short tasks beside them end at the time of the take-over, so that renewals wait for the log.
+    for (jobs::JobId id = 0x100; id < 0x110; ++id)
+        world.emulation.submit("e-2", id, job({ step(1, 500) }));
+    world.emulation.run(milliseconds(600));
+    for (int round = 0; round < 4; ++round) {
+        world.emulation.platform().log().dealAnew();
+        world.emulation.run(milliseconds(1500));
+        for (const auto& line : world.sink.lines)
+            REQUIRE(line.find("lease-expired") == std::string::npos);
+    }
+    CHECK(runsOf(world, 0xa3) == 4);
+    CHECK(world.broken().empty());
+}
+
+// The controller folds its records before they are stored; callers must not see them until they are.
+TEST_CASE("control: a job is shown as completed only once its last end stands in the log", "[emulation]")
+{
+    World world(4);
+    const std::string controller = world.emulation.controller();
+    world.emulation.submit(controller, 0xa4, job({ step(4, 2000) }));
+    world.emulation.run(milliseconds(100));
+    REQUIRE(runsOf(world, 0xa4) == 4);
+    world.emulation.platform().faults().storeDown = true;
+    world.emulation.run(milliseconds(4000));
+    REQUIRE(runsOf(world, 0xa4) == 0);
+    CHECK(statusOf(world, controller, 0xa4).state == jobs::JobState::Running);
+    world.emulation.platform().faults().storeDown = false;
+    world.emulation.run(milliseconds(1500));
+    CHECK(statusOf(world, world.emulation.controller(), 0xa4).state == jobs::JobState::Completed);
+    CHECK(world.broken().empty());
+}
+
+TEST_CASE("control: all entries killed at once lose nothing that was accepted", "[emulation]")
+{
+    World world(5);
+    for (jobs::JobId id = 0x200; id < 0x208; ++id)
+        world.emulation.submit("e-1", id, job({ step(4, 1000), step(2, 1000, { 0 }) }));
+    world.emulation.run(milliseconds(300));
+    for (const auto& name : world.emulation.liveEntries())
+        world.emulation.killEntry(name);
+    world.emulation.run(milliseconds(1500));
+    for (const char* name : { "e-1", "e-2", "e-3" })
+        world.emulation.startEntry(name);
+    world.emulation.run(milliseconds(12000));
+    for (const auto id : world.emulation.platform().rulebook().acceptedJobs())
+        CHECK(statusOf(world, "e-1", id).state == jobs::JobState::Completed);
+    CHECK(world.emulation.platform().rulebook().acceptedJobs().size() == 8);
+    CHECK(world.broken().empty());
+}
+
+// Its address is unknown until its entry is read; the run that may be there still counts.
+TEST_CASE("control: a run on an instance that has left is restarted, former controllers having been asked", "[emulation]")
+{
+    World world(6);
+    auto lasting = step(1, 2000);
+    lasting.isLongRunning = true;
+    world.emulation.submit("e-1", 0xa6, job({ lasting }));
+    world.emulation.run(milliseconds(300));
+    std::string host;
+    for (const auto& [name, instance] : world.emulation.platform().instances()) {
+        if (!instance->running().empty())
+            host = name;
+    }
+    REQUIRE(!host.empty());
+    for (const auto& name : world.emulation.liveEntries())
+        world.emulation.killEntry(name);
+    world.emulation.platform().crash(host);
+    world.emulation.platform().unlist(host);
+    for (const char* name : { "e-1", "e-2", "e-3" })
+        world.emulation.startEntry(name);
+    // The lease of 6 s by the slowest clock, and the time to begin control.
+    world.emulation.run(milliseconds(9000));
+    CHECK(runsOf(world, 0xa6) == 1);
+    CHECK(world.broken().empty());
+}
+
+TEST_CASE("control: a draining instance gives its long-running tasks away", "[emulation]")
+{
+    World world(7);
+    auto lasting = step(2, 2000);
+    lasting.isLongRunning = true;
+    lasting.hasDisruptionBudget = true;
+    lasting.disruptionBudget = 1;
+    world.emulation.submit("e-1", 0xa7, job({ lasting }));
+    world.emulation.run(milliseconds(300));
+    std::string host;
+    for (const auto& [name, instance] : world.emulation.platform().instances()) {
+        if (!instance->running().empty())
+            host = name;
+    }
+    world.emulation.platform().setDraining(host);
+    world.emulation.run(milliseconds(2000));
+    CHECK(world.emulation.platform().instances().at(host)->running().empty());
+    CHECK(runsOf(world, 0xa7) == 2);
+    CHECK(world.broken().empty());
+}
+
+TEST_CASE("control: a cancelled job stops, also when the cancellation is read first", "[emulation]")
+{
+    World world(8);
+    world.emulation.submit("e-1", 0xa8, job({ step(4, 2000) }));
+    world.emulation.run(milliseconds(100));
+    world.emulation.cancel("e-2", 0xa8);
+    world.emulation.cancel("e-3", 0xa9);
+    world.emulation.run(milliseconds(100));
+    world.emulation.submit("e-1", 0xa9, job({ step(1, 1000) }));
+    world.emulation.run(milliseconds(1000));
+    CHECK(runsOf(world, 0xa8) == 0);
+    CHECK(runsOf(world, 0xa9) == 0);
+    CHECK(statusOf(world, "e-1", 0xa8).state == jobs::JobState::Cancelled);
+    CHECK(statusOf(world, "e-1", 0xa9).state == jobs::JobState::Cancelled);
+    CHECK(world.broken().empty());
+}
--- /dev/null
+++ b/src/emulator/tests/fixtures.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "emulator/emulation.h"
+#include "emulator/tests/mocks/recordingsink.h"
+
+namespace turmericsill::emulator::fixtures {
+
+inline fleet::FleetConfiguration configuration()
+{
+    fleet::FleetConfiguration result;
+    result.version = 1;
+    fleet::Queue queue;
+    queue.name = "calls";
+    queue.host = "calls.example";
+    queue.pathPrefix = "/calls/";
+    queue.pool = "desk";
+    queue.maximumAttempts = 4;
+    result.queues.push_back(queue);
+    result.pools["desk"] = { "desk", false, false };
+    return result;
+}
+
+inline jobs::StepSpec step(std::uint32_t count, std::int64_t milliCores, std::vector<std::uint32_t> dependsOn = {})
+{
+    jobs::StepSpec result;
+    result.count = count;
+    result.perTask = { milliCores, 100, 0 };
+    result.estimate = milliseconds(800);
+    result.dependsOn = std::move(dependsOn);
+    return result;
+}
+
+inline jobs::JobSpec job(std::vector<jobs::StepSpec> steps)
+{
+    jobs::JobSpec result;
+    result.payload = "call the crew";
+    result.steps = std::move(steps);
+    return result;
+}
+
+/// Three entries and four instances of eight cores.
+struct World {
+    explicit World(std::uint64_t seed)
+        : emulation(seed, control::ControlSettings(), sink)
+    {
+        emulation.platform().setConfiguration(configuration());
+        for (const char* name : { "i-1", "i-2", "i-3", "i-4" })
+            emulation.platform().startInstance(name, "desk", { 8000, 16000, 0 });
+        for (const char* name : { "e-1", "e-2", "e-3" })
+            emulation.startEntry(name);
+        emulation.run(milliseconds(1000));
+    }
+
+    const std::vector<std::string>& broken() { return emulation.platform().rulebook().broken(); }
+
+    /// Looks at every accepted job through every live entry.
+    void lookAtAll()
+    {
+        for (const auto id : emulation.platform().rulebook().acceptedJobs()) {
+            for (const auto& entry : emulation.liveEntries())
+                emulation.look(entry, id);
+        }
+    }
+
+    mocks::RecordingSink sink;
+    Emulation emulation;
+};
+
+} // namespace turmericsill::emulator::fixtures
