--- a/scripts/install.sh
+++ b/scripts/install.sh
@@ -14,6 +14,7 @@
     libxxhash-dev
     catch2 libtrompeloeil-cpp-dev
     libbenchmark-dev
+    libspdlog-dev
     gnuplot-nox
 )
 missing=()
--- a/src/control/controlduty.h
+++ b/src/control/controlduty.h
@@ -62,6 +62,7 @@
     void beginControl(const jobs::Claimed& claim);
     void endControl(const std::string& reason);
     void retryClaim();
+    ControlConfidence confidence() const;
     void tick();
 
     ControllerContext context_;
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -54,8 +54,8 @@
     /// The follower has folded new records.
     void onTableChanged();
 
-    /// Regular work; `isConfirmed`: the log has confirmed control lately.
-    void tick(bool isConfirmed);
+    /// Regular work.
+    void tick(ControlConfidence confidence);
 
     std::uint64_t epoch() const { return sessionContext_.epoch; }
 
@@ -83,8 +83,7 @@
 private:
     void onRunEnded(InstanceSession& session, const jobs::RunEnded& record) override;
     void onEndsListed(InstanceSession& session, std::uint64_t number) override;
-    void onStartRefused(
-        InstanceSession& session, const jobs::TaskId& task, fleet::StartVerdict verdict) override;
+    void onStartRefused(InstanceSession& session, const jobs::TaskId& task, fleet::StartVerdict verdict) override;
     void onLifeOver(InstanceSession& session, std::int64_t born) override;
     void onContactChanged(InstanceSession& session, bool inContact, const std::string& reason) override;
     void onFenced(InstanceSession& session) override;
@@ -107,6 +106,7 @@
     bool mayTakeWork(const InstanceSession& session) const;
     scheduling::InstanceView viewOf(const InstanceSession& session) const;
     void start(const scheduling::Placement& placement);
+    void orderAll(const std::vector<scheduling::Placement>& placements, foundation::SteadyTime plannedAt);
     void order(const scheduling::Placement& placement);
     void noteOutcome(const InstanceSession& session, jobs::RunEnd how);
     void depose(const std::string& reason);
@@ -136,7 +136,7 @@
     std::uint64_t instancesNext_ = 0;
     bool instancesLoaded_ = false;
     bool planScheduled_ = false;
-    bool isConfirmed_ = true;
+    ControlConfidence confidence_ = ControlConfidence::Confirmed;
     bool isDeposed_ = false;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/control/internal/controlduty.cpp
+++ b/src/control/internal/controlduty.cpp
@@ -69,8 +69,10 @@
 {
     if (isStopping_)
         return;
-    group_.join(generation_, timeToLive,
-        [this, sentAt = context_.clock.now()](const Result<GroupAssignment>& assignment) { onJoined(assignment, sentAt); });
+    group_.join(
+        generation_, timeToLive, [this, sentAt = context_.clock.now()](const Result<GroupAssignment>& assignment) {
+            onJoined(assignment, sentAt);
+        });
 }
 
 void ControlDuty::scheduleJoin()
@@ -88,8 +90,8 @@
     const bool isNewGeneration = assignment->generation != generation_;
     generation_ = assignment->generation;
     if (isNewGeneration) {
-        context_.events.write("group.generation",
-            { { "generation", generation_ }, { "dealt_control", assignment->isController } });
+        context_.events.write(
+            "group.generation", { { "generation", generation_ }, { "dealt_control", assignment->isController } });
     }
     isDealtControl_ = assignment->isController;
     if (!isDealtControl_ && controller_) {
@@ -120,8 +122,7 @@
         if (!read)
             return retryClaim();
         const std::uint64_t epoch = std::max({ generation_, latest.epoch + 1, lowestEpoch_ });
-        const auto timeOfDay
-            = std::chrono::duration_cast<milliseconds>(context_.clock.wallNow().time_since_epoch());
+        const auto timeOfDay = std::chrono::duration_cast<milliseconds>(context_.clock.wallNow().time_since_epoch());
         const Claimed claim { epoch, identity_.entry, identity_.incarnation, identity_.address, timeOfDay };
         eventlog::AppendRequest request;
         request.payloads.push_back(jobs::encode(claim, epoch));
@@ -144,8 +145,8 @@
         return retryClaim();
     context_.follower.readToEnd([this, claim](const Result<void>& read) {
         const Claimed& latest = context_.follower.table().claim();
-        const bool isOurs = latest.epoch == claim.epoch && latest.entry == claim.entry
-            && latest.incarnation == claim.incarnation;
+        const bool isOurs
+            = latest.epoch == claim.epoch && latest.entry == claim.entry && latest.incarnation == claim.incarnation;
         if (!read || !isOurs || !isDealtControl_ || isStopping_)
             return retryClaim();
         beginControl(claim);
@@ -193,12 +194,20 @@
     return { identity_.incarnation, controller_ ? controller_->epoch() : 0 };
 }
 
+ControlConfidence ControlDuty::confidence() const
+{
+    const auto silence = context_.clock.now() - confirmedAt_;
+    if (silence < timeToLive)
+        return ControlConfidence::Confirmed;
+    return silence < settings_.lease.outageLimit ? ControlConfidence::Doubtful : ControlConfidence::Lost;
+}
+
 void ControlDuty::tick()
 {
     if (controller_)
-        controller_->tick(context_.clock.now() - confirmedAt_ < settings_.lease.outageLimit);
-    // Machines check no tokens, so control must be confirmed by the group just now.
-    if (steward_ && context_.clock.now() - confirmedAt_ < timeToLive)
+        controller_->tick(confidence());
+    // Machines check no tokens, so control must be confirmed.
+    if (steward_ && confidence() == ControlConfidence::Confirmed)
         steward_->tick();
     if (!isStopping_)
         context_.timers.schedule(context_.clock.now() + tickInterval, [this] { tick(); });
--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -23,6 +23,8 @@
     constexpr milliseconds watchWait { 1000 };
     constexpr milliseconds watchPause { 100 }; ///< Instances' entries change about 30 times a second.
     constexpr milliseconds reloadDelay { 200 };
+    constexpr milliseconds slowAppend { 500 }; ///< An append takes about 10 ms.
+    constexpr milliseconds rereadDelay { 100 };
     constexpr milliseconds invalidBackoff { 1000 }; ///< Before a task that was refused as invalid is tried again.
     constexpr int failuresBeforeExclusion = 3; ///< In a row; more than a job's own fault explains.
     constexpr milliseconds exclusion { 3000 }; ///< Before an instance that fails everything gets one task on trial.
@@ -88,7 +90,8 @@
     , former_(context.peers, context.clock, context.timers, context.events, settings.lease)
     , sessionContext_ { context.instances, context.clock, *this, former_, epoch, settings.lease }
     , deposed_(std::move(deposed))
-    , writer_(context.log, context.clock, context.timers, context.events, epoch, 1, [this] { depose("fenced by the log"); })
+    , writer_(
+          context.log, context.clock, context.timers, context.events, epoch, 1, [this] { depose("fenced by the log"); })
 {
 }
 
@@ -227,7 +230,7 @@
 {
     InstanceSessionPtr session(new InstanceSession(report, sessionContext_));
     sessions_[report.life.instance] = session;
-    session->tick(isConfirmed_);
+    session->tick(confidence_);
     return session;
 }
 
@@ -238,12 +241,12 @@
     schedulePlan();
 }
 
-void Controller::tick(bool isConfirmed)
+void Controller::tick(ControlConfidence confidence)
 {
-    isConfirmed_ = isConfirmed;
+    confidence_ = confidence;
     const auto sessions = sessions_;
     for (const auto& [name, session] : sessions) {
-        session->tick(isConfirmed);
+        session->tick(confidence);
         if (isDeposed_)
             return;
         if (!session->isListed() && session->runs().empty()) {
@@ -289,7 +292,8 @@
     context_.follower.beginDueOccurrences(timeOfDay(context_.clock));
     stopRunsOfFinalJobs();
     // Intents could not be written now, and plans made later know more.
-    if (instancesLoaded_ && isConfirmed_ && !writer_.isStalled() && configuration_.version > 0) {
+    if (instancesLoaded_ && confidence_ == ControlConfidence::Confirmed && !writer_.isStalled()
+        && configuration_.version > 0) {
         auto views = poolViews();
         const scheduling::PlacementPlanner planner(configuration_);
         lastPlans_.clear();
@@ -298,9 +302,8 @@
             for (const auto& placement : plan.placements)
                 start(placement);
             if (!plan.placements.empty()) {
-                writer_.afterStored([this, placements = plan.placements] {
-                    for (const auto& placement : placements)
-                        order(placement);
+                writer_.afterStored([this, plannedAt = context_.clock.now(), placements = plan.placements] {
+                    orderAll(placements, plannedAt);
                 });
             }
             lastPlans_[pool] = std::move(plan);
@@ -361,8 +364,27 @@
     if (found == sessions_.end() || !job)
         return;
     write(RunIntended { placement.task, placement.run, placement.life });
-    found->second->track(placement.task, placement.run, placement.resources,
-        job->spec.steps[placement.task.step].isLongRunning, false);
+    found->second->track(
+        placement.task, placement.run, placement.resources, job->spec.steps[placement.task.step].isLongRunning, false);
+}
+
+// While the log was slow, cancellations may have come that this entry has not read.
+void Controller::orderAll(const std::vector<scheduling::Placement>& placements, foundation::SteadyTime plannedAt)
+{
+    if (context_.clock.now() - plannedAt < slowAppend) {
+        for (const auto& placement : placements)
+            order(placement);
+        return;
+    }
+    context_.follower.readToEnd([this, alive = alive_, placements](const Result<void>& read) {
+        if (!*alive)
+            return;
+        if (!read)
+            return later(rereadDelay, [this, placements] { orderAll(placements, {}); });
+        for (const auto& placement : placements)
+            order(placement);
+        writer_.flush();
+    });
 }
 
 // Between the intent and its record the job may have been cancelled and the instance lost.
@@ -382,8 +404,7 @@
         { { "task", jobs::toText(placement.task) }, { "run", std::uint64_t(placement.run) },
             { "instance", placement.life.instance }, { "epoch", sessionContext_.epoch },
             { "offset", context_.follower.offset() }, { "configuration", configuration_.version } });
-    found->second->order(
-        placement.task, job->spec.payload, continues ? task->checkpoint : std::string(), {});
+    found->second->order(placement.task, job->spec.payload, continues ? task->checkpoint : std::string(), {});
 }
 
 void Controller::stopRunsOfFinalJobs()
@@ -409,8 +430,7 @@
 
 void Controller::relocate(InstanceSession& session, const TaskId& task)
 {
-    context_.events.write(
-        "run.relocated", { { "task", jobs::toText(task) }, { "instance", session.life().instance } });
+    context_.events.write("run.relocated", { { "task", jobs::toText(task) }, { "instance", session.life().instance } });
     session.requestStop(task, true);
 }
 
@@ -509,8 +529,7 @@
 void Controller::onLifeOver(InstanceSession& session, std::int64_t born)
 {
     const InstanceSessionPtr keep(&session);
-    context_.events.write(
-        "instance.life-over", { { "instance", session.life().instance }, { "born", born } });
+    context_.events.write("instance.life-over", { { "instance", session.life().instance }, { "born", born } });
     if (born != 0) {
         // The entry in the store follows later; until then the new life is known by its start alone.
         fleet::InstanceReport report = session.report();
@@ -539,7 +558,7 @@
     later->adoptRuns(*earlier);
     found->second = later;
     earlier->endAll(RunEnd::InstanceGone); // Those that were not ordered yet.
-    later->tick(isConfirmed_);
+    later->tick(confidence_);
     schedulePlan();
 }
 
--- a/src/control/internal/fleetsteward.cpp
+++ b/src/control/internal/fleetsteward.cpp
@@ -25,8 +25,8 @@
 
 } // namespace
 
-FleetSteward::FleetSteward(const ControllerContext& context, fleet::IMachineControl& machines,
-    Controller& controller, const ControlSettings& settings, SteadyTime mayOrderFrom)
+FleetSteward::FleetSteward(const ControllerContext& context, fleet::IMachineControl& machines, Controller& controller,
+    const ControlSettings& settings, SteadyTime mayOrderFrom)
     : context_(context)
     , control_(machines)
     , controller_(controller)
@@ -143,8 +143,8 @@
         reportWave(wave, false);
     scheduling::WaveView view;
     view.maximumDown = wave.declared.maximumDown;
-    view.timeLeft = std::max(milliseconds(0),
-        std::chrono::duration_cast<milliseconds>(wave.deadline - context_.clock.now()));
+    view.timeLeft
+        = std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(wave.deadline - context_.clock.now()));
     bool isDone = true;
     for (const auto& machine : wave.declared.machines) {
         const auto work = work_.find(machine);
@@ -247,8 +247,8 @@
         bool works = false;
         if (tasks[index].phase == jobs::TaskPhase::Active && session != controller_.sessions().end()) {
             const auto run = session->second->runs().find(other);
-            works = run != session->second->runs().end() && run->second.percent >= atWork
-                && !run->second.isStopping && session->second->isInContact();
+            works = run != session->second->runs().end() && run->second.percent >= atWork && !run->second.isStopping
+                && session->second->isInContact();
         }
         away += !works;
     }
@@ -277,12 +277,13 @@
                 return;
             Work& ordered = work_[machine];
             ordered.isUnderWay = false;
-            const std::string outcome = !verdict ? verdict.error().message()
-                : *verdict == MachineVerdict::Accepted
-                ? "accepted"
-                : *verdict == MachineVerdict::Busy ? "busy" : "refused";
+            const std::string outcome = !verdict       ? verdict.error().message()
+                : *verdict == MachineVerdict::Accepted ? "accepted"
+                : *verdict == MachineVerdict::Busy     ? "busy"
+                                                       : "refused";
             context_.events.write("upkeep.ordered",
-                { { "machine", machine }, { "wave", number }, { "epoch", controller_.epoch() }, { "outcome", outcome } });
+                { { "machine", machine }, { "wave", number }, { "epoch", controller_.epoch() },
+                    { "outcome", outcome } });
             if (!verdict)
                 return; // Asked again at the next tick; a repeated order has no further effect.
             if (*verdict != MachineVerdict::Accepted) {
@@ -374,9 +375,9 @@
             ordered.isUnderWay = false;
             const bool isAccepted = verdict && *verdict == MachineVerdict::Accepted;
             context_.events.write("machine.moved",
-                { { "machine", move.machine }, { "from", from }, { "to", move.pool },
-                    { "epoch", controller_.epoch() },
-                    { "outcome", !verdict ? verdict.error().message() : std::string(isAccepted ? "accepted" : "refused") } });
+                { { "machine", move.machine }, { "from", from }, { "to", move.pool }, { "epoch", controller_.epoch() },
+                    { "outcome",
+                        !verdict ? verdict.error().message() : std::string(isAccepted ? "accepted" : "refused") } });
             if (verdict && *verdict == MachineVerdict::Refused)
                 refusedMoves_.insert({ move.machine, move.pool });
             if (verdict && !isAccepted) {
--- a/src/control/internal/httppeercontrol.cpp
+++ b/src/control/internal/httppeercontrol.cpp
@@ -56,7 +56,8 @@
 {
     try {
         const auto value = nlohmann::json::parse(body);
-        return PeerControlState { value.at("incarnation").get<std::uint64_t>(), value.at("epoch").get<std::uint64_t>() };
+        return PeerControlState { value.at("incarnation").get<std::uint64_t>(),
+            value.at("epoch").get<std::uint64_t>() };
     } catch (const nlohmann::json::exception& error) {
         return failure(Errc::ProtocolViolation, "control.ask", {}, error.what());
     }
--- a/src/control/internal/instancesession.cpp
+++ b/src/control/internal/instancesession.cpp
@@ -19,6 +19,7 @@
 namespace {
 
     constexpr milliseconds retryInterval { 250 }; ///< Between attempts without an answer.
+    constexpr milliseconds restartTime { 300 }; ///< A process is not back sooner than this after its end.
     constexpr milliseconds leaseMargin { 60 }; ///< Added before a lease counts as over: killing takes a moment.
     constexpr std::size_t fullPageOfEnds = 500; ///< The platform lists at most this many ends at a time.
     constexpr milliseconds stopAllowance { 700 }; ///< After a stop's answer until its end must be listed.
@@ -69,8 +70,8 @@
     return lowest > static_cast<double>((leaseSent_ + leaseMargin).count());
 }
 
-void InstanceSession::track(const TaskId& task, std::uint32_t run, const jobs::Resources& resources,
-    bool isLongRunning, bool isInherited)
+void InstanceSession::track(
+    const TaskId& task, std::uint32_t run, const jobs::Resources& resources, bool isLongRunning, bool isInherited)
 {
     TrackedRun tracked;
     tracked.run = run;
@@ -106,9 +107,10 @@
     run.lastAttemptAt = context_.clock.now();
     run.order.leaseEnd = clockEstimate() + context_.terms.startLength;
     leaseSent_ = std::max(leaseSent_, run.order.leaseEnd);
-    context_.control.start(handle(), run.order,
-        [self = Self(this), task, number = run.run](
-            const Result<StartAnswer>& answer) { self->onStartAnswered(task, number, answer); });
+    context_.control.start(
+        handle(), run.order, [self = Self(this), task, number = run.run](const Result<StartAnswer>& answer) {
+            self->onStartAnswered(task, number, answer);
+        });
 }
 
 void InstanceSession::onStartAnswered(const TaskId& task, std::uint32_t number, const Result<StartAnswer>& answer)
@@ -190,9 +192,10 @@
         return;
     run.stopUnderWay = true;
     run.lastAttemptAt = context_.clock.now();
-    context_.control.stop(handle(), task, run.run,
-        [self = Self(this), task, number = run.run](
-            const Result<void>& answer) { self->onStopAnswered(task, number, answer); });
+    context_.control.stop(
+        handle(), task, run.run, [self = Self(this), task, number = run.run](const Result<void>& answer) {
+            self->onStopAnswered(task, number, answer);
+        });
 }
 
 void InstanceSession::onStopAnswered(const TaskId& task, std::uint32_t number, const Result<void>& answer)
@@ -238,12 +241,12 @@
     return !runs_.empty() || !foreignRuns_.empty() || sinceLast >= context_.terms.idleRenewInterval;
 }
 
-void InstanceSession::tick(bool mayRenew)
+void InstanceSession::tick(ControlConfidence confidence)
 {
     const Self keep(this);
     if (!runs_.empty() && isLeaseSurelyOver())
         endAll(RunEnd::LeaseExpired);
-    if (mayRenew && isRenewalDue())
+    if (confidence != ControlConfidence::Lost && isRenewalDue())
         renew();
     const auto now = context_.clock.now();
     std::vector<TaskId> unanswered;
@@ -260,7 +263,7 @@
         const bool stopIsSettled = run.settledAt && *run.settledAt > now - stopAllowance;
         if (run.isStopping && mayBeThere && !stopIsSettled)
             sendStop(task, run);
-        else if (!run.isStopping && run.state == OrderState::Unanswered)
+        else if (!run.isStopping && run.state == OrderState::Unanswered && confidence == ControlConfidence::Confirmed)
             sendStart(task, run);
     }
 }
@@ -271,7 +274,8 @@
     renewedAt_ = context_.clock.now();
     fleet::RenewRequest request;
     // After a silence another life may answer, whose ends are numbered anew.
-    request.acknowledgedEnds = failures_ == 0 ? acknowledgedEnds_ : 0;
+    const bool isSameLife = failures_ == 0 && renewedAt_ - answeredAt_ < restartTime;
+    request.acknowledgedEnds = isSameLife ? acknowledgedEnds_ : 0;
     const bool hasRuns = !runs_.empty() || !foreignRuns_.empty();
     if (clock_ && !runs_.empty()) {
         // An instance that does not answer gets no longer lease, so that its runs are over some time.
@@ -279,10 +283,12 @@
             leaseSent_ = std::max(leaseSent_, clockEstimate() + context_.terms.length);
         request.leaseEnd = leaseSent_;
     }
-    if (isSynced_ && hasRuns && failures_ == 0 && listedEnds_ == acknowledgedEnds_)
+    if (isSynced_ && hasRuns && isSameLife && listedEnds_ == acknowledgedEnds_)
         request.wait = context_.terms.renewWait;
-    context_.control.renew(handle(), request,
-        [self = Self(this), sentAt = renewedAt_](const Result<RenewAnswer>& answer) { self->onRenewed(answer, sentAt); });
+    context_.control.renew(
+        handle(), request, [self = Self(this), sentAt = renewedAt_](const Result<RenewAnswer>& answer) {
+            self->onRenewed(answer, sentAt);
+        });
 }
 
 void InstanceSession::onRenewed(const Result<RenewAnswer>& answer, SteadyTime sentAt)
@@ -302,6 +308,7 @@
     if (answer->born != 0 && report_.life.born != 0 && answer->born != report_.life.born)
         return context_.observer.onLifeOver(*this, answer->born);
     noteClock(answer->clock);
+    answeredAt_ = context_.clock.now();
     const bool wasSynced = std::exchange(isSynced_, true);
     // The former controller's lease may last this long; its end is not told.
     if (!wasSynced)
@@ -361,9 +368,10 @@
 {
     const auto foreign = foreignRuns_;
     for (const auto& [task, number] : foreign) {
-        context_.control.stop(handle(), task, number,
-            [self = Self(this), task = task, number = number](
-                const Result<void>& answer) { self->onStopAnswered(task, number, answer); });
+        context_.control.stop(
+            handle(), task, number, [self = Self(this), task = task, number = number](const Result<void>& answer) {
+                self->onStopAnswered(task, number, answer);
+            });
     }
 }
 
--- a/src/control/internal/instancesession.h
+++ b/src/control/internal/instancesession.h
@@ -9,8 +9,8 @@
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
-#include <map>
 #include <functional>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -18,6 +18,13 @@
 
 namespace turmericsill::control {
 
+/// How sure the controller is that no other one has taken over.
+enum class ControlConfidence {
+    Lost, ///< Another one is likely; nothing is renewed.
+    Doubtful, ///< The log does not answer: leases are renewed, but nothing is started again.
+    Confirmed, ///< The group has confirmed control within its time to live.
+};
+
 /// How far the order to start a run has come.
 enum class OrderState {
     Recording, ///< The intent is not in the log yet; nothing was sent.
@@ -93,8 +100,8 @@
     /// The reports of ends up to `number` stand in the log.
     void acknowledge(std::uint64_t number);
 
-    /// Renews, repeats what had no answer, notices a lease that is surely over. `mayRenew`: control is confirmed.
-    void tick(bool mayRenew);
+    /// Renews, repeats what had no answer, notices a lease that is surely over.
+    void tick(ControlConfidence confidence);
 
     /// Takes the runs of the instance's earlier life. Orders for that life may have reached this one, or still may, so
     /// each run is settled by what this life lists; those whose order had no answer are stopped first.
@@ -118,8 +125,8 @@
     void reconcile(const fleet::RenewAnswer& answer, foundation::SteadyTime sentAt);
     void stopForeignRuns();
     void sendStart(const jobs::TaskId& task, TrackedRun& run);
-    void onStartAnswered(const jobs::TaskId& task, std::uint32_t number,
-        const foundation::Result<fleet::StartAnswer>& answer);
+    void onStartAnswered(
+        const jobs::TaskId& task, std::uint32_t number, const foundation::Result<fleet::StartAnswer>& answer);
     void onStartVerdict(const jobs::TaskId& task, TrackedRun& run, fleet::StartVerdict verdict);
     void sendStop(const jobs::TaskId& task, TrackedRun& run);
     void onStopAnswered(const jobs::TaskId& task, std::uint32_t number, const foundation::Result<void>& answer);
@@ -146,6 +153,7 @@
     std::uint64_t listedEnds_ = 0;
     std::uint64_t acknowledgedEnds_ = 0;
     foundation::SteadyTime renewedAt_ {};
+    foundation::SteadyTime answeredAt_ {}; ///< Latest answer to a renewal.
 };
 
 using InstanceSessionPtr = boost::intrusive_ptr<InstanceSession>;
--- a/src/control/internal/isessionobserver.h
+++ b/src/control/internal/isessionobserver.h
@@ -21,9 +21,7 @@
     virtual void onEndsListed(InstanceSession& session, std::uint64_t number) = 0;
 
     /// The instance refused an order to start.
-    virtual void onStartRefused(
-        InstanceSession& session, const jobs::TaskId& task, fleet::StartVerdict verdict)
-        = 0;
+    virtual void onStartRefused(InstanceSession& session, const jobs::TaskId& task, fleet::StartVerdict verdict) = 0;
 
     /// The instance's life is over; it was restarted or replaced. `born` is the start of the new life, 0: unknown.
     virtual void onLifeOver(InstanceSession& session, std::int64_t born) = 0;
--- a/src/emulator/emulatedinstance.h
+++ b/src/emulator/emulatedinstance.h
@@ -25,14 +25,14 @@
 class EmulatedInstance {
 public:
     /// `clockRate`: speed of its clock, 0.98 to 1.
-    EmulatedInstance(fleet::InstanceReport report, const foundation::IClock& clock, double clockRate,
-        milliseconds longestLease);
+    EmulatedInstance(
+        fleet::InstanceReport report, const foundation::IClock& clock, double clockRate, milliseconds longestLease);
 
     const fleet::InstanceReport& report() const { return report_; }
 
     /// Carries an order out; `plan` is asked when a run begins.
-    fleet::StartAnswer start(const fleet::StartOrder& order, std::uint64_t token,
-        const std::function<RunPlan(const jobs::TaskId&)>& plan);
+    fleet::StartAnswer start(
+        const fleet::StartOrder& order, std::uint64_t token, const std::function<RunPlan(const jobs::TaskId&)>& plan);
 
     /// Errc::Fenced: a higher token was seen.
     foundation::Result<void> stop(const jobs::TaskId& task, std::uint32_t run, std::uint64_t token);
@@ -44,7 +44,7 @@
     bool isRunning(const jobs::TaskId& task) const { return runs_.count(task) > 0; }
     std::vector<jobs::TaskId> running() const;
 
-    /// Called with each end that was acknowledged for the first time.
+    /// Called with each end that is acknowledged. One that was listed when the lease expired counts no more.
     std::function<void(const fleet::ObservedEnd&)> onAcknowledged;
 
     /// Called when a run begins.
@@ -73,6 +73,7 @@
     std::map<jobs::TaskId, std::uint32_t> closedRuns_; ///< Highest run that was stopped or has ended, by task.
     std::vector<fleet::ObservedEnd> ended_;
     std::uint64_t ends_ = 0;
+    std::uint64_t expiredEnds_ = 0; ///< Ends up to this number stood when the lease last expired.
 };
 
 } // namespace turmericsill::emulator
--- a/src/emulator/entryport.h
+++ b/src/emulator/entryport.h
@@ -37,22 +37,19 @@
     void watchDeclarations(std::uint64_t from, milliseconds wait, OperatorCallback done) override;
     void loadInstances(InstanceCallback done) override;
     void watchInstances(std::uint64_t from, milliseconds wait, InstanceCallback done) override;
-    void reportWave(
-        std::uint64_t wave, bool completed, std::function<void(foundation::Result<void>)> done) override;
+    void reportWave(std::uint64_t wave, bool completed, std::function<void(foundation::Result<void>)> done) override;
 
     void start(const fleet::InstanceHandle& instance, const fleet::StartOrder& order, StartCallback done) override;
-    void stop(const fleet::InstanceHandle& instance, const jobs::TaskId& task, std::uint32_t run,
-        StopCallback done) override;
-    void renew(
-        const fleet::InstanceHandle& instance, const fleet::RenewRequest& request, RenewCallback done) override;
+    void stop(
+        const fleet::InstanceHandle& instance, const jobs::TaskId& task, std::uint32_t run, StopCallback done) override;
+    void renew(const fleet::InstanceHandle& instance, const fleet::RenewRequest& request, RenewCallback done) override;
     void pace(const fleet::InstanceHandle& instance, const jobs::TaskId& task, std::uint32_t run, int percent,
         StopCallback done) override;
     void forget(const foundation::Address&) override { }
 
     void list(ListCallback done) override;
     void move(const std::string& machine, const std::string& pool, std::uint64_t token, OrderCallback done) override;
-    void beginUpkeep(
-        const std::string& machine, std::uint64_t wave, std::uint64_t token, OrderCallback done) override;
+    void beginUpkeep(const std::string& machine, std::uint64_t wave, std::uint64_t token, OrderCallback done) override;
 
     void ask(const foundation::Address& peer, Callback done) override;
 
--- a/src/emulator/internal/emulatedinstance.cpp
+++ b/src/emulator/internal/emulatedinstance.cpp
@@ -44,8 +44,8 @@
     leaseEnd_ = std::max(leaseEnd_, std::min(end, clockNow() + longestLease_));
 }
 
-StartAnswer EmulatedInstance::start(const fleet::StartOrder& order, std::uint64_t token,
-    const std::function<RunPlan(const TaskId&)>& plan)
+StartAnswer EmulatedInstance::start(
+    const fleet::StartOrder& order, std::uint64_t token, const std::function<RunPlan(const TaskId&)>& plan)
 {
     advance();
     const InstanceTime now = clockNow();
@@ -97,7 +97,7 @@
     if (request.leaseEnd)
         extendLease(*request.leaseEnd);
     while (!ended_.empty() && ended_.front().number <= request.acknowledgedEnds) {
-        if (onAcknowledged)
+        if (onAcknowledged && ended_.front().number > expiredEnds_)
             onAcknowledged(ended_.front());
         ended_.erase(ended_.begin());
     }
@@ -127,6 +127,8 @@
         else if (clockNow() >= leaseEnd_)
             over.emplace_back(task, RunEnd::LeaseExpired);
     }
+    if (clockNow() >= leaseEnd_)
+        expiredEnds_ = ends_;
     for (const auto& [task, how] : over)
         end(task, how);
 }
--- a/src/emulator/internal/emulatedplatform.cpp
+++ b/src/emulator/internal/emulatedplatform.cpp
@@ -26,8 +26,7 @@
     return share > 0 && std::uniform_real_distribution<double>(0, 1)(random_) < share;
 }
 
-void EmulatedPlatform::startInstance(
-    const std::string& name, const std::string& pool, const jobs::Resources& capacity)
+void EmulatedPlatform::startInstance(const std::string& name, const std::string& pool, const jobs::Resources& capacity)
 {
     const auto port = static_cast<std::uint16_t>(firstPort + ports_.size());
     fleet::InstanceReport report;
--- a/src/emulator/internal/entryport.cpp
+++ b/src/emulator/internal/entryport.cpp
@@ -32,11 +32,10 @@
 
 void EntryPort::later(milliseconds delay, std::function<void()> action, bool survivesProcess)
 {
-    platform_.network().schedule(
-        clock_.now() + delay, [alive = alive_, action = std::move(action), survivesProcess] {
-            if (survivesProcess || *alive)
-                action();
-        });
+    platform_.network().schedule(clock_.now() + delay, [alive = alive_, action = std::move(action), survivesProcess] {
+        if (survivesProcess || *alive)
+            action();
+    });
 }
 
 bool EntryPort::isStoreReachable() const
@@ -80,8 +79,7 @@
 {
     if (!isStoreReachable())
         return answer(orderDelay, [done] { done(failure(Errc::Unavailable, "group.join")); });
-    answer(platform_.faults().storeDelay,
-        [this, timeToLive, done] { done(platform_.log().join(entry_, timeToLive)); });
+    answer(platform_.faults().storeDelay, [this, timeToLive, done] { done(platform_.log().join(entry_, timeToLive)); });
 }
 
 void EntryPort::leave(std::function<void()> done)
@@ -216,8 +214,8 @@
     answer(orderDelay, [this, done] {
         std::vector<fleet::MachineReport> machines;
         for (const auto& [name, report] : platform_.entries())
-            machines.push_back({ report.machine, report.pool, fleet::MachineState::Up, report.dataCentre, name,
-                report.capacity });
+            machines.push_back(
+                { report.machine, report.pool, fleet::MachineState::Up, report.dataCentre, name, report.capacity });
         done(std::move(machines));
     });
 }
--- a/src/emulator/tests/controltests.cpp
+++ b/src/emulator/tests/controltests.cpp
@@ -126,7 +126,8 @@
 }
 
 // Its address is unknown until its entry is read; the run that may be there still counts.
-TEST_CASE("control: a run on an instance that has left is restarted, former controllers having been asked", "[emulation]")
+TEST_CASE(
+    "control: a run on an instance that has left is restarted, former controllers having been asked", "[emulation]")
 {
     World world(6);
     auto lasting = step(1, 2000);
--- a/src/emulator/tests/explorationtests.cpp
+++ b/src/emulator/tests/explorationtests.cpp
@@ -85,7 +85,8 @@
     void cancelOne()
     {
         if (!submitted_.empty())
-            world_.emulation.cancel(anyEntry(), submitted_[std::size_t(number(0, std::int64_t(submitted_.size()) - 1))].first);
+            world_.emulation.cancel(
+                anyEntry(), submitted_[std::size_t(number(0, std::int64_t(submitted_.size()) - 1))].first);
     }
 
     void act()
@@ -172,22 +173,21 @@
         std::string result;
         for (const auto id : world_.emulation.platform().rulebook().acceptedJobs()) {
             world_.emulation.look("e-1", id, [&, id](entry::JobStatus status) {
-                const bool isFinal = status.state == jobs::JobState::Completed || status.state == jobs::JobState::Cancelled;
+                const bool isFinal
+                    = status.state == jobs::JobState::Completed || status.state == jobs::JobState::Cancelled;
                 if (status.knowledge != entry::JobKnowledge::Known)
                     result = "an accepted job is not known: " + jobs::toText(id);
                 else if (!isFinal && !lasts(id))
                     result = "an accepted job was not finished: " + jobs::toText(id) + ", state "
-                        + std::to_string(static_cast<int>(status.state)) + ", controller " + world_.emulation.controller();
+                        + std::to_string(static_cast<int>(status.state)) + ", controller "
+                        + world_.emulation.controller();
             });
         }
         world_.emulation.run(milliseconds(100));
         return result;
     }
 
-    bool lasts(jobs::JobId id)
-    {
-        return world_.emulation.platform().rulebook().spec(id)->steps.front().isLongRunning;
-    }
+    bool lasts(jobs::JobId id) { return world_.emulation.platform().rulebook().spec(id)->steps.front().isLongRunning; }
 
     std::mt19937_64 random_;
     World world_;
--- a/src/entry/ijobservice.h
+++ b/src/entry/ijobservice.h
@@ -45,13 +45,11 @@
     virtual const fleet::FleetConfiguration* configuration() const = 0;
 
     /// Accepts a job; a known id is the same job.
-    virtual void submit(const fleet::Queue& queue, jobs::JobId id, jobs::JobSpec spec,
-        foundation::SteadyTime deadline, std::function<void(RequestResult)> done)
+    virtual void submit(const fleet::Queue& queue, jobs::JobId id, jobs::JobSpec spec, foundation::SteadyTime deadline,
+        std::function<void(RequestResult)> done)
         = 0;
 
-    virtual void cancel(
-        jobs::JobId id, foundation::SteadyTime deadline, std::function<void(RequestResult)> done)
-        = 0;
+    virtual void cancel(jobs::JobId id, foundation::SteadyTime deadline, std::function<void(RequestResult)> done) = 0;
 
     virtual void status(jobs::JobId id, std::function<void(JobStatus)> done) = 0;
 
--- a/src/entry/jobservice.h
+++ b/src/entry/jobservice.h
@@ -24,8 +24,7 @@
     const fleet::FleetConfiguration* configuration() const override;
     void submit(const fleet::Queue& queue, jobs::JobId id, jobs::JobSpec spec, foundation::SteadyTime deadline,
         std::function<void(RequestResult)> done) override;
-    void cancel(
-        jobs::JobId id, foundation::SteadyTime deadline, std::function<void(RequestResult)> done) override;
+    void cancel(jobs::JobId id, foundation::SteadyTime deadline, std::function<void(RequestResult)> done) override;
     void status(jobs::JobId id, std::function<void(JobStatus)> done) override;
     std::size_t pendingJobs(const fleet::Queue& queue) const override;
 
--- a/src/entryd/internal/entryprocess.cpp
+++ b/src/entryd/internal/entryprocess.cpp
@@ -33,8 +33,7 @@
 
 } // namespace
 
-ControlStateHandler::ControlStateHandler(
-    const control::ControlDuty& control, telemetry::TelemetryHandler& telemetry)
+ControlStateHandler::ControlStateHandler(const control::ControlDuty& control, telemetry::TelemetryHandler& telemetry)
     : control_(control)
     , telemetry_(telemetry)
 {
--- a/src/eventlog/controllerwriter.h
+++ b/src/eventlog/controllerwriter.h
@@ -21,8 +21,7 @@
 
     /// `fenced` is called once, when a later controller has taken over.
     ControllerWriter(IEventLog& log, foundation::IClock& clock, foundation::ITimerQueue& timers,
-        telemetry::IEventSink& events, std::uint64_t epoch, std::uint64_t firstSequence,
-        std::function<void()> fenced);
+        telemetry::IEventSink& events, std::uint64_t epoch, std::uint64_t firstSequence, std::function<void()> fenced);
 
     ~ControllerWriter() { stop(); }
     ControllerWriter(const ControllerWriter&) = delete;
--- a/src/eventlog/internal/jobsubmitter.cpp
+++ b/src/eventlog/internal/jobsubmitter.cpp
@@ -52,8 +52,7 @@
     const auto batchEnd = waiting_.begin() + static_cast<std::ptrdiff_t>(count);
     underWay_.assign(std::make_move_iterator(waiting_.begin()), std::make_move_iterator(batchEnd));
     waiting_.erase(waiting_.begin(), batchEnd);
-    log_.append(
-        std::move(request), appendTimeout, [this](const Result<AppendReceipt>& answer) { onAnswer(answer); });
+    log_.append(std::move(request), appendTimeout, [this](const Result<AppendReceipt>& answer) { onAnswer(answer); });
 }
 
 void JobSubmitter::onAnswer(const Result<AppendReceipt>& answer)
--- a/src/fleet/ifleetsource.h
+++ b/src/fleet/ifleetsource.h
@@ -47,8 +47,7 @@
     virtual void watchInstances(std::uint64_t from, milliseconds wait, InstanceCallback done) = 0;
 
     /// Reports the progress of a wave to the operators.
-    virtual void reportWave(std::uint64_t wave, bool completed, std::function<void(foundation::Result<void>)> done)
-        = 0;
+    virtual void reportWave(std::uint64_t wave, bool completed, std::function<void(foundation::Result<void>)> done) = 0;
 };
 
 } // namespace turmericsill::fleet
--- a/src/fleet/iinstancecontrol.h
+++ b/src/fleet/iinstancecontrol.h
@@ -94,16 +94,15 @@
     virtual void start(const InstanceHandle& instance, const StartOrder& order, StartCallback done) = 0;
 
     /// Stops a run; one that has not arrived yet will be refused.
-    virtual void stop(
-        const InstanceHandle& instance, const jobs::TaskId& task, std::uint32_t run, StopCallback done)
+    virtual void stop(const InstanceHandle& instance, const jobs::TaskId& task, std::uint32_t run, StopCallback done)
         = 0;
 
     /// Renews the instance's lease and reads what runs there.
     virtual void renew(const InstanceHandle& instance, const RenewRequest& request, RenewCallback done) = 0;
 
     /// Lets a task work at a share of its speed, 0 to 100.
-    virtual void pace(const InstanceHandle& instance, const jobs::TaskId& task, std::uint32_t run, int percent,
-        StopCallback done)
+    virtual void pace(
+        const InstanceHandle& instance, const jobs::TaskId& task, std::uint32_t run, int percent, StopCallback done)
         = 0;
 
     /// Drops the connections to an instance that has left.
--- a/src/fleet/internal/fleet.cpp
+++ b/src/fleet/internal/fleet.cpp
@@ -29,7 +29,8 @@
 
 const Queue* FleetConfiguration::findQueue(const std::string& name) const
 {
-    const auto found = std::find_if(queues.begin(), queues.end(), [&](const Queue& queue) { return queue.name == name; });
+    const auto found
+        = std::find_if(queues.begin(), queues.end(), [&](const Queue& queue) { return queue.name == name; });
     return found == queues.end() ? nullptr : &*found;
 }
 
--- a/src/jobs/internal/recordcodec.cpp
+++ b/src/jobs/internal/recordcodec.cpp
@@ -6,10 +6,10 @@
 
 namespace {
 
-    using nlohmann::json;
     using foundation::Errc;
     using foundation::failure;
     using foundation::Result;
+    using nlohmann::json;
 
     json toJson(const TaskId& id) { return json::array({ id.job, id.occurrence, id.step, id.index }); }
 
@@ -47,8 +47,8 @@
     {
         StepSpec step;
         step.count = value.at(0).get<std::uint32_t>();
-        step.perTask = { value.at(1).get<std::int64_t>(), value.at(2).get<std::int64_t>(),
-            value.at(3).get<std::int64_t>() };
+        step.perTask
+            = { value.at(1).get<std::int64_t>(), value.at(2).get<std::int64_t>(), value.at(3).get<std::int64_t>() };
         step.estimate = milliseconds(value.at(4).get<std::int64_t>());
         step.dependsOn = value.at(5).get<std::vector<std::uint32_t>>();
         const auto flags = value.at(6).get<unsigned>();
@@ -165,7 +165,8 @@
 {
     try {
         const json value = json::from_cbor(bytes.begin(), bytes.end());
-        return LoggedRecord { recordFrom(value.at(0).get<std::size_t>(), value.at(1)), value.at(2).get<std::uint64_t>() };
+        return LoggedRecord { recordFrom(value.at(0).get<std::size_t>(), value.at(1)),
+            value.at(2).get<std::uint64_t>() };
     } catch (const std::exception& error) {
         return failure(Errc::UnknownRecord, "jobs.decode", {}, error.what());
     }
--- a/src/jobs/types/records.h
+++ b/src/jobs/types/records.h
@@ -85,7 +85,6 @@
     std::string machine;
 };
 
-using Record
-    = std::variant<Claimed, Submitted, Cancelled, RunIntended, RunEnded, JobFailed, JobForgotten, UpkeepBegun>;
+using Record = std::variant<Claimed, Submitted, Cancelled, RunIntended, RunEnded, JobFailed, JobForgotten, UpkeepBegun>;
 
 } // namespace turmericsill::jobs
--- a/src/scheduling/internal/moveplanner.cpp
+++ b/src/scheduling/internal/moveplanner.cpp
@@ -14,7 +14,8 @@
         const auto count = [reach](std::int64_t amount, std::int64_t each) {
             if (amount <= 0 || each <= 0)
                 return std::int64_t(0);
-            return static_cast<std::int64_t>(std::ceil(reach * static_cast<double>(amount) / static_cast<double>(each)));
+            return static_cast<std::int64_t>(
+                std::ceil(reach * static_cast<double>(amount) / static_cast<double>(each)));
         };
         return std::max({ count(need.milliCores, capacity.milliCores), count(need.memoryMb, capacity.memoryMb),
             count(need.accelerators, capacity.accelerators) });
@@ -59,8 +60,8 @@
 
 } // namespace
 
-std::vector<Move> planMoves(
-    const std::vector<MachineView>& machines, const std::map<std::string, PoolDemand>& demands, const MovePolicy& policy)
+std::vector<Move> planMoves(const std::vector<MachineView>& machines, const std::map<std::string, PoolDemand>& demands,
+    const MovePolicy& policy)
 {
     std::vector<Move> moves;
     Sources sources(machines, demands, policy);
--- a/src/scheduling/moveplanner.h
+++ b/src/scheduling/moveplanner.h
@@ -19,7 +19,7 @@
 
 /// Decides which machines change their pool: from the standby pools first, then idle ones of pools without waiting
 /// work. Answers surges that come to one pool at a time and exceed it while others are idle.
-std::vector<Move> planMoves(
-    const std::vector<MachineView>& machines, const std::map<std::string, PoolDemand>& demands, const MovePolicy& policy);
+std::vector<Move> planMoves(const std::vector<MachineView>& machines, const std::map<std::string, PoolDemand>& demands,
+    const MovePolicy& policy);
 
 } // namespace turmericsill::scheduling
