Repeated start orders no longer put off the end of an instance's lease

Ruled out: the former controllers' bound; the controller was the same all along. Change: orders keep to the lease sent before while the instance is silent; the longest lease is assumed at the first answer only where runs were inherited. Test: 'an instance that answers no order loses its runs' fails before.

--- a/src/control/internal/instancesession.cpp
+++ b/src/control/internal/instancesession.cpp
@@ -105,8 +105,10 @@
 {
     run.state = OrderState::Sent;
     run.lastAttemptAt = context_.clock.now();
-    run.order.leaseEnd = clockEstimate() + context_.terms.startLength;
-    leaseSent_ = std::max(leaseSent_, run.order.leaseEnd);
+    // As with renewals, an instance that does not answer gets no longer lease.
+    if (failures_ == 0)
+        leaseSent_ = std::max(leaseSent_, clockEstimate() + context_.terms.startLength);
+    run.order.leaseEnd = std::min(leaseSent_, clockEstimate() + context_.terms.startLength);
     context_.control.start(
         handle(), run.order, [self = Self(this), task, number = run.run](const Result<StartAnswer>& answer) {
             self->onStartAnswered(task, number, answer);
@@ -311,7 +313,7 @@
     answeredAt_ = context_.clock.now();
     const bool wasSynced = std::exchange(isSynced_, true);
     // The former controller's lease may last this long; its end is not told.
-    if (!wasSynced)
+    if (!wasSynced && !runs_.empty())
         leaseSent_ = std::max(leaseSent_, answer->clock + context_.terms.longestLease);
     noteAnswer();
     reconcile(*answer, sentAt);
--- a/src/emulator/tests/controltests.cpp
+++ b/src/emulator/tests/controltests.cpp
@@ -189,3 +189,30 @@
     CHECK(statusOf(world, "e-1", 0xa9).state == jobs::JobState::Cancelled);
     CHECK(world.broken().empty());
 }
+
+// Repeated orders must not put the end of the lease off, or the instance's runs are never over.
+TEST_CASE("control: an instance that answers no order loses its runs when its lease is over", "[emulation]")
+{
+    World world(9);
+    auto lasting = step(1, 6000);
+    lasting.isLongRunning = true;
+    world.emulation.submit("e-1", 0xb1, job({ lasting }));
+    world.emulation.run(milliseconds(300));
+    std::string host;
+    for (const auto& [name, instance] : world.emulation.platform().instances()) {
+        if (!instance->running().empty())
+            host = name;
+    }
+    REQUIRE(!host.empty());
+    // The small task fits best on the instance that has just fallen silent.
+    world.emulation.platform().faults().unreachableInstances.insert(host);
+    world.emulation.submit("e-2", 0xb2, job({ step(1, 2000) }));
+    // The lease of 6 s by the slowest clock, after the last renewal that was answered.
+    world.emulation.run(milliseconds(8000));
+    std::size_t elsewhere = 0;
+    for (const auto& [name, instance] : world.emulation.platform().instances())
+        elsewhere += name != host && instance->isRunning({ 0xb1, 0, 0, 0 });
+    CHECK(elsewhere == 1);
+    CHECK(statusOf(world, "e-1", 0xb2).state == jobs::JobState::Completed);
+    CHECK(world.broken().empty());
+}
