--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -3,6 +3,7 @@
 #include "control/formercontrollers.h"
 #include "control/internal/instancesession.h"
 #include "control/internal/isessionobserver.h"
+#include "control/snapshotter.h"
 #include "control/types/controlsettings.h"
 #include "eventlog/controllerwriter.h"
 #include "eventlog/jobfollower.h"
@@ -24,6 +25,7 @@
 /// What a controller works with; all of it outlives the controller.
 struct ControllerContext {
     eventlog::IEventLog& log;
+    eventlog::ISnapshotStore& snapshots;
     eventlog::JobFollower& follower;
     fleet::IFleetSource& fleetSource;
     fleet::IInstanceControl& instances;
@@ -125,6 +127,7 @@
     SessionContext sessionContext_;
     std::function<void(const std::string&)> deposed_;
     eventlog::ControllerWriter writer_;
+    Snapshotter snapshotter_;
     fleet::FleetConfiguration configuration_;
     std::map<std::string, InstanceSessionPtr> sessions_; ///< By instance.
     std::map<std::string, Record> records_; ///< By instance.
--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -92,6 +92,7 @@
     , deposed_(std::move(deposed))
     , writer_(
           context.log, context.clock, context.timers, context.events, epoch, 1, [this] { depose("fenced by the log"); })
+    , snapshotter_(context.snapshots, context.follower, context.clock, context.events, epoch, settings.snapshotInterval)
 {
 }
 
@@ -256,6 +257,8 @@
         }
     }
     forgetOldJobs();
+    if (snapshotter_.isDue() && writer_.isIdle())
+        snapshotter_.write();
     schedulePlan();
     writer_.flush();
 }
--- /dev/null
+++ b/src/control/internal/snapshotter.cpp
@@ -0,0 +1,103 @@
+#include "control/snapshotter.h"
+
+#include "jobs/snapshotcodec.h"
+
+#include <algorithm>
+
+namespace turmericsill::control {
+
+using eventlog::SnapshotEntry;
+using foundation::Result;
+
+namespace {
+
+    constexpr std::size_t batchBytes = 512 << 10; ///< A quarter of what the platform takes in one call.
+
+} // namespace
+
+Snapshotter::Snapshotter(eventlog::ISnapshotStore& store, const eventlog::JobFollower& follower,
+    const foundation::IClock& clock, telemetry::IEventSink& events, std::uint64_t epoch,
+    foundation::milliseconds interval)
+    : store_(store)
+    , follower_(follower)
+    , clock_(clock)
+    , events_(events)
+    , epoch_(epoch)
+    , interval_(interval)
+    , lastWritten_(clock.now())
+{
+}
+
+bool Snapshotter::isDue() const
+{
+    return !isSaving_ && (!batches_.empty() || clock_.now() - lastWritten_ >= interval_);
+}
+
+void Snapshotter::addJob(const jobs::Job& job, std::set<jobs::JobId>& present)
+{
+    present.insert(job.id);
+    std::size_t bytes = 0;
+    if (!batches_.empty()) {
+        for (const auto& entry : batches_.back())
+            bytes += entry.value.size();
+    }
+    if (batches_.empty() || bytes > batchBytes)
+        batches_.emplace_back();
+    batches_.back().push_back({ jobs::toText(job.id), jobs::encodeJob(job) });
+}
+
+// A batch without an answer may have been saved under its sequence, so the same batch is sent again.
+void Snapshotter::write()
+{
+    if (!batches_.empty())
+        return saveNext();
+    lastWritten_ = clock_.now();
+    std::set<jobs::JobId> present;
+    for (const jobs::Job& job : follower_.table().openJobs())
+        addJob(job, present);
+    for (const jobs::Job& job : follower_.table().finalJobs())
+        addJob(job, present);
+    std::vector<SnapshotEntry> removed;
+    for (const auto id : follower_.restoredJobs()) {
+        if (!present.count(id))
+            removed.push_back({ jobs::toText(id), {} });
+    }
+    for (const auto id : stored_) {
+        if (!present.count(id))
+            removed.push_back({ jobs::toText(id), {} });
+    }
+    stored_ = std::move(present);
+    batches_.push_back(std::move(removed));
+    headOffset_ = follower_.offset();
+    batches_.back().push_back(
+        { eventlog::JobFollower::headKey, jobs::encodeHead(follower_.table().head(headOffset_)) });
+    std::reverse(batches_.begin(), batches_.end());
+    saveNext();
+}
+
+void Snapshotter::saveNext()
+{
+    isSaving_ = true;
+    store_.save(batches_.back(), { epoch_, sequence_ }, [this, alive = alive_](const Result<void>& saved) {
+        if (!*alive)
+            return;
+        isSaving_ = false;
+        if (!saved) {
+            events_.write("snapshot.failed", { { "epoch", epoch_ }, { "reason", saved.error().message() } });
+            return;
+        }
+        ++sequence_;
+        batches_.pop_back();
+        if (!batches_.empty())
+            return saveNext();
+        finish();
+    });
+}
+
+void Snapshotter::finish()
+{
+    events_.write("snapshot.written",
+        { { "epoch", epoch_ }, { "offset", headOffset_ }, { "jobs", std::uint64_t(stored_.size()) } });
+}
+
+} // namespace turmericsill::control
--- a/src/emulator/emulatedlog.h
+++ b/src/emulator/emulatedlog.h
@@ -2,6 +2,7 @@
 
 #include "eventlog/icontrolgroup.h"
 #include "eventlog/ieventlog.h"
+#include "eventlog/isnapshotstore.h"
 #include "foundation/iclock.h"
 
 #include <cstdint>
@@ -21,7 +22,16 @@
 
     /// Errors: Conflict: another end; Fenced: a lower epoch, or a sequence that does not follow.
     foundation::Result<eventlog::AppendReceipt> append(const eventlog::AppendRequest& request);
-    eventlog::LogPage read(std::uint64_t from) const;
+
+    /// Errc::RetentionPassed: the record was dropped.
+    foundation::Result<eventlog::LogPage> read(std::uint64_t from) const;
+
+    /// Drops every record, as a log does after its time of retention; offsets go on.
+    void dropRecords();
+
+    foundation::Result<void> save(
+        const std::vector<eventlog::SnapshotEntry>& entries, const eventlog::ProducerPosition& position);
+    std::vector<eventlog::SnapshotEntry> load() const;
 
     eventlog::GroupAssignment join(const std::string& member, milliseconds timeToLive);
     void leave(const std::string& member);
@@ -29,14 +39,15 @@
     /// Deals control to another member without being asked.
     void dealAnew();
 
-    const std::vector<std::string>& records() const { return records_; }
-
 private:
     void expireMembers();
     void chooseHolder(const std::string& except);
 
     const foundation::IClock& clock_;
-    std::vector<std::string> records_;
+    std::vector<std::string> records_; ///< From offset first_ on.
+    std::uint64_t first_ = 0;
+    std::map<std::string, std::string> snapshot_;
+    std::uint64_t snapshotEpoch_ = 0;
     std::uint64_t epoch_ = 0;
     std::uint64_t nextSequence_ = 0;
     std::map<std::uint64_t, eventlog::AppendReceipt> receipts_; ///< Of the epoch's appends, by sequence.
--- a/src/emulator/entryport.h
+++ b/src/emulator/entryport.h
@@ -17,6 +17,7 @@
 /// The platform as one process of an entry sees it. Answers that arrive after the process has ended are dropped;
 /// what it sent takes effect all the same.
 class EntryPort : public eventlog::IEventLog,
+                  public eventlog::ISnapshotStore,
                   public eventlog::IControlGroup,
                   public fleet::IFleetSource,
                   public fleet::IInstanceControl,
@@ -30,6 +31,9 @@
 
     void append(eventlog::AppendRequest request, milliseconds timeout, AppendCallback done) override;
     void read(std::uint64_t from, milliseconds wait, ReadCallback done) override;
+    void save(
+        std::vector<eventlog::SnapshotEntry> entries, eventlog::ProducerPosition position, SaveCallback done) override;
+    void load(LoadCallback done) override;
     void join(std::uint64_t generation, milliseconds timeToLive, JoinCallback done) override;
     void leave(std::function<void()> done) override;
 
--- a/src/emulator/internal/emulatedlog.cpp
+++ b/src/emulator/internal/emulatedlog.cpp
@@ -27,11 +27,11 @@
         if (request.position->sequence != nextSequence_)
             return failure(Errc::Fenced, step, {}, "sequence");
     }
-    if (request.expectedEnd && *request.expectedEnd != records_.size())
+    if (request.expectedEnd && *request.expectedEnd != first_ + records_.size())
         return failure(Errc::Conflict, step);
-    const std::uint64_t offset = records_.size();
+    const std::uint64_t offset = first_ + records_.size();
     records_.insert(records_.end(), request.payloads.begin(), request.payloads.end());
-    const AppendReceipt receipt { offset, records_.size() };
+    const AppendReceipt receipt { offset, first_ + records_.size() };
     if (request.position) {
         if (request.position->epoch > epoch_)
             receipts_.clear();
@@ -42,14 +42,45 @@
     return receipt;
 }
 
-LogPage EmulatedLog::read(std::uint64_t from) const
+Result<LogPage> EmulatedLog::read(std::uint64_t from) const
 {
-    LogPage page { from, records_.size(), {} };
-    if (from < records_.size())
-        page.payloads.assign(records_.begin() + static_cast<std::ptrdiff_t>(from), records_.end());
+    if (from < first_)
+        return failure(Errc::RetentionPassed, "emulator.read");
+    LogPage page { from, first_ + records_.size(), {} };
+    if (from < page.end)
+        page.payloads.assign(records_.begin() + static_cast<std::ptrdiff_t>(from - first_), records_.end());
     return page;
 }
 
+void EmulatedLog::dropRecords()
+{
+    first_ += records_.size();
+    records_.clear();
+}
+
+Result<void> EmulatedLog::save(
+    const std::vector<eventlog::SnapshotEntry>& entries, const eventlog::ProducerPosition& position)
+{
+    if (position.epoch < snapshotEpoch_)
+        return failure(Errc::Fenced, "emulator.save");
+    snapshotEpoch_ = position.epoch;
+    for (const auto& entry : entries) {
+        if (entry.value.empty())
+            snapshot_.erase(entry.key);
+        else
+            snapshot_[entry.key] = entry.value;
+    }
+    return {};
+}
+
+std::vector<eventlog::SnapshotEntry> EmulatedLog::load() const
+{
+    std::vector<eventlog::SnapshotEntry> entries;
+    for (const auto& [key, value] : snapshot_)
+        entries.push_back({ key, value });
+    return entries;
+}
+
 GroupAssignment EmulatedLog::join(const std::string& member, milliseconds timeToLive)
 {
     if (!members_.count(member))
--- a/src/emulator/internal/entryport.cpp
+++ b/src/emulator/internal/entryport.cpp
@@ -69,12 +69,34 @@
     answer(platform_.faults().storeDelay, [this, from, wait, done] {
         auto page = platform_.log().read(from);
         const milliseconds step { 10 };
-        if (page.payloads.empty() && wait > step)
+        if (page && page->payloads.empty() && wait > step)
             return answer(step, [this, from, wait, step, done] { read(from, wait - step, done); });
         done(page);
     });
 }
 
+void EntryPort::save(
+    std::vector<eventlog::SnapshotEntry> entries, eventlog::ProducerPosition position, SaveCallback done)
+{
+    if (!isStoreReachable())
+        return answer(orderDelay, [done] { done(failure(Errc::Unavailable, "snapshot.save")); });
+    later(
+        platform_.faults().storeDelay,
+        [this, &platform = platform_, alive = alive_, entries, position, done] {
+            auto saved = platform.log().save(entries, position);
+            if (*alive)
+                answer(orderDelay, [done, saved] { done(saved); });
+        },
+        true);
+}
+
+void EntryPort::load(LoadCallback done)
+{
+    if (!isStoreReachable())
+        return answer(orderDelay, [done] { done(failure(Errc::Unavailable, "snapshot.load")); });
+    answer(platform_.faults().storeDelay, [this, done] { done(platform_.log().load()); });
+}
+
 void EntryPort::join(std::uint64_t, milliseconds timeToLive, JoinCallback done)
 {
     if (!isStoreReachable())
--- a/src/emulator/tests/controltests.cpp
+++ b/src/emulator/tests/controltests.cpp
@@ -216,3 +216,26 @@
     CHECK(statusOf(world, "e-1", 0xb2).state == jobs::JobState::Completed);
     CHECK(world.broken().empty());
 }
+
+TEST_CASE("control: jobs outlive the records of the log", "[emulation]")
+{
+    World world(10);
+    auto lasting = step(2, 2000);
+    lasting.isLongRunning = true;
+    world.emulation.submit("e-1", 0xc1, job({ lasting }));
+    world.emulation.submit("e-2", 0xc2, job({ step(2, 1000) }));
+    world.emulation.run(milliseconds(6000));
+    REQUIRE(runsOf(world, 0xc1) == 2);
+    world.emulation.platform().log().dropRecords();
+    for (const auto& name : world.emulation.liveEntries())
+        world.emulation.killEntry(name);
+    for (const char* name : { "e-1", "e-2", "e-3" })
+        world.emulation.startEntry(name);
+    world.emulation.run(milliseconds(4000));
+    CHECK(runsOf(world, 0xc1) == 2);
+    for (const char* name : { "e-1", "e-2", "e-3" }) {
+        CHECK(statusOf(world, name, 0xc1).state == jobs::JobState::Running);
+        CHECK(statusOf(world, name, 0xc2).state == jobs::JobState::Completed);
+    }
+    CHECK(world.broken().empty());
+}
--- a/src/emulator/tests/fixtures.h
+++ b/src/emulator/tests/fixtures.h
@@ -41,7 +41,7 @@
 /// Three entries and four instances of eight cores.
 struct World {
     explicit World(std::uint64_t seed)
-        : emulation(seed, control::ControlSettings(), sink)
+        : emulation(seed, settings(), sink)
     {
         emulation.platform().setConfiguration(configuration());
         for (const char* name : { "i-1", "i-2", "i-3", "i-4" })
@@ -51,6 +51,13 @@
         emulation.run(milliseconds(1000));
     }
 
+    static control::ControlSettings settings()
+    {
+        control::ControlSettings result;
+        result.snapshotInterval = milliseconds(2000);
+        return result;
+    }
+
     const std::vector<std::string>& broken() { return emulation.platform().rulebook().broken(); }
 
     /// Looks at every accepted job through every live entry.
--- a/src/entryd/internal/entryprocess.cpp
+++ b/src/entryd/internal/entryprocess.cpp
@@ -13,6 +13,7 @@
     constexpr std::size_t storeConnections = 12; ///< Three long reads, two appends, and reads for callers.
     constexpr std::size_t machineControlConnections = 4;
     constexpr milliseconds balancerNotice { 2300 }; ///< Two of the balancer's checks, one a second.
+    constexpr milliseconds statusReserve { 10000 }; ///< Beyond the time for which final jobs must be reported.
     constexpr milliseconds stopReserve { 1500 }; ///< Of the grace period, left unused.
     constexpr milliseconds stopCheckInterval { 50 };
     constexpr milliseconds readinessInterval { 100 };
@@ -62,12 +63,12 @@
           })
     , instances_(context_)
     , machines_(machineControl_, settings_.entry)
-    , follower_(log_, clock_, timers_, eventlog::FollowerOptions())
+    , follower_(log_, log_, clock_, timers_, eventlog::FollowerOptions())
     , submitter_(log_, clock_, timers_)
     , service_(follower_, submitter_, clock_, events_)
     , declarations_(fleetSource_, clock_, timers_, events_)
     , peers_(context_)
-    , control_({ log_, follower_, fleetSource_, instances_, clock_, timers_, events_, peers_ }, log_, machines_,
+    , control_({ log_, log_, follower_, fleetSource_, instances_, clock_, timers_, events_, peers_ }, log_, machines_,
           controlSettings(), { settings_.entry, startOfProcess(), settings_.telemetryAddress.text() })
     , jobFront_(service_, clock_)
     , readyFront_(readiness_)
@@ -87,7 +88,9 @@
     result.lease.length = std::min(result.lease.length, settings_.longestLease);
     result.holderInterval = settings_.holderInterval;
     result.noticeInterval = settings_.noticeInterval;
-    result.statusRetention = settings_.statusRetention;
+    result.statusRetention = settings_.statusRetention + statusReserve;
+    constexpr int snapshotsPerRetention = 5;
+    result.snapshotInterval = settings_.logRetention / snapshotsPerRetention;
     return result;
 }
 
--- a/src/eventlog/controllerwriter.h
+++ b/src/eventlog/controllerwriter.h
@@ -39,6 +39,9 @@
     /// Whether the log has answered lately: nothing is under way for longer than an outage takes to show.
     bool isStalled() const;
 
+    /// Whether everything written stands in the log.
+    bool isIdle() const { return queued_.empty() && !underWay_; }
+
     /// Drops all callbacks; the writer is about to go.
     void stop();
 
--- a/src/eventlog/internal/jobfollower.cpp
+++ b/src/eventlog/internal/jobfollower.cpp
@@ -10,9 +10,10 @@
 using foundation::milliseconds;
 using foundation::Result;
 
-JobFollower::JobFollower(
-    IEventLog& log, foundation::IClock& clock, foundation::ITimerQueue& timers, FollowerOptions options)
+JobFollower::JobFollower(IEventLog& log, ISnapshotStore& snapshots, foundation::IClock& clock,
+    foundation::ITimerQueue& timers, FollowerOptions options)
     : log_(log)
+    , snapshots_(snapshots)
     , clock_(clock)
     , timers_(timers)
     , options_(options)
@@ -20,10 +21,63 @@
 {
 }
 
+const std::string JobFollower::headKey = "head";
+
 void JobFollower::start() { poll(); }
 
+// Reads that were asked for meanwhile wait for the snapshot, and fail with it.
+void JobFollower::load()
+{
+    if (std::exchange(isLoading_, true))
+        return;
+    snapshots_.load([this, generation = generation_](const Result<std::vector<SnapshotEntry>>& entries) {
+        isLoading_ = false;
+        onLoaded(entries, generation);
+        if (!entries)
+            return answerFresh(std::exchange(waitingForFresh_, {}), tl::unexpected(entries.error()));
+        if (!waitingForFresh_.empty() && !freshReadRunning_)
+            startFreshRead();
+    });
+}
+
+void JobFollower::answerFresh(std::vector<FreshCallback> callers, const Result<void>& result)
+{
+    for (auto& caller : callers)
+        caller(result);
+}
+
+// Jobs may stand in the snapshot later than its head says; folding a record again has no effect.
+void JobFollower::onLoaded(const Result<std::vector<SnapshotEntry>>& entries, std::uint64_t generation)
+{
+    if (!entries || generation != generation_)
+        return;
+    for (const auto& entry : *entries) {
+        if (entry.key == headKey) {
+            if (auto head = jobs::decodeHead(entry.value)) {
+                table_->restore(*head);
+                offset_ = head->offset;
+            } else {
+                ++unknownRecords_;
+            }
+            continue;
+        }
+        auto job = jobs::decodeJob(entry.value);
+        if (!job) {
+            ++unknownRecords_;
+            continue;
+        }
+        restoredJobs_.push_back((*job)->id);
+        table_->restore(std::move(*job));
+    }
+    loaded_ = true;
+}
+
 void JobFollower::poll()
 {
+    if (!loaded_) {
+        load();
+        return schedulePoll(options_.pauseAsController);
+    }
     const milliseconds wait = caughtUp_ ? options_.longPoll : milliseconds(0);
     log_.read(offset_, wait, [this, generation = generation_](const Result<LogPage>& page) {
         onPage(page, generation);
@@ -83,22 +137,23 @@
 
 void JobFollower::startFreshRead()
 {
+    if (!loaded_)
+        return load();
     freshReadRunning_ = true;
     auto callers = std::make_shared<std::vector<FreshCallback>>(std::move(waitingForFresh_));
     waitingForFresh_.clear();
     log_.read(offset_, milliseconds(0), [this, callers, generation = generation_](const Result<LogPage>& page) {
         onPage(page, generation);
+        freshReadRunning_ = false;
         const bool isWhole = page && generation == generation_ && offset_ >= page->end;
         if (page && !isWhole) {
             waitingForFresh_.insert(waitingForFresh_.begin(), callers->begin(), callers->end());
             return startFreshRead();
         }
-        freshReadRunning_ = false;
         Result<void> result;
         if (!page)
             result = tl::unexpected(page.error());
-        for (auto& caller : *callers)
-            caller(result);
+        answerFresh(std::move(*callers), result);
         if (!waitingForFresh_.empty() && !freshReadRunning_)
             startFreshRead();
     });
@@ -114,6 +169,8 @@
 {
     ++generation_;
     offset_ = 0;
+    loaded_ = false;
+    restoredJobs_.clear();
     caughtUp_ = false;
     table_ = std::make_unique<jobs::JobTable>();
 }
--- a/src/eventlog/jobfollower.h
+++ b/src/eventlog/jobfollower.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "eventlog/ieventlog.h"
+#include "eventlog/isnapshotstore.h"
 #include "foundation/iclock.h"
 #include "foundation/itimerqueue.h"
 #include "jobs/jobtable.h"
@@ -25,7 +26,8 @@
 public:
     using FreshCallback = std::function<void(foundation::Result<void>)>;
 
-    JobFollower(IEventLog& log, foundation::IClock& clock, foundation::ITimerQueue& timers, FollowerOptions options);
+    JobFollower(IEventLog& log, ISnapshotStore& snapshots, foundation::IClock& clock, foundation::ITimerQueue& timers,
+        FollowerOptions options);
 
     JobFollower(const JobFollower&) = delete;
     JobFollower& operator=(const JobFollower&) = delete;
@@ -56,9 +58,18 @@
     /// Ends control. The table may hold records that were never appended, so it is built anew from the log.
     void endControl();
 
+    /// Jobs that stood in the snapshot that the table was built from.
+    const std::vector<jobs::JobId>& restoredJobs() const { return restoredJobs_; }
+
+    /// Key of a snapshot's head; the other keys are jobs' ids.
+    static const std::string headKey;
+
     std::uint64_t unknownRecords() const { return unknownRecords_; }
 
 private:
+    void load();
+    static void answerFresh(std::vector<FreshCallback> callers, const foundation::Result<void>& result);
+    void onLoaded(const foundation::Result<std::vector<SnapshotEntry>>& entries, std::uint64_t generation);
     void poll();
     void schedulePoll(foundation::milliseconds delay);
     void onPage(const foundation::Result<LogPage>& page, std::uint64_t generation);
@@ -67,6 +78,7 @@
     void startFreshRead();
 
     IEventLog& log_;
+    ISnapshotStore& snapshots_;
     foundation::IClock& clock_;
     foundation::ITimerQueue& timers_;
     FollowerOptions options_;
@@ -75,8 +87,11 @@
     std::uint64_t ownEpoch_ = 0; ///< 0: this entry is not the controller.
     std::uint64_t generation_ = 0; ///< Rises with each rebuild; pages of an earlier one are left out.
     std::uint64_t unknownRecords_ = 0;
+    bool isLoading_ = false;
+    bool loaded_ = false; ///< The snapshot, since the last rebuild.
     bool caughtUp_ = false;
     bool freshReadRunning_ = false;
+    std::vector<jobs::JobId> restoredJobs_;
     std::vector<FreshCallback> waitingForFresh_;
     std::function<void()> changed_;
 };
--- a/src/jobs/internal/jobtable.cpp
+++ b/src/jobs/internal/jobtable.cpp
@@ -36,6 +36,20 @@
     }
 }
 
+void JobTable::restore(const SnapshotHead& head)
+{
+    claims_ = head.claims;
+    upkeepBegun_ = head.upkeepBegun;
+}
+
+void JobTable::restore(std::unique_ptr<Job> job)
+{
+    if (jobs_.count(job->id))
+        return;
+    (job->isFinal() && job->activeRuns == 0 ? final_ : open_).push_back(*job);
+    jobs_.emplace(job->id, std::move(job));
+}
+
 const Job* JobTable::find(JobId id) const
 {
     const auto found = jobs_.find(id);
--- /dev/null
+++ b/src/jobs/internal/snapshotcodec.cpp
@@ -0,0 +1,130 @@
+#include "jobs/snapshotcodec.h"
+
+#include "jobs/internal/recordjson.h"
+
+namespace turmericsill::jobs {
+
+using foundation::Errc;
+using foundation::failure;
+using foundation::Result;
+using nlohmann::json;
+
+namespace {
+
+    json toJson(const Task& task)
+    {
+        return json::array({ static_cast<unsigned>(task.phase), task.lastRun, task.failures, task.life.instance,
+            task.life.born, task.checkpoint });
+    }
+
+    Task taskFrom(const json& value)
+    {
+        Task task;
+        const auto phase = value.at(0).get<unsigned>();
+        if (phase > static_cast<unsigned>(TaskPhase::Done))
+            throw std::out_of_range("unknown phase of a task");
+        task.phase = static_cast<TaskPhase>(phase);
+        task.lastRun = value.at(1).get<std::uint32_t>();
+        task.failures = value.at(2).get<std::uint32_t>();
+        task.life = { value.at(3).get<std::string>(), value.at(4).get<std::int64_t>() };
+        task.checkpoint = value.at(5).get<std::string>();
+        return task;
+    }
+
+    json toJson(const Occurrence& occurrence)
+    {
+        json steps = json::array();
+        for (const auto& step : occurrence.steps) {
+            json tasks = json::array();
+            for (const auto& task : step.tasks)
+                tasks.push_back(toJson(task));
+            steps.push_back(std::move(tasks));
+        }
+        return steps;
+    }
+
+    void restore(Job& job, std::uint32_t number, const json& steps)
+    {
+        Occurrence& occurrence = job.begin(number);
+        for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+            StepState& step = occurrence.steps[i];
+            for (std::size_t j = 0; j < step.tasks.size(); ++j) {
+                step.tasks[j] = taskFrom(steps.at(i).at(j));
+                step.done += step.tasks[j].phase == TaskPhase::Done;
+                step.active += step.tasks[j].phase == TaskPhase::Active;
+            }
+            job.activeRuns += step.active;
+        }
+        job.doneOccurrences += occurrence.isDone();
+    }
+
+    template <typename Read> auto decodeWith(std::string_view bytes, Read read) -> Result<decltype(read(json()))>
+    {
+        try {
+            return read(json::from_cbor(bytes.begin(), bytes.end()));
+        } catch (const std::exception& error) {
+            return failure(Errc::UnknownRecord, "jobs.snapshot", {}, error.what());
+        }
+    }
+
+} // namespace
+
+std::string encodeJob(const Job& job)
+{
+    json occurrences = json::array();
+    for (const auto& [number, occurrence] : job.occurrences)
+        occurrences.push_back(json::array({ number, toJson(occurrence) }));
+    const Submitted submitted { job.id, job.queue, job.pool, job.receivedAt, job.spec };
+    std::string bytes;
+    json::to_cbor(json::array({ jobs::toJson(submitted), std::move(occurrences), job.hasStarted, job.isCancelled,
+                      job.hasFailed }),
+        bytes);
+    return bytes;
+}
+
+Result<std::unique_ptr<Job>> decodeJob(std::string_view bytes)
+{
+    return decodeWith(bytes, [](const json& value) {
+        const Submitted submitted = submittedFrom(value.at(0));
+        auto job = std::make_unique<Job>();
+        job->id = submitted.job;
+        job->queue = submitted.queue;
+        job->pool = submitted.pool;
+        job->receivedAt = submitted.receivedAt;
+        job->spec = submitted.spec;
+        for (const auto& occurrence : value.at(1))
+            restore(*job, occurrence.at(0).get<std::uint32_t>(), occurrence.at(1));
+        job->hasStarted = value.at(2).get<bool>();
+        job->isCancelled = value.at(3).get<bool>();
+        job->hasFailed = value.at(4).get<bool>();
+        return job;
+    });
+}
+
+std::string encodeHead(const SnapshotHead& head)
+{
+    json claims = json::array();
+    for (const auto& claim : head.claims)
+        claims.push_back(jobs::toJson(claim));
+    json upkeeps = json::array();
+    for (const auto& [wave, machine] : head.upkeepBegun)
+        upkeeps.push_back(json::array({ wave, machine }));
+    std::string bytes;
+    json::to_cbor(json::array({ head.offset, std::move(claims), std::move(upkeeps) }), bytes);
+    return bytes;
+}
+
+Result<SnapshotHead> decodeHead(std::string_view bytes)
+{
+    return decodeWith(bytes, [](const json& value) {
+        SnapshotHead head;
+        head.offset = value.at(0).get<std::uint64_t>();
+        for (const auto& claim : value.at(1))
+            head.claims.push_back(claimedFrom(claim));
+        for (const auto& upkeep : value.at(2))
+            head.upkeepBegun.emplace(upkeep.at(0).get<std::uint64_t>(), upkeep.at(1).get<std::string>());
+        return head;
+    });
+}
+
+} // namespace turmericsill::jobs
--- a/src/jobs/jobtable.h
+++ b/src/jobs/jobtable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "jobs/snapshotcodec.h"
 #include "jobs/types/job.h"
 #include "jobs/types/records.h"
 
@@ -29,6 +30,13 @@
     /// Makes the tasks of occurrences that are due by this time of day appear as idle.
     void beginDueOccurrences(milliseconds timeOfDay);
 
+    /// Takes what a snapshot holds; called on an empty table.
+    void restore(const SnapshotHead& head);
+    void restore(std::unique_ptr<Job> job);
+
+    /// What a snapshot that holds the log up to `offset` says besides the jobs.
+    SnapshotHead head(std::uint64_t offset) const { return { offset, claims_, upkeepBegun_ }; }
+
     /// The job, or null when it is unknown or was forgotten.
     const Job* find(JobId id) const;
 
--- a/src/settings/entrysettings.h
+++ b/src/settings/entrysettings.h
@@ -22,6 +22,7 @@
     foundation::milliseconds longestLease { 10000 };
     foundation::milliseconds holderInterval { 3000 };
     foundation::milliseconds noticeInterval { 4500 };
+    foundation::milliseconds logRetention { 300000 }; ///< How long the platform's log keeps records.
     foundation::milliseconds statusRetention { 120000 };
     foundation::milliseconds shutdownGrace { 6000 };
 };
