Advice with tickets; events are counted and timed as metrics

Cause: a queue with advice would have run nothing, and the metrics address had no figures of the new duties. Change: AdviceBook asks one question at a time, about the roomiest instances first; starts carry tickets.

--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "control/advicebook.h"
 #include "control/formercontrollers.h"
 #include "control/internal/instancesession.h"
 #include "control/internal/isessionobserver.h"
@@ -29,6 +30,7 @@
     eventlog::JobFollower& follower;
     fleet::IFleetSource& fleetSource;
     fleet::IInstanceControl& instances;
+    fleet::IAdvice& advice;
     foundation::IClock& clock;
     foundation::ITimerQueue& timers;
     telemetry::IEventSink& events;
@@ -101,6 +103,7 @@
     void schedulePlan();
     void plan();
     void stopRunsOfFinalJobs();
+    void askAdvice(const scheduling::PoolPlan& plan, const scheduling::PoolView& view);
     void failIfExhausted(const jobs::TaskId& task);
     void forgetOldJobs();
     std::map<std::string, scheduling::PoolView> poolViews() const;
@@ -128,6 +131,7 @@
     std::function<void(const std::string&)> deposed_;
     eventlog::ControllerWriter writer_;
     Snapshotter snapshotter_;
+    AdviceBook advice_;
     fleet::FleetConfiguration configuration_;
     std::map<std::string, InstanceSessionPtr> sessions_; ///< By instance.
     std::map<std::string, Record> records_; ///< By instance.
--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -93,6 +93,7 @@
     , writer_(
           context.log, context.clock, context.timers, context.events, epoch, 1, [this] { depose("fenced by the log"); })
     , snapshotter_(context.snapshots, context.follower, context.clock, context.events, epoch, settings.snapshotInterval)
+    , advice_(context.advice, context.clock, context.events, [this] { schedulePlan(); })
 {
 }
 
@@ -299,9 +300,12 @@
         && configuration_.version > 0) {
         auto views = poolViews();
         const scheduling::PlacementPlanner planner(configuration_);
+        const scheduling::TicketsOfSteps tickets = advice_.validTickets();
         lastPlans_.clear();
         for (auto& [pool, view] : views) {
+            view.tickets = &tickets;
             scheduling::PoolPlan plan = planner.plan(view);
+            askAdvice(plan, view);
             for (const auto& placement : plan.placements)
                 start(placement);
             if (!plan.placements.empty()) {
@@ -315,6 +319,23 @@
     writer_.flush();
 }
 
+// The instances with the most room are asked about first.
+void Controller::askAdvice(const scheduling::PoolPlan& plan, const scheduling::PoolView& view)
+{
+    if (plan.wantAdvice.empty())
+        return;
+    std::vector<const scheduling::InstanceView*> order;
+    for (const auto& instance : view.instances)
+        order.push_back(&instance);
+    std::sort(order.begin(), order.end(),
+        [](const auto* a, const auto* b) { return a->free.milliCores > b->free.milliCores; });
+    std::vector<std::string> names;
+    for (const auto* instance : order)
+        names.push_back(instance->report->life.instance);
+    for (const auto& step : plan.wantAdvice)
+        advice_.want(step, names);
+}
+
 std::string Controller::poolOf(const Job& job) const
 {
     const fleet::Queue* queue = configuration_.findQueue(job.queue);
@@ -407,7 +428,8 @@
         { { "task", jobs::toText(placement.task) }, { "run", std::uint64_t(placement.run) },
             { "instance", placement.life.instance }, { "epoch", sessionContext_.epoch },
             { "offset", context_.follower.offset() }, { "configuration", configuration_.version } });
-    found->second->order(placement.task, job->spec.payload, continues ? task->checkpoint : std::string(), {});
+    found->second->order(
+        placement.task, job->spec.payload, continues ? task->checkpoint : std::string(), placement.ticket);
 }
 
 void Controller::stopRunsOfFinalJobs()
@@ -556,6 +578,7 @@
         return;
     earlier->close();
     records_.erase(report.life.instance);
+    advice_.forgetInstance(report.life.instance);
     InstanceSessionPtr later(new InstanceSession(report, sessionContext_));
     later->setListed(earlier->isListed());
     later->adoptRuns(*earlier);
--- a/src/emulator/entryport.h
+++ b/src/emulator/entryport.h
@@ -4,6 +4,7 @@
 #include "emulator/emulatedplatform.h"
 #include "eventlog/icontrolgroup.h"
 #include "eventlog/ieventlog.h"
+#include "fleet/iadvice.h"
 #include "fleet/ifleetsource.h"
 #include "fleet/iinstancecontrol.h"
 #include "fleet/imachinecontrol.h"
@@ -22,6 +23,7 @@
                   public fleet::IFleetSource,
                   public fleet::IInstanceControl,
                   public fleet::IMachineControl,
+                  public fleet::IAdvice,
                   public control::IPeerControl {
 public:
     using AskPeer = std::function<foundation::Result<control::PeerControlState>(const foundation::Address&)>;
@@ -55,7 +57,10 @@
     void move(const std::string& machine, const std::string& pool, std::uint64_t token, OrderCallback done) override;
     void beginUpkeep(const std::string& machine, std::uint64_t wave, std::uint64_t token, OrderCallback done) override;
 
-    void ask(const foundation::Address& peer, Callback done) override;
+    void ask(
+        const std::string& step, const std::vector<std::string>& instances, fleet::IAdvice::Callback done) override;
+
+    void ask(const foundation::Address& peer, control::IPeerControl::Callback done) override;
 
 private:
     bool isStoreReachable() const;
--- a/src/emulator/internal/emulation.cpp
+++ b/src/emulator/internal/emulation.cpp
@@ -26,7 +26,7 @@
     , follower_(port_, port_, clock, timers_, eventlog::FollowerOptions())
     , submitter_(port_, clock, timers_)
     , service_(follower_, submitter_, clock, events)
-    , control_({ port_, port_, follower_, port_, port_, clock, timers_, events, port_ }, port_, port_, settings,
+    , control_({ port_, port_, follower_, port_, port_, port_, clock, timers_, events, port_ }, port_, port_, settings,
           { name, incarnation, "10.0.1.1:" + std::to_string(port) })
 {
     service_.setControlProbe(
--- a/src/emulator/internal/entryport.cpp
+++ b/src/emulator/internal/entryport.cpp
@@ -252,7 +252,17 @@
     answer(orderDelay, [done] { done(fleet::MachineVerdict::Refused); });
 }
 
-void EntryPort::ask(const foundation::Address& peer, Callback done)
+// Every second instance is good, and its ticket names it.
+void EntryPort::ask(const std::string&, const std::vector<std::string>& instances, fleet::IAdvice::Callback done)
+{
+    fleet::AdviceAnswer advice;
+    advice.validity = milliseconds(2000);
+    for (std::size_t i = 0; i < instances.size(); i += 2)
+        advice.tickets[instances[i]] = "ticket-of-" + instances[i];
+    answer(orderDelay, [done, advice] { done(advice); });
+}
+
+void EntryPort::ask(const foundation::Address& peer, control::IPeerControl::Callback done)
 {
     answer(orderDelay, [this, peer, done] { done(askPeer_(peer)); });
 }
--- a/src/emulator/tests/controltests.cpp
+++ b/src/emulator/tests/controltests.cpp
@@ -239,3 +239,25 @@
     }
     CHECK(world.broken().empty());
 }
+
+TEST_CASE("control: steps that need advice run only where a ticket allows it", "[emulation]")
+{
+    World world(11);
+    fleet::FleetConfiguration advised = fixtures::configuration();
+    advised.queues.front().advice = fleet::AdviceSettings { milliseconds(20), milliseconds(1), milliseconds(2000) };
+    world.emulation.platform().setConfiguration(advised);
+    for (const char* name : { "e-1", "e-2", "e-3" }) {
+        world.emulation.entry(name)->service().setConfiguration(advised);
+        world.emulation.entry(name)->control().setConfiguration(advised);
+    }
+    world.emulation.submit("e-1", 0xd1, job({ step(4, 2000), step(2, 1000, { 0 }) }));
+    world.emulation.run(milliseconds(100));
+    CHECK(runsOf(world, 0xd1) == 4);
+    std::size_t hosts = 0;
+    for (const auto& [name, instance] : world.emulation.platform().instances())
+        hosts += !instance->running().empty();
+    CHECK(hosts <= 2);
+    world.emulation.run(milliseconds(5000));
+    CHECK(statusOf(world, "e-1", 0xd1).state == jobs::JobState::Completed);
+    CHECK(world.broken().empty());
+}
--- a/src/entryd/entryprocess.h
+++ b/src/entryd/entryprocess.h
@@ -10,12 +10,14 @@
 #include "foundation/systemclock.h"
 #include "httpclient/httppeer.h"
 #include "httpserver/httpserver.h"
+#include "platform/httpadvice.h"
 #include "platform/httpeventlog.h"
 #include "platform/httpfleetsource.h"
 #include "platform/httpinstancecontrol.h"
 #include "platform/httpmachinecontrol.h"
 #include "platform/jobfront.h"
 #include "settings/entrysettings.h"
+#include "telemetry/eventmetrics.h"
 #include "telemetry/jsoneventlog.h"
 #include "telemetry/metrics.h"
 #include "telemetry/readiness.h"
@@ -67,8 +69,9 @@
     boost::asio::io_context context_ { 1 };
     foundation::SystemClock clock_;
     foundation::AsioTimerQueue timers_;
-    telemetry::JsonEventLog events_;
+    telemetry::JsonEventLog eventLog_;
     telemetry::Metrics metrics_;
+    telemetry::EventMetrics events_;
     telemetry::Readiness readiness_;
     httpclient::HttpPeer store_;
     httpclient::HttpPeer machineControl_;
@@ -76,6 +79,7 @@
     platform::HttpFleetSource fleetSource_;
     platform::HttpInstanceControl instances_;
     platform::HttpMachineControl machines_;
+    platform::HttpAdvice advice_;
     eventlog::JobFollower follower_;
     eventlog::JobSubmitter submitter_;
     entry::JobService service_;
--- a/src/scheduling/internal/placementplanner.cpp
+++ b/src/scheduling/internal/placementplanner.cpp
@@ -32,14 +32,19 @@
     /// Places the tasks of one step on the instances of a view.
     class StepPlacer {
     public:
-        StepPlacer(PoolView& view, const Job& job, std::uint32_t occurrence, std::uint32_t step)
+        StepPlacer(PoolView& view, const Job& job, std::uint32_t occurrence, std::uint32_t step, bool needsTicket)
             : view_(view)
             , job_(job)
             , spec_(job.spec.steps[step])
             , state_(job.occurrences.at(occurrence).steps[step])
             , id_ { job.id, occurrence, step }
             , need_(reservedBy(spec_))
+            , needsTicket_(needsTicket)
         {
+            if (!needsTicket_ || !view_.tickets)
+                return;
+            const auto found = view_.tickets->find(id_);
+            tickets_ = found == view_.tickets->end() ? nullptr : &found->second;
         }
 
         void place(PoolPlan& plan)
@@ -69,6 +74,9 @@
 
         void countUnplaced(PoolPlan& plan, std::int64_t tasks) const
         {
+            if (needsTicket_
+                && (plan.wantAdvice.empty() || plan.wantAdvice.back() < id_ || id_ < plan.wantAdvice.back()))
+                plan.wantAdvice.push_back(id_);
             plan.unplaced += need_ * tasks;
             plan.unplacedCoreSeconds += coreSeconds(spec_) * static_cast<double>(tasks);
         }
@@ -115,6 +123,8 @@
                 return false;
             if (instance.isOnTrial && !instance.tasksOfStep.empty())
                 return false;
+            if (needsTicket_ && (!tickets_ || !tickets_->count(instance.report->life.instance)))
+                return false;
             if (spec_.maximumPerInstance > 0 && tasksOn(instance) >= spec_.maximumPerInstance)
                 return false;
             return need_.fitsInto(instance.free);
@@ -169,7 +179,8 @@
             instance.free -= need_;
             ++instance.tasksOfStep[id_];
             instance.longRunningTasks += spec_.isLongRunning;
-            return { { id_.job, id_.occurrence, id_.step, index }, run, instance.report->life, need_ };
+            const std::string ticket = needsTicket_ ? tickets_->at(instance.report->life.instance) : std::string();
+            return { { id_.job, id_.occurrence, id_.step, index }, run, instance.report->life, need_, ticket };
         }
 
         PoolView& view_;
@@ -178,6 +189,8 @@
         const jobs::StepState& state_;
         StepId id_;
         Resources need_;
+        bool needsTicket_;
+        const std::map<std::string, std::string>* tickets_ = nullptr; ///< By instance; null: none yet.
         std::string preferredRack_;
     };
 
@@ -209,6 +222,7 @@
     int priority = 0;
     bool isLongRunning = false;
     double work = 0;
+    bool needsTicket = false;
 };
 
 PlacementPlanner::PlacementPlanner(const fleet::FleetConfiguration& configuration)
@@ -224,7 +238,7 @@
             continue;
         const fleet::Queue* queue = configuration_.findQueue(job->queue);
         candidates.push_back({ job, queue ? queue->priority : std::numeric_limits<int>::max(),
-            job->spec.steps.front().isLongRunning, remainingWork(*job) });
+            job->spec.steps.front().isLongRunning, remainingWork(*job), queue && queue->advice.has_value() });
     }
     std::sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) {
         return std::tuple(a.priority, !a.isLongRunning, a.work, a.job->id)
@@ -243,7 +257,7 @@
                 const auto& state = occurrence.steps[step];
                 const bool hasIdle = state.done + state.active < state.tasks.size();
                 if (hasIdle && occurrence.isReady(job.spec, step))
-                    StepPlacer(view, job, number, step).place(plan);
+                    StepPlacer(view, job, number, step, candidate.needsTicket).place(plan);
             }
         }
     }
--- a/src/scheduling/types/poolview.h
+++ b/src/scheduling/types/poolview.h
@@ -6,6 +6,8 @@
 #include <cstdint>
 #include <map>
 #include <set>
+#include <string>
+#include <tuple>
 #include <vector>
 
 namespace turmericsill::scheduling {
@@ -24,6 +26,9 @@
 
 inline StepId stepOf(const jobs::TaskId& task) { return { task.job, task.occurrence, task.step }; }
 
+/// Tickets of steps that may run only where the advice service allows it, by step and instance.
+using TicketsOfSteps = std::map<StepId, std::map<std::string, std::string>>;
+
 /// An instance that may be given work.
 struct InstanceView {
     const fleet::InstanceReport* report = nullptr;
@@ -38,6 +43,7 @@
     std::vector<InstanceView> instances;
     std::vector<const jobs::Job*> jobs; ///< Open jobs of the pool's queues.
     const std::set<jobs::TaskId>* blocked = nullptr; ///< Tasks that must wait for other reasons.
+    const TicketsOfSteps* tickets = nullptr;
 };
 
 /// Where a task is to run next.
@@ -46,6 +52,7 @@
     std::uint32_t run = 0;
     jobs::InstanceLife life;
     jobs::Resources resources; ///< That the run takes from the instance.
+    std::string ticket; ///< Of the advice service; empty: none is needed.
 };
 
 /// What to start now, and what found no room.
@@ -53,6 +60,7 @@
     std::vector<Placement> placements;
     jobs::Resources unplaced; ///< Sum over the tasks whose turn has come.
     double unplacedCoreSeconds = 0; ///< By the jobs' estimates.
+    std::vector<StepId> wantAdvice; ///< Steps with tasks that found no instance with a ticket.
 };
 
 } // namespace turmericsill::scheduling
--- a/src/settings/entrysettings.h
+++ b/src/settings/entrysettings.h
@@ -19,6 +19,7 @@
     foundation::Address telemetryAddress;
     foundation::Address storeAddress;
     foundation::Address machineControlAddress;
+    std::optional<foundation::Address> adviceAddress; ///< Absent: no queue's steps need advice.
     foundation::milliseconds longestLease { 10000 };
     foundation::milliseconds holderInterval { 3000 };
     foundation::milliseconds noticeInterval { 4500 };
--- a/src/settings/internal/entrysettings.cpp
+++ b/src/settings/internal/entrysettings.cpp
@@ -30,6 +30,7 @@
             required("telemetry_address", FieldType::Address),
             required("store_address", FieldType::Address),
             required("machine_control_address", FieldType::Address),
+            { "advice_address", FieldType::Address, false, 0, 0, {} },
             interval("longest_lease_ms", 1000),
             interval("holder_interval_ms", 0),
             interval("notice_interval_ms", 0),
@@ -51,6 +52,11 @@
         copier.copy("telemetry_address", result.telemetryAddress);
         copier.copy("store_address", result.storeAddress);
         copier.copy("machine_control_address", result.machineControlAddress);
+        if (object.contains("advice_address")) {
+            foundation::Address advice;
+            copier.copy("advice_address", advice);
+            result.adviceAddress = advice;
+        }
         copier.copy("longest_lease_ms", result.longestLease);
         copier.copy("holder_interval_ms", result.holderInterval);
         copier.copy("notice_interval_ms", result.noticeInterval);
