A slow store is not made slower: long timeouts, lost answers made up for by reading

Ruled out: the rate limits of the store (no 429 answers); refusals on purpose. Change: appends wait 2.5 s; what the follower reads back counts as stored, for callers' records and the controller's; a claim needs no condition on the log's end, as its epoch fences at its place.

--- a/src/control/controlduty.h
+++ b/src/control/controlduty.h
@@ -19,8 +19,8 @@
 
 /// Keeps this entry in the group of entries, and controls the fleet while the group has dealt control to it.
 ///
-/// Control begins with a claim that takes effect only at the end of the log that this entry has read, under an epoch
-/// above every earlier one. It ends as soon as the group deals it elsewhere, the log fences this entry, or an
+/// Control begins with a claim in the log under an epoch above every earlier one, once all that stands before the claim
+/// was read. It ends as soon as the group deals it elsewhere, the log fences this entry, or an
 /// instance has seen a higher token.
 class ControlDuty {
 public:
--- a/src/control/internal/controlduty.cpp
+++ b/src/control/internal/controlduty.cpp
@@ -18,7 +18,7 @@
 
     constexpr milliseconds timeToLive { 1300 }; ///< Three tries to join; the platform's least is 1 s.
     constexpr milliseconds joinInterval { 400 };
-    constexpr milliseconds claimTimeout { 700 };
+    constexpr milliseconds claimTimeout { 2500 }; ///< A slow store takes seconds, and a repeated claim makes it slower.
     constexpr milliseconds claimRetryDelay { 20 };
     constexpr milliseconds tickInterval { 50 };
     constexpr milliseconds holderMargin { 300 }; ///< Added to the interval between holders' orders for a machine.
@@ -126,23 +126,20 @@
         const Claimed claim { epoch, identity_.entry, identity_.incarnation, identity_.address, timeOfDay };
         eventlog::AppendRequest request;
         request.payloads.push_back(jobs::encode(claim, epoch));
-        request.expectedEnd = context_.follower.offset();
         request.position = eventlog::ProducerPosition { epoch, 0 };
         context_.log.append(std::move(request), claimTimeout,
             [this, claim](const Result<AppendReceipt>& answer) { onClaimAppended(answer, claim); });
     });
 }
 
-// Each attempt has an epoch of its own, so that an attempt that takes effect late is told from the one that counts.
-// Another process may have claimed under the same epoch and the log then repeats its answer, so the claim is read back.
+// The claim fences every former controller at its place in the log, and what stands before it is read before control
+// begins. Another process may have claimed under the same epoch, and an answer may be lost, so the log decides.
 void ControlDuty::onClaimAppended(const Result<AppendReceipt>& answer, const Claimed& claim)
 {
     lowestEpoch_ = claim.epoch + 1;
     context_.events.write("control.claimed",
         { { "epoch", claim.epoch }, { "offset", context_.follower.offset() },
             { "outcome", answer ? std::string("appended") : answer.error().message() } });
-    if (!answer)
-        return retryClaim();
     context_.follower.readToEnd([this, claim](const Result<void>& read) {
         const Claimed& latest = context_.follower.table().claim();
         const bool isOurs
--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -240,6 +240,7 @@
 {
     if (context_.follower.table().claim().epoch > sessionContext_.epoch)
         return depose("a later claim stands in the log");
+    writer_.noteRead(context_.follower.ownRecordsRead());
     schedulePlan();
 }
 
--- a/src/emulator/internal/emulation.cpp
+++ b/src/emulator/internal/emulation.cpp
@@ -33,7 +33,10 @@
         [this] { return control_.isController(); }, [this](jobs::JobId job) { return control_.isStored(job); });
     service_.setConfiguration(platform.configuration());
     control_.setConfiguration(platform.configuration());
-    follower_.onChange([this] { control_.onTableChanged(); });
+    follower_.onChange([this] {
+        submitter_.noteRead();
+        control_.onTableChanged();
+    });
     follower_.start();
     control_.start();
 }
--- a/src/entry/internal/jobservice.cpp
+++ b/src/entry/internal/jobservice.cpp
@@ -69,28 +69,34 @@
         return done({ RequestOutcome::Done, milliseconds(0) });
     }
     const auto receivedAt = std::chrono::duration_cast<milliseconds>(clock_.wallNow().time_since_epoch());
-    append("job.submitted", jobs::Submitted { id, queue.name, queue.pool, receivedAt, std::move(spec) }, id, deadline,
-        std::move(done));
+    append(
+        "job.submitted", jobs::Submitted { id, queue.name, queue.pool, receivedAt, std::move(spec) }, id, deadline,
+        [this, id] { return follower_.table().find(id) != nullptr; }, std::move(done));
 }
 
 // An unknown job may have been accepted by another entry a moment ago, so the record is written all the same.
 void JobService::cancel(JobId id, foundation::SteadyTime deadline, std::function<void(RequestResult)> done)
 {
-    append("job.cancelled", jobs::Cancelled { id }, id, deadline, std::move(done));
+    const auto isCancelled = [this, id] {
+        const jobs::Job* job = follower_.table().find(id);
+        return job && job->isCancelled;
+    };
+    append("job.cancelled", jobs::Cancelled { id }, id, deadline, isCancelled, std::move(done));
 }
 
 void JobService::append(const char* event, const jobs::Record& record, JobId id, foundation::SteadyTime deadline,
-    std::function<void(RequestResult)> done)
+    std::function<bool()> isStored, std::function<void(RequestResult)> done)
 {
     const auto began = clock_.now();
-    submitter_.submit(record, deadline, [this, event, id, began, done = std::move(done)](AppendOutcome outcome) {
-        const RequestResult result = resultFrom(outcome);
-        const auto took = std::chrono::duration_cast<milliseconds>(clock_.now() - began);
-        events_.write(event,
-            { { "job", jobs::toText(id) }, { "outcome", toText(result.outcome) },
-                { "configuration", configuration_.version }, { "took_ms", std::int64_t(took.count()) } });
-        done(result);
-    });
+    submitter_.submit(
+        record, deadline, std::move(isStored), [this, event, id, began, done = std::move(done)](AppendOutcome outcome) {
+            const RequestResult result = resultFrom(outcome);
+            const auto took = std::chrono::duration_cast<milliseconds>(clock_.now() - began);
+            events_.write(event,
+                { { "job", jobs::toText(id) }, { "outcome", toText(result.outcome) },
+                    { "configuration", configuration_.version }, { "took_ms", std::int64_t(took.count()) } });
+            done(result);
+        });
 }
 
 JobStatus JobService::knownStatus(JobId id) const
--- a/src/entry/jobservice.h
+++ b/src/entry/jobservice.h
@@ -31,7 +31,7 @@
 private:
     JobStatus knownStatus(jobs::JobId id) const;
     void append(const char* event, const jobs::Record& record, jobs::JobId id, foundation::SteadyTime deadline,
-        std::function<void(RequestResult)> done);
+        std::function<bool()> isStored, std::function<void(RequestResult)> done);
 
     eventlog::JobFollower& follower_;
     eventlog::JobSubmitter& submitter_;
--- a/src/entryd/internal/entryprocess.cpp
+++ b/src/entryd/internal/entryprocess.cpp
@@ -105,7 +105,10 @@
         control_.setConfiguration(configuration);
     });
     declarations_.onWave([this](const fleet::UpkeepWave& wave) { control_.addWave(wave); });
-    follower_.onChange([this] { control_.onTableChanged(); });
+    follower_.onChange([this] {
+        submitter_.noteRead();
+        control_.onTableChanged();
+    });
 }
 
 Result<void> EntryProcess::listen()
--- a/src/eventlog/controllerwriter.h
+++ b/src/eventlog/controllerwriter.h
@@ -33,6 +33,10 @@
     /// Calls back once every record written so far stands in the log; at once when it does already.
     void afterStored(StoredCallback done);
 
+    /// The log was read further and holds this many records of the epoch. When the append under way is among them, its
+    /// answer was lost or is slow.
+    void noteRead(std::uint64_t ownRecords);
+
     /// Starts the append of what was written; called at the end of a step of the controller.
     void flush();
 
@@ -48,6 +52,7 @@
 private:
     void sendBatch();
     void onAnswer(const foundation::Result<AppendReceipt>& answer);
+    void finishBatch();
 
     IEventLog& log_;
     foundation::IClock& clock_;
@@ -61,6 +66,7 @@
     std::vector<StoredCallback> afterQueued_;
     std::vector<StoredCallback> afterBatch_;
     foundation::SteadyTime batchSince_ {};
+    std::uint64_t storedRecords_ = 0; ///< Of the epoch, the claim not counted.
     bool underWay_ = false;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/eventlog/internal/controllerwriter.cpp
+++ b/src/eventlog/internal/controllerwriter.cpp
@@ -12,7 +12,8 @@
 
 namespace {
 
-    constexpr milliseconds appendTimeout { 600 };
+    /// A slow store takes seconds, and a repeated append makes it slower; a lost answer is made up for by reading.
+    constexpr milliseconds appendTimeout { 2500 };
     constexpr milliseconds retryDelay { 50 };
     constexpr milliseconds stallThreshold { 400 }; ///< An append is answered within about 10 ms.
 
@@ -60,10 +61,11 @@
     AppendRequest request;
     request.payloads = batch_;
     request.position = ProducerPosition { epoch_, sequence_ };
-    log_.append(std::move(request), appendTimeout, [this, alive = alive_](const Result<AppendReceipt>& answer) {
-        if (*alive)
-            onAnswer(answer);
-    });
+    log_.append(std::move(request), appendTimeout,
+        [this, alive = alive_, number = sequence_](const Result<AppendReceipt>& answer) {
+            if (*alive && number == sequence_)
+                onAnswer(answer);
+        });
 }
 
 void ControllerWriter::onAnswer(const Result<AppendReceipt>& answer)
@@ -75,16 +77,28 @@
     if (!answer) {
         events_.write("log.append-unanswered",
             { { "epoch", epoch_ }, { "sequence", sequence_ }, { "reason", answer.error().message() } });
-        timers_.schedule(clock_.now() + retryDelay, [this, alive = alive_] {
-            if (*alive)
+        timers_.schedule(clock_.now() + retryDelay, [this, alive = alive_, number = sequence_] {
+            if (*alive && number == sequence_)
                 sendBatch();
         });
         return;
     }
+    finishBatch();
+}
+
+void ControllerWriter::noteRead(std::uint64_t ownRecords)
+{
+    if (underWay_ && ownRecords >= storedRecords_ + batch_.size())
+        finishBatch();
+}
+
+void ControllerWriter::finishBatch()
+{
     const auto took = std::chrono::duration_cast<milliseconds>(clock_.now() - batchSince_);
+    storedRecords_ += batch_.size();
     events_.write("log.appended",
-        { { "epoch", epoch_ }, { "sequence", sequence_ }, { "offset", answer->offset },
-            { "records", static_cast<std::uint64_t>(batch_.size()) }, { "took_ms", std::int64_t(took.count()) } });
+        { { "epoch", epoch_ }, { "sequence", sequence_ }, { "records", static_cast<std::uint64_t>(batch_.size()) },
+            { "stored", storedRecords_ }, { "took_ms", std::int64_t(took.count()) } });
     ++sequence_;
     underWay_ = false;
     auto stored = std::move(afterBatch_);
--- a/src/eventlog/internal/jobfollower.cpp
+++ b/src/eventlog/internal/jobfollower.cpp
@@ -125,6 +125,8 @@
         }
         if (logged->epoch == 0 || logged->epoch != ownEpoch_)
             table_->apply(logged->record);
+        else
+            ++ownRecordsRead_;
     }
 }
 
@@ -159,6 +161,12 @@
     });
 }
 
+void JobFollower::beginControl(std::uint64_t epoch)
+{
+    ownEpoch_ = epoch;
+    ownRecordsRead_ = 0;
+}
+
 void JobFollower::endControl()
 {
     ownEpoch_ = 0;
--- a/src/eventlog/internal/jobsubmitter.cpp
+++ b/src/eventlog/internal/jobsubmitter.cpp
@@ -13,8 +13,9 @@
 
 namespace {
 
-    /// An append is answered within about 10 ms; a slow store takes 50 times as long.
-    constexpr milliseconds appendTimeout { 700 };
+    /// An append is answered within about 10 ms. A slow store takes seconds, and a repeated append makes it slower; a
+    /// lost answer is made up for by reading the log.
+    constexpr milliseconds appendTimeout { 2500 };
     constexpr milliseconds retryDelay { 40 };
     /// After this a caller that surely got nothing stored is told so, to try another entry or come back later.
     constexpr milliseconds refusalPatience { 120 };
@@ -29,13 +30,21 @@
 {
 }
 
-void JobSubmitter::submit(const jobs::Record& record, foundation::SteadyTime deadline, Callback done)
+void JobSubmitter::submit(
+    const jobs::Record& record, foundation::SteadyTime deadline, std::function<bool()> isStored, Callback done)
 {
-    waiting_.push_back({ jobs::encode(record, 0), clock_.now(), deadline, std::move(done) });
+    waiting_.push_back({ jobs::encode(record, 0), clock_.now(), deadline, std::move(isStored), std::move(done) });
+    timers_.schedule(deadline, [this] { giveUpUnderWay(); });
     if (underWay_.empty() && !retryScheduled_)
         appendNext();
 }
 
+void JobSubmitter::answer(Pending& pending, AppendOutcome outcome)
+{
+    if (auto done = std::exchange(pending.done, nullptr))
+        done(outcome);
+}
+
 void JobSubmitter::appendNext()
 {
     giveUpExpired();
@@ -52,23 +61,34 @@
     const auto batchEnd = waiting_.begin() + static_cast<std::ptrdiff_t>(count);
     underWay_.assign(std::make_move_iterator(waiting_.begin()), std::make_move_iterator(batchEnd));
     waiting_.erase(waiting_.begin(), batchEnd);
-    log_.append(std::move(request), appendTimeout, [this](const Result<AppendReceipt>& answer) { onAnswer(answer); });
+    log_.append(std::move(request), appendTimeout, [this, batch = ++batch_](const Result<AppendReceipt>& receipt) {
+        if (batch == batch_)
+            onAnswer(receipt);
+    });
 }
 
-void JobSubmitter::onAnswer(const Result<AppendReceipt>& answer)
+void JobSubmitter::onAnswer(const Result<AppendReceipt>& receipt)
 {
     std::vector<Pending> batch = std::move(underWay_);
     underWay_.clear();
-    if (answer) {
+    if (receipt) {
         for (auto& pending : batch)
-            pending.done(AppendOutcome::Stored);
+            answer(pending, AppendOutcome::Stored);
         return appendNext();
     }
-    const bool isSurelyNotStored = answer.error().code == Errc::Unavailable;
-    for (auto& pending : batch)
+    const bool isSurelyNotStored = receipt.error().code == Errc::Unavailable;
+    for (auto& pending : batch) {
+        if (!pending.done)
+            continue;
         pending.mayBeStored |= !isSurelyNotStored;
-    waiting_.insert(waiting_.begin(), std::make_move_iterator(batch.begin()), std::make_move_iterator(batch.end()));
+        waiting_.push_back(std::move(pending));
+    }
     giveUpExpired();
+    retryLater();
+}
+
+void JobSubmitter::retryLater()
+{
     retryScheduled_ = true;
     timers_.schedule(clock_.now() + retryDelay, [this] {
         retryScheduled_ = false;
@@ -76,10 +96,30 @@
     });
 }
 
+void JobSubmitter::noteRead()
+{
+    bool isAnyOpen = false;
+    for (auto& pending : underWay_) {
+        if (pending.done && pending.isStored())
+            answer(pending, AppendOutcome::Stored);
+        isAnyOpen |= pending.done != nullptr;
+    }
+    for (auto& pending : waiting_) {
+        if (pending.done && pending.isStored())
+            answer(pending, AppendOutcome::Stored);
+    }
+    if (underWay_.empty() || isAnyOpen)
+        return;
+    // All of the append has taken effect, so its answer was lost.
+    ++batch_;
+    underWay_.clear();
+    appendNext();
+}
+
 bool JobSubmitter::isExpired(const Pending& pending) const
 {
     const auto now = clock_.now();
-    if (now >= pending.deadline)
+    if (!pending.done || now >= pending.deadline)
         return true;
     return !pending.mayBeStored && now >= pending.submittedAt + refusalPatience;
 }
@@ -96,7 +136,15 @@
         pending = waiting_.erase(pending);
     }
     for (auto& pending : expired)
-        pending.done(pending.mayBeStored ? AppendOutcome::Unknown : AppendOutcome::NotStored);
+        answer(pending, pending.mayBeStored ? AppendOutcome::Unknown : AppendOutcome::NotStored);
+}
+
+void JobSubmitter::giveUpUnderWay()
+{
+    for (auto& pending : underWay_) {
+        if (pending.done && clock_.now() >= pending.deadline)
+            answer(pending, AppendOutcome::Unknown);
+    }
 }
 
 } // namespace turmericsill::eventlog
--- a/src/eventlog/jobfollower.h
+++ b/src/eventlog/jobfollower.h
@@ -49,9 +49,12 @@
     void onChange(std::function<void()> callback) { changed_ = std::move(callback); }
 
     /// The controller folds its own records before they are appended, and reads more often.
-    void beginControl(std::uint64_t epoch) { ownEpoch_ = epoch; }
+    void beginControl(std::uint64_t epoch);
     void applyOwn(const jobs::Record& record) { table_->apply(record); }
 
+    /// Records of this controller that were read back.
+    std::uint64_t ownRecordsRead() const { return ownRecordsRead_; }
+
     /// As JobTable::beginDueOccurrences().
     void beginDueOccurrences(foundation::milliseconds timeOfDay) { table_->beginDueOccurrences(timeOfDay); }
 
@@ -85,6 +88,7 @@
     std::unique_ptr<jobs::JobTable> table_;
     std::uint64_t offset_ = 0;
     std::uint64_t ownEpoch_ = 0; ///< 0: this entry is not the controller.
+    std::uint64_t ownRecordsRead_ = 0;
     std::uint64_t generation_ = 0; ///< Rises with each rebuild; pages of an earlier one are left out.
     std::uint64_t unknownRecords_ = 0;
     bool isLoading_ = false;
--- a/src/eventlog/jobsubmitter.h
+++ b/src/eventlog/jobsubmitter.h
@@ -28,28 +28,38 @@
     JobSubmitter(const JobSubmitter&) = delete;
     JobSubmitter& operator=(const JobSubmitter&) = delete;
 
-    /// Appends a record; gives up at `deadline`.
-    void submit(const jobs::Record& record, foundation::SteadyTime deadline, Callback done);
+    /// Appends a record; gives up at `deadline`. `isStored` tells whether the log, as far as it was read, holds the
+    /// record's effect already.
+    void submit(
+        const jobs::Record& record, foundation::SteadyTime deadline, std::function<bool()> isStored, Callback done);
+
+    /// The log was read further: what it holds needs no answer any more.
+    void noteRead();
 
 private:
     struct Pending {
         std::string payload;
         foundation::SteadyTime submittedAt;
         foundation::SteadyTime deadline;
-        Callback done;
+        std::function<bool()> isStored;
+        Callback done; ///< Null: the caller has its answer.
         bool mayBeStored = false;
     };
 
     void appendNext();
     void onAnswer(const foundation::Result<AppendReceipt>& answer);
+    void retryLater();
     void giveUpExpired();
+    void giveUpUnderWay();
     bool isExpired(const Pending& pending) const;
+    static void answer(Pending& pending, AppendOutcome outcome);
 
     IEventLog& log_;
     foundation::IClock& clock_;
     foundation::ITimerQueue& timers_;
     std::vector<Pending> waiting_;
     std::vector<Pending> underWay_;
+    std::uint64_t batch_ = 0; ///< Number of the append under way; answers to earlier ones come too late.
     bool retryScheduled_ = false;
 };
 
--- a/src/jobs/internal/jobtable.cpp
+++ b/src/jobs/internal/jobtable.cpp
@@ -40,6 +40,8 @@
 {
     claims_ = head.claims;
     upkeepBegun_ = head.upkeepBegun;
+    for (const auto id : head.cancelledUnknown)
+        rememberCancelled(id);
 }
 
 void JobTable::restore(std::unique_ptr<Job> job)
--- a/src/jobs/internal/snapshotcodec.cpp
+++ b/src/jobs/internal/snapshotcodec.cpp
@@ -110,7 +110,7 @@
     for (const auto& [wave, machine] : head.upkeepBegun)
         upkeeps.push_back(json::array({ wave, machine }));
     std::string bytes;
-    json::to_cbor(json::array({ head.offset, std::move(claims), std::move(upkeeps) }), bytes);
+    json::to_cbor(json::array({ head.offset, std::move(claims), std::move(upkeeps), head.cancelledUnknown }), bytes);
     return bytes;
 }
 
@@ -123,6 +123,7 @@
             head.claims.push_back(claimedFrom(claim));
         for (const auto& upkeep : value.at(2))
             head.upkeepBegun.emplace(upkeep.at(0).get<std::uint64_t>(), upkeep.at(1).get<std::string>());
+        head.cancelledUnknown = value.at(3).get<std::deque<JobId>>();
         return head;
     });
 }
--- a/src/jobs/jobtable.h
+++ b/src/jobs/jobtable.h
@@ -35,7 +35,7 @@
     void restore(std::unique_ptr<Job> job);
 
     /// What a snapshot that holds the log up to `offset` says besides the jobs.
-    SnapshotHead head(std::uint64_t offset) const { return { offset, claims_, upkeepBegun_ }; }
+    SnapshotHead head(std::uint64_t offset) const { return { offset, claims_, upkeepBegun_, cancelledOrder_ }; }
 
     /// The job, or null when it is unknown or was forgotten.
     const Job* find(JobId id) const;
--- a/src/jobs/snapshotcodec.h
+++ b/src/jobs/snapshotcodec.h
@@ -17,6 +17,7 @@
     std::uint64_t offset = 0; ///< The log is to be read from here on; what stands before is in the snapshot.
     std::deque<Claimed> claims;
     std::set<std::pair<std::uint64_t, std::string>> upkeepBegun; ///< Wave and machine.
+    std::deque<JobId> cancelledUnknown; ///< Cancelled before they were submitted, the oldest first.
 };
 
 /// Encodes a job with its runs, and back. Errc::UnknownRecord: the bytes are damaged or of a later version.
