Long-running tasks share instances, a step's at least five

Cause: with a disruption budget of one, each long-running task had an instance of its own, so nearly every machine of a pool was pinned and could not follow the surge to another pool. Ruled out: the budget itself; relocations go one by one, so tasks may share. Change: a step is spread over five instances at least, the rest share.

--- a/src/scheduling/internal/placementplanner.cpp
+++ b/src/scheduling/internal/placementplanner.cpp
@@ -17,6 +17,7 @@
 namespace {
 
     constexpr double assumedTaskSeconds = 1; ///< For steps that state no estimate.
+    constexpr std::uint32_t leastInstances = 5; ///< That a long-running step is spread over, where there is room.
 
     double taskSeconds(const StepSpec& step)
     {
@@ -150,12 +151,12 @@
             return { failedThere, isFar, crowd, spec_.isLongRunning ? -otherLongRunning : 0, instance.free.milliCores };
         }
 
-        /// Tasks of this step beyond which planned work on the instance would exceed the disruption budget.
+        /// Tasks of this step on the instance, once their number is more than the loss of one instance may take.
         std::uint32_t crowdOn(const InstanceView& instance) const
         {
-            const std::uint32_t budget = spec_.hasDisruptionBudget ? std::max(spec_.disruptionBudget, 1u) : 1u;
+            const std::uint32_t share = (spec_.count + leastInstances - 1) / leastInstances;
             const std::uint32_t present = tasksOn(instance);
-            return present < budget ? 0 : present;
+            return present < share ? 0 : present;
         }
 
         InstanceView* choose(const Task& task)
--- a/src/scheduling/placementplanner.h
+++ b/src/scheduling/placementplanner.h
@@ -9,7 +9,8 @@
 ///
 /// Order: priority of the queue, then long-running tasks, then the job with the least work left, so that a surge
 /// delays few large jobs rather than many small ones. A task goes to the instance that it fills best, on its data's
-/// rack where it can; tasks of a long-running step spread over instances within their disruption budget.
+/// rack where it can; long-running tasks share few instances, a step's tasks at least three, so that the other
+/// instances stay free to be moved or maintained and the loss of one takes a fifth of a step.
 class PlacementPlanner {
 public:
     explicit PlacementPlanner(const fleet::FleetConfiguration& configuration);
