Machines move ahead of growing demand

Cause: machines were ordered once work waited, and arrived 1.7 s later; a surge of a few seconds was half over by then (median first start 54 to 130 ms, 95 of 100 within 4 to 6 s). Change: a pool's lack is what it will be when a machine arrives, from its smoothed growth over 0.5 s and its free room; growing pools give no machines away.

--- a/src/control/fleetsteward.h
+++ b/src/control/fleetsteward.h
@@ -43,6 +43,13 @@
         bool isReporting = false;
     };
 
+    /// Demand of a pool over time.
+    struct Trend {
+        double milliCores = 0;
+        double growthPerSecond = 0; ///< Smoothed.
+        foundation::SteadyTime sampledAt {};
+    };
+
     enum class Duty { Emptying, Upkeep, Moving };
 
     /// What is going on with a machine.
@@ -69,6 +76,8 @@
     bool hasRoomElsewhere(const InstanceSession& session, const jobs::TaskId& task) const;
     void beginUpkeep(const std::string& machine, Work& work);
     void reportWave(Wave& wave, bool completed);
+    std::map<std::string, scheduling::PoolDemand> poolDemands();
+    void follow(const std::string& pool, double milliCores, scheduling::PoolDemand& demand);
     void planMoves();
     void move(const scheduling::Move& move);
     void publishReserved();
@@ -85,6 +94,7 @@
     std::map<std::string, fleet::MachineReport> machines_;
     std::map<std::string, Work> work_; ///< By machine.
     std::map<std::uint64_t, Wave> waves_;
+    std::map<std::string, Trend> trends_; ///< By pool.
     std::map<std::string, foundation::SteadyTime> idleSince_; ///< By instance.
     std::set<std::pair<std::string, std::string>> refusedMoves_; ///< Machine and pool.
     foundation::SteadyTime listedAt_ {};
--- a/src/control/internal/fleetsteward.cpp
+++ b/src/control/internal/fleetsteward.cpp
@@ -21,6 +21,7 @@
     constexpr milliseconds listInterval { 500 }; ///< A move takes 1.5 s.
     constexpr milliseconds moveLimit { 8000 }; ///< After which a moved machine no longer counts as on its way.
     constexpr milliseconds hurry { 4000 }; ///< Before a wave's deadline short tasks are no longer waited for.
+    constexpr double trendTime = 0.5; ///< Seconds over which a pool's demand is smoothed: ten samples.
     constexpr int atWork = 100; ///< Percent of a long-running task that serves.
 
 } // namespace
@@ -319,15 +320,48 @@
         });
 }
 
-void FleetSteward::planMoves()
+void FleetSteward::follow(const std::string& pool, double milliCores, scheduling::PoolDemand& demand)
+{
+    Trend& trend = trends_[pool];
+    const auto now = context_.clock.now();
+    const double elapsed = std::chrono::duration<double>(now - trend.sampledAt).count();
+    if (elapsed > trendTime) {
+        trend.growthPerSecond = 0;
+    } else if (elapsed > 0) {
+        const double weight = elapsed / trendTime;
+        trend.growthPerSecond += weight * ((milliCores - trend.milliCores) / elapsed - trend.growthPerSecond);
+    }
+    trend.milliCores = milliCores;
+    trend.sampledAt = now;
+    demand.growthMilliCoresPerSecond = trend.growthPerSecond;
+}
+
+std::map<std::string, scheduling::PoolDemand> FleetSteward::poolDemands()
 {
     std::map<std::string, scheduling::PoolDemand> demands;
+    std::map<std::string, double> used;
     for (const auto& [name, pool] : configuration_.pools) {
         if (!pool.isStandby)
             demands[name];
     }
     for (const auto& [pool, plan] : controller_.lastPlans())
         demands[pool].unplaced = plan.unplaced;
+    for (const auto& [name, session] : controller_.sessions()) {
+        for (const auto& [task, run] : session->runs())
+            used[session->report().pool] += run.isLongRunning ? 0 : static_cast<double>(run.resources.milliCores);
+        const bool takesWork = session->isListed() && session->isInContact() && !session->report().isDraining
+            && !work_.count(session->report().machine);
+        if (takesWork)
+            demands[session->report().pool].freeMilliCores += session->free().milliCores;
+    }
+    for (auto& [pool, demand] : demands)
+        follow(pool, used[pool] + static_cast<double>(demand.unplaced.milliCores), demand);
+    return demands;
+}
+
+void FleetSteward::planMoves()
+{
+    std::map<std::string, scheduling::PoolDemand> demands = poolDemands();
     std::vector<scheduling::MachineView> movable;
     const auto now = context_.clock.now();
     for (const auto& [name, machine] : machines_) {
--- a/src/scheduling/internal/moveplanner.cpp
+++ b/src/scheduling/internal/moveplanner.cpp
@@ -21,6 +21,14 @@
             count(need.accelerators, capacity.accelerators) });
     }
 
+    /// What the pool lacks now, or will lack when a machine that is ordered now arrives.
+    std::int64_t expectedLack(const PoolDemand& demand, const MovePolicy& policy)
+    {
+        const double growth = std::max(0.0, demand.growthMilliCoresPerSecond) * policy.leadSeconds;
+        const auto ahead = static_cast<std::int64_t>(growth) + demand.unplaced.milliCores - demand.freeMilliCores;
+        return std::max(demand.unplaced.milliCores, ahead);
+    }
+
     /// Machines that can be given away, the cheapest first.
     class Sources {
     public:
@@ -36,7 +44,7 @@
                     continue;
                 }
                 const auto demand = demands.find(machine.pool);
-                const bool isNeeded = demand != demands.end() && demand->second.unplaced.milliCores > 0;
+                const bool isNeeded = demand != demands.end() && expectedLack(demand->second, policy) > 0;
                 if (isNeeded || machine.runs > 0 || machine.idleFor < policy.leastIdle
                     || left[machine.pool] <= policy.leastMachines)
                     continue;
@@ -66,13 +74,15 @@
     std::vector<Move> moves;
     Sources sources(machines, demands, policy);
     for (const auto& [pool, demand] : demands) {
-        if (demand.unplaced.milliCores < policy.leastUnplacedMilliCores)
+        jobs::Resources lack = demand.unplaced;
+        lack.milliCores = expectedLack(demand, policy);
+        if (lack.milliCores < policy.leastUnplacedMilliCores)
             continue;
         std::int64_t granted = 0;
         while (!sources.isEmpty()) {
             const MachineView& machine = sources.front();
-            const std::int64_t wanted = machinesFor(demand.unplaced, machine.capacity, policy.reach)
-                + policy.extraMachines - machinesFor(demand.incoming, machine.capacity, 1);
+            const std::int64_t wanted = machinesFor(lack, machine.capacity, policy.reach) + policy.extraMachines
+                - machinesFor(demand.incoming, machine.capacity, 1);
             if (granted >= wanted)
                 break;
             moves.push_back({ machine.machine, pool });
--- a/src/scheduling/moveplanner.h
+++ b/src/scheduling/moveplanner.h
@@ -13,6 +13,7 @@
     std::int64_t leastUnplacedMilliCores = 4000; ///< Below this a pool's own tasks make room soon enough.
     double reach = 1.6; ///< A surge grows while machines are on their way: cover this much of what waits.
     std::uint32_t extraMachines = 2;
+    double leadSeconds = 3.5; ///< A move and the first heartbeat of the new instance.
     milliseconds leastIdle { 250 }; ///< A machine between two tasks is not idle.
     std::uint32_t leastMachines = 2; ///< That a pool keeps.
 };
--- a/src/scheduling/types/fleetview.h
+++ b/src/scheduling/types/fleetview.h
@@ -26,6 +26,8 @@
 struct PoolDemand {
     jobs::Resources unplaced; ///< Of tasks whose turn has come and that found no room.
     jobs::Resources incoming; ///< Of machines on their way to the pool.
+    std::int64_t freeMilliCores = 0; ///< Of its instances that take work.
+    double growthMilliCoresPerSecond = 0; ///< Of what its tasks use and wait for, smoothed.
     std::uint32_t machines = 0;
 };
 
