Leases of 5 s

Ruled out: unanswered former controllers; all had said that they had stopped. Change: 5 s, still more than a change of control takes. Changes that follow each other faster than 5.2 s still put the restart off; the log would have to hold since when an instance is silent.

--- a/src/emulator/tests/controltests.cpp
+++ b/src/emulator/tests/controltests.cpp
@@ -146,7 +146,7 @@
     world.emulation.platform().unlist(host);
     for (const char* name : { "e-1", "e-2", "e-3" })
         world.emulation.startEntry(name);
-    // The lease of 6 s by the slowest clock, and the time to begin control.
+    // The lease of 5 s by the slowest clock, and the time to begin control.
     world.emulation.run(milliseconds(9000));
     CHECK(runsOf(world, 0xa6) == 1);
     CHECK(world.broken().empty());
@@ -207,7 +207,7 @@
     // The small task fits best on the instance that has just fallen silent.
     world.emulation.platform().faults().unreachableInstances.insert(host);
     world.emulation.submit("e-2", 0xb2, job({ step(1, 2000) }));
-    // The lease of 6 s by the slowest clock, after the last renewal that was answered.
+    // The lease of 5 s by the slowest clock, after the last renewal that was answered.
     world.emulation.run(milliseconds(8000));
     std::size_t elsewhere = 0;
     for (const auto& [name, instance] : world.emulation.platform().instances())
