Upkeep that was done before ends no run; waves keep their deadline through changes of control

Ruled out: late orders, a second controller (one began and held throughout). Change: an order takes a machine once a later list shows it down; WaveSeen in the log; the bound of an inherited lease is kept apart from what is sent.

--- a/src/control/controlduty.h
+++ b/src/control/controlduty.h
@@ -71,7 +71,7 @@
     ControlSettings settings_;
     EntryIdentity identity_;
     fleet::FleetConfiguration configuration_;
-    std::map<std::uint64_t, std::pair<fleet::UpkeepWave, foundation::SteadyTime>> waves_; ///< With when they were read.
+    std::map<std::uint64_t, fleet::UpkeepWave> waves_;
     std::unique_ptr<Controller> controller_;
     std::unique_ptr<FleetSteward> steward_; ///< Of the controller.
     std::uint64_t generation_ = 0;
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -76,6 +76,9 @@
 
     /// Writes that a machine's upkeep for a wave has begun.
     void recordUpkeep(std::uint64_t wave, const std::string& machine);
+
+    /// How long ago a controller first learned of a wave; writes it down when none had.
+    milliseconds waveAge(std::uint64_t wave);
     bool hasBegunUpkeep(std::uint64_t wave, const std::string& machine) const;
 
     /// The instance's machine was given to other work, which ended its life.
--- a/src/control/fleetsteward.h
+++ b/src/control/fleetsteward.h
@@ -27,8 +27,8 @@
 
     void setConfiguration(const fleet::FleetConfiguration& configuration) { configuration_ = configuration; }
 
-    /// A wave that operators asked for; `requestedAt` is when this entry learned of it.
-    void addWave(const fleet::UpkeepWave& wave, foundation::SteadyTime requestedAt);
+    /// A wave that operators asked for.
+    void addWave(const fleet::UpkeepWave& wave);
 
     /// Regular work.
     void tick();
@@ -57,6 +57,7 @@
         Duty duty = Duty::Emptying;
         std::uint64_t wave = 0;
         std::string targetPool;
+        std::string instance; ///< That ran on the machine when the order was given.
         jobs::Resources capacity;
         foundation::SteadyTime since;
         bool isOrdered = false; ///< The order was accepted,
--- a/src/control/internal/controlduty.cpp
+++ b/src/control/internal/controlduty.cpp
@@ -53,10 +53,9 @@
 
 void ControlDuty::addWave(const fleet::UpkeepWave& wave)
 {
-    const auto entry = waves_.emplace(wave.number, std::pair(wave, context_.clock.now())).first;
-    entry->second.first = wave;
+    waves_[wave.number] = wave;
     if (steward_)
-        steward_->addWave(wave, entry->second.second);
+        steward_->addWave(wave);
 }
 
 void ControlDuty::onTableChanged()
@@ -171,7 +170,7 @@
     steward_ = std::make_unique<FleetSteward>(context_, machines_, *controller_, settings_, mayOrderFrom);
     steward_->setConfiguration(configuration_);
     for (const auto& [number, wave] : waves_)
-        steward_->addWave(wave.first, wave.second);
+        steward_->addWave(wave);
     controller_->setConfiguration(configuration_);
     controller_->start();
 }
--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -466,6 +466,17 @@
     writer_.flush();
 }
 
+milliseconds Controller::waveAge(std::uint64_t wave)
+{
+    const auto now = timeOfDay(context_.clock);
+    const auto seenAt = context_.follower.table().waveSeenAt(wave);
+    if (!seenAt) {
+        write(jobs::WaveSeen { wave, now });
+        writer_.flush();
+    }
+    return std::max(milliseconds(0), now - seenAt.value_or(now));
+}
+
 bool Controller::hasBegunUpkeep(std::uint64_t wave, const std::string& machine) const
 {
     return context_.follower.table().hasBegunUpkeep(wave, machine);
--- a/src/control/internal/fleetsteward.cpp
+++ b/src/control/internal/fleetsteward.cpp
@@ -20,6 +20,7 @@
 
     constexpr milliseconds listInterval { 500 }; ///< A move takes 1.5 s.
     constexpr milliseconds moveLimit { 8000 }; ///< After which a moved machine no longer counts as on its way.
+    constexpr milliseconds downVisible { 1000 }; ///< A list that is asked for within 1.5 s of an order shows it.
     constexpr milliseconds hurry { 4000 }; ///< Before a wave's deadline short tasks are no longer waited for.
     constexpr double trendTime = 0.5; ///< Seconds over which a pool's demand is smoothed: ten samples.
     constexpr int atWork = 100; ///< Percent of a long-running task that serves.
@@ -38,11 +39,11 @@
 
 FleetSteward::~FleetSteward() { *alive_ = false; }
 
-void FleetSteward::addWave(const fleet::UpkeepWave& wave, SteadyTime requestedAt)
+void FleetSteward::addWave(const fleet::UpkeepWave& wave)
 {
     Wave& entry = waves_[wave.number];
     entry.declared = wave;
-    entry.deadline = requestedAt + wave.duration;
+    entry.deadline = context_.clock.now() + wave.duration - controller_.waveAge(wave.number);
 }
 
 const MachineReport* FleetSteward::find(const std::string& machine) const
@@ -108,12 +109,15 @@
     hasList_ = true;
     for (auto& [machine, work] : work_) {
         const MachineReport* report = find(machine);
-        if (work.isOrdered && report && report->state != MachineState::Up)
-            work.wasSeenDown = true;
+        if (!work.isOrdered || !report || report->state == MachineState::Up || std::exchange(work.wasSeenDown, true))
+            continue;
+        if (!work.instance.empty())
+            controller_.noteTaken(work.instance);
     }
 }
 
-// An accepted order is over once a list that was asked for later shows the machine up again.
+// An accepted order is over once a list that was asked for later shows the machine up again. An order that had been
+// carried out before is accepted as well and takes nothing down.
 void FleetSteward::settleWork()
 {
     const auto now = context_.clock.now();
@@ -121,7 +125,9 @@
         const Work& work = entry->second;
         const MachineReport* report = find(entry->first);
         const bool isBack = report && report->state == MachineState::Up && listedAt_ > work.since && !isListing_;
-        const bool isOver = work.isOrdered && ((isBack && work.wasSeenDown) || now - work.since > moveLimit);
+        const bool wasDoneBefore = isBack && listedAt_ - work.since > downVisible;
+        const bool isOver
+            = work.isOrdered && ((isBack && work.wasSeenDown) || wasDoneBefore || now - work.since > moveLimit);
         const bool isGone = !report && !work.isUnderWay;
         if (isOver || isGone)
             entry = work_.erase(entry);
@@ -294,8 +300,7 @@
             ordered.duty = Duty::Upkeep;
             ordered.isOrdered = true;
             ordered.since = context_.clock.now();
-            if (!instance.empty())
-                controller_.noteTaken(instance);
+            ordered.instance = instance;
             controller_.recordUpkeep(number, machine);
         });
 }
@@ -421,8 +426,7 @@
             // Without an answer the machine counts as on its way until lists tell otherwise.
             ordered.isOrdered = true;
             ordered.since = context_.clock.now();
-            if (isAccepted && !instance.empty())
-                controller_.noteTaken(instance);
+            ordered.instance = instance;
         });
 }
 
--- a/src/control/internal/formercontrollers.cpp
+++ b/src/control/internal/formercontrollers.cpp
@@ -10,6 +10,7 @@
 namespace {
 
     constexpr milliseconds askInterval { 500 };
+    constexpr milliseconds orderDelay { 200 }; ///< Of a renewal that was on its way when its sender stopped.
     constexpr milliseconds clockTolerance { 2500 }; ///< Times of day of two entries differ by less.
 
 } // namespace
@@ -53,8 +54,11 @@
         latest = std::max(latest, former.stoppedAt);
     if (former_.empty())
         return latest;
-    const auto lease = std::chrono::duration_cast<SteadyTime::duration>(terms_.length / terms_.slowestClock);
-    return latest + lease;
+    // A lease ends by the former controller's estimate of the instance's clock, which has run ahead since the last
+    // answer.
+    const auto ahead = terms_.idleRenewInterval * (1 - terms_.slowestClock);
+    const auto lease = (terms_.length + ahead) / terms_.slowestClock + orderDelay;
+    return latest + std::chrono::duration_cast<SteadyTime::duration>(lease);
 }
 
 void FormerControllers::askAll()
--- a/src/control/internal/instancesession.cpp
+++ b/src/control/internal/instancesession.cpp
@@ -67,7 +67,7 @@
         return now > std::max(context_.former.leasesOverAt(), adoptedLeasesOverAt_);
     const auto elapsed = std::chrono::duration_cast<std::chrono::duration<double, std::milli>>(now - clockAt_);
     const double lowest = static_cast<double>(clock_->count()) + elapsed.count() * context_.terms.slowestClock;
-    return lowest > static_cast<double>((leaseSent_ + leaseMargin).count());
+    return lowest > static_cast<double>((std::max(leaseSent_, inheritedLeaseEnd_) + leaseMargin).count());
 }
 
 void InstanceSession::track(
@@ -314,7 +314,7 @@
     const bool wasSynced = std::exchange(isSynced_, true);
     // The former controller's lease may last this long; its end is not told.
     if (!wasSynced && !runs_.empty())
-        leaseSent_ = std::max(leaseSent_, answer->clock + context_.terms.longestLease);
+        inheritedLeaseEnd_ = answer->clock + context_.terms.longestLease;
     noteAnswer();
     reconcile(*answer, sentAt);
     if (isClosed_)
--- a/src/control/internal/instancesession.h
+++ b/src/control/internal/instancesession.h
@@ -149,6 +149,7 @@
     std::optional<fleet::InstanceTime> clock_; ///< Its clock when it last answered,
     foundation::SteadyTime clockAt_ {}; ///< and when that answer came.
     fleet::InstanceTime leaseSent_ { 0 }; ///< Latest end of the lease in any order or renewal.
+    fleet::InstanceTime inheritedLeaseEnd_ { 0 }; ///< No lease of a former controller ends later.
     foundation::SteadyTime adoptedLeasesOverAt_ = foundation::SteadyTime::min();
     std::uint64_t listedEnds_ = 0;
     std::uint64_t acknowledgedEnds_ = 0;
--- a/src/emulator/emulatedplatform.h
+++ b/src/emulator/emulatedplatform.h
@@ -25,6 +25,7 @@
     double lostOrderAnswers = 0; ///< Share of orders that are carried out and not answered.
     std::set<std::string> unreachableInstances;
     milliseconds storeDelay { 4 };
+    bool upkeepDoneBefore = false; ///< Orders for upkeep are accepted without effect, as repeated ones are.
 };
 
 /// The platform that entries meet in an emulation: log, instances and machines, with delays and faults.
--- a/src/emulator/internal/entryport.cpp
+++ b/src/emulator/internal/entryport.cpp
@@ -249,7 +249,9 @@
 
 void EntryPort::beginUpkeep(const std::string&, std::uint64_t, std::uint64_t, OrderCallback done)
 {
-    answer(orderDelay, [done] { done(fleet::MachineVerdict::Refused); });
+    const auto verdict
+        = platform_.faults().upkeepDoneBefore ? fleet::MachineVerdict::Accepted : fleet::MachineVerdict::Refused;
+    answer(orderDelay, [done, verdict] { done(verdict); });
 }
 
 // Every second instance is good, and its ticket names it.
--- a/src/emulator/tests/controltests.cpp
+++ b/src/emulator/tests/controltests.cpp
@@ -261,3 +261,26 @@
     CHECK(statusOf(world, "e-1", 0xd1).state == jobs::JobState::Completed);
     CHECK(world.broken().empty());
 }
+
+// The order of a former controller had its effect, and the machine came back, before this one repeats it.
+TEST_CASE("control: an order for upkeep that was carried out before ends no run", "[emulation]")
+{
+    World world(12);
+    world.emulation.run(milliseconds(4000)); // Until the controller may give orders for machines.
+    world.emulation.platform().faults().upkeepDoneBefore = true;
+    world.emulation.submit("e-1", 0xe1, job({ step(16, 2000) }));
+    world.emulation.run(milliseconds(150));
+    REQUIRE(runsOf(world, 0xe1) == 16);
+    fleet::UpkeepWave wave;
+    wave.number = 1;
+    wave.duration = milliseconds(100); // Over at once, so that short tasks are not waited for.
+    wave.maximumDown = 4;
+    for (const char* name : { "i-1", "i-2", "i-3", "i-4" })
+        wave.machines.push_back(std::string("machine-of-") + name);
+    world.emulation.entry(world.emulation.controller())->control().addWave(wave);
+    world.emulation.run(milliseconds(6000));
+    CHECK(statusOf(world, "e-1", 0xe1).state == jobs::JobState::Completed);
+    for (const auto& line : world.sink.lines)
+        CHECK(line.find("instance-gone") == std::string::npos);
+    CHECK(world.broken().empty());
+}
--- a/src/jobs/internal/jobtable.cpp
+++ b/src/jobs/internal/jobtable.cpp
@@ -40,6 +40,7 @@
 {
     claims_ = head.claims;
     upkeepBegun_ = head.upkeepBegun;
+    wavesSeen_ = head.wavesSeen;
     for (const auto id : head.cancelledUnknown)
         rememberCancelled(id);
 }
@@ -96,6 +97,12 @@
         claims_.pop_front();
 }
 
+std::optional<milliseconds> JobTable::waveSeenAt(std::uint64_t wave) const
+{
+    const auto found = wavesSeen_.find(wave);
+    return found == wavesSeen_.end() ? std::nullopt : std::optional(found->second);
+}
+
 void JobTable::apply(const Submitted& record)
 {
     if (jobs_.count(record.job))
--- a/src/jobs/internal/recordcodec.cpp
+++ b/src/jobs/internal/recordcodec.cpp
@@ -36,6 +36,7 @@
         json operator()(const JobFailed& record) const { return json::array({ record.job }); }
         json operator()(const JobForgotten& record) const { return json::array({ record.job }); }
         json operator()(const UpkeepBegun& record) const { return json::array({ record.wave, record.machine }); }
+        json operator()(const WaveSeen& record) const { return json::array({ record.wave, record.seenAt.count() }); }
     };
 
     RunEnd runEndFrom(const json& value)
@@ -67,6 +68,8 @@
             return JobForgotten { fields.at(0).get<JobId>() };
         case 7:
             return UpkeepBegun { fields.at(0).get<std::uint64_t>(), fields.at(1).get<std::string>() };
+        case 8:
+            return WaveSeen { fields.at(0).get<std::uint64_t>(), milliseconds(fields.at(1).get<std::int64_t>()) };
         default:
             throw std::out_of_range("unknown kind of record");
         }
--- a/src/jobs/internal/snapshotcodec.cpp
+++ b/src/jobs/internal/snapshotcodec.cpp
@@ -109,8 +109,13 @@
     json upkeeps = json::array();
     for (const auto& [wave, machine] : head.upkeepBegun)
         upkeeps.push_back(json::array({ wave, machine }));
+    json waves = json::array();
+    for (const auto& [wave, seenAt] : head.wavesSeen)
+        waves.push_back(json::array({ wave, seenAt.count() }));
     std::string bytes;
-    json::to_cbor(json::array({ head.offset, std::move(claims), std::move(upkeeps), head.cancelledUnknown }), bytes);
+    json::to_cbor(
+        json::array({ head.offset, std::move(claims), std::move(upkeeps), head.cancelledUnknown, std::move(waves) }),
+        bytes);
     return bytes;
 }
 
@@ -123,6 +128,8 @@
             head.claims.push_back(claimedFrom(claim));
         for (const auto& upkeep : value.at(2))
             head.upkeepBegun.emplace(upkeep.at(0).get<std::uint64_t>(), upkeep.at(1).get<std::string>());
+        for (const auto& wave : value.at(4))
+            head.wavesSeen[wave.at(0).get<std::uint64_t>()] = milliseconds(wave.at(1).get<std::int64_t>());
         head.cancelledUnknown = value.at(3).get<std::deque<JobId>>();
         return head;
     });
--- a/src/jobs/jobtable.h
+++ b/src/jobs/jobtable.h
@@ -6,7 +6,9 @@
 
 #include <boost/intrusive/list.hpp>
 #include <deque>
+#include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <unordered_map>
 #include <unordered_set>
@@ -35,7 +37,10 @@
     void restore(std::unique_ptr<Job> job);
 
     /// What a snapshot that holds the log up to `offset` says besides the jobs.
-    SnapshotHead head(std::uint64_t offset) const { return { offset, claims_, upkeepBegun_, cancelledOrder_ }; }
+    SnapshotHead head(std::uint64_t offset) const
+    {
+        return { offset, claims_, upkeepBegun_, wavesSeen_, cancelledOrder_ };
+    }
 
     /// The job, or null when it is unknown or was forgotten.
     const Job* find(JobId id) const;
@@ -61,6 +66,9 @@
     /// Whether the upkeep of a machine for a wave has begun.
     bool hasBegunUpkeep(std::uint64_t wave, const std::string& machine) const;
 
+    /// Time of day at which a controller first learned of a wave; nothing if none has.
+    std::optional<milliseconds> waveSeenAt(std::uint64_t wave) const;
+
 private:
     void apply(const Claimed& record);
     void apply(const Submitted& record);
@@ -71,6 +79,8 @@
     void apply(const JobForgotten& record);
     void apply(const UpkeepBegun& record) { upkeepBegun_.emplace(record.wave, record.machine); }
 
+    void apply(const WaveSeen& record) { wavesSeen_.emplace(record.wave, record.seenAt); }
+
     Job* findMutable(JobId id);
     void finishTask(Job& job, const TaskId& id, Task& task);
     void settle(Job& job);
@@ -82,6 +92,7 @@
     std::unordered_set<JobId> cancelledUnknown_; ///< Cancelled before their submission was read.
     std::deque<JobId> cancelledOrder_;
     std::set<std::pair<std::uint64_t, std::string>> upkeepBegun_;
+    std::map<std::uint64_t, milliseconds> wavesSeen_;
     std::deque<Claimed> claims_;
 };
 
--- a/src/jobs/snapshotcodec.h
+++ b/src/jobs/snapshotcodec.h
@@ -4,6 +4,7 @@
 #include "jobs/types/job.h"
 
 #include <deque>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -17,6 +18,7 @@
     std::uint64_t offset = 0; ///< The log is to be read from here on; what stands before is in the snapshot.
     std::deque<Claimed> claims;
     std::set<std::pair<std::uint64_t, std::string>> upkeepBegun; ///< Wave and machine.
+    std::map<std::uint64_t, milliseconds> wavesSeen; ///< Time of day at which each wave was learned of.
     std::deque<JobId> cancelledUnknown; ///< Cancelled before they were submitted, the oldest first.
 };
 
--- a/src/jobs/types/records.h
+++ b/src/jobs/types/records.h
@@ -85,6 +85,13 @@
     std::string machine;
 };
 
-using Record = std::variant<Claimed, Submitted, Cancelled, RunIntended, RunEnded, JobFailed, JobForgotten, UpkeepBegun>;
+/// The controller learned of a wave; its duration counts from then on, for later controllers as well.
+struct WaveSeen {
+    std::uint64_t wave = 0;
+    milliseconds seenAt { 0 }; ///< Time of day.
+};
+
+using Record = std::variant<Claimed, Submitted, Cancelled, RunIntended, RunEnded, JobFailed, JobForgotten, UpkeepBegun,
+    WaveSeen>;
 
 } // namespace turmericsill::jobs
--- a/src/scheduling/internal/waveplanner.cpp
+++ b/src/scheduling/internal/waveplanner.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-    constexpr milliseconds machineTime { 6000 }; ///< To empty a machine and maintain it.
+    constexpr milliseconds machineTime { 9000 }; ///< To empty a machine, 1 to 7 s, and maintain it, 2 s.
     constexpr double timeReserve = 0.7; ///< Of the time left, for machines that take longer.
 
     /// Busy machines that must be under way at once to end in time.
