Control stays with its holder while it lives

Change: what the group deals names a candidate; it claims only if the holder of the latest claim is no member any more or says that it does not control. Test: 'a holder that lives keeps control when the group names another candidate'; the test of inherited leases kills the holder instead of dealing anew, which is as strict, since dealing anew no longer changes the holder.

--- a/src/control/controlduty.h
+++ b/src/control/controlduty.h
@@ -17,11 +17,13 @@
     std::string address; ///< Where it tells whether it controls.
 };
 
-/// Keeps this entry in the group of entries, and controls the fleet while the group has dealt control to it.
+/// Keeps this entry in the group of entries, and controls the fleet when it is the group's candidate and nobody else
+/// does.
 ///
 /// Control begins with a claim in the log under an epoch above every earlier one, once all that stands before the claim
-/// was read. It ends as soon as the group deals it elsewhere, the log fences this entry, or an
-/// instance has seen a higher token.
+/// was read. It ends when the group no longer counts this entry as alive, the log fences it, or an
+/// instance has seen a higher token; not when the group names another candidate, since each change costs the fleet some
+/// time without a controller.
 class ControlDuty {
 public:
     ControlDuty(const ControllerContext& context, eventlog::IControlGroup& group, fleet::IMachineControl& machines,
@@ -56,6 +58,8 @@
     void join();
     void scheduleJoin();
     void onJoined(const foundation::Result<eventlog::GroupAssignment>& assignment, foundation::SteadyTime sentAt);
+    void considerClaim();
+    void askHolder(const jobs::Claimed& holder);
     void beginClaim();
     void appendClaim();
     void onClaimAppended(const foundation::Result<eventlog::AppendReceipt>& answer, const jobs::Claimed& claim);
@@ -77,7 +81,8 @@
     std::uint64_t generation_ = 0;
     std::uint64_t lowestEpoch_ = 0; ///< Epochs below were refused.
     foundation::SteadyTime confirmedAt_ {};
-    bool isDealtControl_ = false;
+    bool isCandidate_ = false;
+    bool isConsidering_ = false;
     bool isClaiming_ = false;
     bool isStopping_ = false;
 };
--- a/src/control/internal/controlduty.cpp
+++ b/src/control/internal/controlduty.cpp
@@ -88,19 +88,48 @@
     confirmedAt_ = sentAt;
     const bool isNewGeneration = assignment->generation != generation_;
     generation_ = assignment->generation;
+    isCandidate_ = assignment->isCandidate;
     if (isNewGeneration) {
-        context_.events.write(
-            "group.generation", { { "generation", generation_ }, { "dealt_control", assignment->isController } });
-    }
-    isDealtControl_ = assignment->isController;
-    if (!isDealtControl_ && controller_) {
-        endControl("the group dealt control elsewhere");
-        // The next holder is dealt control once this entry has joined under the new generation.
-        return join();
+        context_.events.write("group.generation",
+            { { "generation", generation_ }, { "candidate", isCandidate_ }, { "member", assignment->isMember } });
     }
+    // A partition passes on once its former holder has joined under the new generation.
     scheduleJoin();
-    if (isDealtControl_ && !controller_)
-        beginClaim();
+    if (!assignment->isMember && controller_ && !isNewGeneration)
+        return endControl("the group does not count this entry as alive");
+    if (isCandidate_ && !controller_)
+        considerClaim();
+}
+
+void ControlDuty::considerClaim()
+{
+    const Claimed holder = context_.follower.table().claim();
+    const bool mayBeControlled = holder.epoch > 0 && holder.entry != identity_.entry;
+    if (!mayBeControlled)
+        return beginClaim();
+    if (isClaiming_ || std::exchange(isConsidering_, true))
+        return;
+    group_.members([this, holder](const Result<std::set<std::string>>& members) {
+        isConsidering_ = false;
+        if (!members || controller_ || !isCandidate_ || isStopping_)
+            return;
+        if (!members->count(holder.entry))
+            return beginClaim();
+        askHolder(holder);
+    });
+}
+
+// A holder that is alive may have ended its control.
+void ControlDuty::askHolder(const Claimed& holder)
+{
+    const auto address = foundation::parseAddress(holder.address);
+    if (!address)
+        return beginClaim();
+    context_.peers.ask(*address, [this, holder](const Result<PeerControlState>& state) {
+        const bool stillControls = !state || (state->incarnation == holder.incarnation && state->epoch == holder.epoch);
+        if (!stillControls && !controller_ && isCandidate_ && !isStopping_)
+            beginClaim();
+    });
 }
 
 void ControlDuty::beginClaim()
@@ -114,7 +143,7 @@
 {
     context_.follower.readToEnd([this](const Result<void>& read) {
         const Claimed& latest = context_.follower.table().claim();
-        if (isStopping_ || !isDealtControl_) {
+        if (isStopping_ || !isCandidate_) {
             isClaiming_ = false;
             return;
         }
@@ -143,7 +172,7 @@
         const Claimed& latest = context_.follower.table().claim();
         const bool isOurs
             = latest.epoch == claim.epoch && latest.entry == claim.entry && latest.incarnation == claim.incarnation;
-        if (!read || !isOurs || !isDealtControl_ || isStopping_)
+        if (!read || !isOurs || !isCandidate_ || isStopping_)
             return retryClaim();
         beginControl(claim);
     });
@@ -152,7 +181,7 @@
 void ControlDuty::retryClaim()
 {
     context_.timers.schedule(context_.clock.now() + claimRetryDelay, [this] {
-        if (isDealtControl_ && !isStopping_)
+        if (isCandidate_ && !isStopping_)
             return appendClaim();
         isClaiming_ = false;
     });
--- a/src/emulator/emulatedlog.h
+++ b/src/emulator/emulatedlog.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -34,9 +35,10 @@
     std::vector<eventlog::SnapshotEntry> load() const;
 
     eventlog::GroupAssignment join(const std::string& member, milliseconds timeToLive);
+    std::set<std::string> members();
     void leave(const std::string& member);
 
-    /// Deals control to another member without being asked.
+    /// Makes another member the candidate without being asked.
     void dealAnew();
 
 private:
--- a/src/emulator/internal/emulatedlog.cpp
+++ b/src/emulator/internal/emulatedlog.cpp
@@ -94,7 +94,16 @@
     }
     if (holder_.empty())
         chooseHolder({});
-    return { generation_, holder_ == member && successor_.empty() };
+    return { generation_, true, holder_ == member && successor_.empty() };
+}
+
+std::set<std::string> EmulatedLog::members()
+{
+    expireMembers();
+    std::set<std::string> names;
+    for (const auto& [member, until] : members_)
+        names.insert(member);
+    return names;
 }
 
 void EmulatedLog::leave(const std::string& member)
--- a/src/emulator/internal/entryport.cpp
+++ b/src/emulator/internal/entryport.cpp
@@ -104,6 +104,13 @@
     answer(platform_.faults().storeDelay, [this, timeToLive, done] { done(platform_.log().join(entry_, timeToLive)); });
 }
 
+void EntryPort::members(MembersCallback done)
+{
+    if (!isStoreReachable())
+        return answer(orderDelay, [done] { done(failure(Errc::Unavailable, "group.members")); });
+    answer(platform_.faults().storeDelay, [this, done] { done(platform_.log().members()); });
+}
+
 void EntryPort::leave(std::function<void()> done)
 {
     platform_.log().leave(entry_);
--- a/src/emulator/tests/controltests.cpp
+++ b/src/emulator/tests/controltests.cpp
@@ -80,8 +80,10 @@
         world.emulation.submit("e-2", id, job({ step(1, 500) }));
     world.emulation.run(milliseconds(600));
     for (int round = 0; round < 4; ++round) {
-        world.emulation.platform().log().dealAnew();
-        world.emulation.run(milliseconds(1500));
+        const std::string former = world.emulation.controller();
+        world.emulation.killEntry(former);
+        world.emulation.startEntry(former);
+        world.emulation.run(milliseconds(3000));
         for (const auto& line : world.sink.lines)
             REQUIRE(line.find("lease-expired") == std::string::npos);
     }
@@ -284,3 +286,21 @@
         CHECK(line.find("instance-gone") == std::string::npos);
     CHECK(world.broken().empty());
 }
+
+TEST_CASE("control: a holder that lives keeps control when the group names another candidate", "[emulation]")
+{
+    World world(13);
+    const std::string holder = world.emulation.controller();
+    for (int round = 0; round < 3; ++round) {
+        world.emulation.platform().log().dealAnew();
+        world.emulation.run(milliseconds(1500));
+        CHECK(world.emulation.controller() == holder);
+    }
+    // The log serves everybody but the holder, which other entries still reach.
+    world.emulation.platform().faults().entriesCutFromStore.insert(holder);
+    world.emulation.run(milliseconds(4000));
+    world.emulation.platform().faults().entriesCutFromStore.clear();
+    world.emulation.run(milliseconds(1000));
+    CHECK(world.emulation.controller() != holder);
+    CHECK(!world.emulation.controller().empty());
+}
