--- a/src/jobs/internal/jobtable.cpp
+++ b/src/jobs/internal/jobtable.cpp
@@ -21,7 +21,7 @@
 
 void JobTable::apply(const Record& record)
 {
-    std::visit([this](const auto& kind) { apply(kind); }, record);
+    std::visit([this](const auto& kind) { fold(kind); }, record);
 }
 
 void JobTable::beginDueOccurrences(milliseconds timeOfDay)
@@ -88,7 +88,7 @@
     return claims_.empty() ? none : claims_.back();
 }
 
-void JobTable::apply(const Claimed& record)
+void JobTable::fold(const Claimed& record)
 {
     if (record.epoch <= claim().epoch)
         return;
@@ -103,7 +103,7 @@
     return found == wavesSeen_.end() ? std::nullopt : std::optional(found->second);
 }
 
-void JobTable::apply(const Submitted& record)
+void JobTable::fold(const Submitted& record)
 {
     if (jobs_.count(record.job))
         return;
@@ -120,7 +120,7 @@
     jobs_.emplace(record.job, std::move(job));
 }
 
-void JobTable::apply(const Cancelled& record)
+void JobTable::fold(const Cancelled& record)
 {
     Job* job = findMutable(record.job);
     if (!job)
@@ -142,7 +142,7 @@
     cancelledOrder_.pop_front();
 }
 
-void JobTable::apply(const RunIntended& record)
+void JobTable::fold(const RunIntended& record)
 {
     Job* job = findMutable(record.task.job);
     if (!job || record.task.step >= job->spec.steps.size()
@@ -160,7 +160,7 @@
     job->hasStarted = true;
 }
 
-void JobTable::apply(const RunEnded& record)
+void JobTable::fold(const RunEnded& record)
 {
     Job* job = findMutable(record.task.job);
     if (!job || !job->find(record.task))
@@ -204,7 +204,7 @@
         ++job.doneOccurrences;
 }
 
-void JobTable::apply(const JobFailed& record)
+void JobTable::fold(const JobFailed& record)
 {
     Job* job = findMutable(record.job);
     if (!job || job->isFinal())
@@ -221,7 +221,7 @@
     final_.push_back(job);
 }
 
-void JobTable::apply(const JobForgotten& record)
+void JobTable::fold(const JobForgotten& record)
 {
     Job* job = findMutable(record.job);
     if (!job || !job->isFinal() || job->activeRuns > 0)
--- a/src/jobs/jobtable.h
+++ b/src/jobs/jobtable.h
@@ -70,16 +70,16 @@
     std::optional<milliseconds> waveSeenAt(std::uint64_t wave) const;
 
 private:
-    void apply(const Claimed& record);
-    void apply(const Submitted& record);
-    void apply(const Cancelled& record);
-    void apply(const RunIntended& record);
-    void apply(const RunEnded& record);
-    void apply(const JobFailed& record);
-    void apply(const JobForgotten& record);
-    void apply(const UpkeepBegun& record) { upkeepBegun_.emplace(record.wave, record.machine); }
-
-    void apply(const WaveSeen& record) { wavesSeen_.emplace(record.wave, record.seenAt); }
+    void fold(const Claimed& record);
+    void fold(const Submitted& record);
+    void fold(const Cancelled& record);
+    void fold(const RunIntended& record);
+    void fold(const RunEnded& record);
+    void fold(const JobFailed& record);
+    void fold(const JobForgotten& record);
+    void fold(const UpkeepBegun& record) { upkeepBegun_.emplace(record.wave, record.machine); }
+
+    void fold(const WaveSeen& record) { wavesSeen_.emplace(record.wave, record.seenAt); }
 
     Job* findMutable(JobId id);
     void finishTask(Job& job, const TaskId& id, Task& task);
--- /dev/null
+++ b/src/jobs/tests/jobtests.cpp
@@ -0,0 +1,218 @@
+#include "jobs/jobtable.h"
+#include "jobs/recordcodec.h"
+#include "jobs/snapshotcodec.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace turmericsill::jobs;
+
+namespace {
+
+StepSpec step(std::uint32_t count, std::vector<std::uint32_t> dependsOn = {})
+{
+    StepSpec result;
+    result.count = count;
+    result.perTask = { 1500, 200, 1 };
+    result.estimate = milliseconds(700);
+    result.dependsOn = std::move(dependsOn);
+    result.requiredLabel = "a";
+    result.hasDisruptionBudget = true;
+    result.disruptionBudget = 2;
+    return result;
+}
+
+Submitted submitted(JobId id, std::vector<StepSpec> steps)
+{
+    Submitted record { id, "calls", "desk", milliseconds(1000), {} };
+    record.spec.payload = "wake the crew";
+    record.spec.steps = std::move(steps);
+    return record;
+}
+
+RunIntended intended(JobId job, std::uint32_t index, std::uint32_t run, std::uint32_t stepNumber = 0)
+{
+    return { { job, 0, stepNumber, index }, run, { "i-1", 7 } };
+}
+
+RunEnded ended(JobId job, std::uint32_t index, std::uint32_t run, RunEnd how, std::uint32_t stepNumber = 0)
+{
+    return { { job, 0, stepNumber, index }, run, how, {} };
+}
+
+} // namespace
+
+TEST_CASE("job ids: sixteen lower-case hexadecimal digits, nothing else", "[jobs]")
+{
+    CHECK(parseJobId("5c0e7a21d94b36f8") == JobId(0x5c0e7a21d94b36f8));
+    CHECK(toText(JobId(0x0c0e7a21d94b36f8)) == "0c0e7a21d94b36f8");
+    for (const char* text : { "", "5c0e7a21d94b36f", "5c0e7a21d94b36f80", "5C0E7A21D94B36F8", "5c0e7a21d94b36fg" })
+        CHECK_FALSE(parseJobId(text));
+    const TaskId task { 0x5c0e7a21d94b36f8, 3, 1, 17 };
+    CHECK(toText(task) == "5c0e7a21d94b36f8.3.1.17");
+    CHECK(parseTaskId("5c0e7a21d94b36f8.3.1.17") == task);
+    for (const char* text : { "5c0e7a21d94b36f8", "5c0e7a21d94b36f8.3.1", "5c0e7a21d94b36f8.3.1.17.2", "x.0.0.0" })
+        CHECK_FALSE(parseTaskId(text));
+}
+
+TEST_CASE("records: every kind survives its encoding, damaged bytes are an error", "[jobs]")
+{
+    const std::vector<Record> records { Claimed { 7, "e-1", 12, "10.0.0.1:7000", milliseconds(99) },
+        submitted(1, { step(2), step(1, { 0 }) }), Cancelled { 2 }, intended(1, 0, 3),
+        RunEnded { { 1, 0, 0, 1 }, 2, RunEnd::Stopped, "00ff" }, JobFailed { 1 }, JobForgotten { 1 },
+        UpkeepBegun { 4, "m-1" }, WaveSeen { 4, milliseconds(55) } };
+    for (const auto& record : records) {
+        const std::string bytes = encode(record, 7);
+        const auto decoded = decode(bytes);
+        REQUIRE(decoded);
+        CHECK(decoded->epoch == 7);
+        CHECK(decoded->record.index() == record.index());
+        CHECK(encode(decoded->record, 7) == bytes);
+        for (std::size_t length = 0; length < bytes.size(); ++length)
+            CHECK_FALSE(decode(bytes.substr(0, length)));
+    }
+    CHECK_FALSE(decode("of another writer"));
+}
+
+TEST_CASE("table: a job is completed by the ends of all its tasks, in the order of its steps", "[jobs]")
+{
+    JobTable table;
+    table.apply(submitted(1, { step(2), step(1, { 0 }) }));
+    CHECK(table.pendingJobs("calls") == 1);
+    table.apply(intended(1, 0, 1));
+    table.apply(intended(1, 1, 1));
+    CHECK(table.pendingJobs("calls") == 0);
+    CHECK(table.find(JobId(1))->state() == JobState::Running);
+    CHECK_FALSE(table.find(JobId(1))->occurrences.at(0).isReady(table.find(JobId(1))->spec, 1));
+    table.apply(ended(1, 0, 1, RunEnd::Done));
+    table.apply(ended(1, 1, 1, RunEnd::Failed));
+    CHECK(table.find(TaskId { 1, 0, 0, 1 })->failures == 1);
+    table.apply(intended(1, 1, 2));
+    table.apply(ended(1, 1, 2, RunEnd::Done));
+    CHECK(table.find(JobId(1))->occurrences.at(0).isReady(table.find(JobId(1))->spec, 1));
+    table.apply(intended(1, 0, 1, 1));
+    table.apply(ended(1, 0, 1, RunEnd::Done, 1));
+    CHECK(table.find(JobId(1))->state() == JobState::Completed);
+    CHECK(table.finalJobs().size() == 1);
+    table.apply(JobForgotten { 1 });
+    CHECK_FALSE(table.find(JobId(1)));
+}
+
+TEST_CASE("table: a record that is folded again has no effect", "[jobs]")
+{
+    const std::vector<Record> records { submitted(1, { step(2) }), intended(1, 0, 1), ended(1, 0, 1, RunEnd::Failed),
+        intended(1, 0, 2), ended(1, 0, 2, RunEnd::Done), intended(1, 1, 1) };
+    JobTable once;
+    JobTable again;
+    for (const auto& record : records) {
+        once.apply(record);
+        again.apply(record);
+        for (const auto& earlier : records) {
+            if (&earlier <= &record)
+                again.apply(earlier);
+        }
+    }
+    CHECK(encodeJob(*again.find(JobId(1))) == encodeJob(*once.find(JobId(1))));
+}
+
+TEST_CASE("table: callers' records commute with the controller's", "[jobs]")
+{
+    const std::vector<Record> controllers { intended(1, 0, 1), intended(1, 1, 1), ended(1, 0, 1, RunEnd::Done),
+        ended(1, 1, 1, RunEnd::Done) };
+    for (std::size_t place = 0; place <= controllers.size(); ++place) {
+        JobTable table;
+        table.apply(submitted(1, { step(2) }));
+        for (std::size_t i = 0; i <= controllers.size(); ++i) {
+            if (i == place)
+                table.apply(Cancelled { 1 });
+            if (i < controllers.size())
+                table.apply(controllers[i]);
+        }
+        CHECK(table.find(JobId(1))->state() == JobState::Completed);
+        CHECK(table.find(JobId(1))->activeRuns == 0);
+    }
+}
+
+TEST_CASE("table: a job that is cancelled before its submission is read never starts", "[jobs]")
+{
+    JobTable table;
+    table.apply(Cancelled { 1 });
+    table.apply(submitted(1, { step(1) }));
+    CHECK(table.find(JobId(1))->state() == JobState::Cancelled);
+    CHECK(table.openJobs().empty());
+}
+
+TEST_CASE("table: one end of a gang stands for all of its members", "[jobs]")
+{
+    StepSpec gang = step(3);
+    gang.isGang = true;
+    JobTable table;
+    table.apply(submitted(1, { gang }));
+    for (std::uint32_t index = 0; index < 3; ++index)
+        table.apply(intended(1, index, 1));
+    table.apply(ended(1, 1, 1, RunEnd::Done));
+    CHECK(table.find(JobId(1))->state() == JobState::Completed);
+    CHECK(table.find(JobId(1))->activeRuns == 0);
+}
+
+TEST_CASE("table: a long-running task is idle again, however it ended", "[jobs]")
+{
+    StepSpec lasting = step(1);
+    lasting.isLongRunning = true;
+    JobTable table;
+    table.apply(submitted(1, { lasting }));
+    std::uint32_t run = 0;
+    for (const auto how : { RunEnd::Done, RunEnd::Failed, RunEnd::LeaseExpired, RunEnd::InstanceGone }) {
+        table.apply(intended(1, 0, ++run));
+        table.apply(ended(1, 0, run, how));
+        CHECK(table.find(TaskId { 1, 0, 0, 0 })->phase == TaskPhase::Idle);
+    }
+    CHECK(table.find(JobId(1))->state() == JobState::Running);
+}
+
+TEST_CASE("table: occurrences begin when they are due, and all of them complete the job", "[jobs]")
+{
+    Submitted record = submitted(1, { step(1) });
+    record.spec.schedule = { 2, milliseconds(5000), milliseconds(1000) };
+    JobTable table;
+    table.apply(record);
+    table.beginDueOccurrences(milliseconds(4999));
+    CHECK(table.find(JobId(1))->occurrences.empty());
+    table.beginDueOccurrences(milliseconds(6000));
+    CHECK(table.find(JobId(1))->occurrences.size() == 2);
+    for (std::uint32_t occurrence = 0; occurrence < 2; ++occurrence) {
+        table.apply(RunIntended { { 1, occurrence, 0, 0 }, 1, { "i-1", 7 } });
+        table.apply(RunEnded { { 1, occurrence, 0, 0 }, 1, RunEnd::Done, {} });
+    }
+    CHECK(table.find(JobId(1))->state() == JobState::Completed);
+}
+
+TEST_CASE("snapshots: a job and the head survive their encoding", "[jobs]")
+{
+    JobTable table;
+    table.apply(Claimed { 3, "e-1", 12, "10.0.0.1:7000", milliseconds(99) });
+    table.apply(submitted(1, { step(2), step(1, { 0 }) }));
+    table.apply(intended(1, 0, 1));
+    table.apply(ended(1, 0, 1, RunEnd::Done));
+    table.apply(intended(1, 1, 4));
+    table.apply(Cancelled { 9 });
+    table.apply(UpkeepBegun { 4, "m-1" });
+    table.apply(WaveSeen { 4, milliseconds(55) });
+    const auto head = decodeHead(encodeHead(table.head(42)));
+    auto job = decodeJob(encodeJob(*table.find(JobId(1))));
+    REQUIRE(head);
+    REQUIRE(job);
+    JobTable restored;
+    restored.restore(*head);
+    restored.restore(std::move(*job));
+    CHECK(head->offset == 42);
+    CHECK(restored.claim().entry == "e-1");
+    CHECK(restored.hasBegunUpkeep(4, "m-1"));
+    CHECK(restored.waveSeenAt(4) == milliseconds(55));
+    CHECK(encodeJob(*restored.find(JobId(1))) == encodeJob(*table.find(JobId(1))));
+    restored.apply(submitted(9, { step(1) }));
+    CHECK(restored.find(JobId(9))->state() == JobState::Cancelled);
+    CHECK_FALSE(decodeJob("damaged"));
+    CHECK_FALSE(decodeHead("damaged"));
+}
