--- a/src/scheduling/internal/placementplanner.cpp
+++ b/src/scheduling/internal/placementplanner.cpp
@@ -35,7 +35,6 @@
     public:
         StepPlacer(PoolView& view, const Job& job, std::uint32_t occurrence, std::uint32_t step, bool needsTicket)
             : view_(view)
-            , job_(job)
             , spec_(job.spec.steps[step])
             , state_(job.occurrences.at(occurrence).steps[step])
             , id_ { job.id, occurrence, step }
@@ -185,7 +184,6 @@
         }
 
         PoolView& view_;
-        const Job& job_;
         const StepSpec& spec_;
         const jobs::StepState& state_;
         StepId id_;
--- /dev/null
+++ b/standins/jobs/platformstandin.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "emulator/emulatedlog.h"
+#include "emulator/emulatedplatform.h"
+#include "foundation/asiotimerqueue.h"
+#include "foundation/systemclock.h"
+#include "httpserver/httpserver.h"
+
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace turmericsill::standins {
+
+/// The platform's store, machine list and instances over the published HTTP protocol, on the emulator's state.
+/// Each instance listens on a loopback address of its own; the header that names it tells which is meant. Faults: POST
+/// /faults with a JSON object of "store_down" (boolean); GET /figures tells what the rulebook saw.
+class PlatformStandin : public httpserver::IHttpHandler {
+public:
+    PlatformStandin(boost::asio::io_context& context, const foundation::Address& address, std::size_t instances);
+
+    foundation::Result<void> listen();
+
+    void handle(const httpserver::HttpExchangePtr& exchange) override;
+
+private:
+    using Query = std::map<std::string, std::string>;
+
+    void publishDeclarations();
+    void publishInstances();
+    void advance();
+    void serveStore(const httpserver::HttpExchangePtr& exchange, const std::string& call, const Query& query);
+    void append(const httpserver::HttpExchangePtr& exchange, const Query& query);
+    void appendKeyed(const std::string& topic, const std::vector<std::string>& records);
+    void read(const httpserver::HttpExchangePtr& exchange, const Query& query, foundation::SteadyTime until);
+    void newest(const httpserver::HttpExchangePtr& exchange, const Query& query);
+    void join(const httpserver::HttpExchangePtr& exchange);
+    void serveInstance(const httpserver::HttpExchangePtr& exchange, const std::string& call);
+    void renew(const httpserver::HttpExchangePtr& exchange, const std::string& instance,
+        const fleet::RenewRequest& request, std::uint64_t token, foundation::SteadyTime until);
+    void listMachines(const httpserver::HttpExchangePtr& exchange);
+    void tellFigures(const httpserver::HttpExchangePtr& exchange);
+    void noteSubmission(const std::string& record);
+
+    /// A keyed topic: its records, and the newest value of each key.
+    struct KeyedTopic {
+        std::vector<std::string> records;
+        std::map<std::string, std::string> newest;
+    };
+
+    boost::asio::io_context& context_;
+    foundation::Address address_;
+    foundation::SystemClock clock_;
+    foundation::AsioTimerQueue timers_;
+    emulator::EmulatedPlatform platform_;
+    std::map<std::string, KeyedTopic> keyed_;
+    std::map<std::string, foundation::Address> instanceAddresses_;
+    std::uint64_t runsStarted_ = 0;
+    httpserver::HttpServer server_;
+    std::vector<std::unique_ptr<httpserver::HttpServer>> instanceServers_; ///< One for each instance's address.
+};
+
+} // namespace turmericsill::standins
