--- a/src/emulator/emulatedplatform.h
+++ b/src/emulator/emulatedplatform.h
@@ -19,6 +19,7 @@
 /// Faults that are switched while an emulation runs.
 struct FaultSwitches {
     bool storeDown = false; ///< Every call of the store fails without effect.
+    bool storeSilent = false; ///< Calls of the store get no answer and have no effect.
     std::set<std::string> entriesCutFromStore;
     double lostAnswers = 0; ///< Share of appends that take effect and are not answered.
     double lateOrders = 0; ///< Share of orders that get no answer and are carried out late.
--- a/src/emulator/emulation.h
+++ b/src/emulator/emulation.h
@@ -69,7 +69,8 @@
     /// The entry that controls, or empty.
     std::string controller() const;
 
-    void submit(const std::string& entryName, jobs::JobId id, const jobs::JobSpec& spec);
+    void submit(const std::string& entryName, jobs::JobId id, const jobs::JobSpec& spec,
+        std::function<void(entry::RequestResult)> answered = nullptr);
     void cancel(const std::string& entryName, jobs::JobId id);
 
     /// Asks an entry for a job's state and checks what it says.
--- a/src/emulator/internal/emulation.cpp
+++ b/src/emulator/internal/emulation.cpp
@@ -15,6 +15,7 @@
 namespace {
 
     constexpr milliseconds callerDeadline { 3000 };
+    constexpr milliseconds storeSilence { 900 };
     constexpr std::uint16_t firstPeerPort = 7000;
 
 } // namespace
@@ -31,6 +32,7 @@
 {
     service_.setControlProbe(
         [this] { return control_.isController(); }, [this](jobs::JobId job) { return control_.isStored(job); });
+    submitter_.setStoreProbe([this, &clock] { return clock.now() - control_.confirmedAt() < storeSilence; });
     service_.setConfiguration(platform.configuration());
     control_.setConfiguration(platform.configuration());
     follower_.onChange([this] {
@@ -96,7 +98,8 @@
     return {};
 }
 
-void Emulation::submit(const std::string& entryName, jobs::JobId id, const jobs::JobSpec& spec)
+void Emulation::submit(const std::string& entryName, jobs::JobId id, const jobs::JobSpec& spec,
+    std::function<void(RequestResult)> answered)
 {
     platform_.rulebook().submitted(id, spec);
     EmulatedEntry* chosen = entry(entryName);
@@ -105,7 +108,9 @@
     // Until an answer comes the job may have been stored; a process that ends gives none.
     platform_.rulebook().mayBeAccepted(id);
     chosen->service().submit(platform_.configuration().queues.front(), id, spec, clock_.now() + callerDeadline,
-        [this, id](RequestResult result) {
+        [this, id, answered](RequestResult result) {
+            if (answered)
+                answered(result);
             if (result.outcome == RequestOutcome::Done)
                 platform_.rulebook().accepted(id);
             else if (result.outcome == RequestOutcome::NotDone)
--- a/src/emulator/internal/entryport.cpp
+++ b/src/emulator/internal/entryport.cpp
@@ -14,6 +14,7 @@
 
     constexpr milliseconds orderDelay { 2 }; ///< One way.
     constexpr milliseconds orderTimeout { 400 };
+    constexpr milliseconds silentTimeout { 800 }; ///< Of a read or a join without an answer.
     constexpr milliseconds longestLateness { 12000 }; ///< Of an order without an answer.
     constexpr milliseconds shortestLateness { 500 };
     constexpr milliseconds directoryInterval { 200 }; ///< Between two looks of a watch.
@@ -47,6 +48,8 @@
 {
     if (!isStoreReachable())
         return answer(orderDelay, [done] { done(failure(Errc::Unavailable, "log.append")); });
+    if (platform_.faults().storeSilent)
+        return answer(timeout, [done] { done(failure(Errc::Timeout, "log.append")); });
     const bool isLost = platform_.draw(platform_.faults().lostAnswers);
     const auto delay = platform_.faults().storeDelay;
     later(
@@ -66,6 +69,8 @@
 {
     if (!isStoreReachable())
         return answer(orderDelay, [done] { done(failure(Errc::Unavailable, "log.read")); });
+    if (platform_.faults().storeSilent)
+        return answer(silentTimeout, [done] { done(failure(Errc::Timeout, "log.read")); });
     answer(platform_.faults().storeDelay, [this, from, wait, done] {
         auto page = platform_.log().read(from);
         const milliseconds step { 10 };
@@ -101,6 +106,8 @@
 {
     if (!isStoreReachable())
         return answer(orderDelay, [done] { done(failure(Errc::Unavailable, "group.join")); });
+    if (platform_.faults().storeSilent)
+        return answer(silentTimeout, [done] { done(failure(Errc::Timeout, "group.join")); });
     answer(platform_.faults().storeDelay, [this, timeToLive, done] { done(platform_.log().join(entry_, timeToLive)); });
 }
 
--- a/src/emulator/tests/controltests.cpp
+++ b/src/emulator/tests/controltests.cpp
@@ -1,5 +1,6 @@
 #include "emulator/tests/fixtures.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 using namespace turmericsill;
@@ -304,3 +305,31 @@
     CHECK(world.emulation.controller() != holder);
     CHECK(!world.emulation.controller().empty());
 }
+
+// Load that arrives while the store is silent: callers are told at once, and can try another entry or come back.
+TEST_CASE("submissions: a silent store holds nobody until the deadline", "[emulation]")
+{
+    World world(14);
+    world.emulation.platform().faults().storeSilent = true;
+    world.emulation.run(milliseconds(1000));
+    std::vector<std::pair<entry::RequestOutcome, milliseconds>> answers;
+    for (jobs::JobId id = 0xf0; id < 0xf8; ++id) {
+        const auto sentAt = world.emulation.clock().now();
+        world.emulation.submit("e-1", id, job({ step(1, 1000) }), [&, sentAt](entry::RequestResult result) {
+            const auto took = std::chrono::duration_cast<milliseconds>(world.emulation.clock().now() - sentAt);
+            answers.emplace_back(result.outcome, took);
+        });
+        world.emulation.run(milliseconds(100));
+    }
+    world.emulation.run(milliseconds(1000));
+    REQUIRE(answers.size() == 8);
+    // The first was sent and may be stored; those that waited behind it were not.
+    CHECK(std::count_if(answers.begin(), answers.end(), [](const auto& answer) {
+        return answer.first == entry::RequestOutcome::Unknown;
+    }) == 1);
+    for (const auto& [outcome, took] : answers)
+        CHECK(took <= (outcome == entry::RequestOutcome::Unknown ? milliseconds(700) : milliseconds(250)));
+    world.emulation.platform().faults().storeSilent = false;
+    world.emulation.run(milliseconds(5000));
+    CHECK(world.broken().empty());
+}
--- a/src/entryd/internal/entryprocess.cpp
+++ b/src/entryd/internal/entryprocess.cpp
@@ -17,6 +17,7 @@
     constexpr milliseconds stopReserve { 1500 }; ///< Of the grace period, left unused.
     constexpr milliseconds stopCheckInterval { 50 };
     constexpr milliseconds readinessInterval { 100 };
+    constexpr milliseconds storeSilence { 900 }; ///< Two joins of the group without an answer.
     constexpr milliseconds longestUnconfirmed { 1800 }; ///< Without an answer of the store: four joins.
 
     std::uint64_t startOfProcess()
@@ -100,6 +101,7 @@
 {
     service_.setControlProbe(
         [this] { return control_.isController(); }, [this](jobs::JobId job) { return control_.isStored(job); });
+    submitter_.setStoreProbe([this] { return clock_.now() - control_.confirmedAt() < storeSilence; });
     declarations_.onConfiguration([this](const fleet::FleetConfiguration& configuration) {
         service_.setConfiguration(configuration);
         control_.setConfiguration(configuration);
--- a/src/eventlog/internal/jobsubmitter.cpp
+++ b/src/eventlog/internal/jobsubmitter.cpp
@@ -17,8 +17,12 @@
     /// lost answer is made up for by reading the log.
     constexpr milliseconds appendTimeout { 2500 };
     constexpr milliseconds retryDelay { 40 };
-    /// After this a caller that surely got nothing stored is told so, to try another entry or come back later.
-    constexpr milliseconds refusalPatience { 120 };
+    /// After this a caller that surely got nothing stored is told so, to try another entry or come back later: sooner
+    /// when the store is silent than when it is slow.
+    constexpr milliseconds silentPatience { 120 };
+    constexpr milliseconds slowPatience { 400 };
+    constexpr milliseconds unansweredPatience { 600 }; ///< For an append while the store is silent.
+    constexpr milliseconds watchInterval { 100 };
     constexpr std::size_t maximumBatchBytes = 256 << 10;
 
 } // namespace
@@ -34,7 +38,7 @@
     const jobs::Record& record, foundation::SteadyTime deadline, std::function<bool()> isStored, Callback done)
 {
     waiting_.push_back({ jobs::encode(record, 0), clock_.now(), deadline, std::move(isStored), std::move(done) });
-    timers_.schedule(deadline, [this] { giveUpUnderWay(); });
+    scheduleWatch();
     if (underWay_.empty() && !retryScheduled_)
         appendNext();
 }
@@ -121,7 +125,8 @@
     const auto now = clock_.now();
     if (!pending.done || now >= pending.deadline)
         return true;
-    return !pending.mayBeStored && now >= pending.submittedAt + refusalPatience;
+    const milliseconds patience = isAnswering_() ? slowPatience : silentPatience;
+    return !pending.mayBeStored && now >= pending.submittedAt + patience;
 }
 
 void JobSubmitter::giveUpExpired()
@@ -141,10 +146,29 @@
 
 void JobSubmitter::giveUpUnderWay()
 {
+    const auto now = clock_.now();
+    const bool isSilent = !isAnswering_();
     for (auto& pending : underWay_) {
-        if (pending.done && clock_.now() >= pending.deadline)
+        const bool isHopeless = isSilent && now >= pending.submittedAt + unansweredPatience;
+        if (isHopeless || now >= pending.deadline)
             answer(pending, AppendOutcome::Unknown);
     }
 }
 
+void JobSubmitter::scheduleWatch()
+{
+    if (std::exchange(watchScheduled_, true))
+        return;
+    timers_.schedule(clock_.now() + watchInterval, [this] { watch(); });
+}
+
+void JobSubmitter::watch()
+{
+    watchScheduled_ = false;
+    giveUpExpired();
+    giveUpUnderWay();
+    if (!waiting_.empty() || !underWay_.empty())
+        scheduleWatch();
+}
+
 } // namespace turmericsill::eventlog
--- a/src/eventlog/jobsubmitter.h
+++ b/src/eventlog/jobsubmitter.h
@@ -28,6 +28,10 @@
     JobSubmitter(const JobSubmitter&) = delete;
     JobSubmitter& operator=(const JobSubmitter&) = delete;
 
+    /// Tells whether the log's store has answered anything just now. While it is silent, records that were not sent are
+    /// refused at once, and those that were are given up, so that callers can try another entry.
+    void setStoreProbe(std::function<bool()> isAnswering) { isAnswering_ = std::move(isAnswering); }
+
     /// Appends a record; gives up at `deadline`. `isStored` tells whether the log, as far as it was read, holds the
     /// record's effect already.
     void submit(
@@ -51,6 +55,8 @@
     void retryLater();
     void giveUpExpired();
     void giveUpUnderWay();
+    void watch();
+    void scheduleWatch();
     bool isExpired(const Pending& pending) const;
     static void answer(Pending& pending, AppendOutcome outcome);
 
@@ -60,7 +66,9 @@
     std::vector<Pending> waiting_;
     std::vector<Pending> underWay_;
     std::uint64_t batch_ = 0; ///< Number of the append under way; answers to earlier ones come too late.
+    std::function<bool()> isAnswering_ = [] { return true; };
     bool retryScheduled_ = false;
+    bool watchScheduled_ = false;
 };
 
 } // namespace turmericsill::eventlog
