--- a/src/control/internal/instancesession.cpp
+++ b/src/control/internal/instancesession.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-    constexpr milliseconds retryInterval { 250 }; ///< Between attempts without an answer.
+    constexpr milliseconds retryInterval { 150 }; ///< Between attempts without an answer.
     constexpr milliseconds restartTime { 300 }; ///< A process is not back sooner than this after its end.
     constexpr milliseconds leaseMargin { 60 }; ///< Added before a lease counts as over: killing takes a moment.
     constexpr std::size_t fullPageOfEnds = 500; ///< The platform lists at most this many ends at a time.
--- a/src/settings/internal/entrysettings.cpp
+++ b/src/settings/internal/entrysettings.cpp
@@ -30,6 +30,8 @@
             required("telemetry_address", FieldType::Address),
             required("store_address", FieldType::Address),
             required("machine_control_address", FieldType::Address),
+            // Instances that fetch their orders with their heartbeats are not supported.
+            { "instance_control", FieldType::Choice, false, 0, 0, { "rpc" } },
             { "advice_address", FieldType::Address, false, 0, 0, {} },
             interval("longest_lease_ms", 1000),
             interval("holder_interval_ms", 0),
