--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -2,6 +2,8 @@
 
 #include "control/advicebook.h"
 #include "control/formercontrollers.h"
+#include "control/instancedirectory.h"
+#include "control/instancehealth.h"
 #include "control/internal/instancesession.h"
 #include "control/internal/isessionobserver.h"
 #include "control/snapshotter.h"
@@ -95,8 +97,7 @@
     void onContactChanged(InstanceSession& session, bool inContact, const std::string& reason) override;
     void onFenced(InstanceSession& session) override;
 
-    void loadInstances();
-    void watchInstances();
+    void onInstancesLoaded(const std::set<std::string>& present);
     void onInstanceChange(const fleet::InstanceChange& change);
     InstanceSessionPtr open(const fleet::InstanceReport& report);
     void replaceLife(InstanceSession& session, const fleet::InstanceReport& report);
@@ -116,17 +117,9 @@
     void start(const scheduling::Placement& placement);
     void orderAll(const std::vector<scheduling::Placement>& placements, foundation::SteadyTime plannedAt);
     void order(const scheduling::Placement& placement);
-    void noteOutcome(const InstanceSession& session, jobs::RunEnd how);
     void depose(const std::string& reason);
     template <typename Action> void later(milliseconds delay, Action action);
 
-    /// What the ends of an instance's runs tell about it.
-    struct Record {
-        int failuresInARow = 0;
-        foundation::SteadyTime excludedUntil {};
-        bool isOnTrial = false;
-    };
-
     ControllerContext context_;
     ControlSettings settings_;
     FormerControllers former_;
@@ -134,17 +127,16 @@
     std::function<void(const std::string&)> deposed_;
     eventlog::ControllerWriter writer_;
     Snapshotter snapshotter_;
+    InstanceDirectory directory_;
+    InstanceHealth health_;
     AdviceBook advice_;
     fleet::FleetConfiguration configuration_;
     std::map<std::string, InstanceSessionPtr> sessions_; ///< By instance.
-    std::map<std::string, Record> records_; ///< By instance.
     std::set<std::string> reserved_;
     std::set<jobs::TaskId> blocked_; ///< Refused as invalid a moment ago.
     std::map<std::string, scheduling::PoolPlan> lastPlans_;
     std::map<jobs::JobId, foundation::SteadyTime> finalSince_;
     std::set<jobs::JobId> unstoredFinal_; ///< Final by records that are not in the log yet.
-    std::uint64_t instancesNext_ = 0;
-    bool instancesLoaded_ = false;
     bool planScheduled_ = false;
     ControlConfidence confidence_ = ControlConfidence::Confirmed;
     bool isDeposed_ = false;
--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -1,5 +1,6 @@
 #include "control/controller.h"
 
+#include "control/internal/controltext.h"
 #include "scheduling/placementplanner.h"
 
 #include <algorithm>
@@ -20,67 +21,15 @@
 namespace {
 
     constexpr milliseconds planDelay { 2 }; ///< Gathers what arrives together into one plan and one append.
-    constexpr milliseconds watchWait { 1000 };
-    constexpr milliseconds watchPause { 100 }; ///< Instances' entries change about 30 times a second.
-    constexpr milliseconds reloadDelay { 200 };
     constexpr milliseconds slowAppend { 500 }; ///< An append takes about 10 ms.
     constexpr milliseconds rereadDelay { 100 };
     constexpr milliseconds invalidBackoff { 1000 }; ///< Before a task that was refused as invalid is tried again.
-    constexpr int failuresBeforeExclusion = 3; ///< In a row; more than a job's own fault explains.
-    constexpr milliseconds exclusion { 3000 }; ///< Before an instance that fails everything gets one task on trial.
-    constexpr milliseconds refusalPause { 500 }; ///< After an instance refused work.
 
     milliseconds timeOfDay(const foundation::IClock& clock)
     {
         return std::chrono::duration_cast<milliseconds>(clock.wallNow().time_since_epoch());
     }
 
-    std::string_view toText(RunEnd how)
-    {
-        switch (how) {
-        case RunEnd::Done:
-            return "done";
-        case RunEnd::Failed:
-            return "failed";
-        case RunEnd::Stopped:
-            return "stopped";
-        case RunEnd::LeaseExpired:
-            return "lease-expired";
-        case RunEnd::PeerEnded:
-            return "peer-ended";
-        case RunEnd::GangIncomplete:
-            return "gang-incomplete";
-        case RunEnd::NeverStarted:
-            return "never-started";
-        case RunEnd::InstanceGone:
-            return "instance-gone";
-        }
-        return "unknown";
-    }
-
-    std::string_view toText(StartVerdict verdict)
-    {
-        switch (verdict) {
-        case StartVerdict::Started:
-            return "started";
-        case StartVerdict::Fenced:
-            return "fenced";
-        case StartVerdict::Superseded:
-            return "superseded";
-        case StartVerdict::LeaseOver:
-            return "lease-over";
-        case StartVerdict::NoRoom:
-            return "no-room";
-        case StartVerdict::TicketInvalid:
-            return "ticket-invalid";
-        case StartVerdict::Invalid:
-            return "invalid";
-        case StartVerdict::Unhealthy:
-            return "unhealthy";
-        }
-        return "unknown";
-    }
-
 } // namespace
 
 Controller::Controller(const ControllerContext& context, const ControlSettings& settings, std::uint64_t epoch,
@@ -93,6 +42,11 @@
     , writer_(
           context.log, context.clock, context.timers, context.events, epoch, 1, [this] { depose("fenced by the log"); })
     , snapshotter_(context.snapshots, context.follower, context.clock, context.events, epoch, settings.snapshotInterval)
+    , directory_(
+          context.fleetSource, context.clock, context.timers,
+          [this](const fleet::InstanceChange& change) { onInstanceChange(change); },
+          [this](const std::set<std::string>& present) { onInstancesLoaded(present); })
+    , health_(context.clock, context.events)
     , advice_(context.advice, context.clock, context.events, [this] { schedulePlan(); })
 {
 }
@@ -121,7 +75,7 @@
             { "open_jobs", static_cast<std::uint64_t>(context_.follower.table().openJobs().size()) } });
     former_.begin(context_.follower.table().claims());
     inheritRuns();
-    loadInstances();
+    directory_.start();
 }
 
 void Controller::setConfiguration(const fleet::FleetConfiguration& configuration)
@@ -163,43 +117,13 @@
     }
 }
 
-void Controller::loadInstances()
+void Controller::onInstancesLoaded(const std::set<std::string>& present)
 {
-    context_.fleetSource.loadInstances([this, alive = alive_](const Result<fleet::InstanceChanges>& loaded) {
-        if (!*alive)
-            return;
-        if (!loaded)
-            return later(reloadDelay, [this] { loadInstances(); });
-        std::set<std::string> present;
-        for (const auto& change : loaded->changes) {
-            present.insert(change.instance);
-            onInstanceChange(change);
-        }
-        for (auto& [name, session] : sessions_) {
-            if (!present.count(name))
-                session->setListed(false);
-        }
-        instancesNext_ = loaded->next;
-        instancesLoaded_ = true;
-        watchInstances();
-    });
-}
-
-void Controller::watchInstances()
-{
-    context_.fleetSource.watchInstances(
-        instancesNext_, watchWait, [this, alive = alive_](const Result<fleet::InstanceChanges>& changes) {
-            if (!*alive)
-                return;
-            if (!changes && changes.error().code == Errc::RetentionPassed)
-                return loadInstances();
-            if (!changes)
-                return later(reloadDelay, [this] { watchInstances(); });
-            instancesNext_ = changes->next;
-            for (const auto& change : changes->changes)
-                onInstanceChange(change);
-            later(watchPause, [this] { watchInstances(); });
-        });
+    for (auto& [name, session] : sessions_) {
+        if (!present.count(name))
+            session->setListed(false);
+    }
+    schedulePlan();
 }
 
 void Controller::onInstanceChange(const fleet::InstanceChange& change)
@@ -297,7 +221,7 @@
     context_.follower.beginDueOccurrences(timeOfDay(context_.clock));
     stopRunsOfFinalJobs();
     // Intents could not be written now, and plans made later know more.
-    if (instancesLoaded_ && confidence_ == ControlConfidence::Confirmed && !writer_.isStalled()
+    if (directory_.isLoaded() && confidence_ == ControlConfidence::Confirmed && !writer_.isStalled()
         && configuration_.version > 0) {
         auto views = poolViews();
         const scheduling::PlacementPlanner planner(configuration_);
@@ -345,10 +269,9 @@
 
 bool Controller::mayTakeWork(const InstanceSession& session) const
 {
-    const auto record = records_.find(session.life().instance);
-    const bool isExcluded = record != records_.end() && context_.clock.now() < record->second.excludedUntil;
-    return session.isListed() && session.isInContact() && !session.report().isDraining && !isExcluded
-        && !reserved_.count(session.life().instance);
+    const std::string& instance = session.life().instance;
+    return session.isListed() && session.isInContact() && !session.report().isDraining && !health_.isExcluded(instance)
+        && !reserved_.count(instance);
 }
 
 scheduling::InstanceView Controller::viewOf(const InstanceSession& session) const
@@ -360,8 +283,7 @@
         ++view.tasksOfStep[scheduling::stepOf(task)];
         view.longRunningTasks += run.isLongRunning;
     }
-    const auto record = records_.find(session.life().instance);
-    view.isOnTrial = record != records_.end() && record->second.isOnTrial;
+    view.isOnTrial = health_.isOnTrial(session.life().instance);
     return view;
 }
 
@@ -493,33 +415,15 @@
 {
     context_.events.write("run.ended",
         { { "task", jobs::toText(record.task) }, { "run", std::uint64_t(record.run) },
-            { "instance", session.life().instance }, { "how", std::string(toText(record.how)) },
+            { "instance", session.life().instance }, { "how", toText(record.how) },
             { "epoch", sessionContext_.epoch } });
     writeEnd(record, record.task.job);
-    noteOutcome(session, record.how);
+    health_.noteEnd(session.life().instance, record.how);
     if (record.how == RunEnd::Failed)
         failIfExhausted(record.task);
     schedulePlan();
 }
 
-void Controller::noteOutcome(const InstanceSession& session, RunEnd how)
-{
-    if (how != RunEnd::Done && how != RunEnd::Failed)
-        return;
-    Record& record = records_[session.life().instance];
-    if (how == RunEnd::Done) {
-        record = {};
-        return;
-    }
-    ++record.failuresInARow;
-    if (record.failuresInARow < failuresBeforeExclusion && !record.isOnTrial)
-        return;
-    record.isOnTrial = true;
-    record.excludedUntil = context_.clock.now() + exclusion;
-    context_.events.write("instance.excluded",
-        { { "instance", session.life().instance }, { "failures", std::int64_t(record.failuresInARow) } });
-}
-
 void Controller::failIfExhausted(const TaskId& id)
 {
     const Job* job = context_.follower.table().find(id.job);
@@ -552,15 +456,13 @@
 void Controller::onStartRefused(InstanceSession& session, const TaskId& task, StartVerdict verdict)
 {
     context_.events.write("run.refused",
-        { { "task", jobs::toText(task) }, { "instance", session.life().instance },
-            { "verdict", std::string(toText(verdict)) } });
+        { { "task", jobs::toText(task) }, { "instance", session.life().instance }, { "verdict", toText(verdict) } });
     if (verdict == StartVerdict::Invalid) {
         blocked_.insert(task);
         later(invalidBackoff, [this, task] { blocked_.erase(task); });
         return;
     }
-    Record& record = records_[session.life().instance];
-    record.excludedUntil = std::max(record.excludedUntil, context_.clock.now() + refusalPause);
+    health_.noteRefusal(session.life().instance);
 }
 
 void Controller::onLifeOver(InstanceSession& session, std::int64_t born)
@@ -575,7 +477,7 @@
     }
     session.close();
     session.endAll(RunEnd::InstanceGone);
-    records_.erase(session.life().instance);
+    health_.forget(session.life().instance);
     const auto found = sessions_.find(session.life().instance);
     if (found != sessions_.end() && found->second == keep)
         sessions_.erase(found);
@@ -589,7 +491,7 @@
     if (found == sessions_.end() || found->second != earlier)
         return;
     earlier->close();
-    records_.erase(report.life.instance);
+    health_.forget(report.life.instance);
     advice_.forgetInstance(report.life.instance);
     InstanceSessionPtr later(new InstanceSession(report, sessionContext_));
     later->setListed(earlier->isListed());
--- /dev/null
+++ b/src/control/internal/controltext.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "fleet/iinstancecontrol.h"
+#include "jobs/types/records.h"
+
+#include <string>
+
+namespace turmericsill::control {
+
+/// Names of outcomes in events; see docs/LOGGING.md.
+std::string toText(jobs::RunEnd how);
+std::string toText(fleet::StartVerdict verdict);
+
+} // namespace turmericsill::control
