Tasks that fill keep away from those that serve

Cause: a task that uses what others leave disturbs tasks with a bound on their own latency, and was placed beside them. Ruled out: pacing, which needs a look at the loads first. Change: tasks that fill go to no instance with a serving task; a serving task prefers instances without one that fills. Test: 'tasks that fill keep away from those that serve, and the other way round'.

--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -281,7 +281,8 @@
     view.free = session.free();
     for (const auto& [task, run] : session.runs()) {
         ++view.tasksOfStep[scheduling::stepOf(task)];
-        view.longRunningTasks += run.isLongRunning;
+        if (const Job* job = context_.follower.table().find(task.job))
+            scheduling::noteTask(view, job->spec.steps[task.step]);
     }
     view.isOnTrial = health_.isOnTrial(session.life().instance);
     return view;
--- a/src/scheduling/internal/placementplanner.cpp
+++ b/src/scheduling/internal/placementplanner.cpp
@@ -127,6 +127,8 @@
                 return false;
             if (spec_.maximumPerInstance > 0 && tasksOn(instance) >= spec_.maximumPerInstance)
                 return false;
+            if (spec_.fillsUnused && instance.servingTasks > 0)
+                return false;
             return need_.fitsInto(instance.free);
         }
 
@@ -137,7 +139,7 @@
         }
 
         /// Smaller is better; compared in the order of the fields.
-        using Rank = std::tuple<bool, bool, std::uint32_t, std::int64_t, std::int64_t>;
+        using Rank = std::tuple<bool, bool, bool, std::uint32_t, std::int64_t, std::int64_t>;
 
         Rank rank(const InstanceView& instance, const Task& task) const
         {
@@ -147,7 +149,9 @@
             const std::uint32_t crowd = spec_.isLongRunning ? crowdOn(instance) : 0;
             const std::int64_t otherLongRunning = instance.longRunningTasks;
             // Long-running tasks share instances, so that the others stay free to be moved or maintained.
-            return { failedThere, isFar, crowd, spec_.isLongRunning ? -otherLongRunning : 0, instance.free.milliCores };
+            const bool isDisturbed = spec_.latencyTarget.count() > 0 && instance.fillingTasks > 0;
+            return { failedThere, isDisturbed, isFar, crowd, spec_.isLongRunning ? -otherLongRunning : 0,
+                instance.free.milliCores };
         }
 
         /// Tasks of this step on the instance, once their number is more than the loss of one instance may take.
@@ -178,7 +182,7 @@
         {
             instance.free -= need_;
             ++instance.tasksOfStep[id_];
-            instance.longRunningTasks += spec_.isLongRunning;
+            noteTask(instance, spec_);
             const std::string ticket = needsTicket_ ? tickets_->at(instance.report->life.instance) : std::string();
             return { { id_.job, id_.occurrence, id_.step, index }, run, instance.report->life, need_, ticket };
         }
@@ -195,6 +199,13 @@
 
 } // namespace
 
+void noteTask(InstanceView& instance, const StepSpec& step)
+{
+    instance.longRunningTasks += step.isLongRunning;
+    instance.servingTasks += step.latencyTarget.count() > 0;
+    instance.fillingTasks += step.fillsUnused;
+}
+
 Resources reservedBy(const StepSpec& step)
 {
     Resources need = step.perTask;
--- a/src/scheduling/placementplanner.h
+++ b/src/scheduling/placementplanner.h
@@ -26,6 +26,9 @@
     const fleet::FleetConfiguration& configuration_;
 };
 
+/// Counts a task of the step among those of the instance by what it does to others.
+void noteTask(InstanceView& instance, const jobs::StepSpec& step);
+
 /// What a task of the step takes from an instance. Tasks that fill unused processor time take memory only.
 jobs::Resources reservedBy(const jobs::StepSpec& step);
 
--- a/src/scheduling/tests/plannertests.cpp
+++ b/src/scheduling/tests/plannertests.cpp
@@ -189,6 +189,32 @@
     CHECK(plan.placements[0].task.step == 1);
 }
 
+// Tasks that serve their own users share instances with work that fills what they leave, and suffer from it.
+TEST_CASE("placement: tasks that fill keep away from those that serve, and the other way round", "[scheduling]")
+{
+    Pool pool;
+    pool.addInstance("i-1");
+    pool.addInstance("i-2");
+    jobs::StepSpec serving = step(1, 6000);
+    serving.isLongRunning = true;
+    serving.latencyTarget = milliseconds(50);
+    jobs::StepSpec filling = step(4, 4000);
+    filling.fillsUnused = true;
+    pool.addJob(1, "urgent", { serving });
+    pool.addJob(2, "plain", { filling });
+    PoolPlan plan = pool.plan();
+    REQUIRE(plan.placements.size() == 5);
+    const std::string host = plan.placements.front().life.instance;
+    for (std::size_t i = 1; i < plan.placements.size(); ++i)
+        CHECK(plan.placements[i].life.instance != host);
+    jobs::StepSpec small = serving;
+    small.perTask.milliCores = 1000;
+    pool.pool.jobs = { &pool.addJob(3, "urgent", { small }) };
+    plan = pool.plan();
+    REQUIRE(plan.placements.size() == 1);
+    CHECK(plan.placements.front().life.instance == host);
+}
+
 TEST_CASE("placement: an instance on trial gets one task", "[scheduling]")
 {
     Pool pool;
--- a/src/scheduling/types/poolview.h
+++ b/src/scheduling/types/poolview.h
@@ -35,6 +35,8 @@
     jobs::Resources free; ///< What neither runs nor their stops hold.
     std::map<StepId, std::uint32_t> tasksOfStep;
     std::uint32_t longRunningTasks = 0;
+    std::uint32_t servingTasks = 0; ///< With a bound on their own latency.
+    std::uint32_t fillingTasks = 0; ///< That use processor time others leave, and disturb those that serve.
     bool isOnTrial = false; ///< Failed lately; gets one task at a time until one is done.
 };
 
