Letting go of an instance keeps the connections of one that was given its address

Cause: dropping the connections of an instance that had left dropped the calls of another at the same address; its renewal never came back, so its leases would have run out one after the other. Read in the code, not seen in a play. Ruled out: instances that answer for another (they are told by 421 and let go without dropping connections). Change: connections are dropped only when no other session has the address. Test: 'an instance that was given another's address keeps its connections and its runs' (2 checks fail without the change); the emulator refuses orders for another instance at an address and loses answers of dropped connections.

--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -102,6 +102,8 @@
     InstanceSessionPtr open(const fleet::InstanceReport& report);
     void replaceLife(InstanceSession& session, const fleet::InstanceReport& report);
     void inheritRuns();
+    void inheritRun(const jobs::TaskId& id, const jobs::Task& task, const jobs::StepSpec& spec);
+    void dismiss(const InstanceSessionPtr& session);
     void write(const jobs::Record& record);
     void writeEnd(const jobs::Record& record, jobs::JobId job);
     void schedulePlan();
--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -91,7 +91,6 @@
     deposed_(reason);
 }
 
-// Runs whose instance has no entry yet are kept under their life alone.
 void Controller::inheritRuns()
 {
     for (const Job& job : context_.follower.table().openJobs()) {
@@ -99,24 +98,27 @@
             for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
                 const auto& tasks = occurrence.steps[step].tasks;
                 for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-                    const jobs::Task& task = tasks[index];
-                    if (task.phase != TaskPhase::Active)
-                        continue;
-                    auto& session = sessions_[task.life.instance];
-                    if (!session) {
-                        fleet::InstanceReport unlisted;
-                        unlisted.life = task.life;
-                        session = new InstanceSession(unlisted, sessionContext_);
-                        session->setListed(false);
-                    }
-                    session->track({ job.id, number, step, index }, task.lastRun,
-                        scheduling::reservedBy(job.spec.steps[step]), job.spec.steps[step].isLongRunning, true);
+                    if (tasks[index].phase == TaskPhase::Active)
+                        inheritRun({ job.id, number, step, index }, tasks[index], job.spec.steps[step]);
                 }
             }
         }
     }
 }
 
+// A run whose instance has no entry yet is kept under the instance's life alone.
+void Controller::inheritRun(const TaskId& id, const jobs::Task& task, const jobs::StepSpec& spec)
+{
+    auto& session = sessions_[task.life.instance];
+    if (!session) {
+        fleet::InstanceReport unlisted;
+        unlisted.life = task.life;
+        session = new InstanceSession(unlisted, sessionContext_);
+        session->setListed(false);
+    }
+    session->track(id, task.lastRun, scheduling::reservedBy(spec), spec.isLongRunning, true);
+}
+
 void Controller::onInstancesLoaded(const std::set<std::string>& present)
 {
     for (auto& [name, session] : sessions_) {
@@ -176,11 +178,8 @@
         session->tick(confidence);
         if (isDeposed_)
             return;
-        if (!session->isListed() && session->runs().empty()) {
-            session->close();
-            sessions_.erase(name);
-            context_.instances.forget(session->report().address);
-        }
+        if (!session->isListed() && session->runs().empty())
+            dismiss(session);
     }
     forgetOldJobs();
     if (snapshotter_.isDue() && writer_.isIdle())
@@ -189,6 +188,18 @@
     writer_.flush();
 }
 
+// Another instance may have been given the address; its calls are not to be dropped.
+void Controller::dismiss(const InstanceSessionPtr& session)
+{
+    session->close();
+    sessions_.erase(session->life().instance);
+    const foundation::Address address = session->report().address;
+    const bool isShared = std::any_of(sessions_.begin(), sessions_.end(),
+        [&](const auto& other) { return other.second->report().address == address; });
+    if (!isShared)
+        context_.instances.forget(address);
+}
+
 void Controller::write(const jobs::Record& record)
 {
     context_.follower.applyOwn(record);
--- a/src/emulator/emulatedplatform.h
+++ b/src/emulator/emulatedplatform.h
@@ -52,6 +52,9 @@
     /// Ends an instance's life and starts another under its name, the way a process restarts.
     void restartInstance(const std::string& name, const std::string& pool, const jobs::Resources& capacity);
 
+    /// The next instance that is started under `name` listens where `former` did.
+    void passAddress(const std::string& former, const std::string& name) { ports_[name] = ports_.at(former); }
+
     /// Ends an instance's life without a word; its entry stays until it is unlisted.
     void crash(const std::string& name);
     void unlist(const std::string& name);
--- a/src/emulator/entryport.h
+++ b/src/emulator/entryport.h
@@ -10,6 +10,7 @@
 #include "fleet/imachinecontrol.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -52,7 +53,7 @@
     void renew(const fleet::InstanceHandle& instance, const fleet::RenewRequest& request, RenewCallback done) override;
     void pace(const fleet::InstanceHandle& instance, const jobs::TaskId& task, std::uint32_t run, int percent,
         StopCallback done) override;
-    void forget(const foundation::Address&) override { }
+    void forget(const foundation::Address& address) override { ++connections_[address]; }
 
     void list(ListCallback done) override;
     void move(const std::string& machine, const std::string& pool, std::uint64_t token, OrderCallback done) override;
@@ -75,6 +76,7 @@
     foundation::IClock& clock_;
     std::string entry_;
     AskPeer askPeer_;
+    std::map<foundation::Address, int> connections_; ///< Answers that belong to dropped connections are lost.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/emulator/internal/entryport.cpp
+++ b/src/emulator/internal/entryport.cpp
@@ -181,17 +181,20 @@
         return answer(orderTimeout, [fail] { fail(Errc::Timeout); });
     }
     const bool isLost = platform_.draw(faults.lostOrderAnswers);
+    const int connection = connections_[handle.address];
     later(
         orderDelay,
-        [this, &platform = platform_, alive = alive_, handle, carry, fail, isLost] {
+        [this, &platform = platform_, alive = alive_, handle, carry, fail, isLost, connection] {
             EmulatedInstance* instance = platform.at(handle.address);
-            if (!instance) {
+            const bool isOther = instance && instance->report().life.instance != handle.instance;
+            if (!instance || isOther) {
+                const Errc code = isOther ? Errc::WrongInstance : Errc::Unavailable;
                 if (*alive)
-                    answer(orderDelay, [fail] { fail(Errc::Unavailable); });
+                    answer(orderDelay, [fail, code] { fail(code); });
                 return;
             }
             auto reply = carry(*instance);
-            if (!*alive)
+            if (!*alive || connection != connections_[handle.address])
                 return;
             if (isLost)
                 return answer(orderTimeout, [fail] { fail(Errc::Timeout); });
@@ -230,11 +233,16 @@
     const milliseconds wait = request.wait.count() > 0 ? look : milliseconds(0);
     order(
         handle,
-        [this, alive = alive_, request, token = handle.token, done, wait](EmulatedInstance& instance) {
+        [this, alive = alive_, request, token = handle.token, done, wait, address = handle.address,
+            connection = connections_[handle.address]](EmulatedInstance& instance) {
             const auto result = instance.renew(request, token);
-            return std::function<void()>([this, alive, done, result, wait] {
-                if (*alive)
-                    answer(wait, [done, result] { done(result); });
+            return std::function<void()>([this, alive, done, result, wait, address, connection] {
+                const bool isDropped = !*alive || connection != connections_[address];
+                if (!isDropped)
+                    answer(wait, [this, done, result, address, connection] {
+                        if (connection == connections_[address])
+                            done(result);
+                    });
             });
         },
         [done](Errc code) { done(failure(code, "instance.renew")); });
--- a/src/emulator/tests/controltests.cpp
+++ b/src/emulator/tests/controltests.cpp
@@ -333,3 +333,27 @@
     world.emulation.run(milliseconds(5000));
     CHECK(world.broken().empty());
 }
+
+// The address of an instance that is gone goes to another one before the controller lets go of the first.
+TEST_CASE("control: an instance that was given another's address keeps its connections and its runs", "[emulation]")
+{
+    World world(15);
+    auto& platform = world.emulation.platform();
+    platform.setDraining("i-1"); // It gets no work, so that nothing tells the controller of its end.
+    world.emulation.run(milliseconds(500));
+    platform.crash("i-1");
+    platform.passAddress("i-1", "i-9");
+    platform.startInstance("i-9", "desk", { 8000, 16000, 0 });
+    world.emulation.run(milliseconds(1000));
+    auto lasting = step(4, 5000);
+    lasting.isLongRunning = true;
+    world.emulation.submit("e-1", 0xab1, job({ lasting }));
+    world.emulation.run(milliseconds(500));
+    REQUIRE(runsOf(world, 0xab1) == 4);
+    platform.unlist("i-1");
+    world.emulation.run(milliseconds(9000));
+    CHECK(runsOf(world, 0xab1) == 4);
+    for (const auto& line : world.sink.lines)
+        CHECK(line.find("lease-expired") == std::string::npos);
+    CHECK(world.broken().empty());
+}
