--- a/src/emulator/tests/explorationtests.cpp
+++ b/src/emulator/tests/explorationtests.cpp
@@ -218,3 +218,15 @@
     }
     CHECK(failed == 0);
 }
+
+TEST_CASE("exploration: schedules that once broke a promise hold", "[exploration]")
+{
+    // Claims under one epoch (22, 122), lives of one instance (2, 213, 458, 1944), joins that doubled (100), leases
+    // (708, 17972, 21001, 34745), cancellations (102, 311, 832, 2518), ends (400, 694, 784, 1273, 1337).
+    const std::vector<std::uint64_t> seeds { 2, 22, 100, 102, 122, 213, 311, 400, 458, 694, 708, 784, 832, 1273, 1337,
+        1944, 2518, 17972, 21001, 34745 };
+    for (const auto seed : seeds) {
+        INFO("seed " << seed);
+        CHECK(Schedule(seed).play() == "");
+    }
+}
