Control belongs to an entry with much processor time

Cause: on the grown sites entries have from 0.12 to 0.5 of a core and links from 10 to 200 Mbit/s; control fell to whichever entry the group dealt one partition to, and on a small one it could not keep up (runs of cancelled jobs, jobs that never ran, pending counts that were seconds old). Ruled out: the length of a change of control (claimed 3.1 s after a restart of everything). Change: an entry's name in the group carries its processor time; the member with most of it is the candidate, and a holder with less than half of that hands over. An entry reads the log to its end before it asks who holds control: one that had just started would have claimed beside a living holder. What the group deals no longer matters, only who is in it. Left: the group has 64 parts to deal, so of more than 64 entries some do not count as members (docs/design/platform.md, Open).

--- a/src/control/controlduty.h
+++ b/src/control/controlduty.h
@@ -13,17 +13,18 @@
 /// Who this process is.
 struct EntryIdentity {
     std::string entry;
+    std::uint32_t processorShare = 0; ///< Of its machine, in thousandths of a core.
     std::uint64_t incarnation = 0; ///< Start of the process, in milliseconds since 1970.
     std::string address; ///< Where it tells whether it controls.
 };
 
-/// Keeps this entry in the group of entries, and controls the fleet when it is the group's candidate and nobody else
-/// does.
+/// Keeps this entry in the group of entries, and controls the fleet when it is the candidate and nobody else controls.
+/// The candidate is the member with the largest share of a processor, the first by name among equals.
 ///
 /// Control begins with a claim in the log under an epoch above every earlier one, once all that stands before the claim
-/// was read. It ends when the group no longer counts this entry as alive, the log fences it, or an
-/// instance has seen a higher token; not when the group names another candidate, since each change costs the fleet some
-/// time without a controller.
+/// was read. It ends when the group no longer counts this entry as alive, the log fences it, an instance
+/// has seen a higher token, or a member is there that has at least twice this entry's share of a processor; not when
+/// another one becomes the candidate, since each change costs the fleet some time without a controller.
 class ControlDuty {
 public:
     ControlDuty(const ControllerContext& context, eventlog::IControlGroup& group, fleet::IMachineControl& machines,
@@ -58,7 +59,9 @@
     void join();
     void scheduleJoin();
     void onJoined(const foundation::Result<eventlog::GroupAssignment>& assignment, foundation::SteadyTime sentAt);
-    void considerClaim();
+    void lookAtMembers();
+    void onMembers(const std::vector<eventlog::GroupMember>& members);
+    void considerClaim(const std::vector<eventlog::GroupMember>& members);
     void askHolder(const jobs::Claimed& holder);
     void beginClaim();
     void appendClaim();
@@ -82,7 +85,8 @@
     std::uint64_t lowestEpoch_ = 0; ///< Epochs below were refused.
     foundation::SteadyTime confirmedAt_ {};
     bool isCandidate_ = false;
-    bool isConsidering_ = false;
+    bool membersUnknown_ = true; ///< Nobody has told who is in this generation.
+    bool isLookingAtMembers_ = false;
     bool isClaiming_ = false;
     bool isStopping_ = false;
 };
--- a/src/control/internal/controlduty.cpp
+++ b/src/control/internal/controlduty.cpp
@@ -3,12 +3,14 @@
 #include "jobs/recordcodec.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace turmericsill::control {
 
 using eventlog::AppendReceipt;
 using eventlog::GroupAssignment;
+using eventlog::GroupMember;
 using foundation::Errc;
 using foundation::Result;
 using foundation::SteadyTime;
@@ -21,8 +23,14 @@
     constexpr milliseconds claimTimeout { 2500 }; ///< A slow store takes seconds, and a repeated claim makes it slower.
     constexpr milliseconds claimRetryDelay { 20 };
     constexpr milliseconds tickInterval { 50 };
+    constexpr std::uint32_t strongerBy = 2; ///< Less does not make up for a change of control.
     constexpr milliseconds holderMargin { 300 }; ///< Added to the interval between holders' orders for a machine.
 
+    bool isBetterCandidate(const GroupMember& one, const GroupMember& other)
+    {
+        return std::tuple(other.processorShare, one.entry) < std::tuple(one.processorShare, other.entry);
+    }
+
 } // namespace
 
 ControlDuty::ControlDuty(const ControllerContext& context, eventlog::IControlGroup& group,
@@ -88,37 +96,60 @@
     confirmedAt_ = sentAt;
     const bool isNewGeneration = assignment->generation != generation_;
     generation_ = assignment->generation;
-    isCandidate_ = assignment->isCandidate;
+    membersUnknown_ |= isNewGeneration;
     if (isNewGeneration) {
-        context_.events.write("group.generation",
-            { { "generation", generation_ }, { "candidate", isCandidate_ }, { "member", assignment->isMember } });
+        context_.events.write(
+            "group.generation", { { "generation", generation_ }, { "member", assignment->isMember } });
     }
-    // A partition passes on once its former holder has joined under the new generation.
+    // The group passes a member's part on once that member has joined under the new generation.
     scheduleJoin();
     if (!assignment->isMember && controller_ && !isNewGeneration)
         return endControl("the group does not count this entry as alive");
-    if (isCandidate_ && !controller_)
-        considerClaim();
+    if (membersUnknown_ || (isCandidate_ && !controller_))
+        lookAtMembers();
 }
 
-void ControlDuty::considerClaim()
+void ControlDuty::lookAtMembers()
 {
-    const Claimed holder = context_.follower.table().claim();
-    const bool mayBeControlled = holder.epoch > 0 && holder.entry != identity_.entry;
-    if (!mayBeControlled)
-        return beginClaim();
-    if (isClaiming_ || std::exchange(isConsidering_, true))
+    if (std::exchange(isLookingAtMembers_, true))
         return;
-    group_.members([this, holder](const Result<std::set<std::string>>& members) {
-        isConsidering_ = false;
-        if (!members || controller_ || !isCandidate_ || isStopping_)
+    group_.members([this, generation = generation_](const Result<std::vector<GroupMember>>& members) {
+        isLookingAtMembers_ = false;
+        if (!members || isStopping_)
             return;
-        if (!members->count(holder.entry))
-            return beginClaim();
-        askHolder(holder);
+        membersUnknown_ = generation != generation_;
+        onMembers(*members);
     });
 }
 
+void ControlDuty::onMembers(const std::vector<GroupMember>& members)
+{
+    const auto candidate = std::min_element(members.begin(), members.end(), isBetterCandidate);
+    if (candidate == members.end())
+        return;
+    isCandidate_ = candidate->entry == identity_.entry;
+    if (!controller_ && isCandidate_) {
+        // An entry that has just started has not read who holds control.
+        return context_.follower.readToEnd([this, members](const Result<void>& read) {
+            if (read && !controller_ && isCandidate_ && !isStopping_)
+                considerClaim(members);
+        });
+    }
+    if (controller_ && candidate->processorShare >= strongerBy * identity_.processorShare && !isCandidate_)
+        endControl("a member with more processor time is there: " + candidate->entry);
+}
+
+void ControlDuty::considerClaim(const std::vector<GroupMember>& members)
+{
+    const Claimed holder = context_.follower.table().claim();
+    const bool mayBeControlled = holder.epoch > 0 && holder.entry != identity_.entry;
+    const bool holderLives = std::any_of(
+        members.begin(), members.end(), [&](const GroupMember& member) { return member.entry == holder.entry; });
+    if (mayBeControlled && holderLives)
+        return askHolder(holder);
+    beginClaim();
+}
+
 // A holder that is alive may have ended its control.
 void ControlDuty::askHolder(const Claimed& holder)
 {
--- a/src/emulator/emulatedlog.h
+++ b/src/emulator/emulatedlog.h
@@ -8,7 +8,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -34,16 +33,20 @@
         const std::vector<eventlog::SnapshotEntry>& entries, const eventlog::ProducerPosition& position);
     std::vector<eventlog::SnapshotEntry> load() const;
 
-    eventlog::GroupAssignment join(const std::string& member, milliseconds timeToLive);
-    std::set<std::string> members();
+    eventlog::GroupAssignment join(const eventlog::GroupMember& member, milliseconds timeToLive);
+    std::vector<eventlog::GroupMember> members();
     void leave(const std::string& member);
 
-    /// Makes another member the candidate without being asked.
+    /// Begins another generation without being asked.
     void dealAnew();
 
 private:
+    struct Membership {
+        eventlog::GroupMember member;
+        foundation::SteadyTime until;
+    };
+
     void expireMembers();
-    void chooseHolder(const std::string& except);
 
     const foundation::IClock& clock_;
     std::vector<std::string> records_; ///< From offset first_ on.
@@ -53,9 +56,7 @@
     std::uint64_t epoch_ = 0;
     std::uint64_t nextSequence_ = 0;
     std::map<std::uint64_t, eventlog::AppendReceipt> receipts_; ///< Of the epoch's appends, by sequence.
-    std::map<std::string, foundation::SteadyTime> members_; ///< Until when each lives.
-    std::string holder_; ///< Empty: nobody.
-    std::string successor_; ///< Gets control once the holder has joined; empty: no change is under way.
+    std::map<std::string, Membership> members_; ///< By entry.
     std::uint64_t generation_ = 0;
 };
 
--- a/src/emulator/emulation.h
+++ b/src/emulator/emulation.h
@@ -27,9 +27,9 @@
 /// One process of an entry: the product's own duties on an emulated platform.
 class EmulatedEntry {
 public:
-    EmulatedEntry(EmulatedPlatform& platform, EmulatedClock& clock, const std::string& name, std::uint64_t incarnation,
-        std::uint16_t port, telemetry::IEventSink& events, const control::ControlSettings& settings,
-        EntryPort::AskPeer askPeer);
+    EmulatedEntry(EmulatedPlatform& platform, EmulatedClock& clock, const eventlog::GroupMember& self,
+        std::uint64_t incarnation, std::uint16_t port, telemetry::IEventSink& events,
+        const control::ControlSettings& settings, EntryPort::AskPeer askPeer);
 
     foundation::TimerQueue& timers() { return timers_; }
     entry::JobService& service() { return service_; }
@@ -52,7 +52,8 @@
     EmulatedPlatform& platform() { return platform_; }
     EmulatedClock& clock() { return clock_; }
 
-    void startEntry(const std::string& name);
+    /// `processorShare`: in thousandths of a core.
+    void startEntry(const std::string& name, std::uint32_t processorShare = 250);
 
     /// Ends an entry's process without a word.
     void killEntry(const std::string& name);
--- a/src/emulator/entryport.h
+++ b/src/emulator/entryport.h
@@ -29,7 +29,7 @@
 public:
     using AskPeer = std::function<foundation::Result<control::PeerControlState>(const foundation::Address&)>;
 
-    EntryPort(EmulatedPlatform& platform, foundation::IClock& clock, std::string entry, AskPeer askPeer);
+    EntryPort(EmulatedPlatform& platform, foundation::IClock& clock, eventlog::GroupMember self, AskPeer askPeer);
     ~EntryPort() override;
 
     void append(eventlog::AppendRequest request, milliseconds timeout, AppendCallback done) override;
@@ -77,7 +77,7 @@
 
     EmulatedPlatform& platform_;
     foundation::IClock& clock_;
-    std::string entry_;
+    eventlog::GroupMember self_;
     AskPeer askPeer_;
     foundation::SteadyTime linkFreeAt_ {}; ///< When what was sent before is here.
     std::map<foundation::Address, int> connections_; ///< Answers that belong to dropped connections are lost.
--- a/src/emulator/internal/emulatedlog.cpp
+++ b/src/emulator/internal/emulatedlog.cpp
@@ -89,60 +89,40 @@
     return entries;
 }
 
-GroupAssignment EmulatedLog::join(const std::string& member, milliseconds timeToLive)
+GroupAssignment EmulatedLog::join(const eventlog::GroupMember& member, milliseconds timeToLive)
 {
-    if (!members_.count(member))
+    if (!members_.count(member.entry))
         ++generation_;
-    members_[member] = clock_.now() + timeToLive;
+    members_[member.entry] = { member, clock_.now() + timeToLive };
     expireMembers();
-    if (holder_ == member && !successor_.empty()) {
-        holder_ = members_.count(successor_) ? successor_ : std::string();
-        successor_.clear();
-        ++generation_;
-    }
-    if (holder_.empty())
-        chooseHolder({});
-    return { generation_, true, holder_ == member && successor_.empty() };
+    return { generation_, true };
 }
 
-std::set<std::string> EmulatedLog::members()
+std::vector<eventlog::GroupMember> EmulatedLog::members()
 {
     expireMembers();
-    std::set<std::string> names;
-    for (const auto& [member, until] : members_)
-        names.insert(member);
-    return names;
+    std::vector<eventlog::GroupMember> result;
+    for (const auto& [entry, membership] : members_)
+        result.push_back(membership.member);
+    return result;
 }
 
 void EmulatedLog::leave(const std::string& member)
 {
-    members_.erase(member);
+    if (members_.erase(member) > 0)
+        ++generation_;
     expireMembers();
 }
 
 void EmulatedLog::expireMembers()
 {
     for (auto member = members_.begin(); member != members_.end();) {
-        if (member->second < clock_.now())
+        if (member->second.until < clock_.now()) {
             member = members_.erase(member);
-        else
+            ++generation_;
+        } else {
             ++member;
-    }
-    if (!holder_.empty() && !members_.count(holder_)) {
-        holder_.clear();
-        successor_.clear();
-        ++generation_;
-    }
-}
-
-void EmulatedLog::chooseHolder(const std::string& except)
-{
-    for (const auto& [member, until] : members_) {
-        if (member == except)
-            continue;
-        holder_ = member;
-        ++generation_;
-        return;
+        }
     }
 }
 
@@ -150,11 +130,6 @@
 {
     expireMembers();
     ++generation_;
-    auto next = members_.upper_bound(holder_);
-    if (next == members_.end())
-        next = members_.begin();
-    if (next != members_.end() && next->first != holder_)
-        successor_ = next->first;
 }
 
 } // namespace turmericsill::emulator
--- a/src/emulator/internal/emulation.cpp
+++ b/src/emulator/internal/emulation.cpp
@@ -20,15 +20,15 @@
 
 } // namespace
 
-EmulatedEntry::EmulatedEntry(EmulatedPlatform& platform, EmulatedClock& clock, const std::string& name,
+EmulatedEntry::EmulatedEntry(EmulatedPlatform& platform, EmulatedClock& clock, const eventlog::GroupMember& self,
     std::uint64_t incarnation, std::uint16_t port, telemetry::IEventSink& events,
     const control::ControlSettings& settings, EntryPort::AskPeer askPeer)
-    : port_(platform, clock, name, std::move(askPeer))
+    : port_(platform, clock, self, std::move(askPeer))
     , follower_(port_, port_, clock, timers_, eventlog::FollowerOptions())
     , submitter_(port_, clock, timers_)
     , service_(follower_, submitter_, clock, events)
     , control_({ port_, port_, follower_, port_, port_, port_, clock, timers_, events, port_ }, port_, port_, settings,
-          { name, incarnation, "10.0.1.1:" + std::to_string(port) })
+          { self.entry, self.processorShare, incarnation, "10.0.1.1:" + std::to_string(port) })
 {
     service_.setControlProbe(
         [this] { return control_.isController(); }, [this](jobs::JobId job) { return control_.isStored(job); });
@@ -50,11 +50,12 @@
 {
 }
 
-void Emulation::startEntry(const std::string& name)
+void Emulation::startEntry(const std::string& name, std::uint32_t processorShare)
 {
     const auto port = ports_.emplace(name, static_cast<std::uint16_t>(firstPeerPort + ports_.size())).first->second;
-    entries_[name] = std::make_unique<EmulatedEntry>(platform_, clock_, name, nextIncarnation_++, port, events_,
-        settings_, [this](const foundation::Address& address) { return askPeer(address); });
+    entries_[name] = std::make_unique<EmulatedEntry>(platform_, clock_, eventlog::GroupMember { name, processorShare },
+        nextIncarnation_++, port, events_, settings_,
+        [this](const foundation::Address& address) { return askPeer(address); });
 }
 
 void Emulation::killEntry(const std::string& name)
--- a/src/emulator/internal/entryport.cpp
+++ b/src/emulator/internal/entryport.cpp
@@ -23,10 +23,10 @@
 
 } // namespace
 
-EntryPort::EntryPort(EmulatedPlatform& platform, foundation::IClock& clock, std::string entry, AskPeer askPeer)
+EntryPort::EntryPort(EmulatedPlatform& platform, foundation::IClock& clock, eventlog::GroupMember self, AskPeer askPeer)
     : platform_(platform)
     , clock_(clock)
-    , entry_(std::move(entry))
+    , self_(std::move(self))
     , askPeer_(std::move(askPeer))
 {
 }
@@ -43,7 +43,7 @@
 
 bool EntryPort::isStoreReachable() const
 {
-    return !platform_.faults().storeDown && !platform_.faults().entriesCutFromStore.count(entry_);
+    return !platform_.faults().storeDown && !platform_.faults().entriesCutFromStore.count(self_.entry);
 }
 
 void EntryPort::append(eventlog::AppendRequest request, milliseconds timeout, AppendCallback done)
@@ -70,7 +70,7 @@
 // Answers share the entry's link, one after the other.
 milliseconds EntryPort::transferTime(std::size_t bytes)
 {
-    const auto rate = platform_.faults().linkBytesPerSecond.find(entry_);
+    const auto rate = platform_.faults().linkBytesPerSecond.find(self_.entry);
     if (rate == platform_.faults().linkBytesPerSecond.end())
         return milliseconds(0);
     constexpr std::size_t msPerSecond = 1000;
@@ -133,7 +133,7 @@
         return answer(orderDelay, [done] { done(failure(Errc::Unavailable, "group.join")); });
     if (platform_.faults().storeSilent)
         return answer(silentTimeout, [done] { done(failure(Errc::Timeout, "group.join")); });
-    answer(platform_.faults().storeDelay, [this, timeToLive, done] { done(platform_.log().join(entry_, timeToLive)); });
+    answer(platform_.faults().storeDelay, [this, timeToLive, done] { done(platform_.log().join(self_, timeToLive)); });
 }
 
 void EntryPort::members(MembersCallback done)
@@ -145,7 +145,7 @@
 
 void EntryPort::leave(std::function<void()> done)
 {
-    platform_.log().leave(entry_);
+    platform_.log().leave(self_.entry);
     answer(orderDelay, std::move(done));
 }
 
--- a/src/emulator/tests/controltests.cpp
+++ b/src/emulator/tests/controltests.cpp
@@ -295,6 +295,7 @@
     const std::string holder = world.emulation.controller();
     for (int round = 0; round < 3; ++round) {
         world.emulation.platform().log().dealAnew();
+        world.emulation.startEntry("a-" + std::to_string(round), 300); // A better candidate each time.
         world.emulation.run(milliseconds(1500));
         CHECK(world.emulation.controller() == holder);
     }
@@ -307,6 +308,21 @@
     CHECK(!world.emulation.controller().empty());
 }
 
+// Entries of unlike size: the smallest ones have an eighth of a core.
+TEST_CASE("control: an entry with more processor time takes control over from a small one", "[emulation]")
+{
+    World world(17);
+    world.emulation.submit("e-1", 0xa7, job({ step(8, 2000) }));
+    world.emulation.startEntry("z-strong", 500);
+    world.emulation.run(milliseconds(2000));
+    CHECK(world.emulation.controller() == "z-strong");
+    world.emulation.killEntry("z-strong");
+    world.emulation.run(milliseconds(4000));
+    CHECK(!world.emulation.controller().empty());
+    CHECK(statusOf(world, "e-1", 0xa7).state == jobs::JobState::Completed);
+    CHECK(world.broken().empty());
+}
+
 // Load that arrives while the store is silent: callers are told at once, and can try another entry or come back.
 TEST_CASE("submissions: a silent store holds nobody until the deadline", "[emulation]")
 {
--- a/src/entryd/internal/entryprocess.cpp
+++ b/src/entryd/internal/entryprocess.cpp
@@ -58,7 +58,7 @@
     , events_(metrics_, eventLog_)
     , store_(context_, settings_.storeAddress, storeConnections)
     , machineControl_(context_, settings_.machineControlAddress, machineControlConnections)
-    , log_(store_, settings_.entry)
+    , log_(store_, { settings_.entry, settings::processorMilliShare(settings_) })
     , fleetSource_(store_,
           [this](const foundation::Error& error) {
               events_.write("entry.foreign", { { "reason", error.message() } });
@@ -72,7 +72,9 @@
     , declarations_(fleetSource_, clock_, timers_, events_)
     , peers_(context_)
     , control_({ log_, log_, follower_, fleetSource_, instances_, advice_, clock_, timers_, events_, peers_ }, log_,
-          machines_, controlSettings(), { settings_.entry, startOfProcess(), settings_.telemetryAddress.text() })
+          machines_, controlSettings(),
+          { settings_.entry, settings::processorMilliShare(settings_), startOfProcess(),
+              settings_.telemetryAddress.text() })
     , jobFront_(service_, clock_)
     , readyFront_(readiness_)
     , telemetryHandler_(metrics_, readiness_)
--- a/src/eventlog/icontrolgroup.h
+++ b/src/eventlog/icontrolgroup.h
@@ -5,8 +5,8 @@
 
 #include <cstdint>
 #include <functional>
-#include <set>
 #include <string>
+#include <vector>
 
 namespace turmericsill::eventlog {
 
@@ -14,15 +14,19 @@
 struct GroupAssignment {
     std::uint64_t generation = 0; ///< Rises with each change of the group.
     bool isMember = false; ///< The group counts this entry as alive.
-    bool isCandidate = false; ///< This member is to take control when nobody has it.
 };
 
-/// The group of entries: who is alive, and which one is to take control next.
-/// What it deals changes with each member that comes or goes, so control does not follow it while its holder lives.
+/// An entry that the group counts as alive.
+struct GroupMember {
+    std::string entry;
+    std::uint32_t processorShare = 0; ///< Of its machine, in thousandths of a core.
+};
+
+/// The group of entries: who is alive.
 class IControlGroup {
 public:
     using JoinCallback = std::function<void(foundation::Result<GroupAssignment>)>;
-    using MembersCallback = std::function<void(foundation::Result<std::set<std::string>>)>;
+    using MembersCallback = std::function<void(foundation::Result<std::vector<GroupMember>>)>;
 
     virtual ~IControlGroup() = default;
 
@@ -32,7 +36,7 @@
     /// The members that the group counts as alive.
     virtual void members(MembersCallback done) = 0;
 
-    /// Leaves at once, so that another member is dealt what this one held.
+    /// Leaves at once.
     virtual void leave(std::function<void()> done) = 0;
 };
 
--- a/src/settings/entrysettings.h
+++ b/src/settings/entrysettings.h
@@ -14,6 +14,8 @@
 struct EntrySettings {
     std::string entry;
     std::string dataCentre;
+    double processorShare = 1; ///< Of a core, that this process may use.
+    std::size_t processorCores = 1; ///< How many times as fast as one core the machine's processor is.
     foundation::Address callerAddress;
     foundation::Address healthAddress;
     foundation::Address telemetryAddress;
@@ -28,6 +30,9 @@
     foundation::milliseconds shutdownGrace { 6000 };
 };
 
+/// Processor time of the entry's process, in thousandths of a core.
+std::uint32_t processorMilliShare(const EntrySettings& settings);
+
 /// Reads and checks a settings file, JSON with comments; every fault is reported with its line and field.
 std::optional<EntrySettings> loadEntrySettings(const std::string& path, jsonsource::Faults& faults);
 
--- a/src/settings/internal/entrysettings.cpp
+++ b/src/settings/internal/entrysettings.cpp
@@ -3,6 +3,8 @@
 #include "jsonsource/objectschema.h"
 #include "settings/internal/fieldcopier.h"
 
+#include <cmath>
+
 namespace turmericsill::settings {
 
 namespace {
@@ -33,6 +35,8 @@
             // Instances that fetch their orders with their heartbeats are not supported.
             { "instance_control", FieldType::Choice, false, 0, 0, { "rpc" } },
             { "advice_address", FieldType::Address, false, 0, 0, {} },
+            { "processor_share", FieldType::Number, false, 0.001, 1, {} },
+            { "processor_cores", FieldType::Integer, false, 1, 1024, {} },
             interval("longest_lease_ms", 1000),
             interval("holder_interval_ms", 0),
             interval("notice_interval_ms", 0),
@@ -59,6 +63,8 @@
             copier.copy("advice_address", advice);
             result.adviceAddress = advice;
         }
+        copier.copy("processor_share", result.processorShare);
+        copier.copy("processor_cores", result.processorCores);
         copier.copy("longest_lease_ms", result.longestLease);
         copier.copy("holder_interval_ms", result.holderInterval);
         copier.copy("notice_interval_ms", result.noticeInterval);
@@ -70,6 +76,13 @@
 
 } // namespace
 
+std::uint32_t processorMilliShare(const EntrySettings& settings)
+{
+    constexpr double thousandths = 1000;
+    return static_cast<std::uint32_t>(
+        std::lround(settings.processorShare * static_cast<double>(settings.processorCores) * thousandths));
+}
+
 std::optional<EntrySettings> parseEntrySettings(
     const std::string& file, const std::string& text, jsonsource::Faults& faults)
 {
--- a/src/settings/internal/fieldcopier.h
+++ b/src/settings/internal/fieldcopier.h
@@ -35,6 +35,12 @@
             target = foundation::milliseconds(object_[field].get<std::int64_t>());
     }
 
+    void copy(const char* field, double& target) const
+    {
+        if (object_.contains(field))
+            target = object_[field].get<double>();
+    }
+
     void copy(const char* field, std::size_t& target) const
     {
         if (object_.contains(field))
--- a/src/settings/tests/entrysettingstests.cpp
+++ b/src/settings/tests/entrysettingstests.cpp
@@ -17,13 +17,15 @@
 {
     turmericsill::jsonsource::Faults faults;
     const auto settings = parseEntrySettings("entry.json",
-        required + R"(, "instance_control": "rpc", "advice_address": "10.0.0.9:3", "shutdown_grace_ms": 4000})",
+        required + R"(, "instance_control": "rpc", "advice_address": "10.0.0.9:3", "shutdown_grace_ms": 4000,
+    "processor_share": 0.12, "processor_cores": 2})",
         faults);
     REQUIRE(settings);
     CHECK(faults.empty());
     CHECK(settings->entry == "edge-1");
     CHECK(settings->adviceAddress->text() == "10.0.0.9:3");
     CHECK(settings->shutdownGrace == turmericsill::foundation::milliseconds(4000));
+    CHECK(processorMilliShare(*settings) == 240);
     CHECK(settings->logRetention == turmericsill::foundation::milliseconds(300000));
 }
 
--- a/standins/jobs/platformstandin.cpp
+++ b/standins/jobs/platformstandin.cpp
@@ -204,7 +204,7 @@
     }
     json parts = json::array();
     for (const auto& member : platform_.log().members())
-        parts.push_back(json::array({ "turmericsill.members", parts.size(), member, 0 }));
+        parts.push_back(json::array({ "turmericsill.members", parts.size(), member.entry, 0 }));
     respond(exchange, 200, { { "parts", std::move(parts) } });
 }
 
@@ -260,6 +260,7 @@
 
 void PlatformStandin::read(const HttpExchangePtr& exchange, const Query& query, SteadyTime until)
 {
+    constexpr std::size_t bytesPerKb = 1024;
     const std::string& topic = query.at("topic");
     const std::uint64_t from = numberOf(query, "from");
     std::vector<std::string> records;
@@ -269,7 +270,8 @@
         end = all.size();
         records.assign(all.begin() + static_cast<std::ptrdiff_t>(std::min<std::uint64_t>(from, end)), all.end());
     } else {
-        const auto found = platform_.log().read(from);
+        const auto found = platform_.log().read(
+            { from, milliseconds(0), query.count("max_kb") ? numberOf(query, "max_kb") * bytesPerKb : 0 });
         if (!found)
             return respond(exchange, 410, json::object());
         end = found->end;
@@ -295,10 +297,8 @@
 {
     const json body = json::parse(exchange->request().body(), nullptr, false);
     const auto assignment = platform_.log().join(
-        body.at("member").get<std::string>(), milliseconds(body.at("ttl_ms").get<std::int64_t>()));
-    json parts = json::array({ json::array({ "turmericsill.members", 0, 0 }) });
-    if (assignment.isCandidate)
-        parts.push_back(json::array({ body.at("topics").at(0), 0, 0 }));
+        { body.at("member").get<std::string>(), 0 }, milliseconds(body.at("ttl_ms").get<std::int64_t>()));
+    const json parts = json::array({ json::array({ body.at("topics").at(0), 0, 0 }) });
     respond(exchange, 200, { { "generation", assignment.generation }, { "parts", std::move(parts) } });
 }
 
