Entries hand over several batches at a time; a slow store is told from a silent one

Change: stalled after 1.5 s; the store counts as silent 0.9 s after an answer if a join failed since, else after 1.6 s; joins keep their interval from their sending. An entry has up to eight batches under way to the controller, one to the log. A controller whose store is silent refuses at once what it surely has not sent.

--- a/src/control/controlduty.h
+++ b/src/control/controlduty.h
@@ -56,12 +56,15 @@
     /// What this entry says of its control when another one asks.
     PeerControlState state() const;
 
+    /// Whether the platform's store has answered this entry just now.
+    bool isStoreAnswering() const;
+
     /// When the group last confirmed this entry's membership.
     foundation::SteadyTime confirmedAt() const { return confirmedAt_; }
 
 private:
     void join();
-    void scheduleJoin();
+    void scheduleJoin(foundation::SteadyTime earliest);
     void onJoined(const foundation::Result<eventlog::GroupAssignment>& assignment, foundation::SteadyTime sentAt);
     void lookAtMembers();
     void onMembers(const std::vector<eventlog::GroupMember>& members);
@@ -88,6 +91,7 @@
     std::uint64_t generation_ = 0;
     std::uint64_t lowestEpoch_ = 0; ///< Epochs below were refused.
     foundation::SteadyTime confirmedAt_ {};
+    bool lastJoinFailed_ = false;
     bool isCandidate_ = false;
     bool membersUnknown_ = true; ///< Nobody has told who is in this generation.
     bool isLookingAtMembers_ = false;
--- a/src/control/internal/controlduty.cpp
+++ b/src/control/internal/controlduty.cpp
@@ -20,6 +20,8 @@
 
     constexpr milliseconds timeToLive { 1300 }; ///< Three tries to join; the platform's least is 1 s.
     constexpr milliseconds joinInterval { 400 };
+    constexpr milliseconds storeSilence { 900 }; ///< Two joins without an answer.
+    constexpr milliseconds slowStore { 1600 }; ///< Two joins, each answered just within its timeout of 0.8 s.
     constexpr milliseconds claimTimeout { 2500 }; ///< A slow store takes seconds, and a repeated claim makes it slower.
     constexpr milliseconds claimRetryDelay { 20 };
     constexpr milliseconds tickInterval { 50 };
@@ -82,17 +84,18 @@
         });
 }
 
-void ControlDuty::scheduleJoin()
+void ControlDuty::scheduleJoin(SteadyTime earliest)
 {
-    context_.timers.schedule(context_.clock.now() + joinInterval, [this] { join(); });
+    context_.timers.schedule(std::max(context_.clock.now(), earliest), [this] { join(); });
 }
 
 void ControlDuty::onJoined(const Result<GroupAssignment>& assignment, SteadyTime sentAt)
 {
     if (isStopping_)
         return;
+    lastJoinFailed_ = !assignment;
     if (!assignment)
-        return scheduleJoin();
+        return scheduleJoin(context_.clock.now() + joinInterval);
     confirmedAt_ = sentAt;
     const bool isNewGeneration = assignment->generation != generation_;
     generation_ = assignment->generation;
@@ -102,7 +105,7 @@
             "group.generation", { { "generation", generation_ }, { "member", assignment->isMember } });
     }
     // The group passes a member's part on once that member has joined under the new generation.
-    scheduleJoin();
+    scheduleJoin(sentAt + joinInterval);
     if (!assignment->isMember && controller_ && !isNewGeneration)
         return endControl("the group does not count this entry as alive");
     if (membersUnknown_ || (isCandidate_ && !controller_))
@@ -248,8 +251,9 @@
 
 void ControlDuty::store(const std::vector<std::string>& records, eventlog::ISubmissionPath::StoreCallback done)
 {
-    if (!controller_)
-        return done(foundation::failure(Errc::Unavailable, "control.store", {}, "this entry does not control"));
+    if (!controller_ || !isStoreAnswering())
+        return done(foundation::failure(Errc::Unavailable, "control.store", {},
+            controller_ ? "the store is silent" : "this entry does not control"));
     std::vector<jobs::Record> decoded;
     for (const auto& bytes : records) {
         auto logged = jobs::decode(bytes);
@@ -263,6 +267,11 @@
     controller_->store(decoded, std::move(done));
 }
 
+bool ControlDuty::isStoreAnswering() const
+{
+    return context_.clock.now() - confirmedAt_ < (lastJoinFailed_ ? storeSilence : slowStore);
+}
+
 PeerControlState ControlDuty::state() const
 {
     return { identity_.incarnation, controller_ ? controller_->epoch() : 0 };
--- a/src/control/internal/httppeercontrol.cpp
+++ b/src/control/internal/httppeercontrol.cpp
@@ -53,7 +53,7 @@
 void HttpPeerControl::forward(
     const foundation::Address& peer, std::vector<std::string> records, milliseconds timeout, ForwardCallback done)
 {
-    constexpr std::size_t connections = 2; // One call is under way at a time; one whose connection fell silent, beside.
+    constexpr std::size_t connections = 9; // The router's calls, and one whose connection fell silent.
     auto& controller = controllers_[peer];
     if (!controller)
         controller = std::make_unique<httpclient::HttpPeer>(context_, peer, connections);
--- a/src/control/internal/submissionrouter.cpp
+++ b/src/control/internal/submissionrouter.cpp
@@ -12,6 +12,8 @@
 
     /// Two appends of a slow store; a controller that takes longer is frozen or cut off.
     constexpr milliseconds forwardTimeout { 1200 };
+    constexpr std::size_t concurrentForwards = 8; ///< The controller gathers what comes during an append.
+    constexpr std::size_t concurrentAppends = 1; ///< More would only wait for each other in the log.
     constexpr milliseconds avoidance { 1000 }; ///< A change of control takes about as long.
 
 } // namespace
@@ -33,6 +35,12 @@
     return address ? std::optional(*address) : std::nullopt;
 }
 
+std::size_t SubmissionRouter::concurrentCalls() const
+{
+    const bool isThroughController = control_.isController() || peerInControl();
+    return isThroughController ? concurrentForwards : concurrentAppends;
+}
+
 void SubmissionRouter::store(std::vector<std::string> records, milliseconds timeout, StoreCallback done)
 {
     if (control_.isController())
--- a/src/control/submissionrouter.h
+++ b/src/control/submissionrouter.h
@@ -15,6 +15,7 @@
 public:
     SubmissionRouter(ControlDuty& control, const ControllerContext& context, std::string entry);
 
+    std::size_t concurrentCalls() const override;
     void store(std::vector<std::string> records, foundation::milliseconds timeout, StoreCallback done) override;
 
 private:
--- a/src/emulator/internal/emulation.cpp
+++ b/src/emulator/internal/emulation.cpp
@@ -15,7 +15,6 @@
 namespace {
 
     constexpr milliseconds callerDeadline { 3000 };
-    constexpr milliseconds storeSilence { 900 };
     constexpr std::uint16_t firstPeerPort = 7000;
 
 } // namespace
@@ -34,7 +33,7 @@
 {
     service_.setControlProbe(
         [this] { return control_.isController(); }, [this](jobs::JobId job) { return control_.isStored(job); });
-    submitter_.setStoreProbe([this, &clock] { return clock.now() - control_.confirmedAt() < storeSilence; });
+    submitter_.setStoreProbe([this] { return control_.isStoreAnswering(); });
     service_.setConfiguration(platform.configuration());
     control_.setConfiguration(platform.configuration());
     follower_.onChange([this] {
--- a/src/entryd/internal/entryprocess.cpp
+++ b/src/entryd/internal/entryprocess.cpp
@@ -21,7 +21,6 @@
     constexpr milliseconds stopReserve { 1500 }; ///< Of the grace period, left unused.
     constexpr milliseconds stopCheckInterval { 50 };
     constexpr milliseconds readinessInterval { 100 };
-    constexpr milliseconds storeSilence { 900 }; ///< Two joins of the group without an answer.
     constexpr milliseconds longestUnconfirmed { 1800 }; ///< Without an answer of the store: four joins.
 
     std::uint64_t startOfProcess()
@@ -124,7 +123,7 @@
 {
     service_.setControlProbe(
         [this] { return control_.isController(); }, [this](jobs::JobId job) { return control_.isStored(job); });
-    submitter_.setStoreProbe([this] { return clock_.now() - control_.confirmedAt() < storeSilence; });
+    submitter_.setStoreProbe([this] { return control_.isStoreAnswering(); });
     declarations_.onConfiguration([this](const fleet::FleetConfiguration& configuration) {
         service_.setConfiguration(configuration);
         control_.setConfiguration(configuration);
--- a/src/eventlog/internal/controllerwriter.cpp
+++ b/src/eventlog/internal/controllerwriter.cpp
@@ -15,7 +15,7 @@
     /// A slow store takes seconds, and a repeated append makes it slower; a lost answer is made up for by reading.
     constexpr milliseconds appendTimeout { 2500 };
     constexpr milliseconds retryDelay { 50 };
-    constexpr milliseconds stallThreshold { 400 }; ///< An append is answered within about 10 ms.
+    constexpr milliseconds stallThreshold { 1500 }; ///< A slow store answers an append in 0.2 to 0.9 s.
 
 } // namespace
 
--- a/src/eventlog/internal/jobsubmitter.cpp
+++ b/src/eventlog/internal/jobsubmitter.cpp
@@ -15,12 +15,12 @@
 
     /// An append is answered within about 10 ms. A slow store takes seconds, and a repeated append makes it slower; a
     /// lost answer is made up for by reading the log.
-    constexpr milliseconds appendTimeout { 2500 };
+    constexpr milliseconds storeTimeout { 2500 };
     constexpr milliseconds retryDelay { 40 };
     /// After this a caller that surely got nothing stored is told so, to try another entry or come back later: sooner
     /// when the store is silent than when it is slow.
     constexpr milliseconds silentPatience { 120 };
-    constexpr milliseconds slowPatience { 900 }; ///< A slow store answers an append in 0.2 to 0.4 s.
+    constexpr milliseconds slowPatience { 1200 }; ///< A slow store answers an append in 0.2 to 0.9 s.
     constexpr milliseconds unansweredPatience { 600 }; ///< For an append while the store is silent.
     constexpr milliseconds watchInterval { 100 };
     constexpr std::size_t maximumBatchBytes = 256 << 10;
@@ -39,8 +39,7 @@
 {
     waiting_.push_back({ jobs::encode(record, 0), clock_.now(), deadline, std::move(isStored), std::move(done) });
     scheduleWatch();
-    if (underWay_.empty() && !retryScheduled_)
-        appendNext();
+    storeNext();
 }
 
 void JobSubmitter::answer(Pending& pending, AppendOutcome outcome)
@@ -49,11 +48,15 @@
         done(outcome);
 }
 
-void JobSubmitter::appendNext()
+void JobSubmitter::storeNext()
 {
     giveUpExpired();
-    if (waiting_.empty() || !underWay_.empty())
-        return;
+    while (!waiting_.empty() && !retryScheduled_ && underWay_.size() < path_.concurrentCalls())
+        storeBatch();
+}
+
+void JobSubmitter::storeBatch()
+{
     std::vector<std::string> records;
     std::size_t bytes = 0;
     std::size_t count = 0;
@@ -63,22 +66,24 @@
         ++count;
     }
     const auto batchEnd = waiting_.begin() + static_cast<std::ptrdiff_t>(count);
-    underWay_.assign(std::make_move_iterator(waiting_.begin()), std::make_move_iterator(batchEnd));
+    const std::uint64_t number = ++lastBatch_;
+    underWay_[number].assign(std::make_move_iterator(waiting_.begin()), std::make_move_iterator(batchEnd));
     waiting_.erase(waiting_.begin(), batchEnd);
-    path_.store(std::move(records), appendTimeout, [this, batch = ++batch_](const Result<void>& answer) {
-        if (batch == batch_)
-            onAnswer(answer);
-    });
+    path_.store(
+        std::move(records), storeTimeout, [this, number](const Result<void>& stored) { onAnswer(number, stored); });
 }
 
-void JobSubmitter::onAnswer(const Result<void>& stored)
+void JobSubmitter::onAnswer(std::uint64_t number, const Result<void>& stored)
 {
-    std::vector<Pending> batch = std::move(underWay_);
-    underWay_.clear();
+    const auto found = underWay_.find(number);
+    if (found == underWay_.end())
+        return;
+    Batch batch = std::move(found->second);
+    underWay_.erase(found);
     if (stored) {
         for (auto& pending : batch)
             answer(pending, AppendOutcome::Stored);
-        return appendNext();
+        return storeNext();
     }
     const bool isSurelyNotStored = stored.error().code == Errc::Unavailable;
     for (auto& pending : batch) {
@@ -96,28 +101,31 @@
     retryScheduled_ = true;
     timers_.schedule(clock_.now() + retryDelay, [this] {
         retryScheduled_ = false;
-        appendNext();
+        storeNext();
     });
 }
 
 void JobSubmitter::noteRead()
 {
-    bool isAnyOpen = false;
-    for (auto& pending : underWay_) {
-        if (pending.done && pending.isStored())
-            answer(pending, AppendOutcome::Stored);
-        isAnyOpen |= pending.done != nullptr;
-    }
-    for (auto& pending : waiting_) {
-        if (pending.done && pending.isStored())
-            answer(pending, AppendOutcome::Stored);
+    const auto answerStored = [](Batch& batch) {
+        bool isAnyOpen = false;
+        for (auto& pending : batch) {
+            if (pending.done && pending.isStored())
+                answer(pending, AppendOutcome::Stored);
+            isAnyOpen |= pending.done != nullptr;
+        }
+        return isAnyOpen;
+    };
+    answerStored(waiting_);
+    bool isAnyOver = false;
+    for (auto batch = underWay_.begin(); batch != underWay_.end();) {
+        // All of the batch has taken effect, so its answer was lost.
+        const bool isOver = !answerStored(batch->second);
+        batch = isOver ? underWay_.erase(batch) : std::next(batch);
+        isAnyOver |= isOver;
     }
-    if (underWay_.empty() || isAnyOpen)
-        return;
-    // All of the append has taken effect, so its answer was lost.
-    ++batch_;
-    underWay_.clear();
-    appendNext();
+    if (isAnyOver)
+        storeNext();
 }
 
 bool JobSubmitter::isExpired(const Pending& pending) const
@@ -148,10 +156,12 @@
 {
     const auto now = clock_.now();
     const bool isSilent = !isAnswering_();
-    for (auto& pending : underWay_) {
-        const bool isHopeless = isSilent && now >= pending.submittedAt + unansweredPatience;
-        if (isHopeless || now >= pending.deadline)
-            answer(pending, AppendOutcome::Unknown);
+    for (auto& [number, batch] : underWay_) {
+        for (auto& pending : batch) {
+            const bool isHopeless = isSilent && now >= pending.submittedAt + unansweredPatience;
+            if (isHopeless || now >= pending.deadline)
+                answer(pending, AppendOutcome::Unknown);
+        }
     }
 }
 
--- a/src/eventlog/jobsubmitter.h
+++ b/src/eventlog/jobsubmitter.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -19,7 +20,8 @@
     Unknown, ///< An attempt had no answer, so the record may still be stored.
 };
 
-/// Stores callers' records for this entry. One call is under way at a time; what comes meanwhile goes into the next.
+/// Stores callers' records for this entry. As many calls are under way as the path allows; what comes meanwhile goes
+/// into the next.
 /// Records may be stored twice, which the fold of the log allows for.
 class JobSubmitter {
 public:
@@ -52,8 +54,11 @@
         bool mayBeStored = false;
     };
 
-    void appendNext();
-    void onAnswer(const foundation::Result<void>& answer);
+    using Batch = std::vector<Pending>;
+
+    void storeNext();
+    void storeBatch();
+    void onAnswer(std::uint64_t number, const foundation::Result<void>& stored);
     void retryLater();
     void giveUpExpired();
     void giveUpUnderWay();
@@ -65,9 +70,9 @@
     ISubmissionPath& path_;
     foundation::IClock& clock_;
     foundation::ITimerQueue& timers_;
-    std::vector<Pending> waiting_;
-    std::vector<Pending> underWay_;
-    std::uint64_t batch_ = 0; ///< Number of the append under way; answers to earlier ones come too late.
+    Batch waiting_;
+    std::map<std::uint64_t, Batch> underWay_; ///< By number; answers to one that is not here come too late.
+    std::uint64_t lastBatch_ = 0;
     std::function<bool()> isAnswering_ = [] { return true; };
     bool retryScheduled_ = false;
     bool watchScheduled_ = false;
