Lost answers leave reads their connections; what the store refuses is refused at once

Change: reads and writes have connections of their own, 100 for writes. A writer whose append was refused counts as stalled at once; a record that was refused is tried for 0.12 s. What was handed to a controller that does not answer no longer keeps an entry's other records waiting. New event pool.demand, once a second and pool, to see what a pool waits for.

--- a/src/control/fleetsteward.h
+++ b/src/control/fleetsteward.h
@@ -79,6 +79,7 @@
     void reportWave(Wave& wave, bool completed);
     std::map<std::string, scheduling::PoolDemand> poolDemands();
     void follow(const std::string& pool, double milliCores, scheduling::PoolDemand& demand);
+    void reportDemands(const std::map<std::string, scheduling::PoolDemand>& demands);
     void planMoves();
     void move(const scheduling::Move& move);
     void publishReserved();
@@ -98,6 +99,7 @@
     std::map<std::string, Trend> trends_; ///< By pool.
     std::map<std::string, foundation::SteadyTime> idleSince_; ///< By instance.
     std::set<std::pair<std::string, std::string>> refusedMoves_; ///< Machine and pool.
+    foundation::SteadyTime demandsReportedAt_ {};
     foundation::SteadyTime listedAt_ {};
     bool isListing_ = false;
     bool hasList_ = false;
--- a/src/control/internal/fleetsteward.cpp
+++ b/src/control/internal/fleetsteward.cpp
@@ -22,6 +22,7 @@
     constexpr milliseconds moveLimit { 8000 }; ///< After which a moved machine no longer counts as on its way.
     constexpr milliseconds downVisible { 1000 }; ///< A list that is asked for within 1.5 s of an order shows it.
     constexpr milliseconds hurry { 4000 }; ///< Before a wave's deadline short tasks are no longer waited for.
+    constexpr milliseconds demandInterval { 1000 }; ///< Between two reports of all pools' demands.
     constexpr double trendTime = 0.5; ///< Seconds over which a pool's demand is smoothed: ten samples.
     constexpr int atWork = 100; ///< Percent of a long-running task that serves.
 
@@ -364,6 +365,20 @@
     return demands;
 }
 
+void FleetSteward::reportDemands(const std::map<std::string, scheduling::PoolDemand>& demands)
+{
+    if (context_.clock.now() - demandsReportedAt_ < demandInterval)
+        return;
+    demandsReportedAt_ = context_.clock.now();
+    for (const auto& [pool, demand] : demands) {
+        context_.events.write("pool.demand",
+            { { "pool", pool }, { "waiting_millicores", demand.unplaced.milliCores },
+                { "free_millicores", demand.freeMilliCores }, { "incoming_millicores", demand.incoming.milliCores },
+                { "growth_millicores", static_cast<std::int64_t>(demand.growthMilliCoresPerSecond) },
+                { "machines", std::uint64_t(demand.machines) } });
+    }
+}
+
 void FleetSteward::planMoves()
 {
     std::map<std::string, scheduling::PoolDemand> demands = poolDemands();
@@ -389,6 +404,7 @@
             session ? static_cast<std::uint32_t>(session->runs().size()) : 0,
             isOff ? milliseconds(0) : std::chrono::duration_cast<milliseconds>(now - idle->second) });
     }
+    reportDemands(demands);
     for (const auto& next : scheduling::planMoves(movable, demands, scheduling::MovePolicy())) {
         if (!refusedMoves_.count({ next.machine, next.pool }))
             move(next);
--- a/src/control/internal/submissionrouter.cpp
+++ b/src/control/internal/submissionrouter.cpp
@@ -38,7 +38,8 @@
 std::size_t SubmissionRouter::concurrentCalls() const
 {
     const bool isThroughController = control_.isController() || peerInControl();
-    return isThroughController ? concurrentForwards : concurrentAppends;
+    // What was handed to a controller that does not answer keeps nothing else waiting.
+    return isThroughController ? concurrentForwards : concurrentAppends + forwardsUnderWay_;
 }
 
 void SubmissionRouter::store(std::vector<std::string> records, milliseconds timeout, StoreCallback done)
@@ -49,8 +50,10 @@
     if (!peer)
         return append(std::move(records), timeout, std::move(done));
     const std::uint64_t epoch = context_.follower.table().claim().epoch;
+    ++forwardsUnderWay_;
     context_.peers.forward(*peer, records, std::min(timeout, forwardTimeout),
         [this, epoch, records, timeout, done = std::move(done)](const Result<void>& stored) {
+            --forwardsUnderWay_;
             if (stored)
                 return done({});
             noteNoAnswer(epoch, stored.error());
--- a/src/control/submissionrouter.h
+++ b/src/control/submissionrouter.h
@@ -27,6 +27,7 @@
     ControlDuty& control_;
     ControllerContext context_;
     std::string entry_;
+    std::size_t forwardsUnderWay_ = 0;
     std::uint64_t avoidedEpoch_ = 0; ///< The controller of this epoch gave no answer,
     foundation::SteadyTime avoidedUntil_ {}; ///< and is not asked again before this.
 };
--- a/src/emulator/tests/controltests.cpp
+++ b/src/emulator/tests/controltests.cpp
@@ -393,6 +393,32 @@
     CHECK(world.broken().empty());
 }
 
+// Load that arrives while the store refuses every call: nobody waits for what will not come soon.
+TEST_CASE("submissions: a store that refuses is told to callers at once", "[emulation]")
+{
+    World world(19);
+    const std::string entryName = otherEntry(world);
+    world.emulation.platform().faults().storeDown = true;
+    std::size_t unknown = 0;
+    std::size_t notStored = 0;
+    for (jobs::JobId id = 0xe0; id < 0xe8; ++id) {
+        const auto sentAt = world.emulation.clock().now();
+        world.emulation.submit(entryName, id, job({ step(1, 1000) }), [&, sentAt](entry::RequestResult result) {
+            const bool isRefused = result.outcome == entry::RequestOutcome::NotDone;
+            notStored += isRefused;
+            unknown += result.outcome == entry::RequestOutcome::Unknown;
+            CHECK((!isRefused || world.emulation.clock().now() - sentAt <= milliseconds(250)));
+        });
+        world.emulation.run(milliseconds(100));
+    }
+    world.emulation.run(milliseconds(1500));
+    CHECK(unknown <= 1); // Only what the controller had taken before it was refused itself.
+    CHECK(notStored + unknown == 8);
+    world.emulation.platform().faults().storeDown = false;
+    world.emulation.run(milliseconds(5000));
+    CHECK(world.broken().empty());
+}
+
 // The address of an instance that is gone goes to another one before the controller lets go of the first.
 TEST_CASE("control: an instance that was given another's address keeps its connections and its runs", "[emulation]")
 {
--- a/src/entryd/entryprocess.h
+++ b/src/entryd/entryprocess.h
@@ -76,7 +76,8 @@
     telemetry::Metrics metrics_;
     telemetry::EventMetrics events_;
     telemetry::Readiness readiness_;
-    httpclient::HttpPeer store_;
+    httpclient::HttpPeer storeReads_;
+    httpclient::HttpPeer storeWrites_;
     httpclient::HttpPeer machineControl_;
     platform::HttpEventLog log_;
     platform::HttpFleetSource fleetSource_;
--- a/src/entryd/internal/entryprocess.cpp
+++ b/src/entryd/internal/entryprocess.cpp
@@ -14,7 +14,9 @@
     constexpr unsigned statusInvalid = 400;
     constexpr unsigned statusUnavailable = 503;
     constexpr unsigned statusUnknown = 504;
-    constexpr std::size_t storeConnections = 12; ///< Three long reads, two appends, and reads for callers.
+    constexpr std::size_t readConnections = 12; ///< Three long reads, and reads for callers.
+    /// A hundred appends a second, of which a third lose their answers and wait 2.5 s for them.
+    constexpr std::size_t writeConnections = 100;
     constexpr std::size_t machineControlConnections = 4;
     constexpr milliseconds balancerNotice { 2300 }; ///< Two of the balancer's checks, one a second.
     constexpr milliseconds statusReserve { 10000 }; ///< Beyond the time for which final jobs must be reported.
@@ -75,10 +77,11 @@
     , timers_(context_)
     , eventLog_(settings_.entry, clock_)
     , events_(metrics_, eventLog_)
-    , store_(context_, settings_.storeAddress, storeConnections)
+    , storeReads_(context_, settings_.storeAddress, readConnections)
+    , storeWrites_(context_, settings_.storeAddress, writeConnections)
     , machineControl_(context_, settings_.machineControlAddress, machineControlConnections)
-    , log_(store_, { settings_.entry, settings::processorMilliShare(settings_) })
-    , fleetSource_(store_,
+    , log_(storeReads_, storeWrites_, { settings_.entry, settings::processorMilliShare(settings_) })
+    , fleetSource_(storeReads_,
           [this](const foundation::Error& error) {
               events_.write("entry.foreign", { { "reason", error.message() } });
           })
--- a/src/eventlog/controllerwriter.h
+++ b/src/eventlog/controllerwriter.h
@@ -40,7 +40,8 @@
     /// Starts the append of what was written; called at the end of a step of the controller.
     void flush();
 
-    /// Whether the log has answered lately: nothing is under way for longer than an outage takes to show.
+    /// Whether the log takes nothing: it has refused the append under way, or has not answered it for as long as an
+    /// outage takes to show.
     bool isStalled() const;
 
     /// Whether everything written stands in the log.
@@ -68,6 +69,7 @@
     foundation::SteadyTime batchSince_ {};
     std::uint64_t storedRecords_ = 0; ///< Of the epoch, the claim not counted.
     bool underWay_ = false;
+    bool isRefused_ = false; ///< The append under way, by the log's latest answer.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/eventlog/internal/controllerwriter.cpp
+++ b/src/eventlog/internal/controllerwriter.cpp
@@ -75,6 +75,7 @@
         return fenced_();
     }
     if (!answer) {
+        isRefused_ = answer.error().code == Errc::Unavailable;
         events_.write("log.append-unanswered",
             { { "epoch", epoch_ }, { "sequence", sequence_ }, { "reason", answer.error().message() } });
         timers_.schedule(clock_.now() + retryDelay, [this, alive = alive_, number = sequence_] {
@@ -101,6 +102,7 @@
             { "stored", storedRecords_ }, { "took_ms", std::int64_t(took.count()) } });
     ++sequence_;
     underWay_ = false;
+    isRefused_ = false;
     auto stored = std::move(afterBatch_);
     afterBatch_.clear();
     const auto alive = alive_;
@@ -112,7 +114,10 @@
     flush();
 }
 
-bool ControllerWriter::isStalled() const { return underWay_ && clock_.now() - batchSince_ > stallThreshold; }
+bool ControllerWriter::isStalled() const
+{
+    return underWay_ && (isRefused_ || clock_.now() - batchSince_ > stallThreshold);
+}
 
 void ControllerWriter::stop() { *alive_ = false; }
 
--- a/src/eventlog/internal/jobsubmitter.cpp
+++ b/src/eventlog/internal/jobsubmitter.cpp
@@ -18,7 +18,7 @@
     constexpr milliseconds storeTimeout { 2500 };
     constexpr milliseconds retryDelay { 40 };
     /// After this a caller that surely got nothing stored is told so, to try another entry or come back later: sooner
-    /// when the store is silent than when it is slow.
+    /// when the store is silent or refuses than when it is slow.
     constexpr milliseconds silentPatience { 120 };
     constexpr milliseconds slowPatience { 1200 }; ///< A slow store answers an append in 0.2 to 0.9 s.
     constexpr milliseconds unansweredPatience { 600 }; ///< For an append while the store is silent.
@@ -90,6 +90,7 @@
         if (!pending.done)
             continue;
         pending.mayBeStored |= !isSurelyNotStored;
+        pending.wasRefused = isSurelyNotStored;
         waiting_.push_back(std::move(pending));
     }
     giveUpExpired();
@@ -133,7 +134,7 @@
     const auto now = clock_.now();
     if (!pending.done || now >= pending.deadline)
         return true;
-    const milliseconds patience = isAnswering_() ? slowPatience : silentPatience;
+    const milliseconds patience = isAnswering_() && !pending.wasRefused ? slowPatience : silentPatience;
     return !pending.mayBeStored && now >= pending.submittedAt + patience;
 }
 
--- a/src/eventlog/jobsubmitter.h
+++ b/src/eventlog/jobsubmitter.h
@@ -52,6 +52,7 @@
         std::function<bool()> isStored;
         Callback done; ///< Null: the caller has its answer.
         bool mayBeStored = false;
+        bool wasRefused = false; ///< By the log, or by a controller that it refuses.
     };
 
     using Batch = std::vector<Pending>;
