A soak of real entries: seeded callers, signals and a loopback proxy

Change: soak/ and scripts/soak.sh start the stand-in of the platform and entries as processes; a program submits, repeats, cancels and asks for jobs on connections that stay open, and meanwhile kills, stops, pauses and reloads entries and delays, silences (one way or both), refuses and resets their connections to the store, and restarts instances. It checks that what was accepted stays known and is finished, that what was refused is not stored, that an entry told to stop cuts off nothing, and what the stand-in sees on its instances. An entry that ends is started again. Cause and ruled out: none; no behaviour of the product changes.

--- /dev/null
+++ b/soak/main.cpp
@@ -0,0 +1,57 @@
+// turmericsill_soak: callers and faults for entries that scripts/soak.sh has started.
+
+#include "soak/soak.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <csignal>
+#include <iostream>
+
+ABSL_FLAG(std::uint64_t, seed, 1, "seed of the schedule");
+ABSL_FLAG(int, seconds, 15, "seconds during which faults begin");
+ABSL_FLAG(std::string, platform, "127.0.0.1:7700", "IP:PORT of the stand-in of the platform");
+ABSL_FLAG(std::vector<std::string>, callers, {}, "IP:PORT of each entry's caller address");
+ABSL_FLAG(std::vector<std::string>, proxies, {}, "IP:PORT at which each entry finds the store");
+ABSL_FLAG(std::vector<std::string>, pid_files, {}, "file with the process id of each entry");
+
+namespace {
+
+using turmericsill::foundation::Address;
+
+bool readAddresses(const std::vector<std::string>& texts, std::vector<Address>& addresses)
+{
+    for (const auto& text : texts) {
+        const auto address = turmericsill::foundation::parseAddress(text);
+        if (!address)
+            return false;
+        addresses.push_back(*address);
+    }
+    return true;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    absl::ParseCommandLine(argc, argv);
+    std::signal(SIGPIPE, SIG_IGN);
+    turmericsill::soak::SoakPlan plan;
+    plan.seed = absl::GetFlag(FLAGS_seed);
+    plan.trouble = std::chrono::seconds(absl::GetFlag(FLAGS_seconds));
+    plan.pidFiles = absl::GetFlag(FLAGS_pid_files);
+    std::vector<Address> platform;
+    const bool isValid = readAddresses({ absl::GetFlag(FLAGS_platform) }, platform)
+        && readAddresses(absl::GetFlag(FLAGS_callers), plan.callerAddresses)
+        && readAddresses(absl::GetFlag(FLAGS_proxies), plan.proxyAddresses);
+    if (!isValid || plan.callerAddresses.empty() || plan.callerAddresses.size() != plan.proxyAddresses.size()
+        || plan.callerAddresses.size() != plan.pidFiles.size()) {
+        std::cerr << "turmericsill_soak: expected IP:PORT, and as many --callers as --proxies and --pid_files\n";
+        return 2;
+    }
+    plan.platform = platform.front();
+    boost::asio::io_context context(1);
+    turmericsill::soak::Soak soak(context, plan);
+    const bool isKept = soak.run();
+    std::cout << soak.figures() << std::endl;
+    return isKept ? 0 : 1;
+}
--- a/standins/jobs/platformstandin.cpp
+++ b/standins/jobs/platformstandin.cpp
@@ -175,7 +175,12 @@
         return tellFigures(exchange);
     if (call == "faults") {
         const json faults = json::parse(exchange->request().body(), nullptr, false);
-        platform_.faults().storeDown = faults.is_object() && faults.value("store_down", false);
+        if (!faults.is_object())
+            return respond(exchange, 400, { { "error", "expected a JSON object" } });
+        platform_.faults().storeDown = faults.value("store_down", platform_.faults().storeDown);
+        const std::string restarted = faults.value("restart_instance", std::string());
+        if (platform_.instances().count(restarted))
+            platform_.restartInstance(restarted, pool, instanceCapacity);
         return respond(exchange, 200, json::object());
     }
     if (call == "machines")
@@ -378,8 +383,11 @@
 
 void PlatformStandin::tellFigures(const HttpExchangePtr& exchange)
 {
+    json stored = json::array();
+    for (const auto id : platform_.rulebook().acceptedJobs())
+        stored.push_back(jobs::toText(id));
     respond(exchange, 200,
-        { { "accepted", platform_.rulebook().acceptedJobs().size() }, { "runs", runsStarted_ },
+        { { "accepted", stored.size() }, { "stored", stored }, { "runs", runsStarted_ },
             { "broken", platform_.rulebook().broken() } });
 }
 
