Nothing is sent to a store that does not answer

Change: an entry whose latest join and read both failed, or that has heard nothing for 0.9 s after a failed join (1.6 s otherwise), sends no caller's record to the store; what was not sent is refused at once.

--- a/src/control/internal/controlduty.cpp
+++ b/src/control/internal/controlduty.cpp
@@ -20,7 +20,7 @@
 
     constexpr milliseconds timeToLive { 1300 }; ///< Three tries to join; the platform's least is 1 s.
     constexpr milliseconds joinInterval { 400 };
-    constexpr milliseconds storeSilence { 900 }; ///< Two joins without an answer.
+    constexpr milliseconds storeSilence { 900 }; ///< A join without an answer; reads are answered within 1 s.
     constexpr milliseconds slowStore { 1600 }; ///< Two joins, each answered just within its timeout of 0.8 s.
     constexpr milliseconds claimTimeout { 2500 }; ///< A slow store takes seconds, and a repeated claim makes it slower.
     constexpr milliseconds claimRetryDelay { 20 };
@@ -269,7 +269,10 @@
 
 bool ControlDuty::isStoreAnswering() const
 {
-    return context_.clock.now() - confirmedAt_ < (lastJoinFailed_ ? storeSilence : slowStore);
+    if (lastJoinFailed_ && context_.follower.hasLastReadFailed())
+        return false;
+    const auto silence = context_.clock.now() - std::max(confirmedAt_, context_.follower.answeredAt());
+    return silence < (lastJoinFailed_ ? storeSilence : slowStore);
 }
 
 PeerControlState ControlDuty::state() const
--- a/src/control/internal/submissionrouter.cpp
+++ b/src/control/internal/submissionrouter.cpp
@@ -72,6 +72,9 @@
 
 void SubmissionRouter::append(std::vector<std::string> records, milliseconds timeout, StoreCallback done)
 {
+    // What is not sent surely is not stored; joins and reads tell when the store is back.
+    if (!control_.isStoreAnswering())
+        return done(foundation::failure(Errc::Unavailable, "log.append", {}, "the store does not answer"));
     eventlog::AppendRequest request;
     request.payloads = std::move(records);
     context_.log.append(std::move(request), timeout, [done = std::move(done)](const Result<AppendReceipt>& receipt) {
--- a/src/emulator/tests/controltests.cpp
+++ b/src/emulator/tests/controltests.cpp
@@ -366,28 +366,32 @@
 TEST_CASE("submissions: a silent store holds nobody until the deadline", "[emulation]")
 {
     World world(14);
-    // The controller itself knows that nothing was sent; through another entry the first record goes to the log.
     const bool isController = GENERATE(false, true);
     const std::string entryName = isController ? world.emulation.controller() : otherEntry(world);
-    world.emulation.platform().faults().storeSilent = true;
-    world.emulation.run(milliseconds(1000));
     std::vector<std::pair<entry::RequestOutcome, milliseconds>> answers;
-    for (jobs::JobId id = 0xf0; id < 0xf8; ++id) {
+    const auto submit = [&](jobs::JobId id) {
         const auto sentAt = world.emulation.clock().now();
         world.emulation.submit(entryName, id, job({ step(1, 1000) }), [&, sentAt](entry::RequestResult result) {
             const auto took = std::chrono::duration_cast<milliseconds>(world.emulation.clock().now() - sentAt);
             answers.emplace_back(result.outcome, took);
         });
+    };
+    world.emulation.platform().faults().storeSilent = true;
+    submit(0xef); // Nobody knows yet, so it is sent and may be stored.
+    world.emulation.run(milliseconds(1600));
+    REQUIRE(answers.size() == 1);
+    CHECK(answers.front().first == entry::RequestOutcome::Unknown);
+    answers.clear();
+    for (jobs::JobId id = 0xf0; id < 0xf8; ++id) {
+        submit(id);
         world.emulation.run(milliseconds(100));
     }
     world.emulation.run(milliseconds(1000));
     REQUIRE(answers.size() == 8);
-    // The first was sent and may be stored; those that waited behind it were not.
-    CHECK(std::count_if(answers.begin(), answers.end(), [](const auto& answer) {
-        return answer.first == entry::RequestOutcome::Unknown;
-    }) == (isController ? 0 : 1));
-    for (const auto& [outcome, took] : answers)
-        CHECK(took <= (outcome == entry::RequestOutcome::Unknown ? milliseconds(700) : milliseconds(250)));
+    for (const auto& [outcome, took] : answers) {
+        CHECK(outcome == entry::RequestOutcome::NotDone);
+        CHECK(took <= milliseconds(250));
+    }
     world.emulation.platform().faults().storeSilent = false;
     world.emulation.run(milliseconds(5000));
     CHECK(world.broken().empty());
--- a/src/eventlog/internal/jobfollower.cpp
+++ b/src/eventlog/internal/jobfollower.cpp
@@ -112,6 +112,9 @@
 
 void JobFollower::onPage(const Result<LogPage>& page, std::uint64_t generation)
 {
+    lastReadFailed_ = !page;
+    if (page)
+        answeredAt_ = clock_.now();
     if (generation != generation_)
         return;
     if (!page) {
--- a/src/eventlog/internal/jobsubmitter.cpp
+++ b/src/eventlog/internal/jobsubmitter.cpp
@@ -134,8 +134,10 @@
     const auto now = clock_.now();
     if (!pending.done || now >= pending.deadline)
         return true;
+    if (pending.mayBeStored)
+        return !isAnswering_() && now >= pending.submittedAt + unansweredPatience;
     const milliseconds patience = isAnswering_() && !pending.wasRefused ? slowPatience : silentPatience;
-    return !pending.mayBeStored && now >= pending.submittedAt + patience;
+    return now >= pending.submittedAt + patience;
 }
 
 void JobSubmitter::giveUpExpired()
--- a/src/eventlog/jobfollower.h
+++ b/src/eventlog/jobfollower.h
@@ -42,6 +42,10 @@
     /// Whether the table has held the whole log at least once since it was last rebuilt.
     bool hasCaughtUp() const { return caughtUp_; }
 
+    /// When the log last answered a read, and whether it failed the latest one.
+    foundation::SteadyTime answeredAt() const { return answeredAt_; }
+    bool hasLastReadFailed() const { return lastReadFailed_; }
+
     /// Reads to the log's present end, then calls back. Calls that come meanwhile share the next read.
     void readToEnd(FreshCallback done);
 
@@ -94,6 +98,8 @@
     std::uint64_t unknownRecords_ = 0;
     bool isLoading_ = false;
     bool loaded_ = false; ///< The snapshot, since the last rebuild.
+    foundation::SteadyTime answeredAt_ {};
+    bool lastReadFailed_ = false;
     bool caughtUp_ = false;
     bool freshReadRunning_ = false;
     std::vector<jobs::JobId> restoredJobs_;
--- a/src/httpclient/httppeer.h
+++ b/src/httpclient/httppeer.h
@@ -17,6 +17,7 @@
 class PeerConnection;
 
 /// HTTP/1.1 client of one server. Keeps its connections open and sends one call at a time on each.
+/// A connection that the server has closed while it was idle is not used again.
 /// Calls beyond the limit of connections wait in order; their timeout runs while they wait.
 /// Errors: Errc::Unavailable means that no byte of the call was sent. Errc::Timeout and Errc::ProtocolViolation leave
 /// open whether the server carried the call out; the connection is closed, since a late answer may still come on it.
@@ -43,6 +44,7 @@
     };
 
     void release(PeerConnection& connection);
+    void forget(const PeerConnection& connection);
     void remove(PeerConnection& connection);
     void sendNext();
     void expireWaiting();
--- a/src/httpclient/internal/httppeer.cpp
+++ b/src/httpclient/internal/httppeer.cpp
@@ -38,6 +38,11 @@
         if (!idle_.empty()) {
             connection = std::move(idle_.back());
             idle_.pop_back();
+            if (!connection->isUsable()) {
+                connection->detach();
+                forget(*connection);
+                continue;
+            }
         } else if (connections_.size() < maximumConnections_) {
             connection = new PeerConnection(context_, *this);
             connections_.push_back(connection);
@@ -73,10 +78,15 @@
     sendNext();
 }
 
-void HttpPeer::remove(PeerConnection& connection)
+void HttpPeer::forget(const PeerConnection& connection)
 {
     const auto isSame = [&](const auto& other) { return other.get() == &connection; };
     connections_.erase(std::remove_if(connections_.begin(), connections_.end(), isSame), connections_.end());
+}
+
+void HttpPeer::remove(PeerConnection& connection)
+{
+    forget(connection);
     sendNext();
 }
 
--- a/src/httpclient/internal/peerconnection.cpp
+++ b/src/httpclient/internal/peerconnection.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <cerrno>
+#include <sys/socket.h>
 #include <utility>
 
 namespace turmericsill::httpclient {
@@ -58,6 +60,13 @@
     stream_.close();
 }
 
+bool PeerConnection::isUsable()
+{
+    char unasked = 0;
+    const auto got = ::recv(stream_.socket().native_handle(), &unasked, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 void PeerConnection::connect()
 {
     const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(peer_->address().ip), peer_->address().port);
--- a/src/httpclient/internal/peerconnection.h
+++ b/src/httpclient/internal/peerconnection.h
@@ -22,6 +22,9 @@
     /// Forgets the peer, which is being destroyed, and ends the call without an answer.
     void detach();
 
+    /// Whether an idle connection can carry a call: the server has neither closed it nor sent anything unasked.
+    bool isUsable();
+
 private:
     void connect();
     void write();
