--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -20,6 +20,8 @@
     constexpr milliseconds callerDeadline { 3000 };
     constexpr milliseconds visibleTime { 3000 }; ///< After which an accepted job must be known everywhere.
     constexpr milliseconds afterFault { 3000 }; ///< In which connections may still break because of it.
+    constexpr milliseconds grace { 6000 }; ///< In which an entry that is told to stop ends.
+    constexpr milliseconds readTime { 200 }; ///< After which an entry that is not disturbed has read a request.
     constexpr milliseconds lookInterval { 150 };
     constexpr std::uint64_t firstJob = 0x50a0000000000000;
     constexpr unsigned statusOk = 200;
@@ -107,12 +109,14 @@
     if (number(0, 1))
         steps.push_back({ { "count", number(1, 3) }, { "cpu", 1000 }, { "mem_mb", 100 }, { "depends_on", { 0 } } });
     const std::string body = json { { "spec", "soak" }, { "steps", steps } }.dump();
-    call(entry, http::verb::post, id, body,
-        [this, id, entry](const Result<HttpAnswer>& answer) { onSubmitted(id, entry, answer); });
+    call(entry, http::verb::post, id, body, [this, id, entry, sentAt = clock_.now()](const Result<HttpAnswer>& answer) {
+        onSubmitted(id, entry, answer, sentAt);
+    });
 }
 
 // An attempt whose answer is lost leaves open what the entry did; only refusals by every attempt mean "never runs".
-void Soak::onSubmitted(std::uint64_t id, std::size_t entry, const Result<HttpAnswer>& answer)
+void Soak::onSubmitted(
+    std::uint64_t id, std::size_t entry, const Result<HttpAnswer>& answer, foundation::SteadyTime sentAt)
 {
     SoakJob& job = jobs_[id];
     const bool isRefused
@@ -123,8 +127,12 @@
         job.fate = Fate::Unknown;
     const Entry& sentTo = entries_[entry];
     const bool isCutOff = !answer && answer.error().code == foundation::Errc::ProtocolViolation;
-    const bool isPlannedStop = sentTo.stoppingSince != SteadyTime {} && clock_.now() > sentTo.disturbedUntil;
-    if (isCutOff && isPlannedStop)
+    const auto now = clock_.now();
+    const bool isPlannedStop
+        = now > sentTo.disturbedUntil && sentTo.stoppingSince != SteadyTime {} && now - sentTo.stoppingSince < grace;
+    // A connection may end just as a request is on its way; a request that waits was read.
+    const bool wasRead = now - sentAt > readTime;
+    if (isCutOff && isPlannedStop && wasRead)
         broken_.push_back("an entry that was told to stop cut off the submission of " + idText(id));
     if (job.fate == Fate::Accepted && number(0, 4) == 0)
         later(milliseconds(number(0, 2000)), [this, id] { submit(id, anyEntry()); }); // A repeated request.
@@ -288,8 +296,9 @@
     call.target = "/turmericsill/figures";
     platform_.send(std::move(call), [this](const Result<HttpAnswer>& answer) {
         const json figures = answer ? json::parse(answer->body, nullptr, false) : json();
+        isOver_ = true;
         if (!figures.is_object())
-            broken_.push_back("the stand-in of the platform does not answer");
+            return broken_.push_back("the stand-in of the platform does not answer");
         for (const auto& line : figures.value("broken", std::vector<std::string>()))
             broken_.push_back(line);
         for (const auto& text : figures.value("stored", std::vector<std::string>())) {
@@ -297,7 +306,6 @@
             if (job != jobs_.end() && job->second.fate == Fate::Refused)
                 broken_.push_back("a job that was refused is stored: " + text);
         }
-        isOver_ = true;
     });
 }
 
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -62,7 +62,8 @@
 
     void submitNext();
     void submit(std::uint64_t id, std::size_t entry);
-    void onSubmitted(std::uint64_t id, std::size_t entry, const foundation::Result<httpclient::HttpAnswer>& answer);
+    void onSubmitted(std::uint64_t id, std::size_t entry, const foundation::Result<httpclient::HttpAnswer>& answer,
+        foundation::SteadyTime sentAt);
     void cancelOne();
     void lookAtOne();
     void look(std::uint64_t id, std::size_t entry);
