--- a/src/control/controlduty.h
+++ b/src/control/controlduty.h
@@ -59,6 +59,9 @@
     /// Whether the platform's store has answered this entry just now.
     bool isStoreAnswering() const;
 
+    /// How long the store took to answer the latest join.
+    foundation::milliseconds storeLatency() const { return storeLatency_; }
+
     /// When the group last confirmed this entry's membership.
     foundation::SteadyTime confirmedAt() const { return confirmedAt_; }
 
@@ -91,6 +94,7 @@
     std::uint64_t generation_ = 0;
     std::uint64_t lowestEpoch_ = 0; ///< Epochs below were refused.
     foundation::SteadyTime confirmedAt_ {};
+    foundation::milliseconds storeLatency_ { 0 };
     bool lastJoinFailed_ = false;
     bool isCandidate_ = false;
     bool membersUnknown_ = true; ///< Nobody has told who is in this generation.
--- a/src/control/internal/controlduty.cpp
+++ b/src/control/internal/controlduty.cpp
@@ -97,6 +97,7 @@
     if (!assignment)
         return scheduleJoin(context_.clock.now() + joinInterval);
     confirmedAt_ = sentAt;
+    storeLatency_ = std::chrono::duration_cast<milliseconds>(context_.clock.now() - sentAt);
     const bool isNewGeneration = assignment->generation != generation_;
     generation_ = assignment->generation;
     membersUnknown_ |= isNewGeneration;
--- a/src/emulator/tests/controltests.cpp
+++ b/src/emulator/tests/controltests.cpp
@@ -330,7 +330,8 @@
     // A caller's record waits for the append under way, at most, and for its own.
     const auto [appendTime, storeDelay, bound]
         = GENERATE(std::tuple(milliseconds(125), milliseconds(100), milliseconds(500)),
-            std::tuple(milliseconds(180), milliseconds(260), milliseconds(950)));
+            std::tuple(milliseconds(180), milliseconds(260), milliseconds(950)),
+            std::tuple(milliseconds(450), milliseconds(300), milliseconds(1550)));
     World world(18);
     constexpr int entries = 16;
     for (int i = 0; i < entries; ++i)
