--- a/src/control/types/controlsettings.h
+++ b/src/control/types/controlsettings.h
@@ -10,7 +10,6 @@
     milliseconds statusRetention { 130000 }; ///< How long a final job is reported; the platform asks for 120 s.
     milliseconds snapshotInterval { 60000 }; ///< A fifth of the time that the log keeps its records.
     milliseconds holderInterval { 3000 }; ///< Orders for one machine by two holders lie at least this far apart.
-    milliseconds noticeInterval { 4500 }; ///< A task that is not at work for this long counts as away.
 };
 
 } // namespace turmericsill::control
--- a/src/emulator/emulatedlog.h
+++ b/src/emulator/emulatedlog.h
@@ -20,7 +20,7 @@
 public:
     explicit EmulatedLog(const foundation::IClock& clock);
 
-    /// Errors: Conflict: another end; Fenced: a lower epoch, or a sequence that does not follow.
+    /// Errc::Fenced: a lower epoch, or a sequence that does not follow.
     foundation::Result<eventlog::AppendReceipt> append(const eventlog::AppendRequest& request);
 
     /// Errc::RetentionPassed: the record was dropped.
--- a/src/emulator/internal/emulatedlog.cpp
+++ b/src/emulator/internal/emulatedlog.cpp
@@ -27,8 +27,6 @@
         if (request.position->sequence != nextSequence_)
             return failure(Errc::Fenced, step, {}, "sequence");
     }
-    if (request.expectedEnd && *request.expectedEnd != first_ + records_.size())
-        return failure(Errc::Conflict, step);
     const std::uint64_t offset = first_ + records_.size();
     records_.insert(records_.end(), request.payloads.begin(), request.payloads.end());
     const AppendReceipt receipt { offset, first_ + records_.size() };
--- a/src/entryd/internal/entryprocess.cpp
+++ b/src/entryd/internal/entryprocess.cpp
@@ -115,7 +115,6 @@
     result.lease.longestLease = settings_.longestLease;
     result.lease.length = std::min(result.lease.length, settings_.longestLease);
     result.holderInterval = settings_.holderInterval;
-    result.noticeInterval = settings_.noticeInterval;
     result.statusRetention = settings_.statusRetention + statusReserve;
     constexpr int snapshotsPerRetention = 5;
     result.snapshotInterval = settings_.logRetention / snapshotsPerRetention;
--- a/src/eventlog/ieventlog.h
+++ b/src/eventlog/ieventlog.h
@@ -19,7 +19,6 @@
 
 struct AppendRequest {
     std::vector<std::string> payloads;
-    std::optional<std::uint64_t> expectedEnd; ///< The append takes effect only at this offset.
     std::optional<ProducerPosition> position;
 };
 
@@ -51,8 +50,8 @@
 
     virtual ~IEventLog() = default;
 
-    /// Appends all payloads or none. Errors: Unavailable: surely not appended; Conflict: the log does not end at
-    /// `expectedEnd`; Fenced: a higher epoch writes; any other leaves open whether the append takes effect.
+    /// Appends all payloads or none. Errors: Unavailable: surely not appended; Fenced: a higher epoch writes; any other
+    /// leaves open whether the append takes effect.
     virtual void append(AppendRequest request, foundation::milliseconds timeout, AppendCallback done) = 0;
 
     /// Errc::RetentionPassed: the log no longer holds the first record asked for.
--- a/src/scheduling/internal/placementplanner.cpp
+++ b/src/scheduling/internal/placementplanner.cpp
@@ -78,7 +78,6 @@
                 && (plan.wantAdvice.empty() || plan.wantAdvice.back() < id_ || id_ < plan.wantAdvice.back()))
                 plan.wantAdvice.push_back(id_);
             plan.unplaced += need_ * tasks;
-            plan.unplacedCoreSeconds += coreSeconds(spec_) * static_cast<double>(tasks);
         }
 
         /// The members of a gang start together, with one number of run, or not at all.
--- a/src/scheduling/types/poolview.h
+++ b/src/scheduling/types/poolview.h
@@ -61,7 +61,6 @@
 struct PoolPlan {
     std::vector<Placement> placements;
     jobs::Resources unplaced; ///< Sum over the tasks whose turn has come.
-    double unplacedCoreSeconds = 0; ///< By the jobs' estimates.
     std::vector<StepId> wantAdvice; ///< Steps with tasks that found no instance with a ticket.
 };
 
--- a/src/settings/entrysettings.h
+++ b/src/settings/entrysettings.h
@@ -24,7 +24,6 @@
     std::optional<foundation::Address> adviceAddress; ///< Absent: no queue's steps need advice.
     foundation::milliseconds longestLease { 10000 };
     foundation::milliseconds holderInterval { 3000 };
-    foundation::milliseconds noticeInterval { 4500 };
     foundation::milliseconds logRetention { 300000 }; ///< How long the platform's log keeps records.
     foundation::milliseconds statusRetention { 120000 };
     foundation::milliseconds shutdownGrace { 6000 };
--- a/src/settings/internal/entrysettings.cpp
+++ b/src/settings/internal/entrysettings.cpp
@@ -39,7 +39,6 @@
             { "processor_cores", FieldType::Integer, false, 1, 1024, {} },
             interval("longest_lease_ms", 1000),
             interval("holder_interval_ms", 0),
-            interval("notice_interval_ms", 0),
             interval("log_retention_ms", 1000),
             interval("status_retention_ms", 1000),
             interval("shutdown_grace_ms", 500),
@@ -67,7 +66,6 @@
         copier.copy("processor_cores", result.processorCores);
         copier.copy("longest_lease_ms", result.longestLease);
         copier.copy("holder_interval_ms", result.holderInterval);
-        copier.copy("notice_interval_ms", result.noticeInterval);
         copier.copy("log_retention_ms", result.logRetention);
         copier.copy("status_retention_ms", result.statusRetention);
         copier.copy("shutdown_grace_ms", result.shutdownGrace);
