--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -2,8 +2,8 @@
 # Checks the format and lints every source file of ours; generated code is left out.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-mapfile -t sources < <(git ls-files -co --exclude-standard 'src/*.cpp' 'platform/*.cpp' 'standins/*.cpp' 'benchmarks/*.cpp' | grep -v /generated/)
-mapfile -t headers < <(git ls-files -co --exclude-standard 'src/*.h' 'platform/*.h' 'standins/*.h' 'benchmarks/*.h' | grep -v /generated/)
+mapfile -t sources < <(git ls-files -co --exclude-standard 'src/*.cpp' 'platform/*.cpp' 'standins/*.cpp' 'soak/*.cpp' 'benchmarks/*.cpp' | grep -v /generated/)
+mapfile -t headers < <(git ls-files -co --exclude-standard 'src/*.h' 'platform/*.h' 'standins/*.h' 'soak/*.h' 'benchmarks/*.h' | grep -v /generated/)
 clang-format --dry-run --Werror "${sources[@]}" "${headers[@]}"
 # A file whose lint was clean is linted again only when it, a header or the rules have changed.
 mkdir -p build/lint
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -47,6 +47,7 @@
 SETTINGS
         keep_running "entry-$n" 2>/dev/null &
         pids+=($!)
+        disown $! # Its end by a signal is no news.
     done
     local status=0
     build/soak/turmericsill_soak --seed "$1" --seconds "$trouble" --platform "$platform" \
--- a/standins/jobs/platformstandin.cpp
+++ b/standins/jobs/platformstandin.cpp
@@ -304,7 +304,7 @@
     const auto assignment = platform_.log().join(
         { body.at("member").get<std::string>(), 0 }, milliseconds(body.at("ttl_ms").get<std::int64_t>()));
     const json parts = json::array({ json::array({ body.at("topics").at(0), 0, 0 }) });
-    respond(exchange, 200, { { "generation", assignment.generation }, { "parts", std::move(parts) } });
+    respond(exchange, 200, { { "generation", assignment.generation }, { "parts", parts } });
 }
 
 void PlatformStandin::serveInstance(const HttpExchangePtr& exchange, const std::string& call)
