Nothing starts while the controller has not read the log for 2 s

The store turned 13 entries away, all six with half a core among them; one with 0.12 of a core took control of 350 machines with 329 open jobs and folded no page of the log from 4.2 to 9.1 s, while other entries appended cancellations themselves. Jobs that were cancelled at 6.5 s were started at 9.1 s. Ruled out: the order of intents and appends (an append took 0.1 to 0.4 s, under the 0.5 s after which the log is read again before orders go out). Change: the log is also read again before orders when no read was answered for 2 s.

--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -22,6 +22,7 @@
 
     constexpr milliseconds planDelay { 2 }; ///< Gathers what arrives together into one plan and one append.
     constexpr milliseconds slowAppend { 500 }; ///< An append takes about 10 ms.
+    constexpr milliseconds staleLog { 2000 }; ///< A read is answered within 1 s, with or without records.
     constexpr milliseconds rereadDelay { 100 };
     constexpr milliseconds invalidBackoff { 1000 }; ///< Before a task that was refused as invalid is tried again.
 
@@ -378,10 +379,11 @@
         placement.task, placement.run, placement.resources, job->spec.steps[placement.task.step].isLongRunning, false);
 }
 
-// While the log was slow, cancellations may have come that this entry has not read.
+// While the log was slow, or this entry too busy to read it, cancellations may have come that it does not know.
 void Controller::orderAll(const std::vector<scheduling::Placement>& placements, foundation::SteadyTime plannedAt)
 {
-    if (context_.clock.now() - plannedAt < slowAppend) {
+    const auto now = context_.clock.now();
+    if (now - plannedAt < slowAppend && now - context_.follower.answeredAt() < staleLog) {
         for (const auto& placement : placements)
             order(placement);
         return;
--- a/src/emulator/tests/controltests.cpp
+++ b/src/emulator/tests/controltests.cpp
@@ -472,3 +472,25 @@
     for (const char* name : { "e-1", "e-2", "e-3" })
         CHECK(statusOf(world, name, 0x13ff).state == jobs::JobState::Cancelled);
 }
+
+// A controller that keeps writing but falls behind in reading does not know what other entries appended.
+TEST_CASE("control: nothing starts while the controller has not read the log for seconds", "[emulation]")
+{
+    World world(20);
+    const std::string controller = world.emulation.controller();
+    world.emulation.platform().faults().linkBytesPerSecond[controller] = 1;
+    world.emulation.platform().log().append({ { jobs::encode(jobs::Cancelled { 0x7ff }, 0) }, {} });
+    world.emulation.run(milliseconds(3500));
+    world.emulation.submit(controller, 0x700, job({ step(2, 1000) }));
+    world.emulation.run(milliseconds(500));
+    world.emulation.platform().log().append({ { jobs::encode(jobs::Cancelled { 0x700 }, 0) }, {} });
+    for (int i = 0; i < 20; ++i) {
+        world.emulation.run(milliseconds(100));
+        CHECK(runsOf(world, 0x700) == 0);
+    }
+    world.emulation.platform().faults().linkBytesPerSecond.clear();
+    world.emulation.run(milliseconds(5000));
+    CHECK(runsOf(world, 0x700) == 0);
+    CHECK(statusOf(world, otherEntry(world), 0x700).state == jobs::JobState::Cancelled);
+    CHECK(world.broken().empty());
+}
