Soak: a comment says what the time of a stop is

Cause: the comment told that the time is cleared when an entry starts again; it never is, and the check goes by the grace period instead. Ruled out: a change of the check; the bound and the condition stay as they are.

--- a/soak/soak.h
+++ b/soak/soak.h
@@ -56,7 +56,7 @@
         std::unique_ptr<httpclient::HttpPeer> callers;
         std::unique_ptr<FaultProxy> store;
         foundation::SteadyTime disturbedUntil {}; ///< Unplanned faults may cut answers off until then.
-        foundation::SteadyTime stoppingSince {}; ///< Told to stop, and not started again since.
+        foundation::SteadyTime stoppingSince {}; ///< When it was last told to stop.
         bool isPaused = false;
     };
 
