--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -6,6 +6,8 @@
 #include "control/instancehealth.h"
 #include "control/internal/instancesession.h"
 #include "control/internal/isessionobserver.h"
+#include "control/internal/poolscheduler.h"
+#include "control/internal/recordstore.h"
 #include "control/snapshotter.h"
 #include "control/types/controlsettings.h"
 #include "eventlog/controllerwriter.h"
@@ -23,6 +25,8 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <unordered_map>
+#include <vector>
 
 namespace turmericsill::control {
 
@@ -72,15 +76,18 @@
 
     /// Fails the pending calls of store() with Errc::Fenced, because this entry is no longer the controller. Their
     /// records may still be stored.
-    void failPendingStores();
+    void failPendingStores() { records_.failPendingStores(); }
 
     /// Whether the log holds every record that determines the state of the job reported to callers.
-    bool isStored(jobs::JobId job) const { return !unstoredRecords_.count(job); }
+    bool isStored(jobs::JobId job) const { return records_.isStored(job); }
 
     const std::map<std::string, InstanceSessionPtr>& sessions() const { return sessions_; }
 
+    /// Session of the instance that runs on a machine according to the instances' reports; null if there is none.
+    InstanceSessionPtr sessionOnMachine(const std::string& machine) const;
+
     /// Cordons instances: they get no new work, because their machines are about to be moved or maintained.
-    void setCordoned(std::set<std::string> instances) { cordoned_ = std::move(instances); }
+    void setCordoned(std::set<std::string> instances);
 
     /// Stops a long-running task so that it restarts on another instance.
     void relocate(InstanceSession& session, const jobs::TaskId& task);
@@ -92,11 +99,19 @@
     milliseconds waveAge(std::uint64_t wave);
     bool hasStartedMaintenance(std::uint64_t wave, const std::string& machine) const;
 
-    /// Called when an instance has ended because its machine was moved or taken down for maintenance.
+    /// Called when an instance has ended because its machine was moved or taken down for maintenance. Reports of its
+    /// present incarnation that are still in the directory are ignored from then on.
     void onMachineTakenDown(const std::string& instance);
 
-    /// Latest plan of each pool, with the demand that found no room.
-    const std::map<std::string, scheduling::PoolPlan>& lastPlans() const { return lastPlans_; }
+    /// Called when the machine of such an instance turned out not to have been taken down. The next report of the
+    /// instance opens a session again.
+    void onMachineNotTakenDown(const std::string& instance) { endedIncarnations_.erase(instance); }
+
+    /// Resources requested by the ready tasks of each pool that found no room.
+    std::map<std::string, jobs::Resources> unplacedByPool() const { return scheduler_.unplacedByPool(); }
+
+    /// Instances of a pool that accept new tasks.
+    const scheduling::InstanceIndex& instancesOf(const std::string& pool);
 
 private:
     void onRunEnded(InstanceSession& session, const jobs::RunEnded& record) override;
@@ -104,6 +119,7 @@
     void onStartRefused(InstanceSession& session, const jobs::TaskId& task, fleet::StartResult result) override;
     void onIncarnationEnded(InstanceSession& session, std::int64_t startedAt) override;
     void onContactChanged(InstanceSession& session, bool isInContact, const std::string& reason) override;
+    void onSessionChanged(InstanceSession& session) override;
     void onFenced(InstanceSession& session) override;
 
     void onInstancesLoaded(const std::set<std::string>& present);
@@ -113,19 +129,16 @@
     void inheritRuns();
     void inheritRun(const jobs::TaskId& id, const jobs::Task& task, const jobs::StepSpec& spec);
     void removeSession(const InstanceSessionPtr& session);
-    void write(const jobs::Record& record);
-    /// Writes a record that may decide the final state of a job, and tracks it until it is stored if it does.
-    void writeDecidingRecord(const jobs::Record& record, jobs::JobId job);
-    void applySubmission(const jobs::Record& record);
-    void trackUnstored(jobs::JobId job);
     void schedulePlan();
     void plan();
-    void stopRunsOfFinalJobs();
-    void requestAdvice(const scheduling::PoolPlan& plan, const scheduling::PoolView& view);
+    void applyJobChanges();
+    void applySessionChanges();
+    void excludeUntilHealthy(const std::string& instance);
+    void stopRuns(const jobs::Job& job);
+    void startPlacements(const std::string& pool, const scheduling::PoolPlan& plan);
+    void requestAdvice(const scheduling::PoolPlan& plan, const scheduling::InstanceIndex& instances);
     void failJobIfAttemptsExhausted(const jobs::TaskId& task);
     void removeExpiredJobs();
-    std::map<std::string, scheduling::PoolView> poolViews() const;
-    std::string poolOf(const jobs::Job& job) const;
     bool isSchedulable(const InstanceSession& session) const;
     scheduling::InstanceView viewOf(const InstanceSession& session) const;
     void recordIntent(const scheduling::Placement& placement);
@@ -140,20 +153,22 @@
     SessionContext sessionContext_;
     std::function<void(const std::string&)> onStepDown_;
     eventlog::ControllerWriter writer_;
+    RecordStore records_;
     Snapshotter snapshotter_;
     InstanceDirectory directory_;
     InstanceHealth health_;
     AdviceCache adviceCache_;
+    PoolScheduler scheduler_;
     fleet::FleetConfiguration configuration_;
     std::map<std::string, InstanceSessionPtr> sessions_; ///< Key: instance name.
+    std::vector<InstanceSessionPtr> changedSessions_; ///< Sessions whose instances the scheduler has to update.
+    std::unordered_map<std::string, std::string> instanceOnMachine_; ///< Latest instance that a machine reported.
+    /// Instances whose machine was taken down, with the start of the incarnation that ended.
+    std::unordered_map<std::string, std::int64_t> endedIncarnations_;
     std::set<std::string> cordoned_; ///< Names of the instances that get no new work.
     std::set<jobs::TaskId> blockedTasks_; ///< Tasks not placed for now because an order was refused as invalid.
-    std::map<std::string, scheduling::PoolPlan> lastPlans_;
-    std::map<jobs::JobId, foundation::SteadyTime> finalSince_;
-    /// Number of records per job that determine its reported state and are not in the log yet.
-    std::map<jobs::JobId, int> unstoredRecords_;
-    std::map<std::uint64_t, eventlog::ISubmissionPath::StoreCallback> pendingStores_;
-    std::uint64_t nextStoreId_ = 0;
+    std::unordered_map<jobs::JobId, foundation::SteadyTime> finalSince_;
+    milliseconds planDelay_ { 0 }; ///< Time from a change to the next plan.
     bool isPlanScheduled_ = false;
     ControlStatus controlStatus_ = ControlStatus::Confirmed;
     bool hasSteppedDown_ = false;
--- a/src/control/instancehealth.h
+++ b/src/control/instancehealth.h
@@ -26,6 +26,9 @@
     void reset(const std::string& instance) { records_.erase(instance); }
 
     bool isExcluded(const std::string& instance) const;
+
+    /// End of the latest exclusion; in the past if there is none.
+    foundation::SteadyTime excludedUntil(const std::string& instance) const;
     bool isOnProbation(const std::string& instance) const;
 
 private:
--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -1,9 +1,9 @@
 #include "control/controller.h"
 
 #include "control/internal/controltext.h"
-#include "scheduling/placementplanner.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace turmericsill::control {
@@ -21,6 +21,9 @@
 namespace {
 
     constexpr milliseconds planBatchingDelay { 2 }; ///< Batches simultaneous changes into one plan and one append.
+    /// Pause after a plan, as a multiple of its duration, so that answers and renewals are handled during a backlog.
+    constexpr int planPauseFactor = 4;
+    constexpr milliseconds maximumPlanDelay { 50 };
     constexpr milliseconds slowAppendThreshold { 500 }; ///< An append takes about 10 ms.
     constexpr milliseconds staleReadThreshold { 2000 }; ///< A read is answered within 1 s, with or without records.
     constexpr milliseconds rereadDelay { 100 }; ///< Delay after a failed read of the log.
@@ -42,6 +45,7 @@
     , onStepDown_(std::move(onStepDown))
     , writer_(context.log, context.clock, context.timers, context.events, epoch, 1,
           [this] { stepDown("fenced by the log"); })
+    , records_(context.follower, writer_)
     , snapshotter_(context.snapshots, context.follower, context.clock, context.events, epoch, settings.snapshotInterval)
     , directory_(
           context.fleetSource, context.clock, context.timers,
@@ -49,6 +53,8 @@
           [this](const std::set<std::string>& present) { onInstancesLoaded(present); })
     , health_(context.clock, context.events)
     , adviceCache_(context.advice, context.clock, context.events, [this] { schedulePlan(); })
+    , scheduler_(context.follower)
+    , planDelay_(planBatchingDelay)
 {
 }
 
@@ -60,13 +66,6 @@
         session->close();
 }
 
-void Controller::failPendingStores()
-{
-    const auto pending = std::exchange(pendingStores_, {});
-    for (const auto& [id, done] : pending)
-        done(foundation::failure(Errc::Fenced, "control.store", {}, "no longer the controller"));
-}
-
 template <typename Action> void Controller::scheduleAfter(milliseconds delay, Action action)
 {
     context_.timers.schedule(context_.clock.now() + delay, [alive = alive_, action] {
@@ -89,6 +88,7 @@
 void Controller::setConfiguration(const fleet::FleetConfiguration& configuration)
 {
     configuration_ = configuration;
+    scheduler_.setConfiguration(configuration);
     schedulePlan();
 }
 
@@ -133,6 +133,8 @@
         if (!present.count(name))
             session->setListed(false);
     }
+    for (auto ended = endedIncarnations_.begin(); ended != endedIncarnations_.end();)
+        ended = present.count(ended->first) ? std::next(ended) : endedIncarnations_.erase(ended);
     schedulePlan();
 }
 
@@ -140,10 +142,16 @@
 {
     const auto found = sessions_.find(change.instance);
     if (!change.report) {
+        endedIncarnations_.erase(change.instance);
         if (found != sessions_.end())
             found->second->setListed(false);
         return schedulePlan();
     }
+    const auto ended = endedIncarnations_.find(change.instance);
+    if (ended != endedIncarnations_.end() && change.report->incarnation.startedAt <= ended->second)
+        return;
+    if (!change.report->machine.empty())
+        instanceOnMachine_[change.report->machine] = change.instance;
     if (found == sessions_.end()) {
         openSession(*change.report);
         return schedulePlan();
@@ -167,10 +175,34 @@
 {
     InstanceSessionPtr session(new InstanceSession(report, sessionContext_));
     sessions_[report.incarnation.instance] = session;
+    onSessionChanged(*session);
     session->tick(controlStatus_);
     return session;
 }
 
+InstanceSessionPtr Controller::sessionOnMachine(const std::string& machine) const
+{
+    const auto instance = instanceOnMachine_.find(machine);
+    if (instance == instanceOnMachine_.end())
+        return nullptr;
+    const auto session = sessions_.find(instance->second);
+    return session == sessions_.end() ? nullptr : session->second;
+}
+
+void Controller::setCordoned(std::set<std::string> instances)
+{
+    std::vector<std::string> changed;
+    std::set_symmetric_difference(
+        cordoned_.begin(), cordoned_.end(), instances.begin(), instances.end(), std::back_inserter(changed));
+    cordoned_ = std::move(instances);
+    for (const auto& name : changed) {
+        if (const auto session = sessions_.find(name); session != sessions_.end())
+            onSessionChanged(*session->second);
+    }
+    if (!changed.empty())
+        schedulePlan();
+}
+
 void Controller::onTableChanged()
 {
     if (context_.follower.table().latestClaim().epoch > sessionContext_.epoch)
@@ -182,8 +214,11 @@
 void Controller::tick(ControlStatus status)
 {
     controlStatus_ = status;
-    const auto sessions = sessions_;
-    for (const auto& [name, session] : sessions) {
+    std::vector<InstanceSessionPtr> sessions;
+    sessions.reserve(sessions_.size());
+    for (const auto& [name, session] : sessions_)
+        sessions.push_back(session);
+    for (const auto& session : sessions) {
         session->tick(status);
         if (hasSteppedDown_)
             return;
@@ -201,7 +236,10 @@
 void Controller::removeSession(const InstanceSessionPtr& session)
 {
     session->close();
-    sessions_.erase(session->incarnation().instance);
+    onSessionChanged(*session);
+    const auto found = sessions_.find(session->incarnation().instance);
+    if (found != sessions_.end() && found->second == session)
+        sessions_.erase(found);
     const foundation::Address address = session->report().address;
     const bool isAddressInUse = std::any_of(sessions_.begin(), sessions_.end(),
         [&](const auto& other) { return other.second->report().address == address; });
@@ -209,70 +247,19 @@
         context_.instances.dropConnections(address);
 }
 
-void Controller::write(const jobs::Record& record)
-{
-    context_.follower.applyOwnRecord(record);
-    writer_.write(record);
-}
-
-void Controller::writeDecidingRecord(const jobs::Record& record, jobs::JobId id)
-{
-    write(record);
-    const Job* job = context_.follower.table().find(id);
-    if (job && job->isFinal())
-        trackUnstored(id);
-}
-
-void Controller::trackUnstored(jobs::JobId id)
-{
-    ++unstoredRecords_[id];
-    writer_.whenStored([this, id] {
-        if (--unstoredRecords_[id] == 0)
-            unstoredRecords_.erase(id);
-    });
-}
-
 void Controller::store(const std::vector<jobs::Record>& records, eventlog::ISubmissionPath::StoreCallback done)
 {
     if (hasSteppedDown_ || writer_.isStalled())
         return done(foundation::failure(Errc::Unavailable, "control.store", {}, "the log does not respond"));
-    for (const auto& record : records)
-        applySubmission(record);
-    const std::uint64_t id = nextStoreId_++;
-    pendingStores_.emplace(id, std::move(done));
-    writer_.whenStored([this, id] {
-        if (!pendingStores_.count(id))
-            return;
-        const auto callback = std::move(pendingStores_.at(id));
-        pendingStores_.erase(id);
-        callback({});
-    });
+    records_.storeCallerRecords(records, std::move(done));
     schedulePlan();
 }
 
-// Skips a record that would change nothing: the record that had the same effect is in the log or is being appended.
-void Controller::applySubmission(const jobs::Record& record)
-{
-    if (const auto* submitted = std::get_if<jobs::JobSubmitted>(&record)) {
-        if (context_.follower.table().find(submitted->job))
-            return;
-        write(record);
-        trackUnstored(submitted->job);
-    }
-    if (const auto* cancelled = std::get_if<jobs::JobCancelled>(&record)) {
-        const Job* job = context_.follower.table().find(cancelled->job);
-        if (job && job->isFinal())
-            return;
-        write(record);
-        trackUnstored(cancelled->job);
-    }
-}
-
 void Controller::schedulePlan()
 {
     if (std::exchange(isPlanScheduled_, true))
         return;
-    scheduleAfter(planBatchingDelay, [this] {
+    scheduleAfter(planDelay_, [this] {
         isPlanScheduled_ = false;
         plan();
     });
@@ -282,55 +269,80 @@
 {
     if (hasSteppedDown_)
         return;
+    const auto begunAt = context_.clock.now();
     context_.follower.startDueOccurrences(timeOfDay(context_.clock));
-    stopRunsOfFinalJobs();
+    applyJobChanges();
+    applySessionChanges();
     // Plans nothing while intents could not be appended; a later plan is made with newer information.
     if (directory_.isLoaded() && controlStatus_ == ControlStatus::Confirmed && !writer_.isStalled()
         && configuration_.version > 0) {
-        auto views = poolViews();
-        const scheduling::PlacementPlanner planner(configuration_);
         const scheduling::StepTickets tickets = adviceCache_.validTickets();
-        lastPlans_.clear();
-        for (auto& [pool, view] : views) {
-            view.tickets = &tickets;
-            scheduling::PoolPlan plan = planner.plan(view);
-            requestAdvice(plan, view);
-            for (const auto& placement : plan.placements)
-                recordIntent(placement);
-            if (!plan.placements.empty()) {
-                writer_.whenStored([this, plannedAt = context_.clock.now(), placements = plan.placements] {
-                    sendStartOrders(placements, plannedAt);
-                });
-            }
-            lastPlans_[pool] = std::move(plan);
-        }
+        scheduler_.planChangedPools({ &blockedTasks_, &tickets },
+            [this](const std::string& pool, const scheduling::PoolPlan& plan) { startPlacements(pool, plan); });
     }
     writer_.flush();
+    const auto took = std::chrono::ceil<milliseconds>(context_.clock.now() - begunAt);
+    planDelay_ = std::clamp(took * planPauseFactor, planBatchingDelay, maximumPlanDelay);
+}
+
+void Controller::startPlacements(const std::string& pool, const scheduling::PoolPlan& plan)
+{
+    requestAdvice(plan, scheduler_.instancesOf(pool));
+    if (plan.placements.empty())
+        return;
+    for (const auto& placement : plan.placements)
+        recordIntent(placement);
+    writer_.whenStored([this, plannedAt = context_.clock.now(), placements = plan.placements] {
+        sendStartOrders(placements, plannedAt);
+    });
+}
+
+void Controller::applyJobChanges()
+{
+    for (const jobs::JobId id : context_.follower.takeChangedJobs()) {
+        scheduler_.updateJob(id);
+        const Job* job = context_.follower.table().find(id);
+        if (job && job->isFinal() && job->activeRuns > 0)
+            stopRuns(*job);
+    }
+}
+
+// An instance is looked up by name, since a later incarnation may have replaced the session that changed.
+void Controller::applySessionChanges()
+{
+    const auto changed = std::exchange(changedSessions_, {});
+    for (const auto& session : changed) {
+        session->acknowledgeChange();
+        const std::string& name = session->incarnation().instance;
+        const auto current = sessions_.find(name);
+        if (current != sessions_.end() && isSchedulable(*current->second))
+            scheduler_.updateInstance(viewOf(*current->second));
+        else
+            scheduler_.removeInstance(name);
+    }
+}
+
+void Controller::onSessionChanged(InstanceSession& session) { changedSessions_.emplace_back(&session); }
+
+const scheduling::InstanceIndex& Controller::instancesOf(const std::string& pool)
+{
+    applySessionChanges();
+    return scheduler_.instancesOf(pool);
 }
 
 // Instances with the most free processor time are queried first.
-void Controller::requestAdvice(const scheduling::PoolPlan& plan, const scheduling::PoolView& view)
+void Controller::requestAdvice(const scheduling::PoolPlan& plan, const scheduling::InstanceIndex& instances)
 {
     if (plan.stepsAwaitingTickets.empty())
         return;
-    std::vector<const scheduling::InstanceView*> byFreeCores;
-    for (const auto& instance : view.instances)
-        byFreeCores.push_back(&instance);
-    std::sort(byFreeCores.begin(), byFreeCores.end(),
-        [](const auto* a, const auto* b) { return a->free.milliCores > b->free.milliCores; });
     std::vector<std::string> names;
-    for (const auto* instance : byFreeCores)
-        names.push_back(instance->report->incarnation.instance);
+    const auto& byFreeCores = instances.instances();
+    for (auto instance = byFreeCores.rbegin(); instance != byFreeCores.rend(); ++instance)
+        names.push_back((*instance)->name);
     for (const auto& step : plan.stepsAwaitingTickets)
         adviceCache_.requestTickets(step, names);
 }
 
-std::string Controller::poolOf(const Job& job) const
-{
-    const fleet::Queue* queue = configuration_.findQueue(job.queue);
-    return queue ? queue->pool : job.pool;
-}
-
 bool Controller::isSchedulable(const InstanceSession& session) const
 {
     const std::string& instance = session.incarnation().instance;
@@ -352,30 +364,13 @@
     return view;
 }
 
-std::map<std::string, scheduling::PoolView> Controller::poolViews() const
-{
-    std::map<std::string, scheduling::PoolView> views;
-    for (const Job& job : context_.follower.table().openJobs()) {
-        if (!job.isFinal())
-            views[poolOf(job)].jobs.push_back(&job);
-    }
-    for (const auto& [name, session] : sessions_) {
-        const auto view = views.find(session->report().pool);
-        if (view != views.end() && isSchedulable(*session))
-            view->second.instances.push_back(viewOf(*session));
-    }
-    for (auto& [pool, view] : views)
-        view.blockedTasks = &blockedTasks_;
-    return views;
-}
-
 void Controller::recordIntent(const scheduling::Placement& placement)
 {
     const auto found = sessions_.find(placement.incarnation.instance);
     const Job* job = context_.follower.table().find(placement.task.job);
     if (found == sessions_.end() || !job)
         return;
-    write(RunIntended { placement.task, placement.run, placement.incarnation });
+    records_.write(RunIntended { placement.task, placement.run, placement.incarnation });
     found->second->track(
         placement.task, placement.run, placement.resources, job->spec.steps[placement.task.step].isLongRunning, false);
 }
@@ -422,24 +417,17 @@
         placement.task, job->spec.payload, hasCheckpoints ? task->checkpoint : std::string(), placement.ticket);
 }
 
-void Controller::stopRunsOfFinalJobs()
+void Controller::stopRuns(const Job& job)
 {
-    std::set<jobs::JobId> finalJobIds;
-    for (const Job& job : context_.follower.table().openJobs()) {
-        if (job.isFinal())
-            finalJobIds.insert(job.id);
-    }
-    if (finalJobIds.empty())
-        return;
-    const auto sessions = sessions_;
-    for (const auto& [name, session] : sessions) {
-        std::vector<TaskId> stops;
-        for (const auto& [task, run] : session->runs()) {
-            if (finalJobIds.count(task.job) && !run.isStopping)
-                stops.push_back(task);
+    for (const auto& [number, occurrence] : job.occurrences) {
+        for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+            const auto& tasks = occurrence.steps[step].tasks;
+            for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+                const auto session = sessions_.find(tasks[index].incarnation.instance);
+                if (tasks[index].phase == TaskPhase::Active && session != sessions_.end())
+                    session->second->requestStop({ job.id, number, step, index }, false);
+            }
         }
-        for (const auto& task : stops)
-            session->requestStop(task, false);
     }
 }
 
@@ -452,7 +440,7 @@
 
 void Controller::recordMaintenanceStarted(std::uint64_t wave, const std::string& machine)
 {
-    write(jobs::MaintenanceStarted { wave, machine });
+    records_.write(jobs::MaintenanceStarted { wave, machine });
     writer_.flush();
 }
 
@@ -461,7 +449,7 @@
     const auto now = timeOfDay(context_.clock);
     const auto seenAt = context_.follower.table().waveFirstSeenAt(wave);
     if (!seenAt) {
-        write(jobs::WaveFirstSeen { wave, now });
+        records_.write(jobs::WaveFirstSeen { wave, now });
         writer_.flush();
     }
     return std::max(milliseconds(0), now - seenAt.value_or(now));
@@ -475,8 +463,10 @@
 void Controller::onMachineTakenDown(const std::string& instance)
 {
     const auto found = sessions_.find(instance);
-    if (found != sessions_.end())
-        onIncarnationEnded(*found->second, 0);
+    if (found == sessions_.end())
+        return;
+    endedIncarnations_[instance] = found->second->incarnation().startedAt;
+    onIncarnationEnded(*found->second, 0);
 }
 
 void Controller::onRunEnded(InstanceSession& session, const RunEnded& record)
@@ -485,8 +475,10 @@
         { { "task", jobs::toText(record.task) }, { "run", std::uint64_t(record.run) },
             { "instance", session.incarnation().instance }, { "how", toText(record.outcome) },
             { "epoch", sessionContext_.epoch } });
-    writeDecidingRecord(record, record.task.job);
+    records_.writeDecidingRecord(record, record.task.job);
     health_.recordRunOutcome(session.incarnation().instance, record.outcome);
+    if (record.outcome == RunOutcome::Failed)
+        excludeUntilHealthy(session.incarnation().instance);
     if (record.outcome == RunOutcome::Failed)
         failJobIfAttemptsExhausted(record.task);
     schedulePlan();
@@ -512,7 +504,7 @@
     context_.events.write("job.failed",
         { { "job", jobs::toText(id.job) }, { "task", jobs::toText(id) }, { "failures", std::uint64_t(failures) },
             { "allowed", std::uint64_t(queue->maximumAttempts) }, { "configuration", configuration_.version } });
-    writeDecidingRecord(jobs::JobFailed { id.job }, id.job);
+    records_.writeDecidingRecord(jobs::JobFailed { id.job }, id.job);
 }
 
 void Controller::onEndsListed(InstanceSession& session, std::uint64_t number)
@@ -528,10 +520,30 @@
             { "verdict", toText(result) } });
     if (result == StartResult::Invalid) {
         blockedTasks_.insert(task);
-        scheduleAfter(invalidBackoff, [this, task] { blockedTasks_.erase(task); });
+        scheduleAfter(invalidBackoff, [this, task] {
+            blockedTasks_.erase(task);
+            scheduler_.updateJob(task.job);
+            schedulePlan();
+        });
         return;
     }
     health_.recordRefusal(session.incarnation().instance);
+    excludeUntilHealthy(session.incarnation().instance);
+}
+
+// Tells the scheduler of the exclusion of an instance, and of its end.
+void Controller::excludeUntilHealthy(const std::string& instance)
+{
+    const auto session = sessions_.find(instance);
+    if (session == sessions_.end() || !health_.isExcluded(instance))
+        return;
+    onSessionChanged(*session->second);
+    const auto left = std::chrono::ceil<milliseconds>(health_.excludedUntil(instance) - context_.clock.now());
+    scheduleAfter(left, [this, instance] {
+        if (const auto excluded = sessions_.find(instance); excluded != sessions_.end())
+            onSessionChanged(*excluded->second);
+        schedulePlan();
+    });
 }
 
 void Controller::onIncarnationEnded(InstanceSession& session, std::int64_t startedAt)
@@ -548,9 +560,7 @@
     session.close();
     session.endAll(RunOutcome::InstanceGone);
     health_.reset(session.incarnation().instance);
-    const auto found = sessions_.find(session.incarnation().instance);
-    if (found != sessions_.end() && found->second == keepAlive)
-        sessions_.erase(found);
+    removeSession(keepAlive);
     schedulePlan();
 }
 
@@ -567,6 +577,7 @@
     successor->setListed(predecessor->isListed());
     successor->adoptRuns(*predecessor);
     found->second = successor;
+    onSessionChanged(*successor);
     predecessor->endAll(RunOutcome::InstanceGone); // Ends the runs whose start order was not sent.
     successor->tick(controlStatus_);
     schedulePlan();
@@ -595,7 +606,7 @@
     }
     for (const auto id : old) {
         finalSince_.erase(id);
-        write(jobs::JobExpired { id });
+        records_.write(jobs::JobExpired { id });
     }
 }
 
--- a/src/control/internal/instancehealth.cpp
+++ b/src/control/internal/instancehealth.cpp
@@ -45,12 +45,14 @@
     record.excludedUntil = std::max(record.excludedUntil, clock_.now() + refusalExclusion);
 }
 
-bool InstanceHealth::isExcluded(const std::string& instance) const
+foundation::SteadyTime InstanceHealth::excludedUntil(const std::string& instance) const
 {
     const auto found = records_.find(instance);
-    return found != records_.end() && clock_.now() < found->second.excludedUntil;
+    return found == records_.end() ? foundation::SteadyTime::min() : found->second.excludedUntil;
 }
 
+bool InstanceHealth::isExcluded(const std::string& instance) const { return clock_.now() < excludedUntil(instance); }
+
 bool InstanceHealth::isOnProbation(const std::string& instance) const
 {
     const auto found = records_.find(instance);
--- a/src/control/internal/instancesession.cpp
+++ b/src/control/internal/instancesession.cpp
@@ -30,20 +30,55 @@
 InstanceSession::InstanceSession(fleet::InstanceReport report, SessionContext& context)
     : report_(std::move(report))
     , context_(context)
+    , idleSince_(context.clock.now())
 {
 }
 
+void InstanceSession::reportChange()
+{
+    if (!std::exchange(isChangeReported_, true))
+        context_.observer.onSessionChanged(*this);
+}
+
 void InstanceSession::update(fleet::InstanceReport report)
 {
     report_ = std::move(report);
     isListed_ = true;
+    reportChange();
+}
+
+void InstanceSession::setListed(bool isListed)
+{
+    if (std::exchange(isListed_, isListed) != isListed)
+        reportChange();
+}
+
+void InstanceSession::insertRun(const TaskId& task, TrackedRun run)
+{
+    if (const auto known = runs_.find(task); known != runs_.end())
+        removeRun(known);
+    reserved_ += run.resources;
+    shortTaskMilliCores_ += run.isLongRunning ? 0 : run.resources.milliCores;
+    idleSince_.reset();
+    runs_.emplace(task, std::move(run));
+    reportChange();
+}
+
+InstanceSession::Runs::iterator InstanceSession::removeRun(Runs::iterator run)
+{
+    reserved_ -= run->second.resources;
+    shortTaskMilliCores_ -= run->second.isLongRunning ? 0 : run->second.resources.milliCores;
+    const auto next = runs_.erase(run);
+    if (runs_.empty())
+        idleSince_ = context_.clock.now();
+    reportChange();
+    return next;
 }
 
 jobs::Resources InstanceSession::free() const
 {
     jobs::Resources free = report_.capacity;
-    for (const auto& [task, run] : runs_)
-        free -= run.resources;
+    free -= reserved_;
     return free;
 }
 
@@ -82,7 +117,7 @@
     tracked.isLongRunning = isLongRunning;
     tracked.state = isInherited ? OrderState::Inherited : OrderState::IntentPending;
     tracked.orderedAt = context_.clock.now();
-    runs_[task] = std::move(tracked);
+    insertRun(task, std::move(tracked));
 }
 
 TrackedRun* InstanceSession::find(const TaskId& task, std::uint32_t number)
@@ -318,6 +353,8 @@
     updateClock(answer->clock);
     lastRenewalAnswerAt_ = context_.clock.now();
     const bool wasSynced = std::exchange(isSynced_, true);
+    if (!wasSynced)
+        reportChange();
     // The answer does not tell when the former controller's lease ends; this is the latest possible time.
     if (!wasSynced && !runs_.empty())
         inheritedLeaseEnd_ = answer->clock + context_.leaseTerms.maximumLease;
@@ -341,6 +378,7 @@
 void InstanceSession::reconcile(const RenewAnswer& answer, SteadyTime sentAt)
 {
     std::set<TaskId> present;
+    const bool hadUnexpectedRuns = !unexpectedRuns_.empty();
     unexpectedRuns_.clear();
     for (const auto& observed : answer.running) {
         TrackedRun* run = find(observed.task, observed.run);
@@ -359,6 +397,8 @@
         if (ended.number > lastListedEnd_ && find(ended.task, ended.run))
             end(ended.task, ended.outcome, ended.checkpoint);
     }
+    if (hadUnexpectedRuns == unexpectedRuns_.empty())
+        reportChange();
     stopUnexpectedRuns();
     if (answer.ended.size() >= maximumEndsPerAnswer)
         return;
@@ -389,7 +429,7 @@
     if (found == runs_.end())
         return;
     const std::uint32_t number = found->second.run;
-    runs_.erase(found);
+    removeRun(found);
     context_.observer.onRunEnded(*this, { task, number, outcome, checkpoint });
 }
 
@@ -405,10 +445,12 @@
         adopted.isStopCallPending = false;
         adopted.settledAt.reset();
         adopted.lastAttemptAt = {};
-        runs_[task] = std::move(adopted);
+        insertRun(task, std::move(adopted));
+    }
+    for (const auto& [task, run] : runs_) {
+        if (const auto moved = earlier.runs_.find(task); moved != earlier.runs_.end())
+            earlier.removeRun(moved);
     }
-    for (const auto& [task, run] : runs_)
-        earlier.runs_.erase(task);
     // Lease ends by the clock of the earlier incarnation mean nothing to this one, which cuts them to the longest
     // lease.
     const auto longest = context_.leaseTerms.maximumLease / context_.leaseTerms.slowestClockRate;
@@ -439,14 +481,18 @@
 {
     const bool wasUnreachable = consecutiveFailures_ > 0;
     consecutiveFailures_ = 0;
+    if (wasUnreachable)
+        reportChange();
     if (wasUnreachable && isSynced_)
         context_.observer.onContactChanged(*this, true, "answers again");
 }
 
 void InstanceSession::recordFailure(const foundation::Error& error)
 {
-    if (++consecutiveFailures_ == 1)
-        context_.observer.onContactChanged(*this, false, error.message());
+    if (++consecutiveFailures_ != 1)
+        return;
+    reportChange();
+    context_.observer.onContactChanged(*this, false, error.message());
 }
 
 } // namespace turmericsill::control
--- a/src/control/internal/instancesession.h
+++ b/src/control/internal/instancesession.h
@@ -78,7 +78,7 @@
     void update(fleet::InstanceReport report);
 
     /// Whether the instance directory lists the instance.
-    void setListed(bool isListed) { isListed_ = isListed; }
+    void setListed(bool isListed);
     bool isListed() const { return isListed_; }
 
     /// Whether the instance answers and runs nothing unexpected.
@@ -93,6 +93,15 @@
     /// Capacity minus the resources of the tracked runs.
     jobs::Resources free() const;
 
+    /// Processor time that the runs of short tasks hold, in thousandths of a core.
+    std::int64_t shortTaskMilliCores() const { return shortTaskMilliCores_; }
+
+    /// Since when the session has had no runs; empty while it has any.
+    std::optional<foundation::SteadyTime> idleSince() const { return idleSince_; }
+
+    /// Makes the session report its next change; see ISessionObserver::onSessionChanged().
+    void acknowledgeChange() { isChangeReported_ = false; }
+
     /// Tracks a run. An inherited one may exist on the instance already.
     void track(const jobs::TaskId& task, std::uint32_t run, const jobs::Resources& resources, bool isLongRunning,
         bool isInherited);
@@ -123,6 +132,9 @@
 private:
     using Self = boost::intrusive_ptr<InstanceSession>;
 
+    void reportChange();
+    void insertRun(const jobs::TaskId& task, TrackedRun run);
+    Runs::iterator removeRun(Runs::iterator run);
     fleet::InstanceHandle handle() const;
     fleet::InstanceTime clockEstimate() const;
     bool hasLeaseExpired() const;
@@ -146,6 +158,10 @@
     fleet::InstanceReport report_;
     SessionContext& context_;
     Runs runs_;
+    jobs::Resources reserved_; ///< Sum of the resources of `runs_`.
+    std::int64_t shortTaskMilliCores_ = 0;
+    std::optional<foundation::SteadyTime> idleSince_;
+    bool isChangeReported_ = false;
     std::set<std::pair<jobs::TaskId, std::uint32_t>> unexpectedRuns_; ///< Listed by the instance, but not tracked.
     bool isListed_ = true;
     bool isSynced_ = false; ///< Whether a renewal under this controller's token was answered.
--- a/src/control/internal/isessionobserver.h
+++ b/src/control/internal/isessionobserver.h
@@ -30,6 +30,10 @@
     /// The instance has begun or stopped answering calls.
     virtual void onContactChanged(InstanceSession& session, bool isInContact, const std::string& reason) = 0;
 
+    /// What the session tells about the instance may have changed: its runs, its report, whether it is listed or
+    /// whether it is in contact. Reported once until InstanceSession::acknowledgeChange() is called.
+    virtual void onSessionChanged(InstanceSession& session) = 0;
+
     /// The instance has seen a higher fencing token, so another controller has taken over.
     virtual void onFenced(InstanceSession& session) = 0;
 };
--- a/src/control/internal/machinemanager.cpp
+++ b/src/control/internal/machinemanager.cpp
@@ -1,10 +1,11 @@
 #include "control/machinemanager.h"
 
+#include "scheduling/instanceindex.h"
 #include "scheduling/moveplanner.h"
-#include "scheduling/placementplanner.h"
 #include "scheduling/waveplanner.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace turmericsill::control {
@@ -18,7 +19,8 @@
 
 namespace {
 
-    constexpr milliseconds listInterval { 500 }; ///< A machine that is moved is down for 1.5 s.
+    constexpr milliseconds minimumListInterval { 500 }; ///< A machine that is moved is down for 1.5 s.
+    constexpr milliseconds listTimePerMachine { 2 }; ///< Keeps the cost of lists independent of the fleet's size.
     constexpr milliseconds moveTimeout { 8000 }; ///< Time after which a moved machine no longer counts as incoming.
     /// A machine taken down by an order shows as down in every list requested within 1.5 s of the order.
     constexpr milliseconds downVisibilityDelay { 1000 };
@@ -71,14 +73,8 @@
 void MachineManager::tick()
 {
     const auto now = context_.clock.now();
-    for (const auto& [name, session] : controller_.sessions()) {
-        if (session->runs().empty())
-            idleSince_.emplace(name, now);
-        else
-            idleSince_.erase(name);
-    }
     evacuateDrainingInstances();
-    if (!isListing_ && now - lastListRequestAt_ >= listInterval)
+    if (!isListing_ && now - lastListRequestAt_ >= listInterval())
         listMachines();
     if (!hasMachineList_ || now < ordersAllowedAt_)
         return;
@@ -89,28 +85,35 @@
     updateCordoned();
 }
 
+milliseconds MachineManager::listInterval() const
+{
+    return std::max(minimumListInterval, listTimePerMachine * static_cast<std::int64_t>(machines_.size()));
+}
+
 void MachineManager::listMachines()
 {
     isListing_ = true;
     lastListRequestAt_ = context_.clock.now();
-    machineControl_.list([this, alive = alive_](Result<std::vector<MachineReport>> machines) {
-        if (!*alive)
-            return;
-        isListing_ = false;
-        if (!machines) {
-            context_.events.write("machines.unavailable", { { "reason", machines.error().message() } });
-            return;
-        }
-        onListed(std::move(*machines));
-    });
+    machineControl_.list(
+        [this, alive = alive_, requestedAt = lastListRequestAt_](Result<std::vector<MachineReport>> machines) {
+            if (!*alive)
+                return;
+            isListing_ = false;
+            if (!machines) {
+                context_.events.write("machines.unavailable", { { "reason", machines.error().message() } });
+                return;
+            }
+            onListed(std::move(*machines), requestedAt);
+        });
 }
 
-void MachineManager::onListed(std::vector<MachineReport> machines)
+void MachineManager::onListed(std::vector<MachineReport> machines, SteadyTime requestedAt)
 {
     machines_.clear();
     for (auto& machine : machines)
         machines_.emplace(machine.machine, machine);
     hasMachineList_ = true;
+    listedAsOf_ = requestedAt;
     for (auto& [machine, operation] : operations_) {
         const MachineReport* report = find(machine);
         if (!operation.isInProgress || !report || report->state == MachineState::Up
@@ -121,27 +124,62 @@
     }
 }
 
-// An accepted order is finished when a list requested after it shows the machine up again. A repeated order that was
-// carried out before is accepted as well, but does not take the machine down.
+// An accepted order is finished when the next instance of the machine reports itself, or when a list requested after
+// the order shows the machine up again. A repeated order that was carried out before is accepted as well, but does not
+// take the machine down.
+bool MachineManager::isFinished(const std::string& machine, const MachineOperation& operation)
+{
+    if (!operation.isInProgress)
+        return false;
+    if (hasArrived(machine, operation))
+        return true;
+    const MachineReport* report = find(machine);
+    const bool isBack = report && report->state == MachineState::Up && listedAsOf_ > operation.since;
+    if (isBack && operation.wasSeenDown)
+        return true;
+    if (isBack && listedAsOf_ - operation.since > downVisibilityDelay) {
+        controller_.onMachineNotTakenDown(operation.instance);
+        return true;
+    }
+    return context_.clock.now() - operation.since > moveTimeout;
+}
+
+// The list may still show the machine as it was before the move.
+bool MachineManager::hasArrived(const std::string& machine, const MachineOperation& operation)
+{
+    if (operation.kind != OperationKind::PoolChange)
+        return false;
+    const InstanceSessionPtr session = controller_.sessionOnMachine(machine);
+    if (!session || session->incarnation().instance == operation.instance
+        || session->report().pool != operation.targetPool)
+        return false;
+    const auto listed = machines_.find(machine);
+    if (listed != machines_.end()) {
+        listed->second.state = MachineState::Up;
+        listed->second.pool = operation.targetPool;
+        listed->second.instance = session->incarnation().instance;
+    }
+    return true;
+}
+
 void MachineManager::removeFinishedOperations()
 {
-    const auto now = context_.clock.now();
     for (auto entry = operations_.begin(); entry != operations_.end();) {
-        const MachineOperation& operation = entry->second;
-        const MachineReport* report = find(entry->first);
-        const bool isBack
-            = report && report->state == MachineState::Up && lastListRequestAt_ > operation.since && !isListing_;
-        const bool wasAlreadyDone = isBack && lastListRequestAt_ - operation.since > downVisibilityDelay;
-        const bool isFinished = operation.isInProgress
-            && ((isBack && operation.wasSeenDown) || wasAlreadyDone || now - operation.since > moveTimeout);
-        const bool isMachineGone = !report && !operation.isRequestPending;
-        if (isFinished || isMachineGone)
-            entry = operations_.erase(entry);
-        else
-            ++entry;
+        const bool isMachineGone = !find(entry->first) && !entry->second.isRequestPending;
+        const bool isOver = isMachineGone || isFinished(entry->first, entry->second);
+        entry = isOver ? operations_.erase(entry) : std::next(entry);
     }
 }
 
+// An accepted order ends the instance of the machine at once. Runs that it may have had are ended when a list shows the
+// machine down, since a repeated order does not take it down.
+void MachineManager::closeIdleInstance(const std::string& instance)
+{
+    const auto session = controller_.sessions().find(instance);
+    if (session != controller_.sessions().end() && session->second->runs().empty())
+        controller_.onMachineTakenDown(instance);
+}
+
 void MachineManager::planWaves()
 {
     for (auto& [number, wave] : waves_) {
@@ -271,13 +309,14 @@
 bool MachineManager::hasRoomElsewhere(const InstanceSession& session, const TaskId& task) const
 {
     const jobs::Job* job = context_.follower.table().find(task.job);
+    if (!job)
+        return false;
     const jobs::Resources need = scheduling::resourceRequest(job->spec.steps[task.step]);
-    return std::any_of(controller_.sessions().begin(), controller_.sessions().end(), [&](const auto& entry) {
-        const InstanceSession& other = *entry.second;
-        return &other != &session && other.report().pool == session.report().pool && other.isListed()
-            && other.isInContact() && !other.report().isDraining && !operations_.count(other.report().machine)
-            && need.fitsInto(other.free());
-    });
+    const auto& instances = controller_.instancesOf(session.report().pool).instances();
+    return std::any_of(scheduling::InstanceIndex::firstWithFreeCores(instances, need.milliCores), instances.end(),
+        [&](const scheduling::IndexedInstance* other) {
+            return other->name != session.incarnation().instance && need.fitsInto(other->view.free);
+        });
 }
 
 void MachineManager::requestMaintenance(const std::string& machine, MachineOperation& operation)
@@ -307,6 +346,7 @@
             ordered.isInProgress = true;
             ordered.since = context_.clock.now();
             ordered.instance = instance;
+            closeIdleInstance(instance);
             controller_.recordMaintenanceStarted(number, machine);
         });
 }
@@ -355,18 +395,14 @@
         if (!pool.isStandby)
             demands[name];
     }
-    for (const auto& [pool, plan] : controller_.lastPlans())
-        demands[pool].unplaced = plan.unplaced;
-    for (const auto& [name, session] : controller_.sessions()) {
-        for (const auto& [task, run] : session->runs())
-            used[session->report().pool] += run.isLongRunning ? 0 : static_cast<double>(run.resources.milliCores);
-        const bool isAvailable = session->isListed() && session->isInContact() && !session->report().isDraining
-            && !operations_.count(session->report().machine);
-        if (isAvailable)
-            demands[session->report().pool].freeMilliCores += session->free().milliCores;
-    }
-    for (auto& [pool, demand] : demands)
+    for (const auto& [pool, unplaced] : controller_.unplacedByPool())
+        demands[pool].unplaced = unplaced;
+    for (const auto& [name, session] : controller_.sessions())
+        used[session->report().pool] += static_cast<double>(session->shortTaskMilliCores());
+    for (auto& [pool, demand] : demands) {
+        demand.freeMilliCores = controller_.instancesOf(pool).freeMilliCores();
         updateTrend(pool, used[pool] + static_cast<double>(demand.unplaced.milliCores), demand);
+    }
     return demands;
 }
 
@@ -387,34 +423,42 @@
 void MachineManager::planMoves()
 {
     std::map<std::string, scheduling::PoolDemand> demands = poolDemands();
+    for (const auto& [name, operation] : operations_) {
+        if (operation.kind == OperationKind::PoolChange)
+            demands[operation.targetPool].incoming += operation.capacity;
+    }
+    for (const auto& [name, machine] : machines_) {
+        if (machine.state == MachineState::Up && !operations_.count(name) && !isStandby(machine.pool))
+            ++demands[machine.pool].machines;
+    }
+    reportDemands(demands);
+    const scheduling::MovePolicy policy;
+    if (!scheduling::hasShortage(demands, policy))
+        return;
+    for (const auto& next : scheduling::planMoves(movableMachines(), demands, policy)) {
+        if (!refusedMoves_.count({ next.machine, next.pool }))
+            requestMove(next);
+    }
+}
+
+std::vector<scheduling::MachineView> MachineManager::movableMachines() const
+{
     std::vector<scheduling::MachineView> movable;
     const auto now = context_.clock.now();
     for (const auto& [name, machine] : machines_) {
-        const auto operation = operations_.find(name);
-        if (operation != operations_.end()) {
-            if (operation->second.kind == OperationKind::PoolChange)
-                demands[operation->second.targetPool].incoming += operation->second.capacity;
-            continue;
-        }
-        if (machine.state != MachineState::Up)
+        if (machine.state != MachineState::Up || operations_.count(name))
             continue;
-        const bool isStandbyPool = isStandby(machine.pool);
-        if (!isStandbyPool)
-            ++demands[machine.pool].machines;
         const InstanceSessionPtr session = sessionOf(machine);
-        const auto idle = idleSince_.find(machine.instance);
-        if (!isStandbyPool
-            && (!session || !session->isInContact() || session->report().isDraining || idle == idleSince_.end()))
+        const bool isStandbyPool = isStandby(machine.pool);
+        const auto idleSince = session ? session->idleSince() : std::nullopt;
+        if (!isStandbyPool && (!idleSince || !session->isInContact() || session->report().isDraining))
             continue;
+        const auto idleTime
+            = isStandbyPool ? milliseconds(0) : std::chrono::duration_cast<milliseconds>(now - *idleSince);
         movable.push_back({ name, machine.pool, machine.capacity, isStandbyPool,
-            session ? static_cast<std::uint32_t>(session->runs().size()) : 0,
-            isStandbyPool ? milliseconds(0) : std::chrono::duration_cast<milliseconds>(now - idle->second) });
-    }
-    reportDemands(demands);
-    for (const auto& next : scheduling::planMoves(movable, demands, scheduling::MovePolicy())) {
-        if (!refusedMoves_.count({ next.machine, next.pool }))
-            requestMove(next);
+            session ? static_cast<std::uint32_t>(session->runs().size()) : 0, idleTime });
     }
+    return movable;
 }
 
 void MachineManager::requestMove(const scheduling::Move& move)
@@ -450,6 +494,8 @@
             ordered.isInProgress = true;
             ordered.since = context_.clock.now();
             ordered.instance = instance;
+            if (isAccepted)
+                closeIdleInstance(instance);
         });
 }
 
--- /dev/null
+++ b/src/control/internal/poolscheduler.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "eventlog/jobfollower.h"
+#include "fleet/types/fleet.h"
+#include "scheduling/instanceindex.h"
+#include "scheduling/poolbacklog.h"
+#include "scheduling/types/poolview.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <unordered_map>
+
+namespace turmericsill::control {
+
+/// Keeps the instances and the waiting tasks of every pool up to date by events, and plans the pools in which something
+/// has changed. The work of a plan follows what changed, not the number of instances and jobs.
+class PoolScheduler {
+public:
+    using PlanHandler = std::function<void(const std::string& pool, const scheduling::PoolPlan& plan)>;
+
+    explicit PoolScheduler(const eventlog::JobFollower& follower)
+        : follower_(follower)
+    {
+    }
+
+    PoolScheduler(const PoolScheduler&) = delete;
+    PoolScheduler& operator=(const PoolScheduler&) = delete;
+
+    /// Applies a newer configuration and assigns the open jobs to their pools anew.
+    void setConfiguration(const fleet::FleetConfiguration& configuration);
+
+    /// Applies a change of a job: its state, or whether its tasks are blocked.
+    void updateJob(jobs::JobId id);
+
+    /// Applies a change of an instance that accepts tasks. The view's report must stay valid until the next update or
+    /// removal of the instance, or until the next plan at the latest.
+    void updateInstance(scheduling::InstanceView view);
+
+    /// Removes an instance that accepts no tasks.
+    void removeInstance(const std::string& name);
+
+    /// Plans the pools that have changed since their latest plan, and those whose steps wait for tickets.
+    void planChangedPools(const scheduling::PlanConstraints& constraints, const PlanHandler& onPlan);
+
+    /// Instances of a pool that accept tasks.
+    const scheduling::InstanceIndex& instancesOf(const std::string& pool) { return pools_[pool].instances; }
+
+    /// Resources requested by the ready tasks of each pool that found no room in the latest plan.
+    std::map<std::string, jobs::Resources> unplacedByPool() const;
+
+private:
+    struct PoolState {
+        scheduling::InstanceIndex instances;
+        scheduling::PoolBacklog backlog;
+        jobs::Resources unplaced; ///< Result of the latest plan.
+        bool isPlanDue = false;
+    };
+
+    void removeJob(jobs::JobId id);
+
+    const eventlog::JobFollower& follower_;
+    fleet::FleetConfiguration configuration_;
+    std::map<std::string, PoolState> pools_;
+    std::unordered_map<jobs::JobId, std::string> poolOfJob_; ///< Open jobs only.
+    std::unordered_map<std::string, std::string> poolOfInstance_; ///< Key: instance name.
+};
+
+} // namespace turmericsill::control
--- a/src/control/machinemanager.h
+++ b/src/control/machinemanager.h
@@ -67,8 +67,12 @@
     };
 
     void listMachines();
-    void onListed(std::vector<fleet::MachineReport> machines);
+    void onListed(std::vector<fleet::MachineReport> machines, foundation::SteadyTime requestedAt);
+    milliseconds listInterval() const;
     void removeFinishedOperations();
+    bool isFinished(const std::string& machine, const MachineOperation& operation);
+    bool hasArrived(const std::string& machine, const MachineOperation& operation);
+    void closeIdleInstance(const std::string& instance);
     void planWaves();
     void planWave(Wave& wave);
     void evacuateMachines();
@@ -82,6 +86,7 @@
     void updateTrend(const std::string& pool, double milliCores, scheduling::PoolDemand& demand);
     void reportDemands(const std::map<std::string, scheduling::PoolDemand>& demands);
     void planMoves();
+    std::vector<scheduling::MachineView> movableMachines() const;
     void requestMove(const scheduling::Move& move);
     void updateCordoned();
     const fleet::MachineReport* find(const std::string& machine) const;
@@ -98,10 +103,10 @@
     std::map<std::string, MachineOperation> operations_; ///< Key: machine name.
     std::map<std::uint64_t, Wave> waves_; ///< Key: wave number.
     std::map<std::string, DemandTrend> trends_; ///< Key: pool name.
-    std::map<std::string, foundation::SteadyTime> idleSince_; ///< Key: instance name.
     std::set<std::pair<std::string, std::string>> refusedMoves_; ///< Machine and target pool.
     foundation::SteadyTime demandsReportedAt_ {};
     foundation::SteadyTime lastListRequestAt_ {};
+    foundation::SteadyTime listedAsOf_ {}; ///< Time at which the latest list that was answered was requested.
     bool isListing_ = false;
     bool hasMachineList_ = false;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/emulator/internal/invariantchecker.cpp
+++ b/src/emulator/internal/invariantchecker.cpp
@@ -1,6 +1,6 @@
 #include "emulator/invariantchecker.h"
 
-#include "scheduling/placementplanner.h"
+#include "scheduling/instanceindex.h"
 
 namespace turmericsill::emulator {
 
--- a/src/eventlog/jobfollower.h
+++ b/src/eventlog/jobfollower.h
@@ -64,6 +64,9 @@
     /// Number of this controller's records that were read back from the log.
     std::uint64_t ownRecordsRead() const { return ownRecordsRead_; }
 
+    /// See JobTable::takeChangedJobs().
+    std::vector<jobs::JobId> takeChangedJobs() { return table_->takeChangedJobs(); }
+
     /// See JobTable::startDueOccurrences().
     void startDueOccurrences(foundation::milliseconds wallTime) { table_->startDueOccurrences(wallTime); }
 
--- a/src/jobs/internal/jobtable.cpp
+++ b/src/jobs/internal/jobtable.cpp
@@ -1,6 +1,7 @@
 #include "jobs/jobtable.h"
 
 #include <algorithm>
+#include <iterator>
 #include <variant>
 
 namespace turmericsill::jobs {
@@ -16,6 +17,7 @@
 
 JobTable::~JobTable()
 {
+    changedJobs_.clear();
     openJobs_.clear();
     finalJobs_.clear();
 }
@@ -27,16 +29,47 @@
 
 void JobTable::startDueOccurrences(milliseconds wallTime)
 {
-    for (Job& job : openJobs_) {
-        if (!job.isScheduled() || job.isFinal())
+    for (auto id = scheduledJobs_.begin(); id != scheduledJobs_.end();) {
+        Job* job = findMutableJob(*id);
+        const bool canStartOccurrences = job && !job->isFinal();
+        id = canStartOccurrences ? std::next(id) : scheduledJobs_.erase(id);
+        if (!canStartOccurrences)
             continue;
         // Occurrences start in ascending order, so the highest one that has started precedes the next one.
-        auto next = job.occurrences.empty() ? 0 : job.occurrences.rbegin()->first + 1;
-        while (next < job.occurrenceCount() && job.dueAt(next) <= wallTime)
-            job.startOccurrence(next++);
+        auto next = job->occurrences.empty() ? 0 : job->occurrences.rbegin()->first + 1;
+        while (next < job->occurrenceCount() && job->dueAt(next) <= wallTime) {
+            job->startOccurrence(next++);
+            markChanged(*job);
+        }
     }
 }
 
+std::vector<JobId> JobTable::takeChangedJobs()
+{
+    std::vector<JobId> changed;
+    while (!changedJobs_.empty()) {
+        changed.push_back(changedJobs_.front().id);
+        changedJobs_.pop_front();
+    }
+    return changed;
+}
+
+void JobTable::markChanged(Job& job)
+{
+    if (!job.ChangedJobHook::is_linked())
+        changedJobs_.push_back(job);
+}
+
+void JobTable::insert(std::unique_ptr<Job> job)
+{
+    (job->isFinal() && job->activeRuns == 0 ? finalJobs_ : openJobs_).push_back(*job);
+    if (job->isScheduled())
+        scheduledJobs_.insert(job->id);
+    markChanged(*job);
+    const JobId id = job->id;
+    jobs_.emplace(id, std::move(job));
+}
+
 void JobTable::restore(const SnapshotHeader& header)
 {
     claims_ = header.claims;
@@ -50,8 +83,7 @@
 {
     if (jobs_.count(job->id))
         return;
-    (job->isFinal() && job->activeRuns == 0 ? finalJobs_ : openJobs_).push_back(*job);
-    jobs_.emplace(job->id, std::move(job));
+    insert(std::move(job));
 }
 
 const Job* JobTable::find(JobId id) const
@@ -117,8 +149,7 @@
     job->isCancelled = unknownCancellations_.count(record.job) > 0;
     if (!job->isScheduled())
         job->startOccurrence(0);
-    (job->isCancelled ? finalJobs_ : openJobs_).push_back(*job);
-    jobs_.emplace(record.job, std::move(job));
+    insert(std::move(job));
 }
 
 void JobTable::applyRecord(const JobCancelled& record)
@@ -129,6 +160,7 @@
     if (job->isFinal())
         return;
     job->isCancelled = true;
+    markChanged(*job);
     moveToFinalIfEnded(*job);
 }
 
@@ -159,6 +191,7 @@
     ++step.active;
     ++job->activeRuns;
     job->hasStarted = true;
+    markChanged(*job);
 }
 
 void JobTable::applyRecord(const RunEnded& record)
@@ -179,6 +212,7 @@
         ++task.failures;
     if (record.outcome == RunOutcome::Done && !job->spec.steps[record.task.step].isLongRunning)
         finishTask(*job, record.task, task);
+    markChanged(*job);
     moveToFinalIfEnded(*job);
 }
 
@@ -211,6 +245,7 @@
     if (!job || job->isFinal())
         return;
     job->hasFailed = true;
+    markChanged(*job);
     moveToFinalIfEnded(*job);
 }
 
--- a/src/jobs/jobtable.h
+++ b/src/jobs/jobtable.h
@@ -12,6 +12,7 @@
 #include <set>
 #include <unordered_map>
 #include <unordered_set>
+#include <vector>
 
 namespace turmericsill::jobs {
 
@@ -21,7 +22,8 @@
 /// The state does not depend on how the callers' records interleave with those of the controller.
 class JobTable {
 public:
-    using JobList = boost::intrusive::list<Job, boost::intrusive::constant_time_size<true>>;
+    using JobList = boost::intrusive::list<Job, boost::intrusive::base_hook<JobListHook>,
+        boost::intrusive::constant_time_size<true>>;
 
     JobTable() = default;
     ~JobTable();
@@ -56,6 +58,10 @@
     /// Jobs that are final and have no active runs, in the order in which they ended.
     const JobList& finalJobs() const { return finalJobs_; }
 
+    /// Returns the jobs whose state has changed since the previous call, in the order of their first change. Jobs that
+    /// were removed meanwhile are left out; they were final before.
+    std::vector<JobId> takeChangedJobs();
+
     /// Number of open jobs of a queue none of whose tasks has started.
     std::size_t pendingJobs(const std::string& queue) const;
 
@@ -82,7 +88,14 @@
     void applyRecord(const MaintenanceStarted& record) { startedMaintenance_.emplace(record.wave, record.machine); }
     void applyRecord(const WaveFirstSeen& record) { waveFirstSeenTimes_.emplace(record.wave, record.seenAt); }
 
+    using ChangedJobList = boost::intrusive::list<Job, boost::intrusive::base_hook<ChangedJobHook>,
+        boost::intrusive::constant_time_size<false>>;
+
     Job* findMutableJob(JobId id);
+
+    /// Adds a job to the table and to the list that its state belongs to.
+    void insert(std::unique_ptr<Job> job);
+    void markChanged(Job& job);
     void finishTask(Job& job, const TaskId& id, Task& task);
 
     /// Moves an open job to the final ones once it is final and its last run has ended.
@@ -92,6 +105,8 @@
     void addUnknownCancellation(JobId id);
 
     std::unordered_map<JobId, std::unique_ptr<Job>> jobs_;
+    ChangedJobList changedJobs_;
+    std::set<JobId> scheduledJobs_; ///< Jobs with a schedule that may still start occurrences.
     JobList openJobs_;
     JobList finalJobs_;
     std::unordered_set<JobId> unknownCancellations_; ///< Jobs that were cancelled before their submission was read.
--- a/src/jobs/tests/jobtests.cpp
+++ b/src/jobs/tests/jobtests.cpp
@@ -217,3 +217,42 @@
     CHECK_FALSE(decodeJob("damaged"));
     CHECK_FALSE(decodeHeader("damaged"));
 }
+
+// The controller follows only what has changed; a change that is not reported would leave tasks waiting for good.
+TEST_CASE("table: every record that changes a job reports it once until the changes are taken", "[jobs]")
+{
+    JobTable table;
+    table.apply(submitted(1, { step(2), step(1, { 0 }) }));
+    table.apply(submitted(2, { step(1) }));
+    CHECK(table.takeChangedJobs() == std::vector<JobId> { 1, 2 });
+    CHECK(table.takeChangedJobs().empty());
+    const std::vector<Record> records { intended(1, 0, 1), ended(1, 0, 1, RunOutcome::Failed), intended(1, 0, 2),
+        ended(1, 0, 2, RunOutcome::Done), JobCancelled { 1 } };
+    for (const auto& record : records) {
+        table.apply(record);
+        CHECK(table.takeChangedJobs() == std::vector<JobId> { 1 });
+        table.apply(record);
+        CHECK(table.takeChangedJobs().empty());
+    }
+    table.apply(JobFailed { 2 });
+    table.apply(JobExpired { 2 });
+    CHECK(table.takeChangedJobs().empty());
+}
+
+TEST_CASE("table: an occurrence that falls due changes its job, and a cancelled job starts none", "[jobs]")
+{
+    JobTable table;
+    for (const JobId id : { 1, 2 }) {
+        auto scheduled = submitted(id, { step(1) });
+        scheduled.spec.schedule = { 3, milliseconds(5000), milliseconds(1000) };
+        table.apply(scheduled);
+    }
+    table.apply(JobCancelled { 2 });
+    table.takeChangedJobs();
+    table.startDueOccurrences(milliseconds(4999));
+    CHECK(table.takeChangedJobs().empty());
+    table.startDueOccurrences(milliseconds(6000));
+    CHECK(table.takeChangedJobs() == std::vector<JobId> { 1 });
+    CHECK(table.find(JobId(1))->occurrences.size() == 2);
+    CHECK(table.find(JobId(2))->occurrences.empty());
+}
--- a/src/jobs/types/job.h
+++ b/src/jobs/types/job.h
@@ -49,8 +49,12 @@
 /// Links a job into the list of open jobs or the list of final jobs of a JobTable.
 using JobListHook = boost::intrusive::list_base_hook<>;
 
+/// Links a job into the list of changed jobs of a JobTable; a job that is removed leaves the list by itself.
+using ChangedJobHook = boost::intrusive::list_base_hook<boost::intrusive::tag<struct ChangedJobTag>,
+    boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
+
 /// An accepted job with the state of its tasks.
-struct Job : JobListHook {
+struct Job : JobListHook, ChangedJobHook {
     JobId id = 0;
     std::string queue;
     std::string pool;
--- a/src/scheduling/internal/moveplanner.cpp
+++ b/src/scheduling/internal/moveplanner.cpp
@@ -68,6 +68,12 @@
 
 } // namespace
 
+bool hasShortage(const std::map<std::string, PoolDemand>& demands, const MovePolicy& policy)
+{
+    return std::any_of(demands.begin(), demands.end(),
+        [&](const auto& entry) { return projectedShortage(entry.second, policy) >= policy.minimumShortageMilliCores; });
+}
+
 std::vector<Move> planMoves(const std::vector<MachineView>& machines, const std::map<std::string, PoolDemand>& demands,
     const MovePolicy& policy)
 {
--- a/src/scheduling/internal/placementplanner.cpp
+++ b/src/scheduling/internal/placementplanner.cpp
@@ -1,280 +1,55 @@
 #include "scheduling/placementplanner.h"
 
+#include "scheduling/internal/stepplacer.h"
+
 #include <algorithm>
-#include <limits>
-#include <tuple>
+#include <utility>
+#include <vector>
 
 namespace turmericsill::scheduling {
 
-using jobs::Job;
-using jobs::Occurrence;
-using jobs::Resources;
-using jobs::StepSpec;
-using jobs::Task;
-using jobs::TaskId;
-using jobs::TaskPhase;
-
 namespace {
 
-    constexpr double assumedTaskSeconds = 1; ///< Duration assumed for tasks without an estimate.
-    /// Instances to spread a long-running step over, where there is room.
-    constexpr std::uint32_t minimumSpreadInstances = 5;
-
-    double taskSeconds(const StepSpec& step)
-    {
-        return step.estimatedDuration.count() > 0 ? std::chrono::duration<double>(step.estimatedDuration).count()
-                                                  : assumedTaskSeconds;
-    }
-
-    double coreSeconds(const StepSpec& step)
-    {
-        constexpr double milliCoresPerCore = 1000;
-        return taskSeconds(step) * static_cast<double>(step.resourcesPerTask.milliCores) / milliCoresPerCore;
-    }
-
-    /// Places the tasks of one step on the instances of a view.
-    class StepPlacer {
+    /// Needs that no instance with a label had room for. Room only shrinks during a plan.
+    class UnmetNeeds {
     public:
-        StepPlacer(PoolView& view, const Job& job, std::uint32_t occurrence, std::uint32_t step, bool isTicketRequired)
-            : view_(view)
-            , spec_(job.spec.steps[step])
-            , state_(job.occurrences.at(occurrence).steps[step])
-            , id_ { job.id, occurrence, step }
-            , need_(resourceRequest(spec_))
-            , isTicketRequired_(isTicketRequired)
-        {
-            if (!isTicketRequired_ || !view_.tickets)
-                return;
-            const auto found = view_.tickets->find(id_);
-            tickets_ = found == view_.tickets->end() ? nullptr : &found->second;
-        }
+        void add(const std::string& label, const jobs::Resources& need) { needs_.emplace_back(label, need); }
 
-        void place(PoolPlan& plan)
+        /// Whether a need at least as large has found no room.
+        bool covers(const std::string& label, const jobs::Resources& need) const
         {
-            if (spec_.prefersOneRack)
-                chooseRack();
-            if (spec_.isGang)
-                return placeGang(plan);
-            for (std::uint32_t index = 0; index < state_.tasks.size(); ++index) {
-                if (!canStart(index))
-                    continue;
-                InstanceView* instance = chooseInstance(state_.tasks[index]);
-                if (instance)
-                    plan.placements.push_back(assign(*instance, index, state_.tasks[index].lastRun + 1));
-                else
-                    countUnplaced(plan, 1);
-            }
+            return std::any_of(needs_.begin(), needs_.end(), [&](const auto& unmet) {
+                return (unmet.first.empty() || unmet.first == label) && unmet.second.fitsInto(need);
+            });
         }
 
     private:
-        bool canStart(std::uint32_t index) const
-        {
-            if (state_.tasks[index].phase != TaskPhase::Pending)
-                return false;
-            return !view_.blockedTasks || !view_.blockedTasks->count({ id_.job, id_.occurrence, id_.step, index });
-        }
-
-        void countUnplaced(PoolPlan& plan, std::int64_t tasks) const
-        {
-            if (isTicketRequired_
-                && (plan.stepsAwaitingTickets.empty() || plan.stepsAwaitingTickets.back() < id_
-                    || id_ < plan.stepsAwaitingTickets.back()))
-                plan.stepsAwaitingTickets.push_back(id_);
-            plan.unplaced += need_ * tasks;
-        }
-
-        /// Places all tasks of a gang with a common run number, or none of them.
-        void placeGang(PoolPlan& plan)
-        {
-            std::uint32_t run = 0;
-            for (std::uint32_t index = 0; index < state_.tasks.size(); ++index) {
-                if (!canStart(index))
-                    return;
-                run = std::max(run, state_.tasks[index].lastRun + 1);
-            }
-            const std::vector<InstanceView> instancesBefore = view_.instances;
-            std::vector<Placement> members;
-            for (std::uint32_t index = 0; index < state_.tasks.size(); ++index) {
-                InstanceView* instance = chooseInstance(state_.tasks[index]);
-                if (!instance) {
-                    view_.instances = instancesBefore;
-                    return countUnplaced(plan, static_cast<std::int64_t>(state_.tasks.size()));
-                }
-                members.push_back(assign(*instance, index, run));
-            }
-            plan.placements.insert(plan.placements.end(), members.begin(), members.end());
-        }
-
-        /// Prefers the rack with the most free processor time for the whole step.
-        void chooseRack()
-        {
-            std::map<std::string, std::int64_t> room;
-            for (const auto& instance : view_.instances) {
-                if (isAllowed(instance))
-                    room[instance.report->rack()] += instance.free.milliCores;
-            }
-            const auto best = std::max_element(
-                room.begin(), room.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
-            if (best != room.end())
-                preferredRack_ = best->first;
-        }
-
-        bool isAllowed(const InstanceView& instance) const
-        {
-            if (!spec_.requiredLabel.empty() && !instance.report->hasLabel(spec_.requiredLabel))
-                return false;
-            if (instance.isOnProbation && !instance.tasksByStep.empty())
-                return false;
-            if (isTicketRequired_ && (!tickets_ || !tickets_->count(instance.report->incarnation.instance)))
-                return false;
-            if (spec_.maximumPerInstance > 0 && tasksOn(instance) >= spec_.maximumPerInstance)
-                return false;
-            if (spec_.isBestEffort && instance.latencySensitiveTasks > 0)
-                return false;
-            return need_.fitsInto(instance.free);
-        }
-
-        std::uint32_t tasksOn(const InstanceView& instance) const
-        {
-            const auto found = instance.tasksByStep.find(id_);
-            return found == instance.tasksByStep.end() ? 0 : found->second;
-        }
-
-        /// Fields in order of significance; the smallest rank is the best.
-        using Rank = std::tuple<bool, bool, bool, std::uint32_t, std::int64_t, std::int64_t>;
-
-        Rank rank(const InstanceView& instance, const Task& task) const
-        {
-            const std::string& wantedRack = spec_.dataRack.empty() ? preferredRack_ : spec_.dataRack;
-            const bool isOnOtherRack = !wantedRack.empty() && !instance.report->hasLabel(wantedRack);
-            const bool hasFailedThere
-                = task.failures > 0 && task.incarnation.instance == instance.report->incarnation.instance;
-            const std::uint32_t spreadPenalty = spec_.isLongRunning ? spreadPenaltyOf(instance) : 0;
-            const std::int64_t otherLongRunning = instance.longRunningTasks;
-            const bool hasInterference = spec_.latencyTarget.count() > 0 && instance.bestEffortTasks > 0;
-            // Long-running tasks share instances, so that the others stay free to be moved or maintained.
-            return { hasFailedThere, hasInterference, isOnOtherRack, spreadPenalty,
-                spec_.isLongRunning ? -otherLongRunning : 0, instance.free.milliCores };
-        }
-
-        /// Number of tasks of this step on the instance, or 0 while it holds less than its share of the step. Limits
-        /// the part of a step that is lost with an instance.
-        std::uint32_t spreadPenaltyOf(const InstanceView& instance) const
-        {
-            const std::uint32_t share = (spec_.taskCount + minimumSpreadInstances - 1) / minimumSpreadInstances;
-            const std::uint32_t assignedTasks = tasksOn(instance);
-            return assignedTasks < share ? 0 : assignedTasks;
-        }
-
-        InstanceView* chooseInstance(const Task& task)
-        {
-            InstanceView* best = nullptr;
-            Rank bestRank;
-            for (auto& instance : view_.instances) {
-                if (!isAllowed(instance))
-                    continue;
-                const Rank current = rank(instance, task);
-                if (!best || current < bestRank) {
-                    best = &instance;
-                    bestRank = current;
-                }
-            }
-            return best;
-        }
-
-        Placement assign(InstanceView& instance, std::uint32_t index, std::uint32_t run)
-        {
-            instance.free -= need_;
-            ++instance.tasksByStep[id_];
-            countTask(instance, spec_);
-            const std::string ticket
-                = isTicketRequired_ ? tickets_->at(instance.report->incarnation.instance) : std::string();
-            return { { id_.job, id_.occurrence, id_.step, index }, run, instance.report->incarnation, need_, ticket };
-        }
-
-        PoolView& view_;
-        const StepSpec& spec_;
-        const jobs::StepState& state_;
-        StepId id_;
-        Resources need_;
-        bool isTicketRequired_;
-        /// Key: instance name; null while there are none.
-        const std::map<std::string, std::string>* tickets_ = nullptr;
-        std::string preferredRack_;
+        std::vector<std::pair<std::string, jobs::Resources>> needs_; ///< Label, empty for any instance, and need.
     };
 
 } // namespace
 
-void countTask(InstanceView& instance, const StepSpec& step)
-{
-    instance.longRunningTasks += step.isLongRunning;
-    instance.latencySensitiveTasks += step.latencyTarget.count() > 0;
-    instance.bestEffortTasks += step.isBestEffort;
-}
-
-Resources resourceRequest(const StepSpec& step)
-{
-    Resources need = step.resourcesPerTask;
-    if (step.isBestEffort)
-        need.milliCores = 0;
-    return need;
-}
-
-double remainingCoreSeconds(const Job& job)
-{
-    double work = 0;
-    for (const auto& [number, occurrence] : job.occurrences) {
-        for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
-            const auto remainingTasks = occurrence.steps[step].tasks.size() - occurrence.steps[step].done;
-            work += coreSeconds(job.spec.steps[step]) * static_cast<double>(remainingTasks);
-        }
-    }
-    return work;
-}
-
-/// A job and the properties that determine its place in the order.
-struct PlacementPlanner::Candidate {
-    const Job* job = nullptr;
-    int priority = 0;
-    bool isLongRunning = false;
-    double work = 0;
-    bool isTicketRequired = false;
-};
-
-PlacementPlanner::PlacementPlanner(const fleet::FleetConfiguration& configuration)
-    : configuration_(configuration)
-{
-}
-
-std::vector<PlacementPlanner::Candidate> PlacementPlanner::orderedCandidates(const PoolView& view) const
-{
-    std::vector<Candidate> candidates;
-    for (const Job* job : view.jobs) {
-        if (job->isFinal())
-            continue;
-        const fleet::Queue* queue = configuration_.findQueue(job->queue);
-        candidates.push_back({ job, queue ? queue->priority : std::numeric_limits<int>::max(),
-            job->spec.steps.front().isLongRunning, remainingCoreSeconds(*job), queue && queue->advice.has_value() });
-    }
-    std::sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) {
-        return std::tuple(a.priority, !a.isLongRunning, a.work, a.job->id)
-            < std::tuple(b.priority, !b.isLongRunning, b.work, b.job->id);
-    });
-    return candidates;
-}
-
-PoolPlan PlacementPlanner::plan(PoolView& view) const
+PoolPlan PlacementPlanner::plan(
+    InstanceIndex& instances, const PoolBacklog& backlog, const PlanConstraints& constraints) const
 {
     PoolPlan plan;
-    for (const Candidate& candidate : orderedCandidates(view)) {
-        const Job& job = *candidate.job;
-        for (const auto& [number, occurrence] : job.occurrences) {
-            for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
-                const auto& state = occurrence.steps[step];
-                const bool hasIdle = state.done + state.active < state.tasks.size();
-                if (hasIdle && occurrence.isReady(job.spec, step))
-                    StepPlacer(view, job, number, step, candidate.isTicketRequired).place(plan);
+    UnmetNeeds unmetNeeds;
+    const bool hasBlockedTasks = constraints.blockedTasks && !constraints.blockedTasks->empty();
+    for (const auto& [rank, steps] : backlog.jobs()) {
+        const jobs::Job* job = nullptr;
+        for (const WaitingStep& waiting : steps) {
+            const bool hasNoRoom = unmetNeeds.covers(waiting.requiredLabel, waiting.need);
+            if (hasNoRoom && !hasBlockedTasks) {
+                addUnplaced(plan, waiting, waiting.tasks);
+                continue;
             }
+            if (!job)
+                job = findJob_(rank.job);
+            if (!job)
+                break;
+            StepPlacer placer(instances, *job, waiting, constraints);
+            if (!placer.place(plan) && !hasNoRoom && placer.isOutOfResources())
+                unmetNeeds.add(waiting.requiredLabel, waiting.need);
         }
     }
     return plan;
--- /dev/null
+++ b/src/scheduling/internal/poolbacklog.cpp
@@ -0,0 +1,95 @@
+#include "scheduling/poolbacklog.h"
+
+#include "scheduling/instanceindex.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace turmericsill::scheduling {
+
+using jobs::Job;
+using jobs::StepSpec;
+using jobs::StepState;
+using jobs::Task;
+using jobs::TaskPhase;
+
+namespace {
+
+    constexpr double assumedTaskSeconds = 1; ///< Duration assumed for tasks without an estimate.
+
+    double taskSeconds(const StepSpec& step)
+    {
+        return step.estimatedDuration.count() > 0 ? std::chrono::duration<double>(step.estimatedDuration).count()
+                                                  : assumedTaskSeconds;
+    }
+
+    double coreSeconds(const StepSpec& step)
+    {
+        constexpr double milliCoresPerCore = 1000;
+        return taskSeconds(step) * static_cast<double>(step.resourcesPerTask.milliCores) / milliCoresPerCore;
+    }
+
+    /// Number of tasks that can be started; a gang starts completely or not at all.
+    std::uint32_t startableTasks(const StepSpec& spec, const StepState& state)
+    {
+        const auto pending = static_cast<std::uint32_t>(std::count_if(
+            state.tasks.begin(), state.tasks.end(), [](const Task& task) { return task.phase == TaskPhase::Pending; }));
+        return spec.isGang && pending < state.tasks.size() ? 0 : pending;
+    }
+
+    std::vector<WaitingStep> waitingSteps(const Job& job, const fleet::Queue* queue)
+    {
+        std::vector<WaitingStep> waiting;
+        for (const auto& [number, occurrence] : job.occurrences) {
+            for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+                const StepSpec& spec = job.spec.steps[step];
+                const StepState& state = occurrence.steps[step];
+                if (state.done + state.active >= state.tasks.size() || !occurrence.isReady(job.spec, step))
+                    continue;
+                if (const auto tasks = startableTasks(spec, state); tasks > 0)
+                    waiting.push_back({ { job.id, number, step }, resourceRequest(spec), tasks, spec.requiredLabel,
+                        queue && queue->advice.has_value() });
+            }
+        }
+        return waiting;
+    }
+
+} // namespace
+
+void PoolBacklog::update(const Job& job, const fleet::Queue* queue)
+{
+    remove(job.id);
+    if (job.isFinal())
+        return;
+    auto waiting = waitingSteps(job, queue);
+    if (waiting.empty())
+        return;
+    const JobRank rank { queue ? queue->priority : std::numeric_limits<int>::max(),
+        !job.spec.steps.front().isLongRunning, remainingCoreSeconds(job), job.id };
+    jobs_.emplace(rank, std::move(waiting));
+    ranks_.emplace(job.id, rank);
+}
+
+void PoolBacklog::remove(jobs::JobId job)
+{
+    const auto found = ranks_.find(job);
+    if (found == ranks_.end())
+        return;
+    jobs_.erase(found->second);
+    ranks_.erase(found);
+}
+
+double remainingCoreSeconds(const Job& job)
+{
+    double work = 0;
+    for (const auto& [number, occurrence] : job.occurrences) {
+        for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+            const auto remainingTasks = occurrence.steps[step].tasks.size() - occurrence.steps[step].done;
+            work += coreSeconds(job.spec.steps[step]) * static_cast<double>(remainingTasks);
+        }
+    }
+    return work;
+}
+
+} // namespace turmericsill::scheduling
--- /dev/null
+++ b/src/scheduling/internal/stepplacer.cpp
@@ -0,0 +1,202 @@
+#include "scheduling/internal/stepplacer.h"
+
+#include <algorithm>
+#include <map>
+
+namespace turmericsill::scheduling {
+
+using jobs::Task;
+using jobs::TaskPhase;
+
+namespace {
+
+    /// Instances to spread a long-running step over, where there is room.
+    constexpr std::uint32_t minimumSpreadInstances = 5;
+
+} // namespace
+
+void addUnplaced(PoolPlan& plan, const WaitingStep& waiting, std::uint32_t tasks)
+{
+    const bool isLastEntry = !plan.stepsAwaitingTickets.empty() && plan.stepsAwaitingTickets.back() == waiting.id;
+    if (waiting.isTicketRequired && !isLastEntry)
+        plan.stepsAwaitingTickets.push_back(waiting.id);
+    plan.unplaced += waiting.need * tasks;
+}
+
+StepPlacer::StepPlacer(
+    InstanceIndex& instances, const jobs::Job& job, const WaitingStep& waiting, const PlanConstraints& constraints)
+    : instances_(instances)
+    , constraints_(constraints)
+    , waiting_(waiting)
+    , spec_(job.spec.steps[waiting.id.step])
+    , state_(job.occurrences.at(waiting.id.occurrence).steps[waiting.id.step])
+    , wantedRack_(spec_.dataRack)
+{
+    if (!waiting.isTicketRequired || !constraints.tickets)
+        return;
+    const auto found = constraints.tickets->find(waiting.id);
+    tickets_ = found == constraints.tickets->end() ? nullptr : &found->second;
+}
+
+bool StepPlacer::place(PoolPlan& plan)
+{
+    if (spec_.prefersOneRack && wantedRack_.empty())
+        chooseRack();
+    if (spec_.isGang)
+        return placeGang(plan);
+    std::uint32_t unplaced = 0;
+    for (std::uint32_t index = 0; index < state_.tasks.size(); ++index) {
+        if (!canStart(index))
+            continue;
+        // What keeps one task of the step from every instance keeps the others as well.
+        IndexedInstance* instance = unplaced > 0 ? nullptr : chooseInstance(state_.tasks[index]);
+        if (instance)
+            plan.placements.push_back(assign(*instance, index, state_.tasks[index].lastRun + 1));
+        else
+            ++unplaced;
+    }
+    if (unplaced > 0)
+        addUnplaced(plan, waiting_, unplaced);
+    return unplaced == 0;
+}
+
+bool StepPlacer::canStart(std::uint32_t index) const
+{
+    if (state_.tasks[index].phase != TaskPhase::Pending)
+        return false;
+    const StepId& id = waiting_.id;
+    return !constraints_.blockedTasks || !constraints_.blockedTasks->count({ id.job, id.occurrence, id.step, index });
+}
+
+// Places all tasks of a gang with a common run number, or none of them.
+bool StepPlacer::placeGang(PoolPlan& plan)
+{
+    std::uint32_t run = 0;
+    for (std::uint32_t index = 0; index < state_.tasks.size(); ++index) {
+        if (!canStart(index))
+            return true;
+        run = std::max(run, state_.tasks[index].lastRun + 1);
+    }
+    std::vector<Placement> members;
+    std::vector<IndexedInstance*> hosts;
+    for (std::uint32_t index = 0; index < state_.tasks.size(); ++index) {
+        IndexedInstance* instance = chooseInstance(state_.tasks[index]);
+        if (!instance) {
+            for (IndexedInstance* host : hosts)
+                instances_.removeTask(*host, waiting_.id, spec_);
+            addUnplaced(plan, waiting_, static_cast<std::uint32_t>(state_.tasks.size()));
+            // The room that the other members took is free again.
+            isOutOfResources_ = isOutOfResources_ && hosts.empty();
+            return false;
+        }
+        members.push_back(assign(*instance, index, run));
+        hosts.push_back(instance);
+    }
+    plan.placements.insert(plan.placements.end(), members.begin(), members.end());
+    return true;
+}
+
+// Prefers the rack with the most free processor time for the whole step.
+void StepPlacer::chooseRack()
+{
+    std::map<std::string, std::int64_t> room;
+    for (const IndexedInstance* instance : instances_.instances()) {
+        if (isAllowed(instance->view))
+            room[instance->view.report->rack()] += instance->view.free.milliCores;
+    }
+    const auto best
+        = std::max_element(room.begin(), room.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
+    if (best != room.end())
+        wantedRack_ = best->first;
+}
+
+bool StepPlacer::isAllowed(const InstanceView& instance) const
+{
+    if (!spec_.requiredLabel.empty() && !instance.report->hasLabel(spec_.requiredLabel))
+        return false;
+    if (instance.isOnProbation && !instance.tasksByStep.empty())
+        return false;
+    if (waiting_.isTicketRequired && (!tickets_ || !tickets_->count(instance.report->incarnation.instance)))
+        return false;
+    if (spec_.maximumPerInstance > 0 && tasksOn(instance) >= spec_.maximumPerInstance)
+        return false;
+    if (spec_.isBestEffort && instance.latencySensitiveTasks > 0)
+        return false;
+    return waiting_.need.fitsInto(instance.free);
+}
+
+std::uint32_t StepPlacer::tasksOn(const InstanceView& instance) const
+{
+    const auto found = instance.tasksByStep.find(waiting_.id);
+    return found == instance.tasksByStep.end() ? 0 : found->second;
+}
+
+StepPlacer::Rank StepPlacer::rank(const IndexedInstance& instance, const Task& task) const
+{
+    const InstanceView& view = instance.view;
+    const bool isOnOtherRack = !wantedRack_.empty() && !view.report->hasLabel(wantedRack_);
+    const bool hasFailedThere = task.failures > 0 && task.incarnation.instance == instance.name;
+    const std::uint32_t spreadPenalty = spec_.isLongRunning ? spreadPenaltyOf(view) : 0;
+    const std::int64_t otherLongRunning = view.longRunningTasks;
+    const bool hasInterference = spec_.latencyTarget.count() > 0 && view.bestEffortTasks > 0;
+    // Long-running tasks share instances, so that the others stay free to be moved or maintained.
+    return { hasFailedThere, hasInterference, isOnOtherRack, spreadPenalty, spec_.isLongRunning ? -otherLongRunning : 0,
+        view.free.milliCores };
+}
+
+// Number of tasks of this step on the instance, or 0 while it holds less than its share of the step. Limits the part of
+// a step that is lost with an instance.
+std::uint32_t StepPlacer::spreadPenaltyOf(const InstanceView& instance) const
+{
+    const std::uint32_t share = (spec_.taskCount + minimumSpreadInstances - 1) / minimumSpreadInstances;
+    const std::uint32_t assignedTasks = tasksOn(instance);
+    return assignedTasks < share ? 0 : assignedTasks;
+}
+
+// Instances on the wanted rack are tried first; if none of them has the best rank, all instances are compared.
+IndexedInstance* StepPlacer::chooseInstance(const Task& task)
+{
+    isOutOfResources_ = true;
+    if (!wantedRack_.empty()) {
+        IndexedInstance* onRack = bestOf(instances_.instances(wantedRack_), task, false);
+        const bool isBest = onRack && !std::get<0>(rank(*onRack, task)) && !std::get<1>(rank(*onRack, task));
+        if (isBest)
+            return onRack;
+    }
+    return bestOf(instances_.instances(spec_.requiredLabel), task, !wantedRack_.empty());
+}
+
+// The order is that of the last field of the rank, so the first instance that is best in all other fields is chosen
+// without looking at the rest. `isOnOtherRack`: whether instances of the wanted rack with such a rank are ruled out.
+IndexedInstance* StepPlacer::bestOf(const InstanceIndex::Order& order, const Task& task, bool isOnOtherRack)
+{
+    IndexedInstance* best = nullptr;
+    Rank bestRank;
+    for (auto entry = InstanceIndex::firstWithFreeCores(order, waiting_.need.milliCores); entry != order.end();
+         ++entry) {
+        IndexedInstance& instance = **entry;
+        isOutOfResources_ = isOutOfResources_ && !waiting_.need.fitsInto(instance.view.free);
+        if (!isAllowed(instance.view))
+            continue;
+        const Rank current = rank(instance, task);
+        if (!best || current < bestRank) {
+            best = &instance;
+            bestRank = current;
+        }
+        const bool isBestPossible = !spec_.isLongRunning && !std::get<0>(current) && !std::get<1>(current)
+            && std::get<2>(current) == isOnOtherRack;
+        if (isBestPossible)
+            break;
+    }
+    return best;
+}
+
+Placement StepPlacer::assign(IndexedInstance& instance, std::uint32_t index, std::uint32_t run)
+{
+    instances_.addTask(instance, waiting_.id, spec_);
+    const std::string ticket = waiting_.isTicketRequired ? tickets_->at(instance.name) : std::string();
+    const StepId& id = waiting_.id;
+    return { { id.job, id.occurrence, id.step, index }, run, instance.view.report->incarnation, waiting_.need, ticket };
+}
+
+} // namespace turmericsill::scheduling
--- /dev/null
+++ b/src/scheduling/internal/stepplacer.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "scheduling/instanceindex.h"
+#include "scheduling/poolbacklog.h"
+#include "scheduling/types/poolview.h"
+
+#include <cstdint>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace turmericsill::scheduling {
+
+/// Adds waiting tasks of a step that found no room to the demand of a plan.
+void addUnplaced(PoolPlan& plan, const WaitingStep& waiting, std::uint32_t tasks);
+
+/// Places the tasks of one step on the instances of an index.
+class StepPlacer {
+public:
+    StepPlacer(
+        InstanceIndex& instances, const jobs::Job& job, const WaitingStep& waiting, const PlanConstraints& constraints);
+
+    /// Adds placements and unplaced demand to the plan. Returns false if a task found no room.
+    bool place(PoolPlan& plan);
+
+    /// Whether the latest task found no instance that has the required label and enough free resources, whatever the
+    /// other restrictions of the step.
+    bool isOutOfResources() const { return isOutOfResources_; }
+
+private:
+    /// Fields in order of significance; the smallest rank is the best.
+    using Rank = std::tuple<bool, bool, bool, std::uint32_t, std::int64_t, std::int64_t>;
+
+    bool canStart(std::uint32_t index) const;
+    bool placeGang(PoolPlan& plan);
+    void chooseRack();
+    bool isAllowed(const InstanceView& instance) const;
+    std::uint32_t tasksOn(const InstanceView& instance) const;
+    Rank rank(const IndexedInstance& instance, const jobs::Task& task) const;
+    std::uint32_t spreadPenaltyOf(const InstanceView& instance) const;
+    IndexedInstance* chooseInstance(const jobs::Task& task);
+    IndexedInstance* bestOf(const InstanceIndex::Order& order, const jobs::Task& task, bool isOnOtherRack);
+    Placement assign(IndexedInstance& instance, std::uint32_t index, std::uint32_t run);
+
+    InstanceIndex& instances_;
+    const PlanConstraints& constraints_;
+    const WaitingStep& waiting_;
+    const jobs::StepSpec& spec_;
+    const jobs::StepState& state_;
+    const std::map<std::string, std::string>* tickets_ = nullptr; ///< Key: instance name; null while there are none.
+    std::string wantedRack_; ///< Rack of the data, or else the one chosen for the step; empty if any will do.
+    bool isOutOfResources_ = false;
+};
+
+} // namespace turmericsill::scheduling
--- a/src/scheduling/moveplanner.h
+++ b/src/scheduling/moveplanner.h
@@ -18,6 +18,9 @@
     std::uint32_t minimumMachines = 2; ///< Number of machines that a pool keeps.
 };
 
+/// Whether a pool lacks enough processor time, now or by the time that a machine ordered now arrives, to get machines.
+bool hasShortage(const std::map<std::string, PoolDemand>& demands, const MovePolicy& policy);
+
 /// Decides which machines are moved to another pool: standby machines first, then idle machines of pools without a
 /// shortage. Handles surges that exceed the capacity of one pool at a time while other pools are idle.
 std::vector<Move> planMoves(const std::vector<MachineView>& machines, const std::map<std::string, PoolDemand>& demands,
--- a/src/scheduling/placementplanner.h
+++ b/src/scheduling/placementplanner.h
@@ -1,40 +1,37 @@
 #pragma once
 
-#include "fleet/types/fleet.h"
+#include "scheduling/instanceindex.h"
+#include "scheduling/poolbacklog.h"
 #include "scheduling/types/poolview.h"
 
+#include <functional>
+
 namespace turmericsill::scheduling {
 
-/// Decides which pending tasks of a pool start on which instances. Performs no I/O and does not read the clock.
+/// Decides which waiting tasks of a pool start on which instances. Performs no I/O and does not read the clock.
+///
+/// Jobs are served in the order of the backlog. A task is placed on the instance with the least free processor time
+/// that fits, on the rack of its data if possible. Long-running tasks share few instances, so that the others stay free
+/// to be moved or maintained, but the tasks of one step are spread over at least five instances where there is room, so
+/// that the loss of an instance stops at most a fifth of them.
 ///
-/// Jobs are ordered by the priority of their queue, then long-running jobs first, then by the least remaining work, so
-/// that a surge delays few large jobs rather than many small ones. A task is placed on the instance with the least free
-/// processor time that fits, on the rack of its data if possible. Long-running tasks share few instances, so that the
-/// others stay free to be moved or maintained, but the tasks of one step are spread over at least five instances where
-/// there is room, so that the loss of an instance stops at most a fifth of them.
+/// A surge of jobs that the pool cannot serve costs one comparison for each waiting step: room only shrinks during a
+/// plan, so a need that found none is not tried again for an equal or larger need.
 class PlacementPlanner {
 public:
-    explicit PlacementPlanner(const fleet::FleetConfiguration& configuration);
+    /// Returns a job of the backlog, or null if it is unknown by now.
+    using JobLookup = std::function<const jobs::Job*(jobs::JobId)>;
 
-    /// Plans placements and subtracts their resources from the free resources in `view`.
-    PoolPlan plan(PoolView& view) const;
-
-private:
-    struct Candidate;
+    explicit PlacementPlanner(JobLookup findJob)
+        : findJob_(std::move(findJob))
+    {
+    }
 
-    std::vector<Candidate> orderedCandidates(const PoolView& view) const;
+    /// Plans placements and adds their tasks to the instances of the index.
+    PoolPlan plan(InstanceIndex& instances, const PoolBacklog& backlog, const PlanConstraints& constraints) const;
 
-    const fleet::FleetConfiguration& configuration_;
+private:
+    JobLookup findJob_;
 };
 
-/// Adds a task of the step to the task counts of the instance.
-void countTask(InstanceView& instance, const jobs::StepSpec& step);
-
-/// Resources that a task of the step reserves on an instance. Best-effort tasks (StepSpec::isBestEffort) reserve no
-/// processor time.
-jobs::Resources resourceRequest(const jobs::StepSpec& step);
-
-/// Estimated work of the tasks of a job that are not done, in core-seconds.
-double remainingCoreSeconds(const jobs::Job& job);
-
 } // namespace turmericsill::scheduling
--- a/src/scheduling/tests/plannertests.cpp
+++ b/src/scheduling/tests/plannertests.cpp
@@ -1,5 +1,6 @@
 #include "scheduling/moveplanner.h"
 #include "scheduling/placementplanner.h"
+#include "scheduling/tests/viewplanner.h"
 #include "scheduling/waveplanner.h"
 
 #include <algorithm>
@@ -53,7 +54,8 @@
         return *jobs.back();
     }
 
-    PoolPlan plan() { return PlacementPlanner(configuration).plan(view); }
+    /// Plans with the instances and jobs of the view, and adds the placed tasks to its instances.
+    PoolPlan plan() { return tests::planView(configuration, view); }
 
     static std::size_t tasksOf(const PoolPlan& plan, jobs::JobId id)
     {
@@ -64,7 +66,7 @@
     fleet::FleetConfiguration configuration;
     std::vector<std::unique_ptr<fleet::InstanceReport>> reports;
     std::vector<std::unique_ptr<jobs::Job>> jobs;
-    PoolView view;
+    tests::ReferencePoolView view;
 };
 
 jobs::StepSpec step(std::uint32_t count, std::int64_t milliCores, milliseconds estimatedDuration = milliseconds(1000))
--- a/src/scheduling/types/poolview.h
+++ b/src/scheduling/types/poolview.h
@@ -22,6 +22,10 @@
     {
         return std::tie(job, occurrence, step) < std::tie(other.job, other.occurrence, other.step);
     }
+    bool operator==(const StepId& other) const
+    {
+        return std::tie(job, occurrence, step) == std::tie(other.job, other.occurrence, other.step);
+    }
 };
 
 inline StepId stepOf(const jobs::TaskId& task) { return { task.job, task.occurrence, task.step }; }
@@ -40,10 +44,8 @@
     bool isOnProbation = false; ///< Gets one task at a time until a task succeeds.
 };
 
-/// State of a pool at one moment.
-struct PoolView {
-    std::vector<InstanceView> instances;
-    std::vector<const jobs::Job*> jobs; ///< Open jobs of the pool's queues.
+/// Restrictions on the placements of one plan.
+struct PlanConstraints {
     const std::set<jobs::TaskId>* blockedTasks = nullptr; ///< Tasks that must not be placed yet; may be null.
     const StepTickets* tickets = nullptr; ///< Valid tickets; null if there are none.
 };
