--- a/src/callers/internal/endpointconnection.cpp
+++ b/src/callers/internal/endpointconnection.cpp
@@ -1,5 +1,7 @@
 #include "callers/internal/endpointconnection.h"
 
+#include "foundation/systemclock.h"
+
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/read.hpp>
@@ -46,7 +48,7 @@
 void EndpointConnection::connect(const foundation::Address& address)
 {
     // A connection that is established after the deadline is of no use to the request.
-    stream_.expires_at(deadline_);
+    stream_.expires_after(deadline_ - foundation::SystemClock().now());
     asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address.ip), address.port);
     stream_.async_connect(endpoint, [self = shared_from_this()](beast::error_code error) {
         if (error)
@@ -63,7 +65,7 @@
 {
     if (!observer_->onBeforeSend())
         return fail(Errc::Conflict, "endpoint.send", "the attempt was stopped before the first byte was sent");
-    stream_.expires_at(abortAt_);
+    stream_.expires_after(abortAt_ - foundation::SystemClock().now());
     http::async_write(stream_, *request_, [self = shared_from_this()](beast::error_code error, std::size_t) {
         if (error)
             return self->fail(Errc::ProtocolViolation, "endpoint.send", error.message());
@@ -108,7 +110,7 @@
 {
     if (error)
         return failReceive(error);
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = foundation::SystemClock().now();
     // Bytes after the response belong to no request, and a connection with an overdue response is not reused.
     const bool isReusable = parser_->get().keep_alive() && buffer_.size() == 0 && now < deadline_;
     AttemptObserverPtr observer = std::move(observer_);
--- a/src/callers/internal/httpendpointtransport.cpp
+++ b/src/callers/internal/httpendpointtransport.cpp
@@ -1,6 +1,7 @@
 #include "callers/httpendpointtransport.h"
 
 #include "callers/internal/endpointconnection.h"
+#include "foundation/systemclock.h"
 
 #include <utility>
 
@@ -47,7 +48,7 @@
 
 std::shared_ptr<EndpointConnection> HttpEndpointTransport::takeIdleConnection(ConnectionPool& pool, bool requiresRecent)
 {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = foundation::SystemClock().now();
     while (!pool.idle.empty() && now - pool.idle.front()->idleSince() > idleTimeout) {
         pool.idle.front()->close();
         pool.idle.pop_front();
--- a/src/foundation/internal/asiotimerqueue.cpp
+++ b/src/foundation/internal/asiotimerqueue.cpp
@@ -26,12 +26,13 @@
     armedDeadline_ = earliestDeadline.value_or(SteadyTime::max());
     if (!earliestDeadline)
         return;
-    timer_.expires_at(*earliestDeadline);
+    // Asio's timers stand still while the machine is suspended; a timer that is due by then fires soon after.
+    timer_.expires_after(*earliestDeadline - clock_.now());
     timer_.async_wait([this](boost::system::error_code error) {
         if (error)
             return;
         armedDeadline_ = SteadyTime::max();
-        queue_.runDue(std::chrono::steady_clock::now());
+        queue_.runDue(clock_.now());
         armTimer();
     });
 }
