--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -65,8 +65,9 @@
     /// Called after the follower has applied new records to the table of jobs.
     void onTableChanged();
 
-    /// Periodic work: renewals, retries, expiry of final jobs, snapshots and planning.
-    void tick(ControlStatus status);
+    /// Periodic work: renewals, retries, expiry of final jobs, snapshots and planning. `lag` is the time by which this
+    /// call is late because the thread was busy or had no processor time.
+    void tick(ControlStatus status, milliseconds lag);
 
     std::uint64_t epoch() const { return sessionContext_.epoch; }
 
@@ -114,6 +115,15 @@
     const scheduling::InstanceIndex& instancesOf(const std::string& pool);
 
 private:
+    /// What keeps the thread of the controller busy.
+    struct LoadReport {
+        foundation::SteadyTime since {};
+        std::uint64_t plans = 0;
+        std::uint64_t placements = 0;
+        foundation::SteadyTime::duration planTime {};
+        milliseconds maximumLag { 0 };
+    };
+
     void onRunEnded(InstanceSession& session, const jobs::RunEnded& record) override;
     void onEndsListed(InstanceSession& session, std::uint64_t number) override;
     void onStartRefused(InstanceSession& session, const jobs::TaskId& task, fleet::StartResult result) override;
@@ -131,6 +141,7 @@
     void removeSession(const InstanceSessionPtr& session);
     void schedulePlan();
     void plan();
+    void reportLoad(milliseconds lag);
     void applyJobChanges();
     void applySessionChanges();
     void excludeUntilHealthy(const std::string& instance);
@@ -169,6 +180,7 @@
     std::set<jobs::TaskId> blockedTasks_; ///< Tasks not placed for now because an order was refused as invalid.
     std::unordered_map<jobs::JobId, foundation::SteadyTime> finalSince_;
     milliseconds planDelay_ { 0 }; ///< Time from a change to the next plan.
+    LoadReport load_; ///< Since the latest event "control.load".
     bool isPlanScheduled_ = false;
     ControlStatus controlStatus_ = ControlStatus::Confirmed;
     bool hasSteppedDown_ = false;
--- a/src/control/controllerelection.h
+++ b/src/control/controllerelection.h
@@ -85,7 +85,7 @@
     void endControl(const std::string& reason);
     void retryClaim();
     ControlStatus controlStatus() const;
-    void tick();
+    void tick(foundation::SteadyTime scheduledAt);
 
     ControllerContext context_;
     eventlog::IControlGroup& group_;
--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -22,8 +22,9 @@
 
     constexpr milliseconds planBatchingDelay { 2 }; ///< Batches simultaneous changes into one plan and one append.
     /// Pause after a plan, as a multiple of its duration, so that answers and renewals are handled during a backlog.
-    constexpr int planPauseFactor = 4;
+    constexpr int planPauseFactor = 1;
     constexpr milliseconds maximumPlanDelay { 50 };
+    constexpr milliseconds loadReportInterval { 1000 };
     constexpr milliseconds slowAppendThreshold { 500 }; ///< An append takes about 10 ms.
     constexpr milliseconds staleReadThreshold { 2000 }; ///< A read is answered within 1 s, with or without records.
     constexpr milliseconds rereadDelay { 100 }; ///< Delay after a failed read of the log.
@@ -56,6 +57,9 @@
     , scheduler_(context.follower)
     , planDelay_(planBatchingDelay)
 {
+    writer_.setBatchesRuns(settings.batchesRunRecords);
+    writer_.onAcknowledged(
+        [this](std::uint64_t offset, std::uint64_t count) { context_.follower.onOwnRecordsStored(offset, count); });
 }
 
 Controller::~Controller()
@@ -211,9 +215,10 @@
     schedulePlan();
 }
 
-void Controller::tick(ControlStatus status)
+void Controller::tick(ControlStatus status, milliseconds lag)
 {
     controlStatus_ = status;
+    reportLoad(lag);
     std::vector<InstanceSessionPtr> sessions;
     sessions.reserve(sessions_.size());
     for (const auto& [name, session] : sessions_)
@@ -281,15 +286,35 @@
             [this](const std::string& pool, const scheduling::PoolPlan& plan) { startPlacements(pool, plan); });
     }
     writer_.flush();
-    const auto took = std::chrono::ceil<milliseconds>(context_.clock.now() - begunAt);
+    const auto planTime = context_.clock.now() - begunAt;
+    const auto took = std::chrono::ceil<milliseconds>(planTime);
+    ++load_.plans;
+    load_.planTime += planTime;
     planDelay_ = std::clamp(took * planPauseFactor, planBatchingDelay, maximumPlanDelay);
 }
 
+void Controller::reportLoad(milliseconds lag)
+{
+    load_.maximumLag = std::max(load_.maximumLag, lag);
+    const auto now = context_.clock.now();
+    if (now - load_.since < loadReportInterval)
+        return;
+    const auto planTime = std::chrono::duration_cast<milliseconds>(load_.planTime);
+    context_.events.write("control.load",
+        { { "plans", load_.plans }, { "plan_ms", std::int64_t(planTime.count()) }, { "placements", load_.placements },
+            { "lag_ms", std::int64_t(load_.maximumLag.count()) },
+            { "open_jobs", std::uint64_t(context_.follower.table().openJobs().size()) },
+            { "instances", std::uint64_t(sessions_.size()) } });
+    load_ = {};
+    load_.since = now;
+}
+
 void Controller::startPlacements(const std::string& pool, const scheduling::PoolPlan& plan)
 {
     requestAdvice(plan, scheduler_.instancesOf(pool));
     if (plan.placements.empty())
         return;
+    load_.placements += plan.placements.size();
     for (const auto& placement : plan.placements)
         recordIntent(placement);
     writer_.whenStored([this, plannedAt = context_.clock.now(), placements = plan.placements] {
--- a/src/control/internal/controllerelection.cpp
+++ b/src/control/internal/controllerelection.cpp
@@ -50,7 +50,7 @@
 {
     membershipConfirmedAt_ = context_.clock.now();
     join();
-    tick();
+    tick(context_.clock.now());
 }
 
 void ControllerElection::setConfiguration(const fleet::FleetConfiguration& configuration)
@@ -233,7 +233,8 @@
         context_.timers.schedule(context_.clock.now(), [this, reason] { endControl(reason); });
     });
     const auto ordersAllowedAt = context_.clock.now() + settings_.holderInterval + holderIntervalMargin;
-    machineManager_ = std::make_unique<MachineManager>(context_, machines_, *controller_, settings_, ordersAllowedAt);
+    machineManager_ = std::make_unique<MachineManager>(context_, machines_, *controller_, settings_, ordersAllowedAt,
+        [this] { return controlStatus() == ControlStatus::Confirmed; });
     machineManager_->setConfiguration(configuration_);
     for (const auto& [number, wave] : waves_)
         machineManager_->addWave(wave);
@@ -292,15 +293,18 @@
     return silence < settings_.lease.logOutageLimit ? ControlStatus::Unconfirmed : ControlStatus::Lost;
 }
 
-void ControllerElection::tick()
+void ControllerElection::tick(SteadyTime scheduledAt)
 {
+    const auto lag = std::chrono::duration_cast<milliseconds>(context_.clock.now() - scheduledAt);
     if (controller_)
-        controller_->tick(controlStatus());
+        controller_->tick(controlStatus(), lag);
     // Machines check no fencing tokens, so they get orders only while control is confirmed.
     if (machineManager_ && controlStatus() == ControlStatus::Confirmed)
         machineManager_->tick();
-    if (!isStopping_)
-        context_.timers.schedule(context_.clock.now() + tickInterval, [this] { tick(); });
+    if (isStopping_)
+        return;
+    const auto next = context_.clock.now() + tickInterval;
+    context_.timers.schedule(next, [this, next] { tick(next); });
 }
 
 void ControllerElection::stop(std::function<void()> done)
--- a/src/control/internal/machinemanager.cpp
+++ b/src/control/internal/machinemanager.cpp
@@ -34,17 +34,24 @@
 } // namespace
 
 MachineManager::MachineManager(const ControllerContext& context, fleet::IMachineControl& machines,
-    Controller& controller, const ControlSettings& settings, SteadyTime ordersAllowedAt)
+    Controller& controller, const ControlSettings& settings, SteadyTime ordersAllowedAt,
+    std::function<bool()> isControlConfirmed)
     : context_(context)
     , machineControl_(machines)
     , controller_(controller)
     , settings_(settings)
     , ordersAllowedAt_(ordersAllowedAt)
+    , isControlConfirmed_(std::move(isControlConfirmed))
 {
 }
 
 MachineManager::~MachineManager() { *alive_ = false; }
 
+fleet::MachineOrderAuthority MachineManager::authority() const
+{
+    return { controller_.epoch(), [this, alive = alive_] { return *alive && isControlConfirmed_(); } };
+}
+
 void MachineManager::addWave(const fleet::MaintenanceWave& wave)
 {
     Wave& entry = waves_[wave.number];
@@ -323,7 +330,7 @@
 {
     operation.isRequestPending = true;
     const std::string instance = machines_.at(machine).instance;
-    machineControl_.startMaintenance(machine, operation.wave, controller_.epoch(),
+    machineControl_.startMaintenance(machine, operation.wave, authority(),
         [this, alive = alive_, machine, instance, number = operation.wave](const Result<MachineOrderResult>& result) {
             if (!*alive)
                 return;
@@ -471,7 +478,7 @@
     operation.since = context_.clock.now();
     operation.isRequestPending = true;
     operations_[move.machine] = operation;
-    machineControl_.move(move.machine, move.pool, controller_.epoch(),
+    machineControl_.move(move.machine, move.pool, authority(),
         [this, alive = alive_, move, instance = report.instance, from = report.pool](
             const Result<MachineOrderResult>& result) {
             if (!*alive)
@@ -485,7 +492,8 @@
                         !result ? result.error().message() : std::string(isAccepted ? "accepted" : "refused") } });
             if (result && *result == MachineOrderResult::Refused)
                 refusedMoves_.insert({ move.machine, move.pool });
-            if (result && !isAccepted) {
+            const bool isCertainlyNotCarriedOut = !result && result.error().code == foundation::Errc::Unavailable;
+            if (isCertainlyNotCarriedOut || (result && !isAccepted)) {
                 operations_.erase(move.machine);
                 return;
             }
--- a/src/control/machinemanager.h
+++ b/src/control/machinemanager.h
@@ -4,6 +4,7 @@
 #include "fleet/imachinecontrol.h"
 #include "scheduling/types/fleetview.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -18,9 +19,10 @@
 class MachineManager {
 public:
     /// No orders are sent before `ordersAllowedAt`, to keep ControlSettings::holderInterval after those of the former
-    /// controller.
+    /// controller. `isControlConfirmed` tells whether no other controller can have taken over.
     MachineManager(const ControllerContext& context, fleet::IMachineControl& machines, Controller& controller,
-        const ControlSettings& settings, foundation::SteadyTime ordersAllowedAt);
+        const ControlSettings& settings, foundation::SteadyTime ordersAllowedAt,
+        std::function<bool()> isControlConfirmed);
     ~MachineManager();
 
     MachineManager(const MachineManager&) = delete;
@@ -66,6 +68,8 @@
         bool wasSeenDown = false;
     };
 
+    /// Authority for orders that lasts as long as this controller is in control.
+    fleet::MachineOrderAuthority authority() const;
     void listMachines();
     void onListed(std::vector<fleet::MachineReport> machines, foundation::SteadyTime requestedAt);
     milliseconds listInterval() const;
@@ -98,6 +102,7 @@
     Controller& controller_;
     ControlSettings settings_;
     foundation::SteadyTime ordersAllowedAt_;
+    std::function<bool()> isControlConfirmed_;
     fleet::FleetConfiguration configuration_;
     std::map<std::string, fleet::MachineReport> machines_;
     std::map<std::string, MachineOperation> operations_; ///< Key: machine name.
--- a/src/emulator/emulatedplatform.h
+++ b/src/emulator/emulatedplatform.h
@@ -3,6 +3,7 @@
 #include "emulator/emulatedinstance.h"
 #include "emulator/emulatedlog.h"
 #include "emulator/invariantchecker.h"
+#include "fleet/imachinecontrol.h"
 #include "fleet/types/fleet.h"
 #include "foundation/iclock.h"
 #include "foundation/timerqueue.h"
@@ -46,6 +47,10 @@
     /// Timers of delayed answers and late orders.
     foundation::TimerQueue& network() { return network_; }
 
+    /// Authority of the latest order for a machine.
+    const fleet::MachineOrderAuthority& lastMachineOrder() const { return lastMachineOrder_; }
+    void setLastMachineOrder(fleet::MachineOrderAuthority authority) { lastMachineOrder_ = std::move(authority); }
+
     void setConfiguration(const fleet::FleetConfiguration& configuration) { configuration_ = configuration; }
     const fleet::FleetConfiguration& configuration() const { return configuration_; }
 
@@ -94,6 +99,7 @@
     InjectedFaults faults_;
     foundation::TimerQueue network_;
     fleet::FleetConfiguration configuration_;
+    fleet::MachineOrderAuthority lastMachineOrder_;
     std::map<std::string, std::unique_ptr<EmulatedInstance>> instances_; ///< Running instances, by name.
     std::map<std::string, fleet::InstanceReport> listedInstances_; ///< Instances in the directory, by name.
     std::map<std::string, std::uint16_t> ports_; ///< Ports of instances, by name.
--- a/src/emulator/emulatedplatformclient.h
+++ b/src/emulator/emulatedplatformclient.h
@@ -59,9 +59,10 @@
     void dropConnections(const foundation::Address& address) override { ++connectionGenerations_[address]; }
 
     void list(ListCallback done) override;
-    void move(const std::string& machine, const std::string& pool, std::uint64_t token, OrderCallback done) override;
-    void startMaintenance(
-        const std::string& machine, std::uint64_t wave, std::uint64_t token, OrderCallback done) override;
+    void move(const std::string& machine, const std::string& pool, fleet::MachineOrderAuthority authority,
+        OrderCallback done) override;
+    void startMaintenance(const std::string& machine, std::uint64_t wave, fleet::MachineOrderAuthority authority,
+        OrderCallback done) override;
 
     void ask(const std::string& step, const std::vector<std::string>& instances,
         fleet::IAdviceService::Callback done) override;
--- a/src/emulator/internal/emulatedplatformclient.cpp
+++ b/src/emulator/internal/emulatedplatformclient.cpp
@@ -300,13 +300,17 @@
     });
 }
 
-void EmulatedPlatformClient::move(const std::string&, const std::string&, std::uint64_t, OrderCallback done)
+void EmulatedPlatformClient::move(
+    const std::string&, const std::string&, fleet::MachineOrderAuthority authority, OrderCallback done)
 {
+    platform_.setLastMachineOrder(std::move(authority));
     answer(networkDelay, [done] { done(fleet::MachineOrderResult::Refused); });
 }
 
-void EmulatedPlatformClient::startMaintenance(const std::string&, std::uint64_t, std::uint64_t, OrderCallback done)
+void EmulatedPlatformClient::startMaintenance(
+    const std::string&, std::uint64_t, fleet::MachineOrderAuthority authority, OrderCallback done)
 {
+    platform_.setLastMachineOrder(std::move(authority));
     const auto result = platform_.faults().isMaintenanceAlreadyDone ? fleet::MachineOrderResult::Accepted
                                                                     : fleet::MachineOrderResult::Refused;
     answer(networkDelay, [done, result] { done(result); });
--- a/src/emulator/tests/controltests.cpp
+++ b/src/emulator/tests/controltests.cpp
@@ -501,3 +501,96 @@
     CHECK(statusOf(fixture, nonControllerEntry(fixture), 0x700).state == jobs::JobState::Cancelled);
     CHECK(fixture.violations().empty());
 }
+
+// An entry that cannot read the log, or follows it late, must not tell a count from what it read before.
+TEST_CASE("status: the number of pending jobs is never older than the log's latest read", "[emulation]")
+{
+    EmulationFixture fixture(31);
+    const std::string reader = nonControllerEntry(fixture);
+    const auto pendingAt = [&](const std::string& entryName) {
+        std::optional<std::size_t> result;
+        fixture.emulation.entry(entryName)->service().pendingJobs(
+            fixture.emulation.platform().configuration().queues.front(),
+            [&](std::optional<std::size_t> pending) { result = pending; });
+        fixture.emulation.advanceTime(milliseconds(60));
+        return result;
+    };
+    CHECK(pendingAt(reader) == std::optional<std::size_t>(0));
+    fixture.emulation.platform().faults().entriesPartitionedFromStore.insert(reader);
+    fixture.emulation.advanceTime(milliseconds(100));
+    // No instance has room for these jobs.
+    for (jobs::JobId id = 0x700; id < 0x70a; ++id)
+        fixture.emulation.submit(fixture.emulation.controller(), id, job({ step(1, 9000) }));
+    fixture.emulation.advanceTime(milliseconds(3000));
+    CHECK(pendingAt(reader) == std::nullopt);
+    CHECK(pendingAt(fixture.emulation.controller()) == std::optional<std::size_t>(10));
+    fixture.emulation.platform().faults().entriesPartitionedFromStore.clear();
+    fixture.emulation.advanceTime(milliseconds(1500));
+    CHECK(pendingAt(reader) == std::optional<std::size_t>(10));
+}
+
+// The platform does not check the tokens of machine orders, and an order may wait for a connection or while its entry
+// is frozen. It must not be sent once another entry may have taken over.
+TEST_CASE("control: the authority of a machine order ends with the membership that it rests on", "[emulation]")
+{
+    EmulationFixture fixture(32);
+    fixture.emulation.advanceTime(milliseconds(4000)); // Waits until the controller may send orders to machines.
+    const std::string former = fixture.emulation.controller();
+    fleet::MaintenanceWave wave;
+    wave.number = 1;
+    wave.duration = milliseconds(5000);
+    wave.machines = { "machine-of-i-1" };
+    fixture.emulation.entry(former)->control().addWave(wave);
+    fixture.emulation.advanceTime(milliseconds(200));
+    const fleet::MachineOrderAuthority authority = fixture.emulation.platform().lastMachineOrder();
+    REQUIRE(authority.isInForce);
+    CHECK(authority.isInForce());
+    fixture.emulation.pauseEntry(former);
+    fixture.emulation.advanceTime(milliseconds(2500));
+    CHECK(fixture.emulation.controller() != former);
+    CHECK_FALSE(authority.isInForce());
+    fixture.emulation.resumeEntry(former);
+    fixture.emulation.advanceTime(milliseconds(1000));
+    CHECK_FALSE(authority.isInForce());
+}
+
+// An accepted order ends the session of an idle instance at once. If the order had no effect, the instance must get
+// work again.
+TEST_CASE("control: an idle instance returns to service after a machine order without effect", "[emulation]")
+{
+    EmulationFixture fixture(33);
+    fixture.emulation.advanceTime(milliseconds(4000));
+    fixture.emulation.platform().faults().isMaintenanceAlreadyDone = true;
+    fleet::MaintenanceWave wave;
+    wave.number = 1;
+    wave.duration = milliseconds(5000);
+    wave.maximumDown = 4;
+    for (const char* name : { "i-1", "i-2", "i-3", "i-4" })
+        wave.machines.push_back(std::string("machine-of-") + name);
+    fixture.emulation.entry(fixture.emulation.controller())->control().addWave(wave);
+    fixture.emulation.advanceTime(milliseconds(4000));
+    fixture.emulation.submit("e-1", 0xe7, job({ step(16, 2000) }));
+    fixture.emulation.advanceTime(milliseconds(150));
+    CHECK(countRuns(fixture, 0xe7) == 16);
+    CHECK(fixture.violations().empty());
+}
+
+// A controller that reads back what it writes falls behind under load: its link and its processor carry every record
+// twice. Starts and stops then wait for reads that never reach the log's end.
+TEST_CASE("control: a controller's own records need no reading, however slow its link is", "[emulation]")
+{
+    EmulationFixture fixture(34);
+    const std::string controller = fixture.emulation.controller();
+    constexpr std::size_t recordsPerSecond = 4;
+    constexpr std::size_t bytesPerRecord = 50;
+    fixture.emulation.platform().faults().linkBytesPerSecond[controller] = recordsPerSecond * bytesPerRecord;
+    // Each job takes 17 records, and the instances have room for 16 of its tasks at a time.
+    constexpr jobs::JobId jobCount = 12;
+    for (jobs::JobId id = 0x800; id < 0x800 + jobCount; ++id)
+        fixture.emulation.submit(controller, id, job({ step(8, 2000) }));
+    fixture.emulation.advanceTime(milliseconds(12000));
+    CHECK(fixture.emulation.controller() == controller);
+    for (jobs::JobId id = 0x800; id < 0x800 + jobCount; ++id)
+        CHECK(statusOf(fixture, controller, id).state == jobs::JobState::Completed);
+    CHECK(fixture.violations().empty());
+}
--- a/src/entry/ijobservice.h
+++ b/src/entry/ijobservice.h
@@ -54,8 +54,9 @@
 
     virtual void status(jobs::JobId id, std::function<void(JobStatus)> done) = 0;
 
-    /// Number of open jobs of the queue none of whose tasks has started.
-    virtual std::size_t pendingJobs(const fleet::Queue& queue) const = 0;
+    /// Reports the number of open jobs of the queue none of whose tasks has started, or nothing if this entry has not
+    /// read the log recently enough to know it.
+    virtual void pendingJobs(const fleet::Queue& queue, std::function<void(std::optional<std::size_t>)> done) = 0;
 };
 
 } // namespace turmericsill::entry
--- a/src/entry/internal/jobservice.cpp
+++ b/src/entry/internal/jobservice.cpp
@@ -13,6 +13,9 @@
     /// The store rejects records while it is down or its rate limit is exceeded; both pass within seconds.
     constexpr milliseconds storeRetryAfter { 1000 };
 
+    /// A count that is older is read anew; the platform allows 2 s.
+    constexpr milliseconds maximumPendingCountAge { 1700 };
+
     RequestResult toRequestResult(AppendOutcome outcome)
     {
         switch (outcome) {
@@ -127,9 +130,14 @@
     });
 }
 
-std::size_t JobService::pendingJobs(const fleet::Queue& queue) const
+// An entry with a slow link or little processor time may follow the log seconds behind its end.
+void JobService::pendingJobs(const fleet::Queue& queue, std::function<void(std::optional<std::size_t>)> done)
 {
-    return follower_.table().pendingJobs(queue.name);
+    const auto count = [this, name = queue.name] { return follower_.table().pendingJobs(name); };
+    if (follower_.hasCaughtUp() && clock_.now() - follower_.coveredAsOf() <= maximumPendingCountAge)
+        return done(count());
+    follower_.readToEnd([count, done = std::move(done)](
+                            const Result<void>& read) { done(read ? std::optional(count()) : std::nullopt); });
 }
 
 } // namespace turmericsill::entry
--- a/src/entry/jobservice.h
+++ b/src/entry/jobservice.h
@@ -26,7 +26,7 @@
         std::function<void(RequestResult)> done) override;
     void cancel(jobs::JobId id, foundation::SteadyTime deadline, std::function<void(RequestResult)> done) override;
     void status(jobs::JobId id, std::function<void(JobStatus)> done) override;
-    std::size_t pendingJobs(const fleet::Queue& queue) const override;
+    void pendingJobs(const fleet::Queue& queue, std::function<void(std::optional<std::size_t>)> done) override;
 
 private:
     /// Status of a job by the table as it is, without another read of the log.
--- a/src/entryd/entryprocess.h
+++ b/src/entryd/entryprocess.h
@@ -67,6 +67,7 @@
     void beginStop();
     void stopWhenIdle();
     void updateReadiness();
+    void flushEvents();
 
     settings::EntrySettings settings_;
     std::string settingsPath_;
--- a/src/entryd/internal/entryprocess.cpp
+++ b/src/entryd/internal/entryprocess.cpp
@@ -17,12 +17,14 @@
     constexpr std::size_t storeReadConnections = 12; ///< Three for long polls, the others for callers' reads.
     /// Enough for 100 appends a second, a third of which get no response and occupy a connection for 2.5 s.
     constexpr std::size_t storeWriteConnections = 100;
-    constexpr std::size_t machineControlConnections = 4;
+    /// A surge moves hundreds of machines at once; the platform takes an order in about 15 ms.
+    constexpr std::size_t machineControlConnections = 12;
     constexpr milliseconds balancerDetectionDelay { 2300 }; ///< Two health checks of the load balancer, one per second.
     constexpr milliseconds statusRetentionMargin { 10000 }; ///< Added to the required retention of final states.
     constexpr milliseconds shutdownMargin { 1500 }; ///< Part of the grace period that is left unused.
     constexpr milliseconds stopCheckInterval { 50 };
     constexpr milliseconds readinessCheckInterval { 100 };
+    constexpr milliseconds eventFlushInterval { 200 };
     constexpr milliseconds maximumUnconfirmedTime { 1800 }; ///< Enough for four attempts to join the group.
 
     std::uint64_t processStartMs()
@@ -116,6 +118,7 @@
     result.lease.maximumLease = settings_.maximumLease;
     result.lease.duration = std::min(result.lease.duration, settings_.maximumLease);
     result.holderInterval = settings_.holderInterval;
+    result.batchesRunRecords = settings_.batchesRunRecords;
     result.statusRetention = settings_.statusRetention + statusRetentionMargin;
     constexpr int snapshotsPerRetention = 5;
     result.snapshotInterval = settings_.logRetention / snapshotsPerRetention;
@@ -159,6 +162,7 @@
     declarationWatcher_.start();
     control_.start();
     updateReadiness();
+    flushEvents();
     context_.run();
     events_.write("process.stop", { { "offset", jobFollower_.offset() } });
     return {};
@@ -175,6 +179,12 @@
     timers_.schedule(clock_.now() + readinessCheckInterval, [this] { updateReadiness(); });
 }
 
+void EntryProcess::flushEvents()
+{
+    eventSink_.flush();
+    timers_.schedule(clock_.now() + eventFlushInterval, [this] { flushEvents(); });
+}
+
 void EntryProcess::watchSignals()
 {
     signals_.async_wait([this](boost::system::error_code error, int signal) {
--- a/src/eventlog/controllerwriter.h
+++ b/src/eventlog/controllerwriter.h
@@ -19,14 +19,23 @@
 public:
     using StoredCallback = std::function<void()>;
 
+    /// Called with the offset of the first record and the number of records of an acknowledged append.
+    using AcknowledgedCallback = std::function<void(std::uint64_t offset, std::uint64_t count)>;
+
     /// `fenced` is called once, when a later controller has taken over. Appends are numbered from `firstSequence` on.
     ControllerWriter(IEventLog& log, foundation::IClock& clock, foundation::ITimerQueue& timers,
         telemetry::IEventSink& events, std::uint64_t epoch, std::uint64_t firstSequence, std::function<void()> fenced);
 
+    /// Whether runs are stored as jobs::RunBatch records; true unless set otherwise.
+    void setBatchesRuns(bool batchesRuns) { batchesRuns_ = batchesRuns; }
+
     ~ControllerWriter() { stop(); }
     ControllerWriter(const ControllerWriter&) = delete;
     ControllerWriter& operator=(const ControllerWriter&) = delete;
 
+    /// Sets a callback for each append whose answer arrives.
+    void onAcknowledged(AcknowledgedCallback callback) { acknowledgedCallback_ = std::move(callback); }
+
     /// Queues a record for the next append.
     void write(const jobs::Record& record);
 
@@ -62,7 +71,9 @@
     std::uint64_t epoch_;
     std::uint64_t sequence_; ///< Number of the append in flight, or else of the next one.
     std::function<void()> fencedCallback_;
-    std::vector<std::string> queuedRecords_;
+    AcknowledgedCallback acknowledgedCallback_;
+    bool batchesRuns_ = true;
+    std::vector<jobs::Record> queuedRecords_;
     std::vector<std::string> batchRecords_; ///< Encoded records of the append in flight.
     std::vector<StoredCallback> queuedCallbacks_; ///< Callers to notify once the queued records are stored.
     std::vector<StoredCallback> batchCallbacks_; ///< Callers to notify once the append in flight is stored.
--- a/src/eventlog/internal/controllerwriter.cpp
+++ b/src/eventlog/internal/controllerwriter.cpp
@@ -32,7 +32,7 @@
 {
 }
 
-void ControllerWriter::write(const jobs::Record& record) { queuedRecords_.push_back(jobs::encode(record, epoch_)); }
+void ControllerWriter::write(const jobs::Record& record) { queuedRecords_.push_back(record); }
 
 void ControllerWriter::whenStored(StoredCallback done)
 {
@@ -48,7 +48,7 @@
 {
     if (isAppendInFlight_ || queuedRecords_.empty() || !*alive_)
         return;
-    batchRecords_ = std::move(queuedRecords_);
+    batchRecords_ = jobs::encodeAppend(queuedRecords_, epoch_, batchesRuns_);
     queuedRecords_.clear();
     batchCallbacks_ = std::move(queuedCallbacks_);
     queuedCallbacks_.clear();
@@ -85,6 +85,8 @@
         });
         return;
     }
+    if (acknowledgedCallback_)
+        acknowledgedCallback_(answer->offset, batchRecords_.size());
     completeBatch();
 }
 
--- a/src/eventlog/internal/jobfollower.cpp
+++ b/src/eventlog/internal/jobfollower.cpp
@@ -2,6 +2,7 @@
 
 #include "jobs/recordcodec.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace turmericsill::eventlog {
@@ -89,9 +90,10 @@
     // transfer the same records twice.
     if (!hasCaughtUp_)
         return readToEnd([this](const Result<void>& read) { scheduleNextPoll(read.has_value()); });
-    const ReadRequest request { offset_, options_.longPollTimeout, pageBytes };
-    log_.read(request, [this, generation = generation_](const Result<LogPage>& page) {
-        onPage(page, generation);
+    // A long poll would return with each of the controller's own appends.
+    const ReadRequest request { offset_, isAppending() ? milliseconds(0) : options_.longPollTimeout, pageBytes };
+    log_.read(request, [this, generation = generation_, sentAt = clock_.now()](const Result<LogPage>& page) {
+        onPage(page, generation, sentAt);
         const bool isBehind = page && offset_ < page->end;
         if (isBehind)
             return poll();
@@ -103,7 +105,33 @@
 {
     if (!hasReadSucceeded)
         return schedulePoll(options_.retryDelay);
-    schedulePoll(ownEpoch_ > 0 ? options_.controllerPollDelay : options_.followerPollDelay);
+    if (ownEpoch_ == 0)
+        return schedulePoll(options_.followerPollDelay);
+    schedulePoll(isAppending() ? options_.appendingPollDelay : options_.controllerPollDelay);
+}
+
+bool JobFollower::isAppending() const
+{
+    return ownEpoch_ > 0 && clock_.now() - lastOwnAppendAt_ < options_.appendingTimeout;
+}
+
+void JobFollower::onOwnRecordsStored(std::uint64_t offset, std::uint64_t count)
+{
+    lastOwnAppendAt_ = clock_.now();
+    ownRanges_.emplace(offset, offset + count);
+    skipOwnRecords();
+}
+
+void JobFollower::skipOwnRecords()
+{
+    while (!ownRanges_.empty() && ownRanges_.begin()->first <= offset_) {
+        const std::uint64_t end = ownRanges_.begin()->second;
+        ownRanges_.erase(ownRanges_.begin());
+        if (end <= offset_)
+            continue;
+        ownRecordsRead_ += end - offset_;
+        offset_ = end;
+    }
 }
 
 void JobFollower::schedulePoll(milliseconds delay)
@@ -111,7 +139,7 @@
     timers_.schedule(clock_.now() + delay, [this] { poll(); });
 }
 
-void JobFollower::onPage(const Result<LogPage>& page, std::uint64_t generation)
+void JobFollower::onPage(const Result<LogPage>& page, std::uint64_t generation, foundation::SteadyTime sentAt)
 {
     hasLastReadFailed_ = !page;
     if (page)
@@ -124,8 +152,10 @@
         return;
     }
     applyPage(*page);
-    if (offset_ >= page->end)
+    if (offset_ >= page->end) {
         hasCaughtUp_ = true;
+        coveredAsOf_ = std::max(coveredAsOf_, sentAt);
+    }
     if (!page->payloads.empty() && changeCallback_)
         changeCallback_();
 }
@@ -148,6 +178,7 @@
         else
             ++ownRecordsRead_;
     }
+    skipOwnRecords();
 }
 
 void JobFollower::readToEnd(ReadToEndCallback done)
@@ -165,8 +196,8 @@
     auto callers = std::make_shared<std::vector<ReadToEndCallback>>(std::move(waitingReads_));
     waitingReads_.clear();
     const ReadRequest request { offset_, milliseconds(0), pageBytes };
-    log_.read(request, [this, callers, generation = generation_](const Result<LogPage>& page) {
-        onPage(page, generation);
+    log_.read(request, [this, callers, generation = generation_, sentAt = clock_.now()](const Result<LogPage>& page) {
+        onPage(page, generation, sentAt);
         isReadToEndInFlight_ = false;
         const bool hasReachedEnd = page && generation == generation_ && offset_ >= page->end;
         if (page && !hasReachedEnd) {
@@ -186,6 +217,7 @@
 {
     ownEpoch_ = epoch;
     ownRecordsRead_ = 0;
+    ownRanges_.clear();
 }
 
 void JobFollower::endControl()
@@ -198,6 +230,7 @@
 {
     ++generation_;
     offset_ = 0;
+    ownRanges_.clear();
     isSnapshotLoaded_ = false;
     restoredJobs_.clear();
     hasCaughtUp_ = false;
--- a/src/eventlog/jobfollower.h
+++ b/src/eventlog/jobfollower.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <vector>
 
@@ -18,6 +19,10 @@
     foundation::milliseconds longPollTimeout { 1000 }; ///< How long a read waits for the first record.
     foundation::milliseconds followerPollDelay { 200 }; ///< Half of the staleness allowed without a fresh read.
     foundation::milliseconds controllerPollDelay { 4 }; ///< Adds to the start latency of a job, as do two appends.
+    /// Delay between the reads of a controller that appends. Its own records need no read; callers' records that other
+    /// entries append themselves are rare.
+    foundation::milliseconds appendingPollDelay { 20 };
+    foundation::milliseconds appendingTimeout { 100 }; ///< Time after an append in which the controller appends again.
     foundation::milliseconds retryDelay { 100 };
 };
 
@@ -42,6 +47,10 @@
     /// Whether the table has covered the whole log at least once since it was last rebuilt.
     bool hasCaughtUp() const { return hasCaughtUp_; }
 
+    /// Time as of which the table covered the whole log: when the latest read that reached its end was sent. Meaningful
+    /// once hasCaughtUp().
+    foundation::SteadyTime coveredAsOf() const { return coveredAsOf_; }
+
     /// When the log last answered a read.
     foundation::SteadyTime lastAnswerAt() const { return lastAnswerAt_; }
 
@@ -61,7 +70,11 @@
     /// Applies a record of this controller that is about to be appended.
     void applyOwnRecord(const jobs::Record& record) { table_->apply(record); }
 
-    /// Number of this controller's records that were read back from the log.
+    /// Skips the records of an append of this controller that the log has acknowledged, instead of reading them back:
+    /// under load, reading them takes longer than writing them.
+    void onOwnRecordsStored(std::uint64_t offset, std::uint64_t count);
+
+    /// Number of this controller's records that were read back from the log or skipped.
     std::uint64_t ownRecordsRead() const { return ownRecordsRead_; }
 
     /// See JobTable::takeChangedJobs().
@@ -89,7 +102,9 @@
     void poll();
     void schedulePoll(foundation::milliseconds delay);
     void scheduleNextPoll(bool hasReadSucceeded);
-    void onPage(const foundation::Result<LogPage>& page, std::uint64_t generation);
+    bool isAppending() const;
+    void skipOwnRecords();
+    void onPage(const foundation::Result<LogPage>& page, std::uint64_t generation, foundation::SteadyTime sentAt);
     void applyPage(const LogPage& page);
     void rebuild();
     void startReadToEnd();
@@ -103,10 +118,14 @@
     std::uint64_t offset_ = 0;
     std::uint64_t ownEpoch_ = 0; ///< Epoch of this controller; 0 while this entry is not the controller.
     std::uint64_t ownRecordsRead_ = 0;
+    std::map<std::uint64_t, std::uint64_t>
+        ownRanges_; ///< Offsets of acknowledged own records: first, and past the last.
+    foundation::SteadyTime lastOwnAppendAt_ {};
     std::uint64_t generation_ = 0; ///< Increases with each rebuild; answers of an earlier generation are ignored.
     std::uint64_t unknownRecords_ = 0;
     bool isLoadingSnapshot_ = false;
     bool isSnapshotLoaded_ = false; ///< Whether the snapshot was loaded since the last rebuild.
+    foundation::SteadyTime coveredAsOf_ {};
     foundation::SteadyTime lastAnswerAt_ {};
     bool hasLastReadFailed_ = false;
     bool hasCaughtUp_ = false;
--- a/src/fleet/imachinecontrol.h
+++ b/src/fleet/imachinecontrol.h
@@ -16,6 +16,13 @@
     Refused, ///< The order was fenced, the machine is not part of the wave, or there is no such machine.
 };
 
+/// Authority under which an order for a machine is sent. The platform does not check fencing tokens of machine orders,
+/// so an order that has waited must not be sent once another controller may have taken over.
+struct MachineOrderAuthority {
+    std::uint64_t token = 0; ///< Fencing token of the controller.
+    std::function<bool()> isInForce; ///< Called right before the order is sent; the order is dropped unless it is.
+};
+
 /// Sends orders for machines to the platform. After Errc::Unavailable an order was not carried out; after any other
 /// error it may have been.
 class IMachineControl {
@@ -29,11 +36,13 @@
     virtual void list(ListCallback done) = 0;
 
     /// Ends all runs on the machine and moves it to another pool.
-    virtual void move(const std::string& machine, const std::string& pool, std::uint64_t token, OrderCallback done) = 0;
+    virtual void move(
+        const std::string& machine, const std::string& pool, MachineOrderAuthority authority, OrderCallback done)
+        = 0;
 
     /// Ends all runs on the machine and starts its maintenance as part of a wave.
     virtual void startMaintenance(
-        const std::string& machine, std::uint64_t wave, std::uint64_t token, OrderCallback done)
+        const std::string& machine, std::uint64_t wave, MachineOrderAuthority authority, OrderCallback done)
         = 0;
 };
 
--- a/src/httpclient/internal/pooledhttpclient.cpp
+++ b/src/httpclient/internal/pooledhttpclient.cpp
@@ -35,6 +35,12 @@
 void PooledHttpClient::sendQueuedCalls()
 {
     while (!queuedCalls_.empty()) {
+        if (queuedCalls_.front().call.isStillWanted && !queuedCalls_.front().call.isStillWanted()) {
+            const QueuedCall dropped = std::move(queuedCalls_.front());
+            queuedCalls_.pop_front();
+            dropped.done(failure(Errc::Unavailable, dropped.call.step, server_.toString(), "no longer permitted"));
+            continue;
+        }
         boost::intrusive_ptr<ClientConnection> connection;
         if (!idleConnections_.empty()) {
             connection = std::move(idleConnections_.back());
--- a/src/httpclient/tests/pooledhttpclienttests.cpp
+++ b/src/httpclient/tests/pooledhttpclienttests.cpp
@@ -2,6 +2,8 @@
 #include "httpserver/httpserver.h"
 
 #include <catch2/catch.hpp>
+#include <map>
+#include <string>
 
 using namespace turmericsill;
 using namespace turmericsill::httpclient;
@@ -45,3 +47,33 @@
         server.closeAll();
     }
 }
+
+// An order that waits for a connection, or for the machine to wake up, may lose its authority meanwhile.
+TEST_CASE("http client: a queued call that is no longer wanted is dropped unsent", "[httpclient]")
+{
+    boost::asio::io_context context;
+    EchoHandler handler;
+    httpserver::HttpServer server(context, handler, {});
+    REQUIRE(server.listen({ "127.0.0.1", 0 }));
+    PooledHttpClient client(context, { "127.0.0.1", server.port() }, 1);
+    bool isWanted = true;
+    std::map<std::string, std::string> outcomes; // Key: body of the call.
+    for (const char* body : { "first", "second", "third" }) {
+        HttpCall call;
+        call.verb = boost::beast::http::verb::post;
+        call.target = "/";
+        call.body = body;
+        call.contentType = "text/plain";
+        call.timeout = 5s;
+        call.isStillWanted = [&isWanted, name = std::string(body)] { return isWanted || name == "third"; };
+        client.send(std::move(call), [&outcomes, body](const Result<HttpResponse>& response) {
+            outcomes[body] = response ? response->body : response.error().message();
+        });
+    }
+    isWanted = false;
+    while (outcomes.size() < 3)
+        context.run_one();
+    CHECK(outcomes["first"] == "first");
+    CHECK(outcomes["second"].find("no longer permitted") != std::string::npos);
+    CHECK(outcomes["third"] == "third");
+}
--- a/src/httpclient/types/httpcall.h
+++ b/src/httpclient/types/httpcall.h
@@ -20,6 +20,9 @@
     std::vector<std::pair<std::string, std::string>> headers;
     foundation::milliseconds timeout { 1000 }; ///< Time from send() to the last byte of the response.
     std::string step; ///< Name of the operation in errors, for example "log.append".
+    /// If set, called right before the call is sent, which may be after a wait for a connection; false drops the call
+    /// with Errc::Unavailable.
+    std::function<bool()> isStillWanted;
     bool closesConnection = false; ///< Whether to close the connection after the response.
 };
 
--- a/src/jobs/internal/jobtable.cpp
+++ b/src/jobs/internal/jobtable.cpp
@@ -239,6 +239,12 @@
         ++job.completedOccurrences;
 }
 
+void JobTable::applyRecord(const RunBatch& record)
+{
+    for (const auto& run : record.records)
+        std::visit([this](const auto& typedRecord) { applyRecord(typedRecord); }, run);
+}
+
 void JobTable::applyRecord(const JobFailed& record)
 {
     Job* job = findMutableJob(record.job);
--- a/src/jobs/internal/recordcodec.cpp
+++ b/src/jobs/internal/recordcodec.cpp
@@ -1,6 +1,7 @@
 #include "jobs/recordcodec.h"
 
 #include "jobs/internal/recordjson.h"
+#include "jobs/internal/runbatchjson.h"
 
 namespace turmericsill::jobs {
 
@@ -11,6 +12,9 @@
     using foundation::Result;
     using nlohmann::json;
 
+    /// Keeps a record below the 256 KB that the platform takes, with checkpoints of a few hundred bytes.
+    constexpr std::size_t maximumBatchedRuns = 400;
+
     json toJson(const TaskId& id) { return json::array({ id.job, id.occurrence, id.step, id.index }); }
 
     TaskId taskFromJson(const json& value)
@@ -41,15 +45,10 @@
         {
             return json::array({ record.wave, record.seenAt.count() });
         }
+        json operator()(const RunBatch& record) const { return toJson(record); }
     };
 
-    RunOutcome runOutcomeFromJson(const json& value)
-    {
-        const auto number = value.get<unsigned>();
-        if (number > static_cast<unsigned>(RunOutcome::InstanceGone))
-            throw std::out_of_range("run end number is out of range");
-        return static_cast<RunOutcome>(number);
-    }
+    RunOutcome runOutcomeFromJson(const json& value) { return runOutcomeFromNumber(value.get<unsigned>()); }
 
     /// Decodes a record from the index of its type in Record and its fields.
     Record recordFromJson(std::size_t typeIndex, const json& fields)
@@ -75,6 +74,8 @@
             return MaintenanceStarted { fields.at(0).get<std::uint64_t>(), fields.at(1).get<std::string>() };
         case 8:
             return WaveFirstSeen { fields.at(0).get<std::uint64_t>(), milliseconds(fields.at(1).get<std::int64_t>()) };
+        case 9:
+            return runBatchFromJson(fields);
         default:
             throw std::out_of_range("record type number is out of range");
         }
@@ -90,6 +91,31 @@
     return bytes;
 }
 
+std::vector<std::string> encodeAppend(const std::vector<Record>& records, std::uint64_t epoch, bool batchesRuns)
+{
+    std::vector<std::string> payloads;
+    RunBatch batch;
+    const auto closeBatch = [&] {
+        if (!batch.records.empty())
+            payloads.push_back(encode(batch, epoch));
+        batch.records.clear();
+    };
+    for (const auto& record : records) {
+        if (const auto* intended = std::get_if<RunIntended>(&record); intended && batchesRuns) {
+            batch.records.emplace_back(*intended);
+        } else if (const auto* ended = std::get_if<RunEnded>(&record); ended && batchesRuns) {
+            batch.records.emplace_back(*ended);
+        } else {
+            closeBatch();
+            payloads.push_back(encode(record, epoch));
+        }
+        if (batch.records.size() == maximumBatchedRuns)
+            closeBatch();
+    }
+    closeBatch();
+    return payloads;
+}
+
 Result<LoggedRecord> decode(std::string_view bytes)
 {
     try {
--- a/src/jobs/jobtable.h
+++ b/src/jobs/jobtable.h
@@ -86,6 +86,7 @@
     void applyRecord(const JobFailed& record);
     void applyRecord(const JobExpired& record);
     void applyRecord(const MaintenanceStarted& record) { startedMaintenance_.emplace(record.wave, record.machine); }
+    void applyRecord(const RunBatch& record);
     void applyRecord(const WaveFirstSeen& record) { waveFirstSeenTimes_.emplace(record.wave, record.seenAt); }
 
     using ChangedJobList = boost::intrusive::list<Job, boost::intrusive::base_hook<ChangedJobHook>,
--- a/src/jobs/tests/jobtests.cpp
+++ b/src/jobs/tests/jobtests.cpp
@@ -61,7 +61,9 @@
     const std::vector<Record> records { ControlClaimed { 7, "e-1", 12, "10.0.0.1:7000", milliseconds(99) },
         submitted(1, { step(2), step(1, { 0 }) }), JobCancelled { 2 }, intended(1, 0, 3),
         RunEnded { { 1, 0, 0, 1 }, 2, RunOutcome::Stopped, "00ff" }, JobFailed { 1 }, JobExpired { 1 },
-        MaintenanceStarted { 4, "m-1" }, WaveFirstSeen { 4, milliseconds(55) } };
+        MaintenanceStarted { 4, "m-1" }, WaveFirstSeen { 4, milliseconds(55) },
+        RunBatch { { intended(1, 0, 3), intended(1, 1, 1), RunEnded { { 2, 1, 0, 1 }, 2, RunOutcome::Stopped, "00ff" },
+            ended(2, 7, 1, RunOutcome::InstanceGone), intended(1, 0, 4) } } };
     for (const auto& record : records) {
         const std::string bytes = encode(record, 7);
         const auto decoded = decode(bytes);
@@ -256,3 +258,43 @@
     CHECK(table.find(JobId(1))->occurrences.size() == 2);
     CHECK(table.find(JobId(2))->occurrences.empty());
 }
+
+TEST_CASE("records: an append with batched runs leads to the same table in less than half of the bytes", "[jobs]")
+{
+    std::mt19937_64 random(7);
+    std::vector<Record> records;
+    for (JobId id = 0x1000000000000001; id < 0x1000000000000011; ++id)
+        records.push_back(submitted(id, { step(8), step(4, { 0 }) }));
+    const std::size_t firstRun = records.size();
+    for (std::uint32_t run = 1; run < 60; ++run) {
+        const JobId job = 0x1000000000000001 + random() % 16;
+        for (std::uint32_t index = 0; index < 8; ++index) {
+            const std::string instance = "i-00c0ffee" + std::to_string(10 + random() % 40);
+            records.push_back(RunIntended { { job, 0, 0, index }, run, { instance, 1768776700000 + run } });
+        }
+        for (std::uint32_t index = 0; index < 8; ++index)
+            records.push_back(ended(job, index, run, random() % 9 ? RunOutcome::Failed : RunOutcome::Done));
+        if (run % 20 == 0)
+            records.push_back(JobCancelled { job });
+    }
+    JobTable expected;
+    std::size_t singleBytes = 0;
+    for (std::size_t i = 0; i < records.size(); ++i) {
+        expected.apply(records[i]);
+        singleBytes += i < firstRun ? 0 : encode(records[i], 3).size();
+    }
+    const auto payloads = encodeAppend(records, 3, true);
+    JobTable table;
+    std::size_t batchedBytes = 0;
+    for (std::size_t i = 0; i < payloads.size(); ++i) {
+        const auto decoded = decode(payloads[i]);
+        REQUIRE(decoded);
+        CHECK(decoded->epoch == 3);
+        table.apply(decoded->record);
+        batchedBytes += i < firstRun ? 0 : payloads[i].size();
+    }
+    for (JobId id = 0x1000000000000001; id < 0x1000000000000011; ++id)
+        CHECK(encodeJob(*table.find(id)) == encodeJob(*expected.find(id)));
+    CHECK(batchedBytes * 2 < singleBytes);
+    CHECK(encodeAppend(records, 3, false).size() == records.size());
+}
--- a/src/jobs/types/records.h
+++ b/src/jobs/types/records.h
@@ -95,7 +95,13 @@
     milliseconds seenAt { 0 }; ///< Wall-clock time of the controller.
 };
 
+/// Consecutive RunIntended and RunEnded records of a controller, stored as one. Under load they are nearly all records,
+/// and every entry reads them: together they take less than half of the bytes.
+struct RunBatch {
+    std::vector<std::variant<RunIntended, RunEnded>> records;
+};
+
 using Record = std::variant<ControlClaimed, JobSubmitted, JobCancelled, RunIntended, RunEnded, JobFailed, JobExpired,
-    MaintenanceStarted, WaveFirstSeen>;
+    MaintenanceStarted, WaveFirstSeen, RunBatch>;
 
 } // namespace turmericsill::jobs
--- a/src/settings/entrysettings.h
+++ b/src/settings/entrysettings.h
@@ -27,6 +27,8 @@
     foundation::milliseconds holderInterval { 3000 };
     foundation::milliseconds logRetention { 300000 }; ///< How long the platform's log keeps records.
     foundation::milliseconds statusRetention { 120000 }; ///< How long the final state of a job is reported.
+    /// Whether runs are stored in a form that versions before it cannot read.
+    bool batchesRunRecords = true;
     foundation::milliseconds shutdownGrace { 6000 };
 };
 
--- a/src/settings/internal/entrysettings.cpp
+++ b/src/settings/internal/entrysettings.cpp
@@ -15,6 +15,9 @@
 
     constexpr double maximumIntervalMs = 600000;
 
+    const std::string batchedRunRecords = "batched";
+    const std::string singleRunRecords = "single";
+
     FieldSchema requiredField(const std::string& name, FieldType type) { return { name, type, true, 0, 0, {} }; }
 
     FieldSchema optionalInterval(const std::string& name, double minimum)
@@ -42,6 +45,7 @@
             optionalInterval("log_retention_ms", 1000),
             optionalInterval("status_retention_ms", 1000),
             optionalInterval("shutdown_grace_ms", 500),
+            { "run_records", FieldType::Choice, false, 0, 0, { batchedRunRecords, singleRunRecords } },
         };
         return fields;
     }
@@ -69,6 +73,7 @@
         copier.copy("log_retention_ms", result.logRetention);
         copier.copy("status_retention_ms", result.statusRetention);
         copier.copy("shutdown_grace_ms", result.shutdownGrace);
+        result.batchesRunRecords = object.value("run_records", batchedRunRecords) == batchedRunRecords;
         return result;
     }
 
--- a/src/telemetry/internal/jsoneventsink.cpp
+++ b/src/telemetry/internal/jsoneventsink.cpp
@@ -11,7 +11,9 @@
 
 namespace {
 
-    constexpr std::size_t maximumQueuedLines = 8192; ///< About 2 MB.
+    /// Writes of up to this size are not interleaved with those of other processes to the same pipe.
+    constexpr std::size_t maximumBlockBytes = 4096;
+    constexpr std::size_t maximumQueuedBlocks = 512; ///< At most 2 MB.
     constexpr unsigned maximumLinesPerSecond = 3000; ///< For each event; a busy controller starts 300 runs a second.
 
 } // namespace
@@ -20,7 +22,7 @@
     : entry_(std::move(entry))
     , clock_(clock)
 {
-    spdlog::init_thread_pool(maximumQueuedLines, 1);
+    spdlog::init_thread_pool(maximumQueuedBlocks, 1);
     logger_ = std::make_shared<spdlog::async_logger>("events", std::make_shared<spdlog::sinks::stdout_sink_mt>(),
         spdlog::thread_pool(), spdlog::async_overflow_policy::overrun_oldest);
     logger_->set_pattern("%v");
@@ -29,6 +31,7 @@
 
 JsonEventSink::~JsonEventSink()
 {
+    flush();
     logger_.reset();
     spdlog::shutdown();
 }
@@ -58,7 +61,23 @@
         std::visit([&](const auto& value) { line[std::string(field.name)] = value; }, field.value);
     if (window.droppedLines > 0)
         line["left_out"] = std::exchange(window.droppedLines, 0);
-    logger_->info(line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace));
+    append(line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace));
+}
+
+// Each line, and the block as a whole, ends with a line break.
+void JsonEventSink::append(const std::string& line)
+{
+    if (block_.size() + line.size() + 2 > maximumBlockBytes)
+        flush();
+    if (!block_.empty())
+        block_ += '\n';
+    block_ += line;
+}
+
+void JsonEventSink::flush()
+{
+    if (!block_.empty())
+        logger_->info(std::exchange(block_, {}));
 }
 
 } // namespace turmericsill::telemetry
--- a/src/telemetry/jsoneventsink.h
+++ b/src/telemetry/jsoneventsink.h
@@ -13,9 +13,10 @@
 
 namespace turmericsill::telemetry {
 
-/// Writes events to standard output as JSON objects, one per line. A background thread writes them from a bounded
-/// queue; when the queue is full, the oldest lines are dropped, so that a slow reader never blocks the caller. Used on
-/// one thread.
+/// Writes events to standard output as JSON objects, one per line. Lines are collected and handed to a background
+/// thread in blocks, since waking that thread costs more than formatting a line. It writes them from a bounded queue;
+/// when the queue is full, the oldest blocks are dropped, so that a slow reader never blocks the caller. Used on one
+/// thread.
 class JsonEventSink : public IEventSink {
 public:
     JsonEventSink(std::string entry, const foundation::IClock& clock);
@@ -25,7 +26,12 @@
     /// of this event states their number as "left_out".
     void write(std::string_view event, std::initializer_list<EventField> fields) override;
 
+    /// Hands the collected lines to the background thread; to be called at least every few hundred milliseconds.
+    void flush();
+
 private:
+    void append(const std::string& line);
+
     /// Lines of one event in the current second, for the rate limit.
     struct RateWindow {
         foundation::SteadyTime start {};
@@ -36,6 +42,7 @@
     std::string entry_;
     const foundation::IClock& clock_;
     std::map<std::string, RateWindow, std::less<>> rateWindows_;
+    std::string block_; ///< Lines that were not handed over yet, separated by line breaks.
     std::shared_ptr<spdlog::logger> logger_;
 };
 
