Platform clients: a malformed answer fails one call, not the process

Cause: five decoders read an optional field with json::value(), which throws when the field has another type, outside any handler: a 409 whose reason was a number, an append whose offset was a text or a page whose has_more was no boolean ended the process.

Failed reads of the instances' entries are logged.

--- a/src/control/instancedirectory.h
+++ b/src/control/instancedirectory.h
@@ -3,6 +3,7 @@
 #include "fleet/ifleetsource.h"
 #include "foundation/iclock.h"
 #include "foundation/itimerqueue.h"
+#include "telemetry/ieventsink.h"
 
 #include <functional>
 #include <memory>
@@ -18,7 +19,7 @@
     /// `onChange` is called for each entry that was listed or has changed; `onLoaded` is called after a full list, with
     /// the names of all listed instances.
     InstanceDirectory(fleet::IFleetSource& source, foundation::IClock& clock, foundation::ITimerQueue& timers,
-        std::function<void(const fleet::InstanceChange&)> onChange,
+        telemetry::IEventSink& events, std::function<void(const fleet::InstanceChange&)> onChange,
         std::function<void(const std::set<std::string>&)> onLoaded);
     ~InstanceDirectory() { *alive_ = false; }
 
@@ -38,6 +39,7 @@
     fleet::IFleetSource& source_;
     foundation::IClock& clock_;
     foundation::ITimerQueue& timers_;
+    telemetry::IEventSink& events_;
     std::function<void(const fleet::InstanceChange&)> onChange_;
     std::function<void(const std::set<std::string>&)> onLoaded_;
     std::uint64_t nextOffset_ = 0; ///< Where the next watch begins.
--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -49,7 +49,7 @@
     , records_(context.follower, writer_)
     , snapshotter_(context.snapshots, context.follower, context.clock, context.events, epoch, settings.snapshotInterval)
     , directory_(
-          context.fleetSource, context.clock, context.timers,
+          context.fleetSource, context.clock, context.timers, context.events,
           [this](const fleet::InstanceChange& change) { onInstanceChange(change); },
           [this](const std::set<std::string>& present) { onInstancesLoaded(present); })
     , health_(context.clock, context.events)
--- a/src/control/internal/instancedirectory.cpp
+++ b/src/control/internal/instancedirectory.cpp
@@ -17,11 +17,13 @@
 } // namespace
 
 InstanceDirectory::InstanceDirectory(fleet::IFleetSource& source, foundation::IClock& clock,
-    foundation::ITimerQueue& timers, std::function<void(const fleet::InstanceChange&)> onChange,
+    foundation::ITimerQueue& timers, telemetry::IEventSink& events,
+    std::function<void(const fleet::InstanceChange&)> onChange,
     std::function<void(const std::set<std::string>&)> onLoaded)
     : source_(source)
     , clock_(clock)
     , timers_(timers)
+    , events_(events)
     , onChange_(std::move(onChange))
     , onLoaded_(std::move(onLoaded))
 {
@@ -40,6 +42,8 @@
     source_.loadInstances([this, alive = alive_](const Result<fleet::InstanceChanges>& entries) {
         if (!*alive)
             return;
+        if (!entries)
+            events_.write("instances.unavailable", { { "reason", entries.error().message() } });
         if (!entries)
             return scheduleAfter(retryDelay, [this] { load(); });
         std::set<std::string> present;
@@ -62,6 +66,8 @@
                 return;
             if (!changes && changes.error().code == Errc::RetentionPassed)
                 return load();
+            if (!changes)
+                events_.write("instances.unavailable", { { "reason", changes.error().message() } });
             if (!changes)
                 return scheduleAfter(retryDelay, [this] { watch(); });
             nextOffset_ = changes->nextOffset;
--- a/src/emulator/tests/controltests.cpp
+++ b/src/emulator/tests/controltests.cpp
@@ -594,3 +594,33 @@
         CHECK(statusOf(fixture, controller, id).state == jobs::JobState::Completed);
     CHECK(fixture.violations().empty());
 }
+
+// A controller that was frozen or had no processor time has not heard from its instances either. Their leases, which it
+// granted before, have not expired, and it must not take its own silence for theirs.
+TEST_CASE("control: a controller that was late itself gives up no run whose lease lasts", "[emulation]")
+{
+    EmulationFixture fixture(35);
+    const std::string controller = fixture.emulation.controller();
+    auto longRunning = step(4, 2000);
+    longRunning.isLongRunning = true;
+    fixture.emulation.submit(controller, 0xf1, job({ longRunning }));
+    fixture.emulation.advanceTime(milliseconds(1500));
+    for (const char* name : { "e-1", "e-2", "e-3" }) {
+        if (name != controller)
+            fixture.emulation.killEntry(name);
+    }
+    for (int round = 0; round < 3; ++round) {
+        fixture.emulation.pauseEntry(controller);
+        fixture.emulation.advanceTime(milliseconds(3500));
+        fixture.emulation.resumeEntry(controller);
+        fixture.emulation.advanceTime(milliseconds(2500));
+    }
+    CHECK(countRuns(fixture, 0xf1) == 4);
+    const auto count = [&](const std::string& text) {
+        return std::count_if(fixture.sink.lines.begin(), fixture.sink.lines.end(),
+            [&](const std::string& line) { return line.find(text) == 0; });
+    };
+    CHECK(count("run.ordered") == 4);
+    CHECK(count("run.ended") == 0);
+    CHECK(fixture.violations().empty());
+}
--- a/src/entryd/entryprocess.h
+++ b/src/entryd/entryprocess.h
@@ -60,6 +60,7 @@
 private:
     control::ControlSettings controlSettings() const;
     void connectComponents();
+    void runEventLoop();
     foundation::Result<void> listen();
     void watchSignals();
     void onSignal(int signal);
--- a/src/entryd/internal/entryprocess.cpp
+++ b/src/entryd/internal/entryprocess.cpp
@@ -163,11 +163,23 @@
     control_.start();
     updateReadiness();
     flushEvents();
-    context_.run();
+    runEventLoop();
     events_.write("process.stop", { { "offset", jobFollower_.offset() } });
     return {};
 }
 
+// An exception that leaves a handler ends what this handler was doing, not the process.
+void EntryProcess::runEventLoop()
+{
+    while (!context_.stopped()) {
+        try {
+            context_.run();
+        } catch (const std::exception& error) {
+            events_.write("process.exception", { { "reason", std::string(error.what()) } });
+        }
+    }
+}
+
 void EntryProcess::updateReadiness()
 {
     if (declarationWatcher_.version() > 0 && jobFollower_.hasCaughtUp())
