--- a/src/telemetry/internal/jsoneventsink.cpp
+++ b/src/telemetry/internal/jsoneventsink.cpp
@@ -1,5 +1,6 @@
 #include "telemetry/jsoneventsink.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <spdlog/async.h>
 #include <spdlog/async_logger.h>
@@ -16,6 +17,30 @@
     constexpr std::size_t maximumQueuedBlocks = 512; ///< At most 2 MB.
     constexpr unsigned maximumLinesPerSecond = 3000; ///< For each event; a busy controller starts 300 runs a second.
 
+    bool isPlain(char character)
+    {
+        constexpr char firstPrintable = ' ';
+        constexpr char lastAscii = '~';
+        return character >= firstPrintable && character <= lastAscii && character != '"' && character != '\\';
+    }
+
+    /// Nearly all texts need no escapes; the others are left to the JSON library, with invalid bytes replaced.
+    void appendValue(std::string& line, const std::string& text)
+    {
+        if (!std::all_of(text.begin(), text.end(), isPlain)) {
+            line += nlohmann::json(text).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+            return;
+        }
+        line += '"';
+        line += text;
+        line += '"';
+    }
+
+    void appendValue(std::string& line, bool value) { line += value ? "true" : "false"; }
+    void appendValue(std::string& line, double value) { line += nlohmann::json(value).dump(); }
+    void appendValue(std::string& line, std::int64_t value) { line += std::to_string(value); }
+    void appendValue(std::string& line, std::uint64_t value) { line += std::to_string(value); }
+
 } // namespace
 
 JsonEventSink::JsonEventSink(std::string entry, const foundation::IClock& clock)
@@ -52,16 +77,21 @@
         return;
     }
     ++window.lines;
-    nlohmann::ordered_json line;
-    line["time_ms"]
-        = std::chrono::duration_cast<std::chrono::milliseconds>(clock_.wallNow().time_since_epoch()).count();
-    line["entry"] = entry_;
-    line["event"] = event;
-    for (const auto& field : fields)
-        std::visit([&](const auto& value) { line[std::string(field.name)] = value; }, field.value);
+    const auto timeOfDay = std::chrono::duration_cast<std::chrono::milliseconds>(clock_.wallNow().time_since_epoch());
+    std::string line = "{\"time_ms\":" + std::to_string(timeOfDay.count()) + ",\"entry\":";
+    appendValue(line, entry_);
+    line += ",\"event\":";
+    appendValue(line, std::string(event));
+    for (const auto& field : fields) {
+        line += ",\"";
+        line += field.name;
+        line += "\":";
+        std::visit([&](const auto& value) { appendValue(line, value); }, field.value);
+    }
     if (window.droppedLines > 0)
-        line["left_out"] = std::exchange(window.droppedLines, 0);
-    append(line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace));
+        line += ",\"left_out\":" + std::to_string(std::exchange(window.droppedLines, 0));
+    line += '}';
+    append(line);
 }
 
 // Each line, and the block as a whole, ends with a line break.
