Control: a start waits for a reading that reached the log's end, not for any answer

The controller's store had been away for 7 s and other entries had appended meanwhile; its reads were answered again, page after page, and a start only asked whether a read was answered lately.

Change: it asks when a read last reached the end of the log (JobFollower::coveredAsOf), and reads to the end otherwise.

Ruled out as cause: the forwarding of cancellations (the entry that took it had appended it itself).

--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -400,12 +400,13 @@
         placement.task, placement.run, placement.resources, job->spec.steps[placement.task.step].isLongRunning, false);
 }
 
-// Reads the log first if the append was slow or the latest read is old, because of a slow log or a busy entry: the log
-// may hold cancellations that this entry has not read.
+// Reads the log first if the append was slow or this entry has not read to the log's end lately, because of a slow log
+// or a busy entry: the log may hold cancellations that this entry has not read. Reads that are answered do not show
+// that it keeps up.
 void Controller::sendStartOrders(const std::vector<scheduling::Placement>& placements, foundation::SteadyTime plannedAt)
 {
     const auto now = context_.clock.now();
-    if (now - plannedAt < slowAppendThreshold && now - context_.follower.lastAnswerAt() < staleReadThreshold) {
+    if (now - plannedAt < slowAppendThreshold && now - context_.follower.coveredAsOf() < staleReadThreshold) {
         for (const auto& placement : placements)
             sendStartOrder(placement);
         return;
--- a/src/emulator/tests/controltests.cpp
+++ b/src/emulator/tests/controltests.cpp
@@ -502,6 +502,34 @@
     CHECK(fixture.violations().empty());
 }
 
+// A controller whose reads are all answered may still be seconds behind the log's end, and a cancellation that another
+// entry has appended meanwhile stands there.
+TEST_CASE("control: no run starts while the controller reads page after page without reaching the end", "[emulation]")
+{
+    EmulationFixture fixture(36);
+    const std::string controller = fixture.emulation.controller();
+    constexpr std::size_t linkBytesPerSecond = 400000;
+    constexpr std::size_t recordBytes = 4000;
+    constexpr std::size_t secondsOfReading = 10;
+    auto& platform = fixture.emulation.platform();
+    platform.faults().linkBytesPerSecond[controller] = linkBytesPerSecond;
+    // Claims of an epoch that is over have no effect.
+    const jobs::ControlClaimed outdated { 0, "e-0", 0, std::string(recordBytes, 'x'), milliseconds(0) };
+    for (std::size_t i = 0; i < secondsOfReading * linkBytesPerSecond / recordBytes; ++i)
+        platform.log().append({ { jobs::encode(outdated, 0) }, {} });
+    platform.log().append({ { jobs::encode(jobs::JobCancelled { 0x701 }, 0) }, {} });
+    fixture.emulation.advanceTime(milliseconds(3000));
+    fixture.emulation.submit(controller, 0x701, job({ step(2, 1000) }));
+    for (int i = 0; i < 20; ++i) {
+        fixture.emulation.advanceTime(milliseconds(100));
+        CHECK(countRuns(fixture, 0x701) == 0);
+    }
+    // Two readers share the link.
+    fixture.emulation.advanceTime(milliseconds(3 * 1000 * secondsOfReading));
+    CHECK(countRuns(fixture, 0x701) == 0);
+    CHECK(statusOf(fixture, controller, 0x701).state == jobs::JobState::Cancelled);
+}
+
 // An entry that cannot read the log, or follows it late, must not tell a count from what it read before.
 TEST_CASE("status: the number of pending jobs is never older than the log's latest read", "[emulation]")
 {
