Instances' entries, log lines, tests: what the change wrote twice is written once

Cause: reading the change once more. Two failures of the instances' entries were tested twice in a row; two tests build the same wave over all instances, two the same call; two comments in the event sink told what no longer holds (300 starts a second, who ends a block).

Change: one block for each failure, waveOverAllInstances() and postCall() in the tests, the comments. No behaviour, bound or assertion changes.

Left: InstanceSession::removeRun returns an iterator that nobody uses; the test heads of the emulator (scale, exploration, control) share their using lines; controller.cpp, machinemanager.cpp and controltests.cpp want a split.

--- a/src/control/internal/instancedirectory.cpp
+++ b/src/control/internal/instancedirectory.cpp
@@ -42,10 +42,10 @@
     source_.loadInstances([this, alive = alive_](const Result<fleet::InstanceChanges>& entries) {
         if (!*alive)
             return;
-        if (!entries)
+        if (!entries) {
             events_.write("instances.unavailable", { { "reason", entries.error().message() } });
-        if (!entries)
             return scheduleAfter(retryDelay, [this] { load(); });
+        }
         std::set<std::string> present;
         for (const auto& change : entries->changes) {
             present.insert(change.instance);
@@ -66,10 +66,10 @@
                 return;
             if (!changes && changes.error().code == Errc::RetentionPassed)
                 return load();
-            if (!changes)
+            if (!changes) {
                 events_.write("instances.unavailable", { { "reason", changes.error().message() } });
-            if (!changes)
                 return scheduleAfter(retryDelay, [this] { watch(); });
+            }
             nextOffset_ = changes->nextOffset;
             for (const auto& change : changes->changes)
                 onChange_(change);
--- a/src/emulator/tests/controltests.cpp
+++ b/src/emulator/tests/controltests.cpp
@@ -31,6 +31,17 @@
     return runs;
 }
 
+fleet::MaintenanceWave waveOverAllInstances(milliseconds duration)
+{
+    fleet::MaintenanceWave wave;
+    wave.number = 1;
+    wave.duration = duration;
+    wave.maximumDown = 4;
+    for (const char* name : { "i-1", "i-2", "i-3", "i-4" })
+        wave.machines.push_back(std::string("machine-of-") + name);
+    return wave;
+}
+
 /// Name of a live entry that is not the controller.
 std::string nonControllerEntry(EmulationFixture& fixture)
 {
@@ -281,12 +292,8 @@
     fixture.emulation.submit("e-1", 0xe1, job({ step(16, 2000) }));
     fixture.emulation.advanceTime(milliseconds(150));
     REQUIRE(countRuns(fixture, 0xe1) == 16);
-    fleet::MaintenanceWave wave;
-    wave.number = 1;
-    wave.duration = milliseconds(100); // Too short to wait for the running tasks.
-    wave.maximumDown = 4;
-    for (const char* name : { "i-1", "i-2", "i-3", "i-4" })
-        wave.machines.push_back(std::string("machine-of-") + name);
+    // Too short to wait for the running tasks.
+    const fleet::MaintenanceWave wave = waveOverAllInstances(milliseconds(100));
     fixture.emulation.entry(fixture.emulation.controller())->control().addWave(wave);
     fixture.emulation.advanceTime(milliseconds(6000));
     CHECK(statusOf(fixture, "e-1", 0xe1).state == jobs::JobState::Completed);
@@ -589,12 +596,7 @@
     EmulationFixture fixture(33);
     fixture.emulation.advanceTime(milliseconds(4000));
     fixture.emulation.platform().faults().isMaintenanceAlreadyDone = true;
-    fleet::MaintenanceWave wave;
-    wave.number = 1;
-    wave.duration = milliseconds(5000);
-    wave.maximumDown = 4;
-    for (const char* name : { "i-1", "i-2", "i-3", "i-4" })
-        wave.machines.push_back(std::string("machine-of-") + name);
+    const fleet::MaintenanceWave wave = waveOverAllInstances(milliseconds(5000));
     fixture.emulation.entry(fixture.emulation.controller())->control().addWave(wave);
     fixture.emulation.advanceTime(milliseconds(4000));
     fixture.emulation.submit("e-1", 0xe7, job({ step(16, 2000) }));
--- a/src/httpclient/tests/pooledhttpclienttests.cpp
+++ b/src/httpclient/tests/pooledhttpclienttests.cpp
@@ -20,6 +20,17 @@
     }
 };
 
+HttpCall postCall(const std::string& body)
+{
+    HttpCall call;
+    call.verb = boost::beast::http::verb::post;
+    call.target = "/";
+    call.body = body;
+    call.contentType = "text/plain";
+    call.timeout = 5s;
+    return call;
+}
+
 } // namespace
 
 TEST_CASE("http client: a connection that the server closed while idle is not reused", "[httpclient]")
@@ -31,13 +42,7 @@
     PooledHttpClient client(context, { "127.0.0.1", server.port() }, 2);
     for (int round = 0; round < 3; ++round) {
         bool isOver = false;
-        HttpCall call;
-        call.verb = boost::beast::http::verb::post;
-        call.target = "/";
-        call.body = "request body";
-        call.contentType = "text/plain";
-        call.timeout = 5s;
-        client.send(call, [&](const Result<HttpResponse>& response) {
+        client.send(postCall("request body"), [&](const Result<HttpResponse>& response) {
             isOver = true;
             REQUIRE(response);
             CHECK(response->body == "request body");
@@ -59,12 +64,7 @@
     bool isWanted = true;
     std::map<std::string, std::string> outcomes; // Key: body of the call.
     for (const char* body : { "first", "second", "third" }) {
-        HttpCall call;
-        call.verb = boost::beast::http::verb::post;
-        call.target = "/";
-        call.body = body;
-        call.contentType = "text/plain";
-        call.timeout = 5s;
+        HttpCall call = postCall(body);
         call.isStillWanted = [&isWanted, name = std::string(body)] { return isWanted || name == "third"; };
         client.send(std::move(call), [&outcomes, body](const Result<HttpResponse>& response) {
             outcomes[body] = response ? response->body : response.error().message();
--- a/src/telemetry/internal/jsoneventsink.cpp
+++ b/src/telemetry/internal/jsoneventsink.cpp
@@ -15,7 +15,7 @@
     /// Writes of up to this size are not interleaved with those of other processes to the same pipe.
     constexpr std::size_t maximumBlockBytes = 4096;
     constexpr std::size_t maximumQueuedBlocks = 512; ///< At most 2 MB.
-    constexpr unsigned maximumLinesPerSecond = 3000; ///< For each event; a busy controller starts 300 runs a second.
+    constexpr unsigned maximumLinesPerSecond = 3000; ///< For each event; a busy controller starts 4,500 runs a second.
 
     bool isPlain(char character)
     {
@@ -94,7 +94,7 @@
     append(line);
 }
 
-// Each line, and the block as a whole, ends with a line break.
+// The logger ends each block with a line break.
 void JsonEventSink::append(const std::string& line)
 {
     if (block_.size() + line.size() + 2 > maximumBlockBytes)
