Entries: an event for each count of pending jobs that a caller is told

A caller of a grown site was told that 0 jobs of its queue wait while 17 had waited for over 5 s. Two explanations were open, and neither logs nor metrics told them apart: the entry answered from an old reading of the log, or the jobs counted as begun although no instance had started a task.

The event queue.counted carries the count and the age of the reading it rests on. No change of what is answered.

--- a/src/entry/internal/jobservice.cpp
+++ b/src/entry/internal/jobservice.cpp
@@ -133,7 +133,14 @@
 // An entry with a slow link or little processor time may follow the log seconds behind its end.
 void JobService::pendingJobs(const fleet::Queue& queue, std::function<void(std::optional<std::size_t>)> done)
 {
-    const auto count = [this, name = queue.name] { return follower_.table().pendingJobs(name); };
+    const auto count = [this, name = queue.name] {
+        const std::size_t pending = follower_.table().pendingJobs(name);
+        const auto age = std::chrono::duration_cast<milliseconds>(clock_.now() - follower_.coveredAsOf());
+        events_.write("queue.counted",
+            { { "queue", name }, { "pending", std::uint64_t(pending) }, { "age_ms", std::int64_t(age.count()) },
+                { "offset", follower_.offset() } });
+        return pending;
+    };
     if (follower_.hasCaughtUp() && clock_.now() - follower_.coveredAsOf() <= maximumPendingCountAge)
         return done(count());
     follower_.readToEnd([count, done = std::move(done)](
