Jobs: a job counts as pending until an instance has confirmed a run of it

Cause: the table counted a job as started from the intent of its first run on. The order that follows may be lost, refused, carried out late, or meet an instance that has ended; the job then waits on, for as long as the lease of a silent instance, and counts as begun.

Now the log holds when an instance has confirmed the first run of a job, by its answer or by listing the run: JobsStarted, written by the controller with its next records, merged into one record an append. An end that only a started run can have proves the start as well.

Evidence: the emulation checks the platform's rule for these counts now, on every entry after every step of a random schedule (InvariantChecker).

Ruled out for these cases: the age of the reading (the controller itself told the count, its table holds its own records).

The test 'a job completes when all tasks are done' asserted the former meaning, 0 pending jobs after the intent; it now asserts 1 until the start is confirmed and 0 after it, and the two states that go with them.

--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -124,6 +124,7 @@
         milliseconds maximumLag { 0 };
     };
 
+    void onRunStarted(InstanceSession& session, const jobs::TaskId& task) override;
     void onRunEnded(InstanceSession& session, const jobs::RunEnded& record) override;
     void onEndsListed(InstanceSession& session, std::uint64_t number) override;
     void onStartRefused(InstanceSession& session, const jobs::TaskId& task, fleet::StartResult result) override;
--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -495,6 +495,14 @@
     onIncarnationEnded(*found->second, 0);
 }
 
+// The record is appended with the next others, at the latest those of the next tick.
+void Controller::onRunStarted(InstanceSession&, const TaskId& task)
+{
+    const Job* job = context_.follower.table().find(task.job);
+    if (job && !job->hasStarted)
+        records_.write(jobs::JobsStarted { { task.job } });
+}
+
 void Controller::onRunEnded(InstanceSession& session, const RunEnded& record)
 {
     context_.events.write("run.ended",
--- a/src/control/internal/instancesession.cpp
+++ b/src/control/internal/instancesession.cpp
@@ -181,8 +181,7 @@
 {
     switch (result) {
     case StartResult::Started:
-        run.state = OrderState::Started;
-        run.settledAt = context_.clock.now();
+        confirmStart(task, run);
         run.order.payload.clear();
         if (run.isStopping)
             return sendStop(task, run);
@@ -193,9 +192,7 @@
         return context_.observer.onFenced(*this);
     case StartResult::Superseded:
         // An earlier copy of the order was carried out, and its run has ended; the next renewal lists the end.
-        run.state = OrderState::Started;
-        run.settledAt = context_.clock.now();
-        return;
+        return confirmStart(task, run);
     case StartResult::LeaseExpired:
         // The clock estimate was stale; this answer has corrected it.
         run.state = OrderState::Unanswered;
@@ -214,6 +211,13 @@
     sendStop(task, run);
 }
 
+void InstanceSession::confirmStart(const TaskId& task, TrackedRun& run)
+{
+    run.state = OrderState::Started;
+    run.settledAt = context_.clock.now();
+    context_.observer.onRunStarted(*this, task);
+}
+
 void InstanceSession::requestStop(const TaskId& task, bool isPlanned)
 {
     const auto found = runs_.find(task);
@@ -388,10 +392,8 @@
         }
         present.insert(observed.task);
         run->percent = observed.percent;
-        if (run->state == OrderState::Inherited || run->state == OrderState::Unanswered) {
-            run->state = OrderState::Started;
-            run->settledAt = context_.clock.now();
-        }
+        if (run->state == OrderState::Inherited || run->state == OrderState::Unanswered)
+            confirmStart(observed.task, *run);
     }
     for (const auto& ended : answer.ended) {
         if (ended.number > lastListedEnd_ && find(ended.task, ended.run))
--- a/src/control/internal/instancesession.h
+++ b/src/control/internal/instancesession.h
@@ -147,6 +147,7 @@
     void onStartAnswered(
         const jobs::TaskId& task, std::uint32_t number, const foundation::Result<fleet::StartAnswer>& answer);
     void onStartResult(const jobs::TaskId& task, TrackedRun& run, fleet::StartResult result);
+    void confirmStart(const jobs::TaskId& task, TrackedRun& run);
     void sendStop(const jobs::TaskId& task, TrackedRun& run);
     void onStopAnswered(const jobs::TaskId& task, std::uint32_t number, const foundation::Result<void>& answer);
     void end(const jobs::TaskId& task, jobs::RunOutcome outcome, const std::string& checkpoint);
--- a/src/control/internal/isessionobserver.h
+++ b/src/control/internal/isessionobserver.h
@@ -14,6 +14,9 @@
 public:
     virtual ~ISessionObserver() = default;
 
+    /// The instance has confirmed that a tracked run has started, by an answer or by listing it.
+    virtual void onRunStarted(InstanceSession& session, const jobs::TaskId& task) = 0;
+
     /// A tracked run has ended and its resources are free.
     virtual void onRunEnded(InstanceSession& session, const jobs::RunEnded& record) = 0;
 
--- a/src/emulator/emulation.h
+++ b/src/emulator/emulation.h
@@ -10,6 +10,7 @@
 #include "telemetry/ieventsink.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -82,6 +83,10 @@
     void queryStatus(
         const std::string& entryName, jobs::JobId id, std::function<void(entry::JobStatus)> onStatus = nullptr);
 
+    /// Queries the number of pending jobs from an entry and checks it against the invariants. An entry that cannot know
+    /// the number answers with nothing.
+    void queryPending(const std::string& entryName, std::function<void(std::optional<std::size_t>)> onAnswer = nullptr);
+
     /// Advances the clock by `duration` and runs everything that falls due.
     void advanceTime(milliseconds duration);
 
--- a/src/emulator/internal/emulation.cpp
+++ b/src/emulator/internal/emulation.cpp
@@ -147,6 +147,20 @@
     });
 }
 
+void Emulation::queryPending(const std::string& entryName, std::function<void(std::optional<std::size_t>)> onAnswer)
+{
+    EmulatedEntry* target = entry(entryName);
+    if (!target || pausedEntries_.count(entryName))
+        return;
+    target->service().pendingJobs(platform_.configuration().queues.front(),
+        [this, askedAt = clock_.now(), onAnswer](std::optional<std::size_t> pending) {
+            if (pending)
+                platform_.invariants().onReportedPending(*pending, askedAt);
+            if (onAnswer)
+                onAnswer(pending);
+        });
+}
+
 void Emulation::advanceTime(milliseconds duration)
 {
     const auto end = clock_.time + duration;
--- a/src/emulator/internal/invariantchecker.cpp
+++ b/src/emulator/internal/invariantchecker.cpp
@@ -13,6 +13,9 @@
     /// Time after an acknowledged cancellation in which tasks of the job may still start.
     constexpr milliseconds cancellationGrace { 3000 };
 
+    /// Time after its acceptance from which a job that has not started must show in the number of pending jobs.
+    constexpr milliseconds pendingVisibility { 5000 };
+
 } // namespace
 
 InvariantChecker::InvariantChecker(const Instances& instances, const foundation::IClock& clock)
@@ -36,6 +39,23 @@
 
 void InvariantChecker::onCancelled(JobId job) { cancelledAt_.emplace(job, clock_.now()); }
 
+void InvariantChecker::onAccepted(JobId job)
+{
+    accepted_.insert(job);
+    acceptedAt_.emplace(job, clock_.now());
+}
+
+// A job may start while the caller awaits the answer, so only jobs that have not started by now are expected.
+void InvariantChecker::onReportedPending(std::size_t pending, foundation::SteadyTime askedAt)
+{
+    std::size_t waiting = 0;
+    for (const auto& [job, acceptedAt] : acceptedAt_)
+        waiting += acceptedAt + pendingVisibility < askedAt && !started_.count(job) && !cancelledAt_.count(job);
+    if (pending * 2 < waiting)
+        addViolation("fewer than half of the waiting jobs reported as pending",
+            std::to_string(pending) + " of " + std::to_string(waiting));
+}
+
 void InvariantChecker::onReportedCompleted(JobId job)
 {
     completed_.insert(job);
@@ -52,6 +72,7 @@
 
 void InvariantChecker::onRunStarted(const EmulatedInstance& instance, const TaskId& task)
 {
+    started_.insert(task.job);
     const std::string name = jobs::toText(task) + " on " + instance.report().incarnation.instance;
     const JobSpec* known = findSpec(task.job);
     if (!known)
--- a/src/emulator/invariantchecker.h
+++ b/src/emulator/invariantchecker.h
@@ -21,7 +21,7 @@
 
     /// A caller submitted a job; the outcome follows through one or more of the next three functions.
     void onSubmitted(jobs::JobId job, const jobs::JobSpec& spec);
-    void onAccepted(jobs::JobId job) { accepted_.insert(job); }
+    void onAccepted(jobs::JobId job);
     void onRefused(jobs::JobId job) { refused_.insert(job); }
     void onOutcomeUnknown(jobs::JobId job) { unknown_.insert(job); }
     void onCancelled(jobs::JobId job);
@@ -29,6 +29,9 @@
     /// A caller was told that a job is completed.
     void onReportedCompleted(jobs::JobId job);
 
+    /// A caller was told the number of pending jobs; `askedAt` is the time of its request.
+    void onReportedPending(std::size_t pending, foundation::SteadyTime askedAt);
+
     /// Suspends the invariants with a time bound while an instance executes an order that arrived late.
     void setExecutingLateOrder(bool isLate) { isExecutingLateOrder_ = isLate; }
 
@@ -54,6 +57,8 @@
     const foundation::IClock& clock_;
     std::map<jobs::JobId, jobs::JobSpec> specs_;
     std::set<jobs::JobId> accepted_;
+    std::map<jobs::JobId, foundation::SteadyTime> acceptedAt_; ///< Time of the first acceptance.
+    std::set<jobs::JobId> started_; ///< Jobs of which an instance has started a task.
     std::set<jobs::JobId> refused_;
     std::set<jobs::JobId> unknown_;
     std::map<jobs::JobId, foundation::SteadyTime> cancelledAt_;
--- a/src/emulator/tests/controltests.cpp
+++ b/src/emulator/tests/controltests.cpp
@@ -42,6 +42,15 @@
     return wave;
 }
 
+/// Number of pending jobs that an entry tells a caller; empty if it refuses to.
+std::optional<std::size_t> pendingAt(EmulationFixture& fixture, const std::string& entryName)
+{
+    std::optional<std::size_t> result;
+    fixture.emulation.queryPending(entryName, [&](std::optional<std::size_t> pending) { result = pending; });
+    fixture.emulation.advanceTime(milliseconds(60));
+    return result;
+}
+
 /// Name of a live entry that is not the controller.
 std::string nonControllerEntry(EmulationFixture& fixture)
 {
@@ -542,26 +551,56 @@
 {
     EmulationFixture fixture(31);
     const std::string reader = nonControllerEntry(fixture);
-    const auto pendingAt = [&](const std::string& entryName) {
-        std::optional<std::size_t> result;
-        fixture.emulation.entry(entryName)->service().pendingJobs(
-            fixture.emulation.platform().configuration().queues.front(),
-            [&](std::optional<std::size_t> pending) { result = pending; });
-        fixture.emulation.advanceTime(milliseconds(60));
-        return result;
-    };
-    CHECK(pendingAt(reader) == std::optional<std::size_t>(0));
+    CHECK(pendingAt(fixture, reader) == std::optional<std::size_t>(0));
     fixture.emulation.platform().faults().entriesPartitionedFromStore.insert(reader);
     fixture.emulation.advanceTime(milliseconds(100));
     // No instance has room for these jobs.
     for (jobs::JobId id = 0x700; id < 0x70a; ++id)
         fixture.emulation.submit(fixture.emulation.controller(), id, job({ step(1, 9000) }));
     fixture.emulation.advanceTime(milliseconds(3000));
-    CHECK(pendingAt(reader) == std::nullopt);
-    CHECK(pendingAt(fixture.emulation.controller()) == std::optional<std::size_t>(10));
+    CHECK(pendingAt(fixture, reader) == std::nullopt);
+    CHECK(pendingAt(fixture, fixture.emulation.controller()) == std::optional<std::size_t>(10));
     fixture.emulation.platform().faults().entriesPartitionedFromStore.clear();
     fixture.emulation.advanceTime(milliseconds(1500));
-    CHECK(pendingAt(reader) == std::optional<std::size_t>(10));
+    CHECK(pendingAt(fixture, reader) == std::optional<std::size_t>(10));
+}
+
+// Orders that never reach their instance leave runs that are intended but do not exist. Their jobs have not started,
+// and a caller that is told otherwise does not learn that its queue stands still.
+TEST_CASE("status: jobs whose start orders have had no effect count as pending", "[emulation]")
+{
+    EmulationFixture fixture(37);
+    for (const char* name : { "i-1", "i-2", "i-3", "i-4" })
+        fixture.emulation.platform().faults().unreachableInstances.insert(name);
+    constexpr std::size_t jobCount = 12;
+    for (jobs::JobId id = 0x900; id < 0x900 + jobCount; ++id)
+        fixture.emulation.submit("e-1", id, job({ step(1, 2000) }));
+    fixture.emulation.advanceTime(milliseconds(6000));
+    for (const char* name : { "e-1", "e-2", "e-3" })
+        CHECK(pendingAt(fixture, name) == std::optional<std::size_t>(jobCount));
+    fixture.emulation.platform().faults().unreachableInstances.clear();
+    fixture.emulation.advanceTime(milliseconds(8000));
+    for (const char* name : { "e-1", "e-2", "e-3" })
+        CHECK(pendingAt(fixture, name) == std::optional<std::size_t>(0));
+    CHECK(fixture.violations().empty());
+}
+
+// The controller that records the start of a run may end before its record is in the log. Its successor has the run
+// confirmed by the instance's list.
+TEST_CASE("status: a job that runs while control changes does not count as pending", "[emulation]")
+{
+    EmulationFixture fixture(38);
+    auto longRunning = step(2, 2000);
+    longRunning.isLongRunning = true;
+    fixture.emulation.submit("e-1", 0xa10, job({ longRunning }));
+    while (countRuns(fixture, 0xa10) < 2)
+        fixture.emulation.advanceTime(milliseconds(1));
+    fixture.emulation.killEntry(fixture.emulation.controller());
+    fixture.emulation.advanceTime(milliseconds(6000));
+    REQUIRE(countRuns(fixture, 0xa10) == 2);
+    for (const auto& name : fixture.emulation.liveEntries())
+        CHECK(pendingAt(fixture, name) == std::optional<std::size_t>(0));
+    CHECK(fixture.violations().empty());
 }
 
 // The platform does not check the tokens of machine orders, and an order may wait for a connection or while its entry
--- a/src/emulator/tests/explorationtests.cpp
+++ b/src/emulator/tests/explorationtests.cpp
@@ -40,6 +40,7 @@
         const auto end = fixture_.emulation.clock().time + faultPhase;
         while (fixture_.emulation.clock().time < end) {
             performRandomAction();
+            fixture_.queryAllPending();
             fixture_.emulation.advanceTime(milliseconds(randomNumber(5, 250)));
             if (!fixture_.violations().empty())
                 return fixture_.violations().front();
--- a/src/emulator/tests/fixtures.h
+++ b/src/emulator/tests/fixtures.h
@@ -69,6 +69,13 @@
         }
     }
 
+    /// Queries the number of pending jobs from every live entry.
+    void queryAllPending()
+    {
+        for (const auto& entry : emulation.liveEntries())
+            emulation.queryPending(entry);
+    }
+
     mocks::RecordingSink sink;
     Emulation emulation;
 };
--- a/src/entry/internal/jobservice.cpp
+++ b/src/entry/internal/jobservice.cpp
@@ -137,8 +137,9 @@
         const std::size_t pending = follower_.table().pendingJobs(name);
         const auto age = std::chrono::duration_cast<milliseconds>(clock_.now() - follower_.coveredAsOf());
         events_.write("queue.counted",
-            { { "queue", name }, { "pending", std::uint64_t(pending) }, { "age_ms", std::int64_t(age.count()) },
-                { "offset", follower_.offset() } });
+            { { "queue", name }, { "pending", std::uint64_t(pending) },
+                { "awaiting_start", std::uint64_t(follower_.table().jobsAwaitingStart(name)) },
+                { "age_ms", std::int64_t(age.count()) }, { "offset", follower_.offset() } });
         return pending;
     };
     if (follower_.hasCaughtUp() && clock_.now() - follower_.coveredAsOf() <= maximumPendingCountAge)
--- a/src/jobs/internal/jobtable.cpp
+++ b/src/jobs/internal/jobtable.cpp
@@ -13,6 +13,25 @@
     constexpr std::size_t maximumUnknownCancellations = 20000;
     constexpr std::size_t retainedClaims = 16; ///< Exceeds the number of controller changes while a lease lasts.
 
+    /// Whether only a run that an instance has started can end so. A controller also records the other outcomes for
+    /// runs whose order may have had no effect.
+    bool provesStart(RunOutcome outcome)
+    {
+        switch (outcome) {
+        case RunOutcome::Done:
+        case RunOutcome::Failed:
+        case RunOutcome::Stopped:
+        case RunOutcome::PeerEnded:
+        case RunOutcome::GangIncomplete:
+            return true;
+        case RunOutcome::LeaseExpired:
+        case RunOutcome::NeverStarted:
+        case RunOutcome::InstanceGone:
+            break;
+        }
+        return false;
+    }
+
 } // namespace
 
 JobTable::~JobTable()
@@ -110,6 +129,12 @@
         [&](const Job& job) { return job.queue == queue && !job.hasStarted && !job.isFinal(); }));
 }
 
+std::size_t JobTable::jobsAwaitingStart(const std::string& queue) const
+{
+    return static_cast<std::size_t>(std::count_if(openJobs_.begin(), openJobs_.end(),
+        [&](const Job& job) { return job.queue == queue && !job.hasStarted && !job.isFinal() && job.activeRuns > 0; }));
+}
+
 bool JobTable::hasStartedMaintenance(std::uint64_t wave, const std::string& machine) const
 {
     return startedMaintenance_.count({ wave, machine }) > 0;
@@ -190,7 +215,6 @@
     task.incarnation = record.incarnation;
     ++step.active;
     ++job->activeRuns;
-    job->hasStarted = true;
     markChanged(*job);
 }
 
@@ -206,6 +230,7 @@
     task.phase = TaskPhase::Pending;
     --step.active;
     --job->activeRuns;
+    job->hasStarted |= provesStart(record.outcome);
     if (!record.checkpoint.empty())
         task.checkpoint = record.checkpoint;
     if (record.outcome == RunOutcome::Failed)
@@ -245,6 +270,14 @@
         std::visit([this](const auto& typedRecord) { applyRecord(typedRecord); }, run);
 }
 
+void JobTable::applyRecord(const JobsStarted& record)
+{
+    for (const JobId id : record.jobs) {
+        if (Job* job = findMutableJob(id))
+            job->hasStarted = true;
+    }
+}
+
 void JobTable::applyRecord(const JobFailed& record)
 {
     Job* job = findMutableJob(record.job);
--- a/src/jobs/internal/recordcodec.cpp
+++ b/src/jobs/internal/recordcodec.cpp
@@ -46,6 +46,7 @@
             return json::array({ record.wave, record.seenAt.count() });
         }
         json operator()(const RunBatch& record) const { return toJson(record); }
+        json operator()(const JobsStarted& record) const { return json::array({ record.jobs }); }
     };
 
     RunOutcome runOutcomeFromJson(const json& value) { return runOutcomeFromNumber(value.get<unsigned>()); }
@@ -76,6 +77,8 @@
             return WaveFirstSeen { fields.at(0).get<std::uint64_t>(), milliseconds(fields.at(1).get<std::int64_t>()) };
         case 9:
             return runBatchFromJson(fields);
+        case 10:
+            return JobsStarted { fields.at(0).get<std::vector<JobId>>() };
         default:
             throw std::out_of_range("record type number is out of range");
         }
@@ -95,6 +98,7 @@
 {
     std::vector<std::string> payloads;
     RunBatch batch;
+    JobsStarted started;
     const auto closeBatch = [&] {
         if (!batch.records.empty())
             payloads.push_back(encode(batch, epoch));
@@ -105,6 +109,8 @@
             batch.records.emplace_back(*intended);
         } else if (const auto* ended = std::get_if<RunEnded>(&record); ended && batchesRuns) {
             batch.records.emplace_back(*ended);
+        } else if (const auto* confirmed = std::get_if<JobsStarted>(&record); confirmed && batchesRuns) {
+            started.jobs.insert(started.jobs.end(), confirmed->jobs.begin(), confirmed->jobs.end());
         } else {
             closeBatch();
             payloads.push_back(encode(record, epoch));
@@ -113,6 +119,8 @@
             closeBatch();
     }
     closeBatch();
+    if (!started.jobs.empty())
+        payloads.push_back(encode(started, epoch));
     return payloads;
 }
 
--- a/src/jobs/jobtable.h
+++ b/src/jobs/jobtable.h
@@ -62,9 +62,13 @@
     /// were removed meanwhile are left out; they were final before.
     std::vector<JobId> takeChangedJobs();
 
-    /// Number of open jobs of a queue none of whose tasks has started.
+    /// Number of open jobs of a queue of which no task is known to have started. A job whose start orders have not been
+    /// confirmed by an instance counts: they may have had no effect.
     std::size_t pendingJobs(const std::string& queue) const;
 
+    /// Number of the pending jobs of a queue that have a run whose start is not confirmed.
+    std::size_t jobsAwaitingStart(const std::string& queue) const;
+
     /// The latest claim of control; its epoch is 0 when there is none.
     const ControlClaimed& latestClaim() const;
 
@@ -87,6 +91,7 @@
     void applyRecord(const JobExpired& record);
     void applyRecord(const MaintenanceStarted& record) { startedMaintenance_.emplace(record.wave, record.machine); }
     void applyRecord(const RunBatch& record);
+    void applyRecord(const JobsStarted& record);
     void applyRecord(const WaveFirstSeen& record) { waveFirstSeenTimes_.emplace(record.wave, record.seenAt); }
 
     using ChangedJobList = boost::intrusive::list<Job, boost::intrusive::base_hook<ChangedJobHook>,
--- a/src/jobs/recordcodec.h
+++ b/src/jobs/recordcodec.h
@@ -19,7 +19,8 @@
 std::string encode(const Record& record, std::uint64_t epoch);
 
 /// Encodes the records of one append, in their order. If `batchesRuns`, consecutive RunIntended and RunEnded records
-/// are stored as RunBatch records; versions of this program without RunBatch cannot read these.
+/// are stored as RunBatch records, which versions of this program without RunBatch cannot read, and the JobsStarted
+/// records are merged at the end.
 std::vector<std::string> encodeAppend(const std::vector<Record>& records, std::uint64_t epoch, bool batchesRuns);
 
 /// Decodes a record. Errc::UnknownRecord: the bytes are damaged, or were written by another program or a later version.
--- a/src/jobs/tests/jobtests.cpp
+++ b/src/jobs/tests/jobtests.cpp
@@ -63,7 +63,8 @@
         RunEnded { { 1, 0, 0, 1 }, 2, RunOutcome::Stopped, "00ff" }, JobFailed { 1 }, JobExpired { 1 },
         MaintenanceStarted { 4, "m-1" }, WaveFirstSeen { 4, milliseconds(55) },
         RunBatch { { intended(1, 0, 3), intended(1, 1, 1), RunEnded { { 2, 1, 0, 1 }, 2, RunOutcome::Stopped, "00ff" },
-            ended(2, 7, 1, RunOutcome::InstanceGone), intended(1, 0, 4) } } };
+            ended(2, 7, 1, RunOutcome::InstanceGone), intended(1, 0, 4) } },
+        JobsStarted { { 1, 0xffffffffffffffff } } };
     for (const auto& record : records) {
         const std::string bytes = encode(record, 7);
         const auto decoded = decode(bytes);
@@ -84,7 +85,12 @@
     CHECK(table.pendingJobs("calls") == 1);
     table.apply(intended(1, 0, 1));
     table.apply(intended(1, 1, 1));
+    CHECK(table.pendingJobs("calls") == 1);
+    CHECK(table.jobsAwaitingStart("calls") == 1);
+    CHECK(table.find(JobId(1))->state() == JobState::Queued);
+    table.apply(JobsStarted { { 1 } });
     CHECK(table.pendingJobs("calls") == 0);
+    CHECK(table.jobsAwaitingStart("calls") == 0);
     CHECK(table.find(JobId(1))->state() == JobState::Running);
     CHECK_FALSE(table.find(JobId(1))->occurrences.at(0).isReady(table.find(JobId(1))->spec, 1));
     table.apply(ended(1, 0, 1, RunOutcome::Done));
@@ -101,6 +107,22 @@
     CHECK_FALSE(table.find(JobId(1)));
 }
 
+// A job whose order was lost or refused, or whose instance was gone before it could start, still waits.
+TEST_CASE("table: a job is pending until an instance has started one of its runs", "[jobs]")
+{
+    for (const RunOutcome outcome :
+        { RunOutcome::NeverStarted, RunOutcome::InstanceGone, RunOutcome::LeaseExpired, RunOutcome::Stopped }) {
+        JobTable table;
+        table.apply(submitted(1, { step(2) }));
+        table.apply(intended(1, 0, 1));
+        table.apply(ended(1, 0, 1, outcome));
+        CHECK(table.pendingJobs("calls") == (outcome == RunOutcome::Stopped ? 0 : 1));
+        CHECK(table.jobsAwaitingStart("calls") == 0);
+        table.apply(JobsStarted { { 1, 2 } });
+        CHECK(table.pendingJobs("calls") == 0);
+    }
+}
+
 TEST_CASE("table: applying a record again has no effect", "[jobs]")
 {
     const std::vector<Record> records { submitted(1, { step(2) }), intended(1, 0, 1),
@@ -274,6 +296,8 @@
         }
         for (std::uint32_t index = 0; index < 8; ++index)
             records.push_back(ended(job, index, run, random() % 9 ? RunOutcome::Failed : RunOutcome::Done));
+        if (run % 7 == 0)
+            records.push_back(JobsStarted { { job } });
         if (run % 20 == 0)
             records.push_back(JobCancelled { job });
     }
--- a/src/jobs/types/job.h
+++ b/src/jobs/types/job.h
@@ -63,7 +63,7 @@
     std::map<std::uint32_t, Occurrence> occurrences; ///< Occurrences that have started, by number.
     std::uint32_t completedOccurrences = 0;
     std::uint32_t activeRuns = 0;
-    bool hasStarted = false; ///< Whether a run of any task was ever intended.
+    bool hasStarted = false; ///< Whether an instance is known to have started a run of any task.
     bool isCancelled = false;
     bool hasFailed = false;
 
--- a/src/jobs/types/records.h
+++ b/src/jobs/types/records.h
@@ -101,7 +101,12 @@
     std::vector<std::variant<RunIntended, RunEnded>> records;
 };
 
+/// Instances have confirmed the start of a run of each of these jobs. An intended run may never start.
+struct JobsStarted {
+    std::vector<JobId> jobs;
+};
+
 using Record = std::variant<ControlClaimed, JobSubmitted, JobCancelled, RunIntended, RunEnded, JobFailed, JobExpired,
-    MaintenanceStarted, WaveFirstSeen, RunBatch>;
+    MaintenanceStarted, WaveFirstSeen, RunBatch, JobsStarted>;
 
 } // namespace turmericsill::jobs
