--- a/src/emulator/internal/emulation.cpp
+++ b/src/emulator/internal/emulation.cpp
@@ -128,6 +128,7 @@
     EmulatedEntry* target = entry(entryName);
     if (!target || pausedEntries_.count(entryName))
         return;
+    platform_.invariants().onCancelRequested(id);
     target->service().cancel(id, clock_.now() + callerTimeout, [this, id](RequestResult result) {
         if (result.outcome == RequestOutcome::Stored)
             platform_.invariants().onCancelled(id);
--- a/src/emulator/invariantchecker.h
+++ b/src/emulator/invariantchecker.h
@@ -24,6 +24,7 @@
     void onAccepted(jobs::JobId job);
     void onRefused(jobs::JobId job) { refused_.insert(job); }
     void onOutcomeUnknown(jobs::JobId job) { unknown_.insert(job); }
+    void onCancelRequested(jobs::JobId job) { cancelRequested_.insert(job); }
     void onCancelled(jobs::JobId job);
 
     /// A caller was told that a job is completed.
@@ -61,6 +62,7 @@
     std::set<jobs::JobId> started_; ///< Jobs of which an instance has started a task.
     std::set<jobs::JobId> refused_;
     std::set<jobs::JobId> unknown_;
+    std::set<jobs::JobId> cancelRequested_; ///< Jobs that may be cancelled, whether or not a caller was told so.
     std::map<jobs::JobId, foundation::SteadyTime> cancelledAt_;
     std::set<jobs::JobId> completed_;
     std::set<jobs::TaskId> doneTasks_; ///< Tasks of which an end with RunOutcome::Done was acknowledged.
