--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -100,13 +100,21 @@
     milliseconds waveAge(std::uint64_t wave);
     bool hasStartedMaintenance(std::uint64_t wave, const std::string& machine) const;
 
+    /// Makes the end of the present incarnation of an instance not count as a crash. Called before an order for its
+    /// machine is sent.
+    void expectTakenDown(const std::string& instance);
+
     /// Called when an instance has ended because its machine was moved or taken down for maintenance. Reports of its
     /// present incarnation that are still in the directory are ignored from then on.
     void onMachineTakenDown(const std::string& instance);
 
     /// Called when the machine of such an instance turned out not to have been taken down. The next report of the
     /// instance opens a session again.
-    void onMachineNotTakenDown(const std::string& instance) { endedIncarnations_.erase(instance); }
+    void onMachineNotTakenDown(const std::string& instance)
+    {
+        endedIncarnations_.erase(instance);
+        expectedDown_.erase(instance);
+    }
 
     /// Resources requested by the ready tasks of each pool that found no room.
     std::map<std::string, jobs::Resources> unplacedByPool() const { return scheduler_.unplacedByPool(); }
@@ -135,6 +143,11 @@
 
     void onInstancesLoaded(const std::set<std::string>& present);
     void onInstanceChange(const fleet::InstanceChange& change);
+    void endIncarnation(InstanceSession& session, std::int64_t startedAt);
+    void recordCrash(const InstanceSession& session);
+    bool isObserved(const jobs::TaskId& task) const;
+    void observeSuspect(const jobs::TaskId& task, const std::string& instance);
+    void failJobIfCrashing(const jobs::Job& job);
     InstanceSessionPtr openSession(const fleet::InstanceReport& report);
     void replaceSession(InstanceSession& session, const fleet::InstanceReport& report);
     void inheritRuns();
@@ -177,6 +190,11 @@
     std::unordered_map<std::string, std::string> instanceOnMachine_; ///< Latest instance that a machine reported.
     /// Instances whose machine was taken down, with the start of the incarnation that ended.
     std::unordered_map<std::string, std::int64_t> endedIncarnations_;
+    /// Instances whose machines were ordered to be moved or maintained, with the start of the incarnation that ends.
+    std::unordered_map<std::string, std::int64_t> expectedDown_;
+    /// Tasks that may crash their instances and that have just started or are about to, with the time until which their
+    /// instance gets no other task.
+    std::map<jobs::TaskId, foundation::SteadyTime> observedUntil_;
     std::set<std::string> cordoned_; ///< Names of the instances that get no new work.
     std::set<jobs::TaskId> blockedTasks_; ///< Tasks not placed for now because an order was refused as invalid.
     std::unordered_map<jobs::JobId, foundation::SteadyTime> finalSince_;
--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -28,6 +28,9 @@
     constexpr milliseconds slowAppendThreshold { 500 }; ///< An append takes about 10 ms.
     constexpr milliseconds staleReadThreshold { 2000 }; ///< A read is answered within 1 s, with or without records.
     constexpr milliseconds rereadDelay { 100 }; ///< Delay after a failed read of the log.
+    /// Time after the start of a suspect in which its instance starts nothing else. Exceeds the time within which a
+    /// crash counts as caused by a start.
+    constexpr milliseconds observationTime { 300 };
     constexpr milliseconds invalidBackoff { 1000 }; ///< Delay before a task that was refused as invalid is retried.
 
     milliseconds timeOfDay(const foundation::IClock& clock)
@@ -167,6 +170,7 @@
     if (change.report->incarnation.startedAt > session->incarnation().startedAt
         && session->incarnation().startedAt != 0) {
         session->setListed(true);
+        recordCrash(*session);
         return replaceSession(*session, *change.report);
     }
     if (change.report->isDraining && !session->report().isDraining)
@@ -227,7 +231,7 @@
         session->tick(status);
         if (hasSteppedDown_)
             return;
-        if (!session->isListed() && session->runs().empty())
+        if (!session->isListed() && session->runs().empty() && !session->awaitsCrashEvidence())
             removeSession(session);
     }
     removeExpiredJobs();
@@ -241,6 +245,7 @@
 void Controller::removeSession(const InstanceSessionPtr& session)
 {
     session->close();
+    expectedDown_.erase(session->incarnation().instance);
     onSessionChanged(*session);
     const auto found = sessions_.find(session->incarnation().instance);
     if (found != sessions_.end() && found->second == session)
@@ -282,7 +287,10 @@
     if (directory_.isLoaded() && controlStatus_ == ControlStatus::Confirmed && !writer_.isStalled()
         && configuration_.version > 0) {
         const scheduling::StepTickets tickets = adviceCache_.validTickets();
-        scheduler_.planChangedPools({ &blockedTasks_, &tickets },
+        std::set<jobs::JobId> observedJobs;
+        for (const auto& [task, until] : observedUntil_)
+            observedJobs.insert(task.job);
+        scheduler_.planChangedPools({ &blockedTasks_, &tickets, &observedJobs },
             [this](const std::string& pool, const scheduling::PoolPlan& plan) { startPlacements(pool, plan); });
     }
     writer_.flush();
@@ -325,8 +333,10 @@
 void Controller::applyJobChanges()
 {
     for (const jobs::JobId id : context_.follower.takeChangedJobs()) {
-        scheduler_.updateJob(id);
         const Job* job = context_.follower.table().find(id);
+        if (job)
+            failJobIfCrashing(*job);
+        scheduler_.updateJob(id);
         if (job && job->isFinal() && job->activeRuns > 0)
             stopRuns(*job);
     }
@@ -384,6 +394,7 @@
         ++view.tasksByStep[scheduling::stepOf(task)];
         if (const Job* job = context_.follower.table().find(task.job))
             scheduling::countTask(view, job->spec.steps[task.step]);
+        view.isObserved |= isObserved(task);
     }
     view.isOnProbation = health_.isOnProbation(session.incarnation().instance);
     return view;
@@ -396,6 +407,8 @@
     if (found == sessions_.end() || !job)
         return;
     records_.write(RunIntended { placement.task, placement.run, placement.incarnation });
+    if (const auto* crashes = job->findCrashHistory(placement.task); crashes && crashes->requiresObservation())
+        observedUntil_[placement.task] = foundation::SteadyTime::max();
     found->second->track(
         placement.task, placement.run, placement.resources, job->spec.steps[placement.task.step].isLongRunning, false);
 }
@@ -430,8 +443,10 @@
         return;
     const Job* job = context_.follower.table().find(placement.task.job);
     const jobs::Task* task = context_.follower.table().find(placement.task);
-    if (!job || !task || task->lastRun != placement.run)
+    if (!job || !task || task->lastRun != placement.run) {
+        observedUntil_.erase(placement.task);
         return;
+    }
     if (job->isFinal())
         found->second->requestStop(placement.task, false);
     const bool hasCheckpoints = job->spec.steps[placement.task.step].resumesFromCheckpoint;
@@ -439,10 +454,70 @@
         { { "task", jobs::toText(placement.task) }, { "run", std::uint64_t(placement.run) },
             { "instance", placement.incarnation.instance }, { "epoch", sessionContext_.epoch },
             { "offset", context_.follower.offset() }, { "configuration", configuration_.version } });
+    if (isObserved(placement.task))
+        observeSuspect(placement.task, placement.incarnation.instance);
     found->second->order(
         placement.task, job->spec.payload, hasCheckpoints ? task->checkpoint : std::string(), placement.ticket);
 }
 
+bool Controller::isObserved(const TaskId& task) const { return observedUntil_.count(task) > 0; }
+
+void Controller::observeSuspect(const TaskId& task, const std::string& instance)
+{
+    const auto until = context_.clock.now() + observationTime;
+    observedUntil_[task] = until;
+    scheduleAfter(observationTime, [this, task, instance, until] {
+        const auto observed = observedUntil_.find(task);
+        if (observed == observedUntil_.end() || observed->second != until)
+            return;
+        observedUntil_.erase(observed);
+        if (const auto session = sessions_.find(instance); session != sessions_.end())
+            onSessionChanged(*session->second);
+        scheduler_.updateJob(task.job);
+        schedulePlan();
+    });
+}
+
+void Controller::expectTakenDown(const std::string& instance)
+{
+    if (const auto session = sessions_.find(instance); session != sessions_.end())
+        expectedDown_[instance] = session->second->incarnation().startedAt;
+}
+
+// Own orders and instances that drain end runs as well, but these ends say nothing about the tasks.
+void Controller::recordCrash(const InstanceSession& session)
+{
+    const jobs::InstanceIncarnation& incarnation = session.incarnation();
+    const auto expected = expectedDown_.find(incarnation.instance);
+    const bool isOrdered = expected != expectedDown_.end() && expected->second == incarnation.startedAt;
+    if (session.report().isDraining || isOrdered)
+        return;
+    const jobs::InstanceCrashed record { incarnation, session.report().machine, session.runsAtCrash() };
+    const auto countRuns = [&](bool jobs::CrashedRun::*flag) {
+        return std::uint64_t(std::count_if(
+            record.runs.begin(), record.runs.end(), [&](const jobs::CrashedRun& run) { return run.*flag; }));
+    };
+    context_.events.write("instance.crashed",
+        { { "instance", incarnation.instance }, { "machine", record.machine },
+            { "runs", std::uint64_t(record.runs.size()) }, { "confirmed", countRuns(&jobs::CrashedRun::isConfirmed) },
+            { "suspicions", countRuns(&jobs::CrashedRun::isSuspicion) } });
+    if (!record.runs.empty())
+        records_.write(record);
+}
+
+void Controller::failJobIfCrashing(const Job& job)
+{
+    const TaskId* task = job.isFinal() ? nullptr : job.findExhaustedTask();
+    if (!task)
+        return;
+    const auto* history = job.findCrashHistory(*task);
+    context_.events.write("job.failed",
+        { { "job", jobs::toText(job.id) }, { "task", jobs::toText(*task) },
+            { "crashes", std::uint64_t(history->crashes.size()) }, { "convicted", history->isConvicted() },
+            { "configuration", configuration_.version } });
+    records_.writeDecidingRecord(jobs::JobFailed { job.id }, job.id);
+}
+
 void Controller::stopRuns(const Job& job)
 {
     for (const auto& [number, occurrence] : job.occurrences) {
@@ -492,7 +567,7 @@
     if (found == sessions_.end())
         return;
     endedIncarnations_[instance] = found->second->incarnation().startedAt;
-    onIncarnationEnded(*found->second, 0);
+    endIncarnation(*found->second, 0);
 }
 
 // The record is appended with the next others, at the latest those of the next tick.
@@ -510,6 +585,7 @@
             { "instance", session.incarnation().instance }, { "how", toText(record.outcome) },
             { "epoch", sessionContext_.epoch } });
     records_.writeDecidingRecord(record, record.task.job);
+    observedUntil_.erase(record.task);
     health_.recordRunOutcome(session.incarnation().instance, record.outcome);
     if (record.outcome == RunOutcome::Failed)
         excludeUntilHealthy(session.incarnation().instance);
@@ -581,6 +657,12 @@
 }
 
 void Controller::onIncarnationEnded(InstanceSession& session, std::int64_t startedAt)
+{
+    recordCrash(session);
+    endIncarnation(session, startedAt);
+}
+
+void Controller::endIncarnation(InstanceSession& session, std::int64_t startedAt)
 {
     const InstanceSessionPtr keepAlive(&session);
     context_.events.write(
--- a/src/control/internal/instancesession.cpp
+++ b/src/control/internal/instancesession.cpp
@@ -24,6 +24,13 @@
     constexpr std::size_t maximumEndsPerAnswer = 500; ///< The platform lists at most this many ends per answer.
     /// Time after the answer to a stop within which the instance lists the end of the run.
     constexpr milliseconds stopEndAllowance { 700 };
+    /// Time from the start order of a run until its instance stops answering within which the run may be the cause. A
+    /// crash shows within a round trip on the open connection of the renewal.
+    constexpr milliseconds crashOnsetWindow { 150 };
+    /// A run that has worked for longer is not the cause of the crash of its instance.
+    constexpr milliseconds longestCrashOnset { 5000 };
+    /// Time after the latest answer of an instance in which its next incarnation shows that it has crashed.
+    constexpr milliseconds crashEvidenceTime { 20000 };
 
 } // namespace
 
@@ -116,7 +123,7 @@
     tracked.resources = resources;
     tracked.isLongRunning = isLongRunning;
     tracked.state = isInherited ? OrderState::Inherited : OrderState::IntentPending;
-    tracked.orderedAt = context_.clock.now();
+    tracked.trackedAt = context_.clock.now();
     insertRun(task, std::move(tracked));
 }
 
@@ -135,7 +142,6 @@
     if (run.isStopping)
         return end(task, RunOutcome::NeverStarted, {});
     run.order = { task, run.run, std::move(payload), std::move(checkpoint), std::move(ticket), InstanceTime(0) };
-    run.orderedAt = context_.clock.now();
     sendStart(task, run);
 }
 
@@ -143,17 +149,19 @@
 {
     run.state = OrderState::Sent;
     run.lastAttemptAt = context_.clock.now();
+    if (consecutiveFailures_ == 0)
+        run.orderedAt = context_.clock.now();
     // As in renew(), the lease of an instance that does not answer is not extended.
     if (consecutiveFailures_ == 0)
         sentLeaseEnd_ = std::max(sentLeaseEnd_, clockEstimate() + context_.leaseTerms.startDuration);
     run.order.leaseEnd = std::min(sentLeaseEnd_, clockEstimate() + context_.leaseTerms.startDuration);
-    context_.control.start(
-        handle(), run.order, [self = Self(this), task, number = run.run](const Result<StartAnswer>& answer) {
-            self->onStartAnswered(task, number, answer);
-        });
+    context_.control.start(handle(), run.order,
+        [self = Self(this), task, number = run.run, sentAt = run.lastAttemptAt](
+            const Result<StartAnswer>& answer) { self->onStartAnswered(task, number, answer, sentAt); });
 }
 
-void InstanceSession::onStartAnswered(const TaskId& task, std::uint32_t number, const Result<StartAnswer>& answer)
+void InstanceSession::onStartAnswered(
+    const TaskId& task, std::uint32_t number, const Result<StartAnswer>& answer, SteadyTime sentAt)
 {
     if (isClosed_)
         return;
@@ -168,7 +176,7 @@
             onStartResult(task, *run, answer->result);
         return;
     }
-    recordFailure(answer.error());
+    recordFailure(answer.error(), sentAt);
     if (!run)
         return;
     if (answer.error().code == Errc::Unavailable && !run->hadUnansweredOrder)
@@ -236,13 +244,13 @@
         return;
     run.isStopCallPending = true;
     run.lastAttemptAt = context_.clock.now();
-    context_.control.stop(
-        handle(), task, run.run, [self = Self(this), task, number = run.run](const Result<void>& answer) {
-            self->onStopAnswered(task, number, answer);
-        });
+    context_.control.stop(handle(), task, run.run,
+        [self = Self(this), task, number = run.run, sentAt = run.lastAttemptAt](
+            const Result<void>& answer) { self->onStopAnswered(task, number, answer, sentAt); });
 }
 
-void InstanceSession::onStopAnswered(const TaskId& task, std::uint32_t number, const Result<void>& answer)
+void InstanceSession::onStopAnswered(
+    const TaskId& task, std::uint32_t number, const Result<void>& answer, SteadyTime sentAt)
 {
     if (isClosed_)
         return;
@@ -253,7 +261,7 @@
     if (answer)
         recordAnswer();
     else
-        recordFailure(answer.error());
+        recordFailure(answer.error(), sentAt);
     TrackedRun* run = find(task, number);
     if (!run)
         return;
@@ -347,7 +355,7 @@
     if (!answer) {
         if (answer.error().code == Errc::WrongInstance)
             return context_.observer.onIncarnationEnded(*this, 0);
-        return recordFailure(answer.error());
+        return recordFailure(answer.error(), sentAt);
     }
     if (answer->isFenced)
         return context_.observer.onFenced(*this);
@@ -418,10 +426,9 @@
 {
     const auto unexpected = unexpectedRuns_;
     for (const auto& [task, number] : unexpected) {
-        context_.control.stop(
-            handle(), task, number, [self = Self(this), task = task, number = number](const Result<void>& answer) {
-                self->onStopAnswered(task, number, answer);
-            });
+        context_.control.stop(handle(), task, number,
+            [self = Self(this), task = task, number = number, sentAt = context_.clock.now()](
+                const Result<void>& answer) { self->onStopAnswered(task, number, answer, sentAt); });
     }
 }
 
@@ -459,6 +466,33 @@
     adoptedLeasesExpiredAt_ = context_.clock.now() + std::chrono::duration_cast<SteadyTime::duration>(longest);
 }
 
+bool InstanceSession::awaitsCrashEvidence() const
+{
+    return !expiredRuns_.empty() && context_.clock.now() - unansweredSince_ < crashEvidenceTime;
+}
+
+// Without a failed call it is not known when the instance crashed, only that it was before the latest answer. A run
+// that it did not confirm need not have reached it then.
+std::vector<jobs::CrashedRun> InstanceSession::runsAtCrash() const
+{
+    const bool isTimeKnown = consecutiveFailures_ > 0;
+    const auto crashedAt = isTimeKnown ? unansweredSince_ : context_.clock.now();
+    std::vector<jobs::CrashedRun> crashed;
+    for (const Runs* runs : { &runs_, &expiredRuns_ }) {
+        for (const auto& [task, run] : *runs) {
+            const bool isConfirmed = run.state == OrderState::Started;
+            const bool isPossiblyAtWork = isConfirmed || run.state == OrderState::Inherited
+                || (isTimeKnown && run.orderedAt && *run.orderedAt <= crashedAt);
+            if (run.state == OrderState::IntentPending || !isPossiblyAtWork)
+                continue;
+            const bool hasEndured = isConfirmed && crashedAt - run.trackedAt > longestCrashOnset;
+            const bool hasJustStarted = run.orderedAt && crashedAt - *run.orderedAt <= crashOnsetWindow;
+            crashed.push_back({ task, run.run, isConfirmed, isTimeKnown && hasJustStarted && !hasEndured, hasEndured });
+        }
+    }
+    return crashed;
+}
+
 void InstanceSession::endAll(RunOutcome outcome)
 {
     std::vector<TaskId> tasks;
@@ -466,8 +500,11 @@
         if (run.state != OrderState::IntentPending || outcome == RunOutcome::InstanceGone)
             tasks.push_back(task);
     }
-    for (const auto& task : tasks)
+    for (const auto& task : tasks) {
+        if (outcome == RunOutcome::LeaseExpired && consecutiveFailures_ > 0)
+            expiredRuns_[task] = runs_.at(task);
         end(task, outcome, {});
+    }
 }
 
 void InstanceSession::updateClock(InstanceTime clock)
@@ -483,16 +520,19 @@
 {
     const bool wasUnreachable = consecutiveFailures_ > 0;
     consecutiveFailures_ = 0;
+    expiredRuns_.clear();
     if (wasUnreachable)
         reportChange();
     if (wasUnreachable && isSynced_)
         context_.observer.onContactChanged(*this, true, "answers again");
 }
 
-void InstanceSession::recordFailure(const foundation::Error& error)
+// A connection that breaks shows a crash at once, a timeout long after it.
+void InstanceSession::recordFailure(const foundation::Error& error, SteadyTime sentAt)
 {
     if (++consecutiveFailures_ != 1)
         return;
+    unansweredSince_ = error.code == Errc::Timeout ? sentAt : context_.clock.now();
     reportChange();
     context_.observer.onContactChanged(*this, false, error.message());
 }
--- a/src/control/internal/instancesession.h
+++ b/src/control/internal/instancesession.h
@@ -15,6 +15,7 @@
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace turmericsill::control {
 
@@ -46,7 +47,9 @@
     bool isPlannedStop = false; ///< Stopped to relocate the task.
     /// From then on no order is in flight; a later listing without the run shows that it does not exist.
     std::optional<foundation::SteadyTime> settledAt;
-    foundation::SteadyTime orderedAt {};
+    foundation::SteadyTime trackedAt {};
+    /// When this controller last sent the start order to an instance that answered; empty if it did not.
+    std::optional<foundation::SteadyTime> orderedAt;
     foundation::SteadyTime lastAttemptAt {};
     int percent = 0; ///< Progress listed by the instance; 100 for a long-running task that is serving.
     fleet::StartOrder order;
@@ -123,6 +126,12 @@
     /// unanswered are stopped first.
     void adoptRuns(InstanceSession& earlier);
 
+    /// Whether it is open if the instance has crashed or was only silent when the lease of its runs expired.
+    bool awaitsCrashEvidence() const;
+
+    /// The runs that may have been at work when the instance crashed.
+    std::vector<jobs::CrashedRun> runsAtCrash() const;
+
     /// Ends every tracked run. Runs whose intent is not in the log yet end only with RunOutcome::InstanceGone.
     void endAll(jobs::RunOutcome outcome);
 
@@ -144,21 +153,23 @@
     void reconcile(const fleet::RenewAnswer& answer, foundation::SteadyTime sentAt);
     void stopUnexpectedRuns();
     void sendStart(const jobs::TaskId& task, TrackedRun& run);
-    void onStartAnswered(
-        const jobs::TaskId& task, std::uint32_t number, const foundation::Result<fleet::StartAnswer>& answer);
+    void onStartAnswered(const jobs::TaskId& task, std::uint32_t number,
+        const foundation::Result<fleet::StartAnswer>& answer, foundation::SteadyTime sentAt);
     void onStartResult(const jobs::TaskId& task, TrackedRun& run, fleet::StartResult result);
     void confirmStart(const jobs::TaskId& task, TrackedRun& run);
     void sendStop(const jobs::TaskId& task, TrackedRun& run);
-    void onStopAnswered(const jobs::TaskId& task, std::uint32_t number, const foundation::Result<void>& answer);
+    void onStopAnswered(const jobs::TaskId& task, std::uint32_t number, const foundation::Result<void>& answer,
+        foundation::SteadyTime sentAt);
     void end(const jobs::TaskId& task, jobs::RunOutcome outcome, const std::string& checkpoint);
     void updateClock(fleet::InstanceTime clock);
     void recordAnswer();
-    void recordFailure(const foundation::Error& error);
+    void recordFailure(const foundation::Error& error, foundation::SteadyTime sentAt);
     TrackedRun* find(const jobs::TaskId& task, std::uint32_t number);
 
     fleet::InstanceReport report_;
     SessionContext& context_;
     Runs runs_;
+    Runs expiredRuns_; ///< Runs whose lease expired since the instance last answered.
     jobs::Resources reserved_; ///< Sum of the resources of `runs_`.
     std::int64_t shortTaskMilliCores_ = 0;
     std::optional<foundation::SteadyTime> idleSince_;
@@ -170,6 +181,8 @@
     bool isRenewing_ = false;
     bool isLastRenewalAnswered_ = true;
     int consecutiveFailures_ = 0; ///< Failed calls since the latest answer.
+    foundation::SteadyTime
+        unansweredSince_ {}; ///< Time of the first of these failures; of a timeout, when its call was sent.
     std::optional<fleet::InstanceTime> clock_; ///< Clock of the instance in its latest answer.
     foundation::SteadyTime clockReadAt_ {}; ///< Time at which that answer arrived.
     fleet::InstanceTime sentLeaseEnd_ { 0 }; ///< Latest lease end sent in any order or renewal.
--- a/src/control/internal/machinemanager.cpp
+++ b/src/control/internal/machinemanager.cpp
@@ -330,6 +330,7 @@
 {
     operation.isRequestPending = true;
     const std::string instance = machines_.at(machine).instance;
+    controller_.expectTakenDown(instance);
     machineControl_.startMaintenance(machine, operation.wave, authority(),
         [this, alive = alive_, machine, instance, number = operation.wave](const Result<MachineOrderResult>& result) {
             if (!*alive)
@@ -346,6 +347,7 @@
             if (!result)
                 return; // Retried at the next tick; a repeated order has no further effect.
             if (*result != MachineOrderResult::Accepted) {
+                controller_.onMachineNotTakenDown(instance);
                 operations_.erase(machine);
                 return;
             }
@@ -478,6 +480,7 @@
     operation.since = context_.clock.now();
     operation.isRequestPending = true;
     operations_[move.machine] = operation;
+    controller_.expectTakenDown(report.instance);
     machineControl_.move(move.machine, move.pool, authority(),
         [this, alive = alive_, move, instance = report.instance, from = report.pool](
             const Result<MachineOrderResult>& result) {
@@ -494,6 +497,7 @@
                 refusedMoves_.insert({ move.machine, move.pool });
             const bool isCertainlyNotCarriedOut = !result && result.error().code == foundation::Errc::Unavailable;
             if (isCertainlyNotCarriedOut || (result && !isAccepted)) {
+                controller_.onMachineNotTakenDown(instance);
                 operations_.erase(move.machine);
                 return;
             }
--- /dev/null
+++ b/src/control/tests/instancesessiontests.cpp
@@ -0,0 +1,193 @@
+#include "control/internal/instancesession.h"
+#include "foundation/tests/mocks/manualclock.h"
+#include "foundation/timerqueue.h"
+
+#include <catch2/catch.hpp>
+
+using namespace turmericsill;
+using namespace turmericsill::control;
+using foundation::Errc;
+using foundation::failure;
+using jobs::TaskId;
+
+namespace {
+
+class NullEventSink : public telemetry::IEventSink {
+public:
+    void write(std::string_view, std::initializer_list<telemetry::EventField>) override { }
+};
+
+class NullObserver : public ISessionObserver {
+public:
+    void onRunStarted(InstanceSession&, const TaskId&) override { }
+    void onRunEnded(InstanceSession&, const jobs::RunEnded&) override { }
+    void onEndsListed(InstanceSession&, std::uint64_t) override { }
+    void onStartRefused(InstanceSession&, const TaskId&, fleet::StartResult) override { }
+    void onIncarnationEnded(InstanceSession&, std::int64_t) override { }
+    void onContactChanged(InstanceSession&, bool, const std::string&) override { }
+    void onSessionChanged(InstanceSession&) override { }
+    void onFenced(InstanceSession&) override { }
+};
+
+class NullPeers : public IPeerControl {
+public:
+    void queryState(const foundation::Address&, StateCallback) override { }
+    void forward(const foundation::Address&, std::vector<std::string>, milliseconds, ForwardCallback) override { }
+};
+
+/// Keeps the callbacks of the calls, so that a test answers them.
+class HeldInstanceControl : public fleet::IInstanceControl {
+public:
+    void start(const fleet::InstanceHandle&, const fleet::StartOrder& order, StartCallback done) override
+    {
+        starts[order.task] = std::move(done);
+    }
+    void stop(const fleet::InstanceHandle&, const TaskId&, std::uint32_t, StopCallback) override { }
+    void renew(const fleet::InstanceHandle&, const fleet::RenewRequest&, RenewCallback done) override
+    {
+        renewal = std::move(done);
+    }
+    void throttle(const fleet::InstanceHandle&, const TaskId&, std::uint32_t, int, StopCallback) override { }
+    void dropConnections(const foundation::Address&) override { }
+
+    std::map<TaskId, StartCallback> starts;
+    RenewCallback renewal;
+};
+
+struct SessionFixture {
+    SessionFixture()
+    {
+        fleet::InstanceReport report;
+        report.incarnation = { "i-1", 7 };
+        report.address = { "10.0.0.1", 8000 };
+        report.capacity = { 8000, 8000, 0 };
+        session = new InstanceSession(report, context);
+        session->tick(ControlStatus::Confirmed);
+        control.renewal(fleet::RenewAnswer { 7, fleet::InstanceTime(50), {}, {}, false });
+    }
+
+    void order(const TaskId& task)
+    {
+        session->track(task, 1, { 1000, 100, 0 }, false, false);
+        session->order(task, "payload", {}, {});
+    }
+
+    void confirmStart(const TaskId& task)
+    {
+        control.starts.at(task)(fleet::StartAnswer { fleet::StartResult::Started, std::nullopt });
+    }
+
+    foundation::mocks::ManualClock clock;
+    foundation::TimerQueue timers;
+    NullEventSink events;
+    NullPeers peers;
+    NullObserver observer;
+    HeldInstanceControl control;
+    LeaseTerms terms;
+    FormerControllers former { peers, clock, timers, events, terms };
+    SessionContext context { control, clock, observer, former, 3, terms };
+    InstanceSessionPtr session;
+};
+
+} // namespace
+
+TEST_CASE(
+    "session: runs that started just before the instance stopped answering are suspects of its crash", "[control]")
+{
+    SessionFixture fixture;
+    const TaskId old { 1, 0, 0, 0 };
+    const TaskId recent { 1, 0, 0, 1 };
+    const TaskId unanswered { 1, 0, 0, 2 };
+    const TaskId notOrdered { 1, 0, 0, 3 };
+    fixture.order(old);
+    fixture.confirmStart(old);
+    fixture.clock.time += milliseconds(900);
+    fixture.order(recent);
+    fixture.confirmStart(recent);
+    fixture.clock.time += milliseconds(20);
+    fixture.order(unanswered);
+    fixture.session->track(notOrdered, 1, { 1000, 100, 0 }, false, false);
+    fixture.control.starts.at(unanswered)(failure(Errc::ProtocolViolation, "instance.start"));
+    fixture.clock.time += milliseconds(3000); // The next incarnation answers seconds later.
+    const auto crashed = fixture.session->runsAtCrash();
+    REQUIRE(crashed.size() == 3);
+    CHECK(crashed[0].task == old);
+    CHECK_FALSE(crashed[0].isSuspicion);
+    CHECK(crashed[1].isSuspicion);
+    CHECK(crashed[1].isConfirmed);
+    CHECK(crashed[2].isSuspicion);
+    CHECK_FALSE(crashed[2].isConfirmed);
+}
+
+// The instance had crashed before the order was sent, and nothing was in progress that would have shown it.
+TEST_CASE("session: an order to an instance that had crashed unnoticed is no suspect of the crash", "[control]")
+{
+    SessionFixture fixture;
+    const TaskId started { 1, 0, 0, 0 };
+    const TaskId sent { 1, 0, 0, 1 };
+    fixture.order(started);
+    fixture.confirmStart(started);
+    fixture.clock.time += milliseconds(100);
+    fixture.order(sent);
+    const auto crashed = fixture.session->runsAtCrash();
+    REQUIRE(crashed.size() == 1);
+    CHECK(crashed.front().task == started);
+    CHECK_FALSE(crashed.front().isSuspicion);
+}
+
+// The next incarnation may answer only after the lease of the runs has expired.
+TEST_CASE("session: runs whose lease expired without an answer are suspects of a crash that shows later", "[control]")
+{
+    SessionFixture fixture;
+    const TaskId task { 1, 0, 0, 0 };
+    fixture.order(task);
+    fixture.confirmStart(task);
+    fixture.clock.time += milliseconds(10);
+    fixture.control.renewal(failure(Errc::ProtocolViolation, "instance.renew"));
+    fixture.clock.time += milliseconds(8000);
+    fixture.session->tick(ControlStatus::Confirmed);
+    REQUIRE(fixture.session->runs().empty());
+    CHECK(fixture.session->awaitsCrashEvidence());
+    REQUIRE(fixture.session->runsAtCrash().size() == 1);
+    CHECK(fixture.session->runsAtCrash().front().isSuspicion);
+    // The instance was only silent.
+    fixture.control.renewal(fleet::RenewAnswer { 7, fleet::InstanceTime(9000), {}, {}, false });
+    CHECK_FALSE(fixture.session->awaitsCrashEvidence());
+    CHECK(fixture.session->runsAtCrash().empty());
+}
+
+// The call that would have shown the crash may be the order itself, which is answered by nobody.
+TEST_CASE("session: a crash that shows by a timeout counts as of when the call was sent", "[control]")
+{
+    SessionFixture fixture;
+    fixture.order({ 1, 0, 0, 0 });
+    fixture.clock.time += milliseconds(200);
+    fixture.control.starts.at({ 1, 0, 0, 0 })(failure(Errc::Timeout, "instance.start"));
+    REQUIRE(fixture.session->runsAtCrash().size() == 1);
+    CHECK(fixture.session->runsAtCrash().front().isSuspicion);
+}
+
+// What a run does right after its start it has not done if it has worked for long.
+TEST_CASE("session: a run that has worked for long shows that its task does not crash its instances", "[control]")
+{
+    SessionFixture fixture;
+    fixture.order({ 1, 0, 0, 0 });
+    fixture.confirmStart({ 1, 0, 0, 0 });
+    fixture.clock.time += milliseconds(6000);
+    fixture.control.renewal(failure(Errc::ProtocolViolation, "instance.renew"));
+    REQUIRE(fixture.session->runsAtCrash().size() == 1);
+    CHECK(fixture.session->runsAtCrash().front().hasEndured);
+    CHECK_FALSE(fixture.session->runsAtCrash().front().isSuspicion);
+}
+
+// The controller that sent the order knows the age of the run; its successor does not.
+TEST_CASE("session: an inherited run on an instance that crashes counts without being a suspect", "[control]")
+{
+    SessionFixture fixture;
+    fixture.session->track({ 1, 0, 0, 0 }, 4, { 1000, 100, 0 }, true, true);
+    fixture.control.renewal(failure(Errc::Timeout, "instance.renew"));
+    const auto crashed = fixture.session->runsAtCrash();
+    REQUIRE(crashed.size() == 1);
+    CHECK(crashed.front().run == 4);
+    CHECK_FALSE(crashed.front().isSuspicion);
+}
--- a/src/emulator/emulatedplatform.h
+++ b/src/emulator/emulatedplatform.h
@@ -31,6 +31,7 @@
     milliseconds storeLatency { 4 }; ///< Delay before each call to the store is processed.
     milliseconds appendDuration { 0 }; ///< Duration of an append; the log processes one at a time.
     bool isMaintenanceAlreadyDone = false; ///< Maintenance orders are accepted without effect, like repeated ones.
+    bool isMaintenanceCarriedOut = false; ///< Maintenance orders take the machine's instance down and are accepted.
 };
 
 /// Platform of an emulation: log, instances and machines, with delays and injected faults. Time comes from the given
@@ -55,12 +56,24 @@
     const fleet::FleetConfiguration& configuration() const { return configuration_; }
 
     /// Starts an incarnation of an instance and ends an earlier incarnation under the same name.
-    void startInstance(const std::string& name, const std::string& pool, const jobs::Resources& capacity);
+    /// `machine` is the machine it runs on; one of its own if empty.
+    void startInstance(const std::string& name, const std::string& pool, const jobs::Resources& capacity,
+        const std::string& machine = {});
 
     /// Restarts an instance: ends its incarnation and, after the time of a process restart, starts another under its
     /// name.
     void restartInstance(const std::string& name, const std::string& pool, const jobs::Resources& capacity);
 
+    /// Ends an instance without notice; seconds later its machine starts another one with a new name at its address.
+    void crashAndReplace(const std::string& name);
+
+    /// Name of the running instance on a machine; empty if there is none.
+    std::string instanceOn(const std::string& machine) const;
+
+    /// Makes a task crash every instance that starts it.
+    void setDeadly(const jobs::TaskId& task) { deadlyTasks_.insert(task); }
+    bool isDeadly(jobs::JobId job) const;
+
     /// Gives the address of the instance `former` to the one that is started next under the name `successor`.
     void reuseAddress(const std::string& former, const std::string& successor)
     {
@@ -91,6 +104,8 @@
     RunPlan runPlanFor(const jobs::TaskId& task) const;
 
 private:
+    void onRunStarted(const EmulatedInstance& instance, const jobs::TaskId& task);
+
     foundation::IClock& clock_;
     std::mt19937_64 random_;
     milliseconds maximumLease_;
@@ -103,6 +118,7 @@
     std::map<std::string, std::unique_ptr<EmulatedInstance>> instances_; ///< Running instances, by name.
     std::map<std::string, fleet::InstanceReport> listedInstances_; ///< Instances in the directory, by name.
     std::map<std::string, std::uint16_t> ports_; ///< Ports of instances, by name.
+    std::set<jobs::TaskId> deadlyTasks_;
     foundation::SteadyTime logFreeAt_ {}; ///< Time at which every queued append has taken effect.
     std::int64_t nextIncarnationStart_ = 1000;
 };
--- a/src/emulator/internal/emulatedplatform.cpp
+++ b/src/emulator/internal/emulatedplatform.cpp
@@ -10,6 +10,8 @@
 
     constexpr std::uint16_t firstInstancePort = 20000;
     constexpr double slowestClockRate = 0.98; ///< Rate of the slowest instance clock; the fastest has 1.
+    constexpr milliseconds deadlyTaskDelay { 10 }; ///< Time from the start of a deadly task to the crash.
+    constexpr milliseconds replacementDuration { 3000 }; ///< Time from a crash to the start of the next instance.
     constexpr milliseconds restartDuration { 500 }; ///< Time from the end of an incarnation to the start of the next.
 
 } // namespace
@@ -28,21 +30,21 @@
     return probability > 0 && std::uniform_real_distribution<double>(0, 1)(random_) < probability;
 }
 
-void EmulatedPlatform::startInstance(const std::string& name, const std::string& pool, const jobs::Resources& capacity)
+void EmulatedPlatform::startInstance(
+    const std::string& name, const std::string& pool, const jobs::Resources& capacity, const std::string& machine)
 {
     const auto port = static_cast<std::uint16_t>(firstInstancePort + ports_.size());
     fleet::InstanceReport report;
     report.incarnation = { name, nextIncarnationStart_++ };
     report.pool = pool;
     report.address = { "10.0.0.1", ports_.emplace(name, port).first->second };
-    report.machine = "machine-of-" + name;
+    report.machine = machine.empty() ? "machine-of-" + name : machine;
     report.labels = { "a", "r1" };
     report.capacity = capacity;
     const double rate = std::uniform_real_distribution<double>(slowestClockRate, 1)(random_);
     auto instance = std::make_unique<EmulatedInstance>(report, clock_, rate, maximumLease_);
     EmulatedInstance* started = instance.get();
-    instance->onRunStarted
-        = [this, started](const jobs::TaskId& task, std::uint32_t) { invariants_.onRunStarted(*started, task); };
+    instance->onRunStarted = [this, started](const jobs::TaskId& task, std::uint32_t) { onRunStarted(*started, task); };
     instance->onEndAcknowledged = [this](const fleet::ObservedEnd& end) { invariants_.onEndAcknowledged(end); };
     instances_[name] = std::move(instance);
     listedInstances_[name] = report;
@@ -51,6 +53,9 @@
 void EmulatedPlatform::restartInstance(
     const std::string& name, const std::string& pool, const jobs::Resources& capacity)
 {
+    // The machine of an instance that has crashed starts the next one itself.
+    if (!instances_.count(name))
+        return;
     crash(name);
     network_.schedule(clock_.now() + restartDuration, [this, name, pool, capacity] {
         if (!instances_.count(name))
@@ -58,6 +63,50 @@
     });
 }
 
+void EmulatedPlatform::onRunStarted(const EmulatedInstance& instance, const jobs::TaskId& task)
+{
+    invariants_.onRunStarted(instance, task);
+    if (!deadlyTasks_.count(task))
+        return;
+    network_.schedule(clock_.now() + deadlyTaskDelay, [this, task, incarnation = instance.report().incarnation] {
+        const auto crashing = instances_.find(incarnation.instance);
+        if (crashing == instances_.end() || crashing->second->report().incarnation != incarnation)
+            return;
+        invariants_.onInstanceCrashed(task);
+        crashAndReplace(incarnation.instance);
+    });
+}
+
+std::string EmulatedPlatform::instanceOn(const std::string& machine) const
+{
+    const auto found = std::find_if(instances_.begin(), instances_.end(),
+        [&](const auto& entry) { return entry.second->report().machine == machine; });
+    return found == instances_.end() ? std::string() : found->first;
+}
+
+void EmulatedPlatform::crashAndReplace(const std::string& name)
+{
+    if (!instances_.count(name))
+        return;
+    const fleet::InstanceReport report = instances_.at(name)->report();
+    crash(name);
+    network_.schedule(clock_.now() + replacementDuration, [this, report] {
+        const std::string& former = report.incarnation.instance;
+        const std::string successor = report.machine + "-" + std::to_string(nextIncarnationStart_);
+        if (instances_.count(former))
+            return;
+        removeFromDirectory(former);
+        reuseAddress(former, successor);
+        startInstance(successor, report.pool, report.capacity, report.machine);
+    });
+}
+
+bool EmulatedPlatform::isDeadly(jobs::JobId job) const
+{
+    return std::any_of(
+        deadlyTasks_.begin(), deadlyTasks_.end(), [&](const jobs::TaskId& task) { return task.job == job; });
+}
+
 void EmulatedPlatform::crash(const std::string& name) { instances_.erase(name); }
 
 void EmulatedPlatform::removeFromDirectory(const std::string& name) { listedInstances_.erase(name); }
--- a/src/emulator/internal/emulatedplatformclient.cpp
+++ b/src/emulator/internal/emulatedplatformclient.cpp
@@ -293,9 +293,12 @@
 {
     answer(networkDelay, [this, done] {
         std::vector<fleet::MachineReport> machines;
-        for (const auto& [name, report] : platform_.listedInstances())
-            machines.push_back(
-                { report.machine, report.pool, fleet::MachineState::Up, report.dataCentre, name, report.capacity });
+        for (const auto& [name, report] : platform_.listedInstances()) {
+            const bool isTakenDown
+                = platform_.faults().isMaintenanceCarriedOut && platform_.instanceOn(report.machine).empty();
+            const auto state = isTakenDown ? fleet::MachineState::InMaintenance : fleet::MachineState::Up;
+            machines.push_back({ report.machine, report.pool, state, report.dataCentre, name, report.capacity });
+        }
         done(std::move(machines));
     });
 }
@@ -308,11 +311,15 @@
 }
 
 void EmulatedPlatformClient::startMaintenance(
-    const std::string&, std::uint64_t, fleet::MachineOrderAuthority authority, OrderCallback done)
+    const std::string& machine, std::uint64_t, fleet::MachineOrderAuthority authority, OrderCallback done)
 {
     platform_.setLastMachineOrder(std::move(authority));
-    const auto result = platform_.faults().isMaintenanceAlreadyDone ? fleet::MachineOrderResult::Accepted
-                                                                    : fleet::MachineOrderResult::Refused;
+    const auto& faults = platform_.faults();
+    if (faults.isMaintenanceCarriedOut)
+        platform_.crashAndReplace(platform_.instanceOn(machine));
+    const auto result = faults.isMaintenanceAlreadyDone || faults.isMaintenanceCarriedOut
+        ? fleet::MachineOrderResult::Accepted
+        : fleet::MachineOrderResult::Refused;
     answer(networkDelay, [done, result] { done(result); });
 }
 
--- a/src/emulator/internal/invariantchecker.cpp
+++ b/src/emulator/internal/invariantchecker.cpp
@@ -16,6 +16,10 @@
     /// Time after its acceptance from which a job that has not started must show in the number of pending jobs.
     constexpr milliseconds pendingVisibility { 5000 };
 
+    /// A task that has crashed this many instances may be started fewer than `forbiddenStarts` times more.
+    constexpr std::size_t tolerableCrashes = 3;
+    constexpr std::size_t forbiddenStarts = 3;
+
 } // namespace
 
 InvariantChecker::InvariantChecker(const Instances& instances, const foundation::IClock& clock)
@@ -79,6 +83,11 @@
 void InvariantChecker::onRunStarted(const EmulatedInstance& instance, const TaskId& task)
 {
     started_.insert(task.job);
+    ++starts_[task];
+    const auto crashes = crashes_.find(task);
+    if (crashes != crashes_.end() && crashes->second >= tolerableCrashes
+        && ++startsAfterCrashes_[task] >= forbiddenStarts)
+        addViolation("start of a task that keeps crashing its instances", jobs::toText(task));
     const std::string name = jobs::toText(task) + " on " + instance.report().incarnation.instance;
     const JobSpec* known = findSpec(task.job);
     if (!known)
@@ -101,6 +110,12 @@
     checkDependencies(task, *known);
 }
 
+std::size_t InvariantChecker::startsOf(const TaskId& task) const
+{
+    const auto found = starts_.find(task);
+    return found == starts_.end() ? 0 : found->second;
+}
+
 void InvariantChecker::checkCapacity(const EmulatedInstance& instance, const TaskId& task)
 {
     jobs::Resources reserved;
--- a/src/emulator/invariantchecker.h
+++ b/src/emulator/invariantchecker.h
@@ -39,6 +39,12 @@
     /// An instance started a run, which its list of runs already contains.
     void onRunStarted(const EmulatedInstance& instance, const jobs::TaskId& task);
 
+    /// A task has crashed the instance that started it.
+    void onInstanceCrashed(const jobs::TaskId& task) { ++crashes_[task]; }
+
+    /// Number of starts of a task.
+    std::size_t startsOf(const jobs::TaskId& task) const;
+
     /// The controller acknowledged the end of a run.
     void onEndAcknowledged(const fleet::ObservedEnd& end);
 
@@ -65,6 +71,9 @@
     std::set<jobs::JobId> cancelRequested_; ///< Jobs that may be cancelled, whether or not a caller was told so.
     std::map<jobs::JobId, foundation::SteadyTime> cancelledAt_;
     std::set<jobs::JobId> completed_;
+    std::map<jobs::TaskId, std::size_t> starts_;
+    std::map<jobs::TaskId, std::size_t> crashes_; ///< Number of instances that a task has crashed.
+    std::map<jobs::TaskId, std::size_t> startsAfterCrashes_; ///< Starts after the bound of crashes was reached.
     std::set<jobs::TaskId> doneTasks_; ///< Tasks of which an end with RunOutcome::Done was acknowledged.
     std::vector<std::string> violations_;
     bool isExecutingLateOrder_ = false;
--- a/src/jobs/internal/job.cpp
+++ b/src/jobs/internal/job.cpp
@@ -1,9 +1,71 @@
 #include "jobs/types/job.h"
 
 #include <algorithm>
+#include <set>
 
 namespace turmericsill::jobs {
 
+namespace {
+
+    /// Machines that must have crashed right after the start of a task before it is convicted. After the first crash
+    /// the task is a suspect and no longer starts beside others.
+    constexpr std::size_t convictingMachines = 2;
+    /// The same for a task whose starts were not confirmed: the instance may have crashed before the order arrived.
+    constexpr std::size_t convictingMachinesUnconfirmed = 3;
+    constexpr std::ptrdiff_t minimumSoleUnconfirmed = 2;
+    /// Bounds the crashes under a task that crashes its instances long after its start. An instance that crashes by
+    /// itself counts for all its tasks, so the bound is higher than for suspicions.
+    constexpr std::ptrdiff_t maximumCrashes = 4;
+    /// A job that is cancelled by its caller only loses more by being given up than one that would be done soon.
+    constexpr std::ptrdiff_t maximumCrashesLongRunning = 5;
+    constexpr std::ptrdiff_t minimumConfirmedCrashes = 2;
+
+} // namespace
+
+bool CrashHistory::contains(std::uint32_t run) const
+{
+    return std::any_of(crashes.begin(), crashes.end(), [&](const auto& crash) { return crash.run == run; });
+}
+
+bool CrashHistory::requiresObservation() const
+{
+    return std::any_of(
+        crashes.begin(), crashes.end(), [](const auto& crash) { return crash.isSuspicion && !crash.isExplained; });
+}
+
+bool CrashHistory::hasCrashedAtStart(const std::string& machine) const
+{
+    return std::any_of(crashes.begin(), crashes.end(),
+        [&](const auto& crash) { return crash.isSuspicion && !crash.isExplained && crash.machine == machine; });
+}
+
+// Several crashes of one machine count once: the machine may be the cause.
+bool CrashHistory::isConvicted() const
+{
+    std::set<std::string> machines;
+    std::ptrdiff_t sole = 0;
+    bool isSoleConfirmed = false;
+    for (const auto& crash : crashes) {
+        if (!crash.isSuspicion || crash.isExplained)
+            continue;
+        machines.insert(crash.machine);
+        sole += crash.isSole;
+        isSoleConfirmed |= crash.isSole && crash.isConfirmed;
+    }
+    return (isSoleConfirmed && machines.size() >= convictingMachines)
+        || (sole >= minimumSoleUnconfirmed && machines.size() >= convictingMachinesUnconfirmed);
+}
+
+bool CrashHistory::isExhausted(bool isLongRunning) const
+{
+    const auto counting
+        = std::count_if(crashes.begin(), crashes.end(), [](const auto& crash) { return !crash.isExplained; });
+    const auto confirmed = std::count_if(
+        crashes.begin(), crashes.end(), [](const auto& crash) { return crash.isConfirmed && !crash.isExplained; });
+    const auto maximum = isLongRunning ? maximumCrashesLongRunning : maximumCrashes;
+    return isConvicted() || (counting >= maximum && confirmed >= minimumConfirmedCrashes);
+}
+
 bool Occurrence::isDone() const
 {
     return std::all_of(steps.begin(), steps.end(), [](const StepState& step) { return step.isDone(); });
@@ -56,4 +118,17 @@
     return id.index < tasks.size() ? &tasks[id.index] : nullptr;
 }
 
+const CrashHistory* Job::findCrashHistory(const TaskId& id) const
+{
+    const auto found = crashHistories.find(id);
+    return found == crashHistories.end() ? nullptr : &found->second;
+}
+
+const TaskId* Job::findExhaustedTask() const
+{
+    const auto found = std::find_if(crashHistories.begin(), crashHistories.end(),
+        [this](const auto& entry) { return entry.second.isExhausted(spec.steps[entry.first.step].isLongRunning); });
+    return found == crashHistories.end() ? nullptr : &found->first;
+}
+
 } // namespace turmericsill::jobs
--- a/src/jobs/internal/jobtable.cpp
+++ b/src/jobs/internal/jobtable.cpp
@@ -84,6 +84,8 @@
     (job->isFinal() && job->activeRuns == 0 ? finalJobs_ : openJobs_).push_back(*job);
     if (job->isScheduled())
         scheduledJobs_.insert(job->id);
+    if (!job->crashHistories.empty())
+        jobsWithCrashes_.insert(job->id);
     markChanged(*job);
     const JobId id = job->id;
     jobs_.emplace(id, std::move(job));
@@ -248,6 +250,7 @@
     StepState& step = occurrence.steps[id.step];
     task.phase = TaskPhase::Done;
     ++step.done;
+    job.crashHistories.erase(id);
     if (job.spec.steps[id.step].isGang) {
         for (Task& member : step.tasks) {
             if (member.phase == TaskPhase::Done)
@@ -259,6 +262,8 @@
             member.phase = TaskPhase::Done;
             ++step.done;
         }
+        for (std::uint32_t index = 0; index < step.tasks.size(); ++index)
+            job.crashHistories.erase({ id.job, id.occurrence, id.step, index });
     }
     if (occurrence.isDone())
         ++job.completedOccurrences;
@@ -278,6 +283,59 @@
     }
 }
 
+// A convicted task explains its crashes also if the record changes nothing in its own history: histories that a
+// snapshot restored may be older than that of the convicted task.
+void JobTable::applyRecord(const InstanceCrashed& record)
+{
+    std::set<JobId> startedJobs;
+    for (const CrashedRun& crashed : record.runs) {
+        if (crashed.isSuspicion)
+            startedJobs.insert(crashed.task.job);
+    }
+    for (const CrashedRun& crashed : record.runs) {
+        Job* job = findMutableJob(crashed.task.job);
+        const Task* task = job ? job->find(crashed.task) : nullptr;
+        if (!task || task->phase == TaskPhase::Done)
+            continue;
+        if (crashed.hasEndured) {
+            job->crashHistories.erase(crashed.task);
+            markChanged(*job);
+            continue;
+        }
+        CrashHistory& history = job->crashHistories[crashed.task];
+        if (!history.contains(crashed.run))
+            history.crashes.push_back({ crashed.run, record.incarnation, record.machine, crashed.isConfirmed,
+                crashed.isSuspicion, crashed.isSuspicion && startedJobs.size() == 1, false });
+        jobsWithCrashes_.insert(job->id);
+        markChanged(*job);
+        if (history.isConvicted())
+            explainCrashes(crashed.task);
+    }
+}
+
+void JobTable::explainCrashes(const TaskId& cause)
+{
+    const auto& caused = findMutableJob(cause.job)->crashHistories.at(cause).crashes;
+    const auto isCaused = [&](const CrashUnderTask& crash) {
+        return std::any_of(caused.begin(), caused.end(), [&](const CrashUnderTask& other) {
+            return other.isSuspicion && !other.isExplained && other.incarnation == crash.incarnation;
+        });
+    };
+    for (const JobId id : jobsWithCrashes_) {
+        Job& job = *findMutableJob(id);
+        for (auto& [task, history] : job.crashHistories) {
+            if (task == cause)
+                continue;
+            for (CrashUnderTask& crash : history.crashes) {
+                if (crash.isExplained || !isCaused(crash))
+                    continue;
+                crash.isExplained = true;
+                markChanged(job);
+            }
+        }
+    }
+}
+
 void JobTable::applyRecord(const JobFailed& record)
 {
     Job* job = findMutableJob(record.job);
@@ -302,6 +360,7 @@
     if (!job || !job->isFinal() || job->activeRuns > 0)
         return;
     finalJobs_.erase(finalJobs_.iterator_to(*job));
+    jobsWithCrashes_.erase(record.job);
     jobs_.erase(record.job);
 }
 
--- a/src/jobs/internal/recordcodec.cpp
+++ b/src/jobs/internal/recordcodec.cpp
@@ -47,8 +47,27 @@
         }
         json operator()(const RunBatch& record) const { return toJson(record); }
         json operator()(const JobsStarted& record) const { return json::array({ record.jobs }); }
+        json operator()(const InstanceCrashed& record) const
+        {
+            json runs = json::array();
+            for (const CrashedRun& run : record.runs)
+                runs.push_back(
+                    json::array({ toJson(run.task), run.run, run.isConfirmed, run.isSuspicion, run.hasEndured }));
+            return json::array(
+                { record.incarnation.instance, record.incarnation.startedAt, record.machine, std::move(runs) });
+        }
     };
 
+    InstanceCrashed instanceCrashedFromJson(const json& fields)
+    {
+        InstanceCrashed record { { fields.at(0).get<std::string>(), fields.at(1).get<std::int64_t>() },
+            fields.at(2).get<std::string>(), {} };
+        for (const json& run : fields.at(3))
+            record.runs.push_back({ taskFromJson(run.at(0)), run.at(1).get<std::uint32_t>(), run.at(2).get<bool>(),
+                run.at(3).get<bool>(), run.at(4).get<bool>() });
+        return record;
+    }
+
     RunOutcome runOutcomeFromJson(const json& value) { return runOutcomeFromNumber(value.get<unsigned>()); }
 
     /// Decodes a record from the index of its type in Record and its fields.
@@ -79,6 +98,8 @@
             return runBatchFromJson(fields);
         case 10:
             return JobsStarted { fields.at(0).get<std::vector<JobId>>() };
+        case 11:
+            return instanceCrashedFromJson(fields);
         default:
             throw std::out_of_range("record type number is out of range");
         }
--- a/src/jobs/internal/snapshotcodec.cpp
+++ b/src/jobs/internal/snapshotcodec.cpp
@@ -31,6 +31,30 @@
         return task;
     }
 
+    json toJson(const std::map<TaskId, CrashHistory>& histories)
+    {
+        json result = json::array();
+        for (const auto& [task, history] : histories) {
+            json crashes = json::array();
+            for (const auto& crash : history.crashes)
+                crashes.push_back(json::array({ crash.run, crash.incarnation.instance, crash.incarnation.startedAt,
+                    crash.machine, crash.isConfirmed, crash.isSuspicion, crash.isSole, crash.isExplained }));
+            result.push_back(json::array({ task.occurrence, task.step, task.index, std::move(crashes) }));
+        }
+        return result;
+    }
+
+    void restoreCrashHistory(Job& job, const json& value)
+    {
+        const TaskId task { job.id, value.at(0).get<std::uint32_t>(), value.at(1).get<std::uint32_t>(),
+            value.at(2).get<std::uint32_t>() };
+        CrashHistory& history = job.crashHistories[task];
+        for (const auto& crash : value.at(3))
+            history.crashes.push_back({ crash.at(0).get<std::uint32_t>(),
+                { crash.at(1).get<std::string>(), crash.at(2).get<std::int64_t>() }, crash.at(3).get<std::string>(),
+                crash.at(4).get<bool>(), crash.at(5).get<bool>(), crash.at(6).get<bool>(), crash.at(7).get<bool>() });
+    }
+
     json toJson(const Occurrence& occurrence)
     {
         json steps = json::array();
@@ -77,10 +101,12 @@
     for (const auto& [number, occurrence] : job.occurrences)
         occurrences.push_back(json::array({ number, toJson(occurrence) }));
     const JobSubmitted submitted { job.id, job.queue, job.pool, job.receivedAt, job.spec };
+    json fields = json::array(
+        { jobs::toJson(submitted), std::move(occurrences), job.hasStarted, job.isCancelled, job.hasFailed });
+    if (!job.crashHistories.empty())
+        fields.push_back(toJson(job.crashHistories));
     std::string bytes;
-    json::to_cbor(json::array({ jobs::toJson(submitted), std::move(occurrences), job.hasStarted, job.isCancelled,
-                      job.hasFailed }),
-        bytes);
+    json::to_cbor(fields, bytes);
     return bytes;
 }
 
@@ -99,6 +125,11 @@
         job->hasStarted = value.at(2).get<bool>();
         job->isCancelled = value.at(3).get<bool>();
         job->hasFailed = value.at(4).get<bool>();
+        constexpr std::size_t crashHistoryField = 5; // Absent in jobs without crashes and in those of earlier versions.
+        if (value.size() > crashHistoryField) {
+            for (const auto& history : value.at(crashHistoryField))
+                restoreCrashHistory(*job, history);
+        }
         return job;
     });
 }
--- a/src/jobs/jobtable.h
+++ b/src/jobs/jobtable.h
@@ -92,6 +92,7 @@
     void applyRecord(const MaintenanceStarted& record) { startedMaintenance_.emplace(record.wave, record.machine); }
     void applyRecord(const RunBatch& record);
     void applyRecord(const JobsStarted& record);
+    void applyRecord(const InstanceCrashed& record);
     void applyRecord(const WaveFirstSeen& record) { waveFirstSeenTimes_.emplace(record.wave, record.seenAt); }
 
     using ChangedJobList = boost::intrusive::list<Job, boost::intrusive::base_hook<ChangedJobHook>,
@@ -99,6 +100,9 @@
 
     Job* findMutableJob(JobId id);
 
+    /// Marks the crashes that a convicted task has caused as explained in the histories of all other tasks.
+    void explainCrashes(const TaskId& cause);
+
     /// Adds a job to the table and to the list that its state belongs to.
     void insert(std::unique_ptr<Job> job);
     void markChanged(Job& job);
@@ -112,6 +116,7 @@
 
     std::unordered_map<JobId, std::unique_ptr<Job>> jobs_;
     ChangedJobList changedJobs_;
+    std::set<JobId> jobsWithCrashes_; ///< Jobs with crash histories.
     std::set<JobId> scheduledJobs_; ///< Jobs with a schedule that may still start occurrences.
     JobList openJobs_;
     JobList finalJobs_;
--- a/src/jobs/types/job.h
+++ b/src/jobs/types/job.h
@@ -16,6 +16,37 @@
     Done, ///< A run of the task, or of a member of its gang, completed the work.
 };
 
+/// The crash of an instance on which a run of a task was at work.
+struct CrashUnderTask {
+    std::uint32_t run = 0;
+    InstanceIncarnation incarnation;
+    std::string machine;
+    bool isConfirmed = false; ///< Whether the instance had confirmed the start of the run.
+    bool isSuspicion = false; ///< Whether the run had just started, so that its start may have caused the crash.
+    bool isSole = false; ///< Whether no run of another job had just started there.
+    bool isExplained = false; ///< Whether another task has caused the crash, so that it does not count for this one.
+};
+
+/// The crashes under a task, which may crash every instance that starts it.
+struct CrashHistory {
+    std::vector<CrashUnderTask> crashes; ///< One for each run, in the order in which they were recorded.
+
+    bool contains(std::uint32_t run) const;
+
+    /// Whether the next run has to be the last one that starts on its instance for a while, so that a crash tells
+    /// whether this task is the cause.
+    bool requiresObservation() const;
+
+    /// Whether a machine crashed right after the task had started there.
+    bool hasCrashedAtStart(const std::string& machine) const;
+
+    /// Whether the starts of the task cause the crashes.
+    bool isConvicted() const;
+
+    /// Whether the task must not start again: it is convicted, or too many instances crashed under it.
+    bool isExhausted(bool isLongRunning) const;
+};
+
 /// State of a task and its latest run.
 struct Task {
     TaskPhase phase = TaskPhase::Pending;
@@ -61,6 +92,7 @@
     milliseconds receivedAt { 0 }; ///< Wall-clock time since the Unix epoch.
     JobSpec spec;
     std::map<std::uint32_t, Occurrence> occurrences; ///< Occurrences that have started, by number.
+    std::map<TaskId, CrashHistory> crashHistories; ///< Tasks under which an instance has crashed.
     std::uint32_t completedOccurrences = 0;
     std::uint32_t activeRuns = 0;
     bool hasStarted = false; ///< Whether an instance is known to have started a run of any task.
@@ -83,6 +115,12 @@
 
     /// The task, or null when its occurrence has not started or the job has no such task.
     const Task* find(const TaskId& id) const;
+
+    /// The crashes under a task, or null when there were none.
+    const CrashHistory* findCrashHistory(const TaskId& id) const;
+
+    /// The first task that must not start again because of the crashes under it, or null when there is none.
+    const TaskId* findExhaustedTask() const;
 };
 
 } // namespace turmericsill::jobs
--- a/src/jobs/types/records.h
+++ b/src/jobs/types/records.h
@@ -106,7 +106,24 @@
     std::vector<JobId> jobs;
 };
 
+/// A run that may have been at work on an instance when it crashed.
+struct CrashedRun {
+    TaskId task;
+    std::uint32_t run = 0;
+    bool isConfirmed = false; ///< Whether the instance had confirmed the start of the run.
+    bool isSuspicion = false; ///< Whether the run had just started, so that its start may have caused the crash.
+    bool hasEndured
+        = false; ///< Whether the run had worked for so long that the earlier crashes are not its task's doing.
+};
+
+/// An instance crashed: its incarnation ended without an order of a controller and without draining first.
+struct InstanceCrashed {
+    InstanceIncarnation incarnation;
+    std::string machine;
+    std::vector<CrashedRun> runs;
+};
+
 using Record = std::variant<ControlClaimed, JobSubmitted, JobCancelled, RunIntended, RunEnded, JobFailed, JobExpired,
-    MaintenanceStarted, WaveFirstSeen, RunBatch, JobsStarted>;
+    MaintenanceStarted, WaveFirstSeen, RunBatch, JobsStarted, InstanceCrashed>;
 
 } // namespace turmericsill::jobs
--- a/src/scheduling/internal/stepplacer.cpp
+++ b/src/scheduling/internal/stepplacer.cpp
@@ -28,6 +28,7 @@
     : instances_(instances)
     , constraints_(constraints)
     , waiting_(waiting)
+    , job_(job)
     , spec_(job.spec.steps[waiting.id.step])
     , state_(job.occurrences.at(waiting.id.occurrence).steps[waiting.id.step])
     , wantedRack_(spec_.dataRack)
@@ -45,11 +46,17 @@
     if (spec_.isGang)
         return placeGang(plan);
     std::uint32_t unplaced = 0;
+    bool hasFailed = false;
     for (std::uint32_t index = 0; index < state_.tasks.size(); ++index) {
         if (!canStart(index))
             continue;
+        if (isSuspect(index)) {
+            unplaced += !placeSuspect(plan, index);
+            continue;
+        }
         // What keeps one task of the step from every instance keeps the others as well.
-        IndexedInstance* instance = unplaced > 0 ? nullptr : chooseInstance(state_.tasks[index]);
+        IndexedInstance* instance = hasFailed ? nullptr : chooseInstance(index);
+        hasFailed = !instance;
         if (instance)
             plan.placements.push_back(assign(*instance, index, state_.tasks[index].lastRun + 1));
         else
@@ -68,19 +75,51 @@
     return !constraints_.blockedTasks || !constraints_.blockedTasks->count({ id.job, id.occurrence, id.step, index });
 }
 
+// Returns the history of a suspect, or null for any other task.
+const jobs::CrashHistory* StepPlacer::findSuspicions(std::uint32_t index) const
+{
+    const StepId& id = waiting_.id;
+    const jobs::CrashHistory* history = job_.findCrashHistory({ id.job, id.occurrence, id.step, index });
+    return history && history->requiresObservation() ? history : nullptr;
+}
+
+bool StepPlacer::canStartSuspects() const
+{
+    return !constraints_.observedJobs || !constraints_.observedJobs->count(waiting_.id.job);
+}
+
+// Suspects of a step start together: whichever of them is the cause fails their job, and the others cost no further
+// instances. Returns false if the task found no room, and true if it was placed or waits until others were observed.
+bool StepPlacer::placeSuspect(PoolPlan& plan, std::uint32_t index)
+{
+    if (!canStartSuspects())
+        return true;
+    if (observedInstance_)
+        observedInstance_->view.isObserved = false;
+    IndexedInstance* instance = observedInstance_ ? observedInstance_ : chooseInstance(index);
+    if (!instance)
+        return false;
+    const bool isPlaced = isAllowed(instance->view);
+    if (isPlaced)
+        plan.placements.push_back(assign(*instance, index, state_.tasks[index].lastRun + 1));
+    instance->view.isObserved = true;
+    observedInstance_ = instance;
+    return true;
+}
+
 // Places all tasks of a gang with a common run number, or none of them.
 bool StepPlacer::placeGang(PoolPlan& plan)
 {
     std::uint32_t run = 0;
     for (std::uint32_t index = 0; index < state_.tasks.size(); ++index) {
-        if (!canStart(index))
+        if (!canStart(index) || (isSuspect(index) && !canStartSuspects()))
             return true;
         run = std::max(run, state_.tasks[index].lastRun + 1);
     }
     std::vector<Placement> members;
     std::vector<IndexedInstance*> hosts;
     for (std::uint32_t index = 0; index < state_.tasks.size(); ++index) {
-        IndexedInstance* instance = chooseInstance(state_.tasks[index]);
+        IndexedInstance* instance = chooseInstance(index);
         if (!instance) {
             for (IndexedInstance* host : hosts)
                 instances_.removeTask(*host, waiting_.id, spec_);
@@ -92,6 +131,8 @@
         members.push_back(assign(*instance, index, run));
         hosts.push_back(instance);
     }
+    for (std::uint32_t index = 0; index < hosts.size(); ++index)
+        hosts[index]->view.isObserved |= isSuspect(index);
     plan.placements.insert(plan.placements.end(), members.begin(), members.end());
     return true;
 }
@@ -116,6 +157,8 @@
         return false;
     if (instance.isOnProbation && !instance.tasksByStep.empty())
         return false;
+    if (instance.isObserved)
+        return false;
     if (waiting_.isTicketRequired && (!tickets_ || !tickets_->count(instance.report->incarnation.instance)))
         return false;
     if (spec_.maximumPerInstance > 0 && tasksOn(instance) >= spec_.maximumPerInstance)
@@ -131,17 +174,21 @@
     return found == instance.tasksByStep.end() ? 0 : found->second;
 }
 
-StepPlacer::Rank StepPlacer::rank(const IndexedInstance& instance, const Task& task) const
+// A suspect goes to the instance with the most free processor time, where a crash ends the fewest runs of others.
+StepPlacer::Rank StepPlacer::rank(
+    const IndexedInstance& instance, std::uint32_t index, const jobs::CrashHistory* suspicions) const
 {
+    const Task& task = state_.tasks[index];
     const InstanceView& view = instance.view;
     const bool isOnOtherRack = !wantedRack_.empty() && !view.report->hasLabel(wantedRack_);
-    const bool hasFailedThere = task.failures > 0 && task.incarnation.instance == instance.name;
+    const bool hasFailedThere = (task.failures > 0 && task.incarnation.instance == instance.name)
+        || (suspicions && suspicions->hasCrashedAtStart(view.report->machine));
     const std::uint32_t spreadPenalty = spec_.isLongRunning ? spreadPenaltyOf(view) : 0;
     const std::int64_t otherLongRunning = view.longRunningTasks;
     const bool hasInterference = spec_.latencyTarget.count() > 0 && view.bestEffortTasks > 0;
     // Long-running tasks share instances, so that the others stay free to be moved or maintained.
     return { hasFailedThere, hasInterference, isOnOtherRack, spreadPenalty, spec_.isLongRunning ? -otherLongRunning : 0,
-        view.free.milliCores };
+        suspicions ? -view.free.milliCores : view.free.milliCores };
 }
 
 // Number of tasks of this step on the instance, or 0 while it holds less than its share of the step. Limits the part of
@@ -154,22 +201,24 @@
 }
 
 // Instances on the wanted rack are tried first; if none of them has the best rank, all instances are compared.
-IndexedInstance* StepPlacer::chooseInstance(const Task& task)
+IndexedInstance* StepPlacer::chooseInstance(std::uint32_t index)
 {
     isOutOfResources_ = true;
     if (!wantedRack_.empty()) {
-        IndexedInstance* onRack = bestOf(instances_.instances(wantedRack_), task, false);
-        const bool isBest = onRack && !std::get<0>(rank(*onRack, task)) && !std::get<1>(rank(*onRack, task));
+        IndexedInstance* onRack = bestOf(instances_.instances(wantedRack_), index, false);
+        const Rank best = onRack ? rank(*onRack, index, findSuspicions(index)) : Rank();
+        const bool isBest = onRack && !std::get<0>(best) && !std::get<1>(best);
         if (isBest)
             return onRack;
     }
-    return bestOf(instances_.instances(spec_.requiredLabel), task, !wantedRack_.empty());
+    return bestOf(instances_.instances(spec_.requiredLabel), index, !wantedRack_.empty());
 }
 
 // The order is that of the last field of the rank, so the first instance that is best in all other fields is chosen
 // without looking at the rest. `isOnOtherRack`: whether instances of the wanted rack with such a rank are ruled out.
-IndexedInstance* StepPlacer::bestOf(const InstanceIndex::Order& order, const Task& task, bool isOnOtherRack)
+IndexedInstance* StepPlacer::bestOf(const InstanceIndex::Order& order, std::uint32_t index, bool isOnOtherRack)
 {
+    const jobs::CrashHistory* suspicions = findSuspicions(index);
     IndexedInstance* best = nullptr;
     Rank bestRank;
     for (auto entry = InstanceIndex::firstWithFreeCores(order, waiting_.need.milliCores); entry != order.end();
@@ -178,13 +227,13 @@
         isOutOfResources_ = isOutOfResources_ && !waiting_.need.fitsInto(instance.view.free);
         if (!isAllowed(instance.view))
             continue;
-        const Rank current = rank(instance, task);
+        const Rank current = rank(instance, index, suspicions);
         if (!best || current < bestRank) {
             best = &instance;
             bestRank = current;
         }
-        const bool isBestPossible = !spec_.isLongRunning && !std::get<0>(current) && !std::get<1>(current)
-            && std::get<2>(current) == isOnOtherRack;
+        const bool isBestPossible = !spec_.isLongRunning && !suspicions && !std::get<0>(current)
+            && !std::get<1>(current) && std::get<2>(current) == isOnOtherRack;
         if (isBestPossible)
             break;
     }
--- a/src/scheduling/internal/stepplacer.h
+++ b/src/scheduling/internal/stepplacer.h
@@ -33,23 +33,29 @@
 
     bool canStart(std::uint32_t index) const;
     bool placeGang(PoolPlan& plan);
+    bool placeSuspect(PoolPlan& plan, std::uint32_t index);
+    bool isSuspect(std::uint32_t index) const { return findSuspicions(index) != nullptr; }
+    const jobs::CrashHistory* findSuspicions(std::uint32_t index) const;
+    bool canStartSuspects() const;
     void chooseRack();
     bool isAllowed(const InstanceView& instance) const;
     std::uint32_t tasksOn(const InstanceView& instance) const;
-    Rank rank(const IndexedInstance& instance, const jobs::Task& task) const;
+    Rank rank(const IndexedInstance& instance, std::uint32_t index, const jobs::CrashHistory* suspicions) const;
     std::uint32_t spreadPenaltyOf(const InstanceView& instance) const;
-    IndexedInstance* chooseInstance(const jobs::Task& task);
-    IndexedInstance* bestOf(const InstanceIndex::Order& order, const jobs::Task& task, bool isOnOtherRack);
+    IndexedInstance* chooseInstance(std::uint32_t index);
+    IndexedInstance* bestOf(const InstanceIndex::Order& order, std::uint32_t index, bool isOnOtherRack);
     Placement assign(IndexedInstance& instance, std::uint32_t index, std::uint32_t run);
 
     InstanceIndex& instances_;
     const PlanConstraints& constraints_;
     const WaitingStep& waiting_;
+    const jobs::Job& job_;
     const jobs::StepSpec& spec_;
     const jobs::StepState& state_;
     const std::map<std::string, std::string>* tickets_ = nullptr; ///< Key: instance name; null while there are none.
     std::string wantedRack_; ///< Rack of the data, or else the one chosen for the step; empty if any will do.
     bool isOutOfResources_ = false;
+    IndexedInstance* observedInstance_ = nullptr; ///< Instance of the suspects that this object has placed.
 };
 
 } // namespace turmericsill::scheduling
--- a/src/scheduling/tests/plannertests.cpp
+++ b/src/scheduling/tests/plannertests.cpp
@@ -102,6 +102,58 @@
     CHECK(plan.unplaced.milliCores == 5 * 2000 + 6000);
 }
 
+// A task that crashed an instance right after its start may do so again. What else starts there at the same time could
+// not be told from it, and what runs there would be lost.
+TEST_CASE("placement: a suspect starts where most room is free, and nothing else starts there", "[scheduling]")
+{
+    PlannerFixture fixture;
+    for (const char* name : { "i-1", "i-2", "i-3" })
+        fixture.addInstance(name);
+    jobs::Job& running = fixture.addJob(1, "urgent", { step(5, 1000) });
+    PoolPlan plan = fixture.plan();
+    REQUIRE(tasksByInstance(plan).size() == 1);
+    for (auto& task : running.occurrences[0].steps[0].tasks)
+        task.phase = jobs::TaskPhase::Active;
+    running.occurrences[0].steps[0].active = 5;
+    jobs::Job& suspect = fixture.addJob(2, "urgent", { step(1, 1000) });
+    suspect.crashHistories[{ 2, 0, 0, 0 }] = { { { 1, { "i-0", 1 }, "m-0", true, true, true, false } } };
+    fixture.addJob(3, "plain", { step(16, 1000) });
+    plan = fixture.plan();
+    REQUIRE(PlannerFixture::tasksOf(plan, 2) == 1);
+    std::string instanceOfSuspect;
+    for (const auto& placement : plan.placements) {
+        if (placement.task.job == 2)
+            instanceOfSuspect = placement.incarnation.instance;
+    }
+    CHECK(tasksByInstance(plan)[instanceOfSuspect] == 1);
+    CHECK(PlannerFixture::tasksOf(plan, 3) == 3 + 8);
+}
+
+TEST_CASE("placement: suspects of a job start together, and wait while another of them is observed", "[scheduling]")
+{
+    PlannerFixture fixture;
+    for (const char* name : { "i-1", "i-2" })
+        fixture.addInstance(name);
+    jobs::Job& job = fixture.addJob(1, "urgent", { step(3, 1000) });
+    job.crashHistories[{ 1, 0, 0, 0 }] = { { { 1, { "i-0", 1 }, "m-0", true, true, true, false } } };
+    job.crashHistories[{ 1, 0, 0, 2 }] = { { { 1, { "i-0", 1 }, "m-0", true, true, true, false } } };
+    const std::set<jobs::JobId> observed { 1 };
+    InstanceIndex instances;
+    for (const auto& view : fixture.view.instances)
+        instances.update(view);
+    PoolBacklog backlog;
+    backlog.update(job, &fixture.configuration.queues.front());
+    const PlacementPlanner planner([&](jobs::JobId) { return &job; });
+    PoolPlan plan = planner.plan(instances, backlog, { nullptr, nullptr, &observed });
+    REQUIRE(plan.placements.size() == 1);
+    CHECK(plan.placements.front().task.index == 1);
+    CHECK(plan.unplaced.milliCores == 0);
+    job.occurrences[0].steps[0].tasks[1].phase = jobs::TaskPhase::Active;
+    plan = planner.plan(instances, backlog, {});
+    REQUIRE(plan.placements.size() == 2);
+    CHECK(plan.placements[0].incarnation == plan.placements[1].incarnation);
+}
+
 TEST_CASE("placement: no resource of an instance is overcommitted", "[scheduling]")
 {
     PlannerFixture fixture;
--- a/src/scheduling/types/poolview.h
+++ b/src/scheduling/types/poolview.h
@@ -42,12 +42,16 @@
     std::uint32_t latencySensitiveTasks = 0; ///< Tasks with a latency target (StepSpec::latencyTarget).
     std::uint32_t bestEffortTasks = 0; ///< Tasks with StepSpec::isBestEffort, which slow latency-sensitive tasks down.
     bool isOnProbation = false; ///< Gets one task at a time until a task succeeds.
+    bool isObserved = false; ///< Gets no tasks, because it has just started one that may crash its instances.
 };
 
 /// Restrictions on the placements of one plan.
 struct PlanConstraints {
     const std::set<jobs::TaskId>* blockedTasks = nullptr; ///< Tasks that must not be placed yet; may be null.
     const StepTickets* tickets = nullptr; ///< Valid tickets; null if there are none.
+    /// Jobs of which a task that may crash its instances has just started; null if there are none. No other such task
+    /// of theirs starts meanwhile.
+    const std::set<jobs::JobId>* observedJobs = nullptr;
 };
 
 /// The next run of a task and the instance chosen for it.
