Control: a run that was stopped before its order arrived is not confirmed as started

A job whose only run was stopped before its order reached the instance counted as started, and left the number of pending jobs (found in review, by reading). The instance answers such an order like that for a run that has ended (Superseded). The answer now confirms a start only if no stop was requested; the listed end of a run that did start confirms it as before.

The test failed before: 1 confirmed start instead of 0.

--- a/src/control/internal/instancesession.cpp
+++ b/src/control/internal/instancesession.cpp
@@ -199,8 +199,13 @@
     case StartResult::Fenced:
         return context_.observer.onFenced(*this);
     case StartResult::Superseded:
-        // An earlier copy of the order was carried out, and its run has ended; the next renewal lists the end.
-        return confirmStart(task, run);
+        // An earlier copy of the order was carried out, and its run has ended; the next renewal lists the end. A run
+        // that was stopped before its order arrived has not started.
+        if (!run.isStopping)
+            return confirmStart(task, run);
+        run.state = OrderState::Started;
+        run.settledAt = context_.clock.now();
+        return;
     case StartResult::LeaseExpired:
         // The clock estimate was stale; this answer has corrected it.
         run.state = OrderState::Unanswered;
--- a/src/control/tests/instancesessiontests.cpp
+++ b/src/control/tests/instancesessiontests.cpp
@@ -17,9 +17,9 @@
     void write(std::string_view, std::initializer_list<telemetry::EventField>) override { }
 };
 
-class NullObserver : public ISessionObserver {
+class StartCounter : public ISessionObserver {
 public:
-    void onRunStarted(InstanceSession&, const TaskId&) override { }
+    void onRunStarted(InstanceSession&, const TaskId&) override { ++startedRuns; }
     void onRunEnded(InstanceSession&, const jobs::RunEnded&) override { }
     void onEndsListed(InstanceSession&, std::uint64_t) override { }
     void onStartRefused(InstanceSession&, const TaskId&, fleet::StartResult) override { }
@@ -27,6 +27,8 @@
     void onContactChanged(InstanceSession&, bool, const std::string&) override { }
     void onSessionChanged(InstanceSession&) override { }
     void onFenced(InstanceSession&) override { }
+
+    int startedRuns = 0;
 };
 
 class NullPeers : public IPeerControl {
@@ -81,7 +83,7 @@
     foundation::TimerQueue timers;
     NullEventSink events;
     NullPeers peers;
-    NullObserver observer;
+    StartCounter observer;
     HeldInstanceControl control;
     LeaseTerms terms;
     FormerControllers former { peers, clock, timers, events, terms };
@@ -191,3 +193,18 @@
     CHECK(crashed.front().run == 4);
     CHECK_FALSE(crashed.front().isSuspicion);
 }
+
+// The instance answers alike for a run that has ended and for one that was stopped before its order arrived.
+TEST_CASE("session: a run that was stopped before its order arrived is not confirmed as started", "[control]")
+{
+    SessionFixture fixture;
+    const TaskId ended { 1, 0, 0, 0 };
+    const TaskId stopped { 1, 0, 0, 1 };
+    fixture.order(ended);
+    fixture.order(stopped);
+    fixture.session->requestStop(stopped, false);
+    fixture.control.starts.at(stopped)(fleet::StartAnswer { fleet::StartResult::Superseded, std::nullopt });
+    CHECK(fixture.observer.startedRuns == 0);
+    fixture.control.starts.at(ended)(fleet::StartAnswer { fleet::StartResult::Superseded, std::nullopt });
+    CHECK(fixture.observer.startedRuns == 1);
+}
