Control: a crash seen by a timeout counts as of the latest answer

The runs that an instance had started last are the suspects of its crash. When the crash shows by a call that times out, the time of the crash was taken to be when that call was sent: for a renewal up to 1.6 s too early, so that every run ordered since was a suspicion. Now it is the latest answer of the instance to any call, if that is later.

Evidence: 'session: an instance that answered after the call that timed out has crashed after that answer' fails before (two suspicions instead of one).

--- a/src/control/internal/instancesession.cpp
+++ b/src/control/internal/instancesession.cpp
@@ -525,6 +525,7 @@
 {
     const bool wasUnreachable = consecutiveFailures_ > 0;
     consecutiveFailures_ = 0;
+    lastAnswerAt_ = context_.clock.now();
     expiredRuns_.clear();
     if (wasUnreachable)
         reportChange();
@@ -537,7 +538,7 @@
 {
     if (++consecutiveFailures_ != 1)
         return;
-    unansweredSince_ = error.code == Errc::Timeout ? sentAt : context_.clock.now();
+    unansweredSince_ = error.code == Errc::Timeout ? std::max(sentAt, lastAnswerAt_) : context_.clock.now();
     reportChange();
     context_.observer.onContactChanged(*this, false, error.message());
 }
--- a/src/control/internal/instancesession.h
+++ b/src/control/internal/instancesession.h
@@ -181,8 +181,9 @@
     bool isRenewing_ = false;
     bool isLastRenewalAnswered_ = true;
     int consecutiveFailures_ = 0; ///< Failed calls since the latest answer.
-    foundation::SteadyTime
-        unansweredSince_ {}; ///< Time of the first of these failures; of a timeout, when its call was sent.
+    foundation::SteadyTime lastAnswerAt_ {}; ///< Time of the latest answer to any call.
+    /// Time from which on the instance may have been silent before the first of these failures.
+    foundation::SteadyTime unansweredSince_ {};
     std::optional<fleet::InstanceTime> clock_; ///< Clock of the instance in its latest answer.
     foundation::SteadyTime clockReadAt_ {}; ///< Time at which that answer arrived.
     fleet::InstanceTime sentLeaseEnd_ { 0 }; ///< Latest lease end sent in any order or renewal.
--- a/src/control/tests/instancesessiontests.cpp
+++ b/src/control/tests/instancesessiontests.cpp
@@ -169,6 +169,24 @@
     CHECK(fixture.session->runsAtCrash().front().isSuspicion);
 }
 
+// A renewal is sent long before it times out.
+TEST_CASE("session: an instance that answered after the call that timed out has crashed after that answer", "[control]")
+{
+    SessionFixture fixture;
+    fixture.order({ 1, 0, 0, 0 });
+    fixture.confirmStart({ 1, 0, 0, 0 }); // The session renews at once.
+    fixture.clock.time += milliseconds(800);
+    fixture.order({ 1, 0, 0, 1 });
+    fixture.clock.time += milliseconds(2);
+    fixture.confirmStart({ 1, 0, 0, 1 });
+    fixture.clock.time += milliseconds(800);
+    fixture.control.renewal(failure(Errc::Timeout, "instance.renew"));
+    const auto crashed = fixture.session->runsAtCrash();
+    REQUIRE(crashed.size() == 2);
+    CHECK_FALSE(crashed[0].isSuspicion);
+    CHECK(crashed[1].isSuspicion);
+}
+
 // What a run does right after its start it has not done if it has worked for long.
 TEST_CASE("session: a run that has worked for long shows that its task does not crash its instances", "[control]")
 {
