Emulator: the capacity of an instance changes while it runs

The platform's instances shrink and grow while they run, and a start that brings one over its capacity breaks the platform's rule.

EmulatedPlatform::setCapacity changes a running instance and its directory entry.

The test 'capacity: a shrunk instance keeps its runs and starts none until they fit again' passes on the present controller.

--- a/src/emulator/emulatedinstance.h
+++ b/src/emulator/emulatedinstance.h
@@ -31,6 +31,12 @@
 
     const fleet::InstanceReport& report() const { return report_; }
 
+    /// Changes the capacity. Runs go on even if they no longer fit.
+    void setCapacity(const jobs::Resources& capacity);
+
+    /// Largest amount of each resource that the capacity has had at any time since then.
+    jobs::Resources largestCapacitySince(foundation::SteadyTime time) const;
+
     /// Executes an order to start a run. `planRun` is called when a run starts and returns its course.
     fleet::StartAnswer start(const fleet::StartOrder& order, std::uint64_t token,
         const std::function<RunPlan(const jobs::TaskId&)>& planRun);
@@ -59,6 +65,11 @@
         bool isStopping = false;
     };
 
+    struct FormerCapacity {
+        jobs::Resources capacity;
+        foundation::SteadyTime replacedAt;
+    };
+
     fleet::InstanceTime clockNow() const;
     void extendLease(fleet::InstanceTime end);
     void endRun(const jobs::TaskId& task, jobs::RunOutcome outcome);
@@ -68,6 +79,7 @@
     double clockRate_;
     milliseconds maximumLease_;
     foundation::SteadyTime startedAt_;
+    std::vector<FormerCapacity> formerCapacities_;
     std::uint64_t highestToken_ = 0; ///< Highest fencing token seen.
     fleet::InstanceTime leaseEnd_ { 0 };
     std::map<jobs::TaskId, ActiveRun> runs_;
--- a/src/emulator/emulatedplatform.h
+++ b/src/emulator/emulatedplatform.h
@@ -85,6 +85,9 @@
     void removeFromDirectory(const std::string& name);
     void setDraining(const std::string& name);
 
+    /// Changes the capacity of an instance, if it runs, and in its entry in the directory.
+    void setCapacity(const std::string& name, const jobs::Resources& capacity);
+
     /// Returns the running instance at an address, or null.
     EmulatedInstance* instanceAt(const foundation::Address& address);
     const std::map<std::string, std::unique_ptr<EmulatedInstance>>& instances() const { return instances_; }
--- a/src/emulator/internal/emulatedinstance.cpp
+++ b/src/emulator/internal/emulatedinstance.cpp
@@ -33,6 +33,25 @@
 {
 }
 
+void EmulatedInstance::setCapacity(const jobs::Resources& capacity)
+{
+    formerCapacities_.push_back({ report_.capacity, clock_.now() });
+    report_.capacity = capacity;
+}
+
+jobs::Resources EmulatedInstance::largestCapacitySince(foundation::SteadyTime time) const
+{
+    jobs::Resources largest = report_.capacity;
+    for (const auto& former : formerCapacities_) {
+        if (former.replacedAt < time)
+            continue;
+        largest.milliCores = std::max(largest.milliCores, former.capacity.milliCores);
+        largest.memoryMb = std::max(largest.memoryMb, former.capacity.memoryMb);
+        largest.accelerators = std::max(largest.accelerators, former.capacity.accelerators);
+    }
+    return largest;
+}
+
 InstanceTime EmulatedInstance::clockNow() const
 {
     const auto elapsed = std::chrono::duration<double, std::milli>(clock_.now() - startedAt_) * clockRate_;
--- a/src/emulator/internal/emulatedplatform.cpp
+++ b/src/emulator/internal/emulatedplatform.cpp
@@ -113,6 +113,16 @@
 
 void EmulatedPlatform::setDraining(const std::string& name) { listedInstances_[name].isDraining = true; }
 
+void EmulatedPlatform::setCapacity(const std::string& name, const jobs::Resources& capacity)
+{
+    const auto instance = instances_.find(name);
+    if (instance == instances_.end())
+        return;
+    instance->second->setCapacity(capacity);
+    if (const auto listed = listedInstances_.find(name); listed != listedInstances_.end())
+        listed->second.capacity = capacity;
+}
+
 EmulatedInstance* EmulatedPlatform::instanceAt(const foundation::Address& address)
 {
     for (const auto& [name, instance] : instances_) {
--- /dev/null
+++ b/src/emulator/tests/capacitytests.cpp
@@ -0,0 +1,82 @@
+#include "emulator/tests/fixtures.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+using namespace turmericsill;
+using namespace turmericsill::emulator;
+using fixtures::EmulationFixture;
+using fixtures::job;
+using fixtures::step;
+
+namespace {
+
+jobs::JobSpec longRunningJob(std::uint32_t tasks, std::int64_t milliCores)
+{
+    auto longRunning = step(tasks, milliCores);
+    longRunning.isLongRunning = true;
+    return job({ longRunning });
+}
+
+void setCapacity(EmulationFixture& fixture, const std::string& instance, std::int64_t milliCores)
+{
+    fixture.emulation.platform().setCapacity(instance, { milliCores, 16000, 0 });
+}
+
+/// Leaves only the instance i-1.
+void removeOtherInstances(EmulationFixture& fixture)
+{
+    for (const char* name : { "i-2", "i-3", "i-4" }) {
+        fixture.emulation.platform().crash(name);
+        fixture.emulation.platform().removeFromDirectory(name);
+    }
+    fixture.emulation.advanceTime(milliseconds(2000));
+}
+
+std::size_t countRuns(EmulationFixture& fixture, const std::string& instance, jobs::JobId id)
+{
+    const auto tasks = fixture.emulation.platform().instances().at(instance)->runningTasks();
+    return static_cast<std::size_t>(
+        std::count_if(tasks.begin(), tasks.end(), [id](const jobs::TaskId& task) { return task.job == id; }));
+}
+
+/// Number of events that contain both texts.
+std::size_t countEvents(const EmulationFixture& fixture, const std::string& one, const std::string& other)
+{
+    return static_cast<std::size_t>(
+        std::count_if(fixture.sink.lines.begin(), fixture.sink.lines.end(), [&](const std::string& line) {
+            return line.find(one) != std::string::npos && line.find(other) != std::string::npos;
+        }));
+}
+
+} // namespace
+
+// Runs that no longer fit leave negative free capacity, which must neither admit a start nor stop a run.
+TEST_CASE("capacity: a shrunk instance keeps its runs and starts none until they fit again", "[emulation]")
+{
+    EmulationFixture fixture(41);
+    removeOtherInstances(fixture);
+    fixture.emulation.submit("e-1", 0xc1, longRunningJob(1, 4000));
+    fixture.emulation.submit("e-1", 0xc2, longRunningJob(1, 2000));
+    fixture.emulation.submit("e-1", 0xc3, longRunningJob(1, 2000));
+    fixture.emulation.advanceTime(milliseconds(300));
+    setCapacity(fixture, "i-1", 5000);
+    fixture.emulation.submit("e-1", 0xc4, longRunningJob(3, 1000));
+    fixture.emulation.advanceTime(milliseconds(6000));
+    for (const jobs::JobId id : { 0xc1, 0xc2, 0xc3 })
+        CHECK(countRuns(fixture, "i-1", id) == 1);
+    CHECK(countRuns(fixture, "i-1", 0xc4) == 0);
+    fixture.emulation.cancel("e-1", 0xc2);
+    fixture.emulation.advanceTime(milliseconds(1500));
+    CHECK(countRuns(fixture, "i-1", 0xc2) == 0);
+    CHECK(countRuns(fixture, "i-1", 0xc4) == 0);
+    fixture.emulation.cancel("e-1", 0xc3);
+    fixture.emulation.advanceTime(milliseconds(1500));
+    CHECK(countRuns(fixture, "i-1", 0xc4) == 1);
+    setCapacity(fixture, "i-1", 7000);
+    fixture.emulation.advanceTime(milliseconds(1000));
+    CHECK(countRuns(fixture, "i-1", 0xc1) == 1);
+    CHECK(countRuns(fixture, "i-1", 0xc4) == 3);
+    CHECK(countEvents(fixture, "run.ended", "how=stopped") == 2);
+    CHECK(fixture.violations().empty());
+}
