Control: a waiting order is not sent to an instance that has shrunk meanwhile

A task is placed, its intent is appended to the log, and the order is sent when the append is answered. With a slow log that takes seconds. An instance that shrank below what it runs in that time got the order all the same, because nothing looked at its capacity again.

InstanceSession::order ends the run as NeverStarted when the tracked runs exceed the capacity; the task is placed again where there is room. Each run that ends so makes room for the next, so that only as many orders are withheld as do not fit. Running tasks are not touched.

--- a/src/control/internal/instancesession.cpp
+++ b/src/control/internal/instancesession.cpp
@@ -89,6 +89,8 @@
     return free;
 }
 
+bool InstanceSession::isOvercommitted() const { return !jobs::Resources {}.fitsInto(free()); }
+
 fleet::InstanceHandle InstanceSession::handle() const
 {
     return { report_.incarnation.instance, report_.address, context_.epoch };
@@ -139,7 +141,8 @@
     if (isClosed_ || found == runs_.end())
         return;
     TrackedRun& run = found->second;
-    if (run.isStopping)
+    // The instance may have shrunk since the task was placed.
+    if (run.isStopping || isOvercommitted())
         return end(task, RunOutcome::NeverStarted, {});
     run.order = { task, run.run, std::move(payload), std::move(checkpoint), std::move(ticket), InstanceTime(0) };
     sendStart(task, run);
--- a/src/control/internal/instancesession.h
+++ b/src/control/internal/instancesession.h
@@ -93,9 +93,12 @@
     /// Whether the address is known. It is not if runs were inherited before the instance was listed.
     bool hasAddress() const { return !report_.address.ip.empty(); }
 
-    /// Capacity minus the resources of the tracked runs.
+    /// Capacity minus the resources of the tracked runs. Negative while the runs exceed a capacity that has shrunk.
     jobs::Resources free() const;
 
+    /// Whether the tracked runs exceed the capacity, because the instance has shrunk.
+    bool isOvercommitted() const;
+
     /// Processor time that the runs of short tasks hold, in thousandths of a core.
     std::int64_t shortTaskMilliCores() const { return shortTaskMilliCores_; }
 
@@ -109,7 +112,8 @@
     void track(const jobs::TaskId& task, std::uint32_t run, const jobs::Resources& resources, bool isLongRunning,
         bool isInherited);
 
-    /// Sends the start order of a tracked run whose intent is in the log.
+    /// Sends the start order of a tracked run whose intent is in the log. Ends the run instead if its stop was
+    /// requested or the instance is overcommitted.
     void order(const jobs::TaskId& task, std::string payload, std::string checkpoint, std::string ticket);
 
     /// Stops a run, at once or as soon as its pending start order is answered.
--- a/src/emulator/tests/capacitytests.cpp
+++ b/src/emulator/tests/capacitytests.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+constexpr milliseconds appendDuration { 1500 };
+
 jobs::JobSpec longRunningJob(std::uint32_t tasks, std::int64_t milliCores)
 {
     auto longRunning = step(tasks, milliCores);
@@ -40,6 +42,14 @@
         std::count_if(tasks.begin(), tasks.end(), [id](const jobs::TaskId& task) { return task.job == id; }));
 }
 
+std::size_t countRunsElsewhere(EmulationFixture& fixture, const std::string& instance, jobs::JobId id)
+{
+    std::size_t runs = 0;
+    for (const auto& [name, other] : fixture.emulation.platform().instances())
+        runs += name == instance ? 0 : countRuns(fixture, name, id);
+    return runs;
+}
+
 /// Number of events that contain both texts.
 std::size_t countEvents(const EmulationFixture& fixture, const std::string& one, const std::string& other)
 {
@@ -80,3 +90,22 @@
     CHECK(countEvents(fixture, "run.ended", "how=stopped") == 2);
     CHECK(fixture.violations().empty());
 }
+
+// The instance is chosen before the intent is appended to the log. An order sent after a slow append relies on capacity
+// that the instance may have lost meanwhile.
+TEST_CASE("capacity: a task is placed elsewhere if its instance shrinks while the intent is appended", "[emulation]")
+{
+    EmulationFixture fixture(42);
+    setCapacity(fixture, "i-1", 7000);
+    fixture.emulation.advanceTime(milliseconds(1000));
+    fixture.emulation.platform().faults().appendDuration = appendDuration;
+    fixture.emulation.submit("e-1", 0xc5, longRunningJob(1, 6000));
+    fixture.emulation.advanceTime(milliseconds(500));
+    setCapacity(fixture, "i-1", 2000);
+    fixture.emulation.advanceTime(appendDuration);
+    CHECK(countRuns(fixture, "i-1", 0xc5) == 0);
+    CHECK(countEvents(fixture, "run.ended", "run=1 instance=i-1 how=never-started") == 1);
+    fixture.emulation.advanceTime(appendDuration * 3);
+    CHECK(countRunsElsewhere(fixture, "i-1", 0xc5) == 1);
+    CHECK(fixture.violations().empty());
+}
