Control: an unanswered order is not repeated to an instance that has shrunk

An order without an answer is repeated every 150 ms until the instance answers or its lease expires, with the room in mind that there was when the task was placed. An instance that shrank while it was silent started the task as soon as it was reached again.

Evidence: 'capacity: an unanswered order is not repeated to an instance that has shrunk' failed: 1 run on the shrunk instance instead of 0.

While the tracked runs exceed the capacity, the order is not repeated. Once a renewal that was sent after the order became unanswered shows that the instance does not run the task, the run is stopped, in case the order still arrives, and settled as any stopped run.

--- a/src/control/internal/instancesession.cpp
+++ b/src/control/internal/instancesession.cpp
@@ -185,6 +185,7 @@
     if (answer.error().code == Errc::Unavailable && !run->hadUnansweredOrder)
         return end(task, RunOutcome::NeverStarted, {});
     run->state = OrderState::Unanswered;
+    run->unansweredSince = context_.clock.now();
     run->hadUnansweredOrder = true;
 }
 
@@ -212,6 +213,7 @@
     case StartResult::LeaseExpired:
         // The clock estimate was stale; this answer has corrected it.
         run.state = OrderState::Unanswered;
+        run.unansweredSince = context_.clock.now();
         return;
     case StartResult::InsufficientResources:
     case StartResult::TicketInvalid:
@@ -325,10 +327,20 @@
         if (run.isStopping && isPossiblyRunning && !isStopSettled)
             sendStop(task, run);
         else if (!run.isStopping && run.state == OrderState::Unanswered && status == ControlStatus::Confirmed)
-            sendStart(task, run);
+            repeatStart(task, run);
     }
 }
 
+// An instance that has shrunk gets no order again. If it does not list the run, the run is stopped, since the earlier
+// order may still arrive.
+void InstanceSession::repeatStart(const TaskId& task, TrackedRun& run)
+{
+    if (!isOvercommitted())
+        return sendStart(task, run);
+    if (run.unansweredSince < lastAnsweredRenewalSentAt_)
+        requestStop(task, false);
+}
+
 void InstanceSession::renew()
 {
     isRenewing_ = true;
@@ -372,6 +384,7 @@
         return context_.observer.onIncarnationEnded(*this, answer->startedAt);
     updateClock(answer->clock);
     lastRenewalAnswerAt_ = context_.clock.now();
+    lastAnsweredRenewalSentAt_ = sentAt;
     const bool wasSynced = std::exchange(isSynced_, true);
     if (!wasSynced)
         reportChange();
--- a/src/control/internal/instancesession.h
+++ b/src/control/internal/instancesession.h
@@ -51,6 +51,7 @@
     /// When this controller last sent the start order to an instance that answered; empty if it did not.
     std::optional<foundation::SteadyTime> orderedAt;
     foundation::SteadyTime lastAttemptAt {};
+    foundation::SteadyTime unansweredSince {}; ///< Start of the latest time in state Unanswered.
     int percent = 0; ///< Progress listed by the instance; 100 for a long-running task that is serving.
     fleet::StartOrder order;
 };
@@ -160,6 +161,7 @@
     void onStartAnswered(const jobs::TaskId& task, std::uint32_t number,
         const foundation::Result<fleet::StartAnswer>& answer, foundation::SteadyTime sentAt);
     void onStartResult(const jobs::TaskId& task, TrackedRun& run, fleet::StartResult result);
+    void repeatStart(const jobs::TaskId& task, TrackedRun& run);
     void confirmStart(const jobs::TaskId& task, TrackedRun& run);
     void sendStop(const jobs::TaskId& task, TrackedRun& run);
     void onStopAnswered(const jobs::TaskId& task, std::uint32_t number, const foundation::Result<void>& answer,
@@ -197,6 +199,7 @@
     std::uint64_t lastListedEnd_ = 0; ///< Number of the latest run end that was reported.
     std::uint64_t lastAcknowledgedEnd_ = 0; ///< Number of the latest run end that is in the log.
     foundation::SteadyTime lastRenewalAt_ {}; ///< Time at which the latest renewal was sent.
+    foundation::SteadyTime lastAnsweredRenewalSentAt_ {}; ///< Time at which the latest answered renewal was sent.
     foundation::SteadyTime lastRenewalAnswerAt_ {}; ///< Time of the latest answer to a renewal.
 };
 
--- a/src/emulator/tests/capacitytests.cpp
+++ b/src/emulator/tests/capacitytests.cpp
@@ -109,3 +109,46 @@
     CHECK(countRunsElsewhere(fixture, "i-1", 0xc5) == 1);
     CHECK(fixture.violations().empty());
 }
+
+// Repeating an order relies on the capacity that the instance had when the task was placed, seconds ago.
+TEST_CASE("capacity: an unanswered order is not repeated to an instance that has shrunk", "[emulation]")
+{
+    EmulationFixture fixture(43);
+    setCapacity(fixture, "i-1", 7000);
+    fixture.emulation.advanceTime(milliseconds(1000));
+    fixture.emulation.submit("e-1", 0xc6, longRunningJob(1, 6000));
+    fixture.emulation.platform().faults().unreachableInstances.insert("i-1");
+    fixture.emulation.advanceTime(milliseconds(200));
+    REQUIRE(countEvents(fixture, "run.ordered", "run=1 instance=i-1") == 1);
+    setCapacity(fixture, "i-1", 2000);
+    fixture.emulation.advanceTime(milliseconds(1000));
+    fixture.emulation.platform().faults().unreachableInstances.clear();
+    for (int i = 0; i < 40; ++i) {
+        fixture.emulation.advanceTime(milliseconds(50));
+        REQUIRE(countRuns(fixture, "i-1", 0xc6) == 0);
+    }
+    CHECK(countEvents(fixture, "run.ended", "run=1 instance=i-1 how=never-started") == 1);
+    CHECK(countRunsElsewhere(fixture, "i-1", 0xc6) == 1);
+    CHECK(fixture.violations().empty());
+}
+
+// The controller cannot tell an order that was lost from one whose answer was lost. Only the first is withdrawn when
+// the instance shrinks, since nothing that runs is stopped for lack of capacity.
+TEST_CASE("capacity: a run whose order was carried out without an answer stays on a shrunk instance", "[emulation]")
+{
+    EmulationFixture fixture(44);
+    setCapacity(fixture, "i-1", 7000);
+    fixture.emulation.advanceTime(milliseconds(1000));
+    fixture.emulation.submit("e-1", 0xc7, longRunningJob(1, 6000));
+    fixture.emulation.platform().faults().lostOrderAnswerRatio = 1;
+    fixture.emulation.advanceTime(milliseconds(100));
+    REQUIRE(countRuns(fixture, "i-1", 0xc7) == 1);
+    setCapacity(fixture, "i-1", 2000);
+    fixture.emulation.advanceTime(milliseconds(1000));
+    fixture.emulation.platform().faults().lostOrderAnswerRatio = 0;
+    fixture.emulation.advanceTime(milliseconds(6000));
+    CHECK(countRuns(fixture, "i-1", 0xc7) == 1);
+    CHECK(countRunsElsewhere(fixture, "i-1", 0xc7) == 0);
+    CHECK(countEvents(fixture, "run.ended", "task=") == 0);
+    CHECK(fixture.violations().empty());
+}
