Scheduling: an overcommitted instance takes nothing from the room of others

The free processor time of a pool is the sum over its instances. An instance whose runs exceed a capacity that has shrunk has a negative amount, and was subtracted from the room of the others. The machine manager then sees a shortage where no task waits, moves machines to the pool and lets none go.

The sum counts such an instance as 0. The other uses of negative amounts hold: placement, the choice of a rack and relocation compare the need with every resource of the one instance, and the search by processor time begins at the need, which is never negative.

--- a/src/scheduling/instanceindex.h
+++ b/src/scheduling/instanceindex.h
@@ -49,7 +49,7 @@
     void addTask(IndexedInstance& instance, const StepId& id, const jobs::StepSpec& step);
     void removeTask(IndexedInstance& instance, const StepId& id, const jobs::StepSpec& step);
 
-    /// Free processor time of all instances, in thousandths of a core.
+    /// Free processor time of all instances, in thousandths of a core. Overcommitted instances have none.
     std::int64_t freeMilliCores() const { return freeMilliCores_; }
 
 private:
--- a/src/scheduling/internal/instanceindex.cpp
+++ b/src/scheduling/internal/instanceindex.cpp
@@ -1,5 +1,6 @@
 #include "scheduling/instanceindex.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace turmericsill::scheduling {
@@ -55,7 +56,7 @@
     all_.insert(&instance);
     for (const auto& label : instance.labels)
         byLabel_[label].insert(&instance);
-    freeMilliCores_ += instance.view.free.milliCores;
+    freeMilliCores_ += std::max(std::int64_t(0), instance.view.free.milliCores);
 }
 
 void InstanceIndex::unlink(IndexedInstance& instance)
@@ -67,7 +68,7 @@
         if (order->second.empty())
             byLabel_.erase(order);
     }
-    freeMilliCores_ -= instance.view.free.milliCores;
+    freeMilliCores_ -= std::max(std::int64_t(0), instance.view.free.milliCores);
 }
 
 void InstanceIndex::addTask(IndexedInstance& instance, const StepId& id, const jobs::StepSpec& step)
--- a/src/scheduling/types/poolview.h
+++ b/src/scheduling/types/poolview.h
@@ -36,7 +36,9 @@
 /// An instance that may get new tasks.
 struct InstanceView {
     const fleet::InstanceReport* report = nullptr;
-    jobs::Resources free; ///< Capacity that no run holds, including runs that are being stopped.
+    /// Capacity that no run holds, including runs that are being stopped. Negative while the runs exceed a capacity
+    /// that has shrunk.
+    jobs::Resources free;
     std::map<StepId, std::uint32_t> tasksByStep; ///< Number of tasks on the instance.
     std::uint32_t longRunningTasks = 0;
     std::uint32_t latencySensitiveTasks = 0; ///< Tasks with a latency target (StepSpec::latencyTarget).
