Control: starts wait while the instance directory cannot be read

The controller planned and sent orders with the capacities that it had read last, however long ago. An instance that shrank meanwhile was brought over its capacity. Two ways led there: the directory cannot be read while the log can (new fault of the emulator), and an order that waits while the whole store is down, which was sent 4 ms after the store answered again, before the directory was read.

Evidence, both with violations of the invariant on capacity: 'capacity: nothing is started on capacity lost while the directory cannot be read' failed with 4 tasks of 6 cores started on instances of 2, 'capacity: nothing is started on capacity lost while the store was down' with 1 instead of 0 on the shrunk instance.

InstanceDirectory knows as of when its entries are: the time at which the latest answered call was sent, so that an answer that lay unread in a paused process does not count as new. When that is 4 s ago, nothing is planned, waiting orders wait on, and unanswered orders are not repeated; the platform counts lost capacity after 4.5 s, and 0.5 s remains for the order. Submissions, renewals, ends and stops go on, and outages of the directory below 4 s delay no start. A watch of an unchanged directory is answered after 1 s, so its entries are at most 2.1 s old plus the time of two answers.

--- a/src/control/instancedirectory.h
+++ b/src/control/instancedirectory.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -28,8 +29,8 @@
 
     void start() { load(); }
 
-    /// Whether all entries were listed at least once.
-    bool isLoaded() const { return isLoaded_; }
+    /// Whether the entries were read recently enough to start runs with the capacities that they state.
+    bool isCurrent() const;
 
 private:
     void load();
@@ -43,7 +44,7 @@
     std::function<void(const fleet::InstanceChange&)> onChange_;
     std::function<void(const std::set<std::string>&)> onLoaded_;
     std::uint64_t nextOffset_ = 0; ///< Where the next watch begins.
-    bool isLoaded_ = false;
+    std::optional<foundation::SteadyTime> asOf_; ///< Time at which the latest answered call was sent.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -221,14 +221,15 @@
 
 void Controller::tick(ControlStatus status, milliseconds lag)
 {
-    controlStatus_ = status;
+    // Start orders rely on the capacities in the directory as well.
+    controlStatus_ = directory_.isCurrent() ? status : std::min(status, ControlStatus::Unconfirmed);
     reportLoad(lag);
     std::vector<InstanceSessionPtr> sessions;
     sessions.reserve(sessions_.size());
     for (const auto& [name, session] : sessions_)
         sessions.push_back(session);
     for (const auto& session : sessions) {
-        session->tick(status);
+        session->tick(controlStatus_);
         if (hasSteppedDown_)
             return;
         if (!session->isListed() && session->runs().empty() && !session->awaitsCrashEvidence())
@@ -284,7 +285,7 @@
     applyJobChanges();
     applySessionChanges();
     // Plans nothing while intents could not be appended; a later plan is made with newer information.
-    if (directory_.isLoaded() && controlStatus_ == ControlStatus::Confirmed && !writer_.isStalled()
+    if (directory_.isCurrent() && controlStatus_ == ControlStatus::Confirmed && !writer_.isStalled()
         && configuration_.version > 0) {
         const scheduling::StepTickets tickets = adviceCache_.validTickets();
         std::set<jobs::JobId> observedJobs;
@@ -415,11 +416,13 @@
 
 // Reads the log first if the append was slow or this entry has not read to the log's end lately, because of a slow log
 // or a busy entry: the log may hold cancellations that this entry has not read. Reads that are answered do not show
-// that it keeps up.
+// that it keeps up. While the directory cannot be read, the orders wait as well: their instances may have shrunk.
 void Controller::sendStartOrders(const std::vector<scheduling::Placement>& placements, foundation::SteadyTime plannedAt)
 {
     const auto now = context_.clock.now();
-    if (now - plannedAt < slowAppendThreshold && now - context_.follower.coveredAsOf() < staleReadThreshold) {
+    const bool isLogCurrent
+        = now - plannedAt < slowAppendThreshold && now - context_.follower.coveredAsOf() < staleReadThreshold;
+    if (isLogCurrent && directory_.isCurrent()) {
         for (const auto& placement : placements)
             sendStartOrder(placement);
         return;
@@ -427,7 +430,7 @@
     context_.follower.readToEnd([this, alive = alive_, placements](const Result<void>& read) {
         if (!*alive)
             return;
-        if (!read)
+        if (!read || !directory_.isCurrent())
             return scheduleAfter(rereadDelay, [this, placements] { sendStartOrders(placements, {}); });
         for (const auto& placement : placements)
             sendStartOrder(placement);
--- a/src/control/internal/instancedirectory.cpp
+++ b/src/control/internal/instancedirectory.cpp
@@ -12,6 +12,9 @@
 
     constexpr milliseconds watchTimeout { 1000 }; ///< Long-poll time of a watch.
     constexpr milliseconds pauseBetweenWatches { 100 }; ///< Batches changes, of which there are about 30 per second.
+    /// The platform holds starts against a smaller capacity 4.5 s after the change; the rest is for the order to
+    /// arrive.
+    constexpr milliseconds maximumAge { 4000 };
     constexpr milliseconds retryDelay { 200 }; ///< Delay after a failed list or watch.
 
 } // namespace
@@ -37,9 +40,11 @@
     });
 }
 
+bool InstanceDirectory::isCurrent() const { return asOf_ && clock_.now() - *asOf_ < maximumAge; }
+
 void InstanceDirectory::load()
 {
-    source_.loadInstances([this, alive = alive_](const Result<fleet::InstanceChanges>& entries) {
+    source_.loadInstances([this, alive = alive_, sentAt = clock_.now()](const Result<fleet::InstanceChanges>& entries) {
         if (!*alive)
             return;
         if (!entries) {
@@ -52,7 +57,7 @@
             onChange_(change);
         }
         nextOffset_ = entries->nextOffset;
-        isLoaded_ = true;
+        asOf_ = sentAt;
         onLoaded_(present);
         watch();
     });
@@ -60,8 +65,8 @@
 
 void InstanceDirectory::watch()
 {
-    source_.watchInstances(
-        nextOffset_, watchTimeout, [this, alive = alive_](const Result<fleet::InstanceChanges>& changes) {
+    source_.watchInstances(nextOffset_, watchTimeout,
+        [this, alive = alive_, sentAt = clock_.now()](const Result<fleet::InstanceChanges>& changes) {
             if (!*alive)
                 return;
             if (!changes && changes.error().code == Errc::RetentionPassed)
@@ -71,6 +76,7 @@
                 return scheduleAfter(retryDelay, [this] { watch(); });
             }
             nextOffset_ = changes->nextOffset;
+            asOf_ = sentAt;
             for (const auto& change : changes->changes)
                 onChange_(change);
             scheduleAfter(pauseBetweenWatches, [this] { watch(); });
--- a/src/emulator/emulatedplatform.h
+++ b/src/emulator/emulatedplatform.h
@@ -23,6 +23,7 @@
     bool isStoreDown = false; ///< Every call to the store fails without effect.
     bool isStoreUnresponsive = false; ///< Calls to the store get no answer and have no effect.
     std::set<std::string> entriesPartitionedFromStore; ///< Entries whose calls to the store fail.
+    bool isDirectoryDown = false; ///< Reads of the instance directory fail.
     std::map<std::string, std::size_t> linkBytesPerSecond; ///< Bandwidth of entries with a slow link.
     double lostAppendAnswerRatio = 0; ///< Fraction of appends that take effect without an answer.
     double lateOrderRatio = 0; ///< Fraction of orders that get no answer and are executed late.
--- a/src/emulator/internal/emulatedplatformclient.cpp
+++ b/src/emulator/internal/emulatedplatformclient.cpp
@@ -168,7 +168,7 @@
 // Every load returns the whole list of instances, and watchInstances() makes the caller load again.
 void EmulatedPlatformClient::loadInstances(InstanceCallback done)
 {
-    if (!isStoreReachable())
+    if (!isStoreReachable() || platform_.faults().isDirectoryDown)
         return answer(networkDelay, [done] { done(failure(Errc::Unavailable, "instances.load")); });
     answer(platform_.faults().storeLatency, [this, done] {
         fleet::InstanceChanges changes;
--- a/src/emulator/tests/capacitytests.cpp
+++ b/src/emulator/tests/capacitytests.cpp
@@ -152,3 +152,47 @@
     CHECK(countEvents(fixture, "run.ended", "task=") == 0);
     CHECK(fixture.violations().empty());
 }
+
+// While the directory cannot be read, the controller plans with the capacities that it read last. They may be used for
+// a few seconds only.
+TEST_CASE("capacity: nothing is started on capacity lost while the directory cannot be read", "[emulation]")
+{
+    EmulationFixture fixture(45);
+    fixture.emulation.platform().faults().isDirectoryDown = true;
+    fixture.emulation.advanceTime(milliseconds(1000));
+    for (const char* name : { "i-1", "i-2", "i-3", "i-4" })
+        setCapacity(fixture, name, 2000);
+    fixture.emulation.submit("e-1", 0xc8, longRunningJob(1, 500));
+    fixture.emulation.advanceTime(milliseconds(300));
+    CHECK(countRunsElsewhere(fixture, {}, 0xc8) == 1);
+    fixture.emulation.advanceTime(milliseconds(6000));
+    fixture.emulation.submit("e-1", 0xca, longRunningJob(4, 6000));
+    fixture.emulation.advanceTime(milliseconds(3000));
+    CHECK(countRunsElsewhere(fixture, {}, 0xca) == 0);
+    fixture.emulation.platform().faults().isDirectoryDown = false;
+    setCapacity(fixture, "i-2", 8000);
+    fixture.emulation.advanceTime(milliseconds(1000));
+    CHECK(countRuns(fixture, "i-2", 0xca) == 1);
+    CHECK(countRunsElsewhere(fixture, "i-2", 0xca) == 0);
+    CHECK(fixture.violations().empty());
+}
+
+// An order that waits while the store is down is sent as soon as the store answers again, which may be before the
+// directory has been read.
+TEST_CASE("capacity: nothing is started on capacity lost while the store was down", "[emulation]")
+{
+    EmulationFixture fixture(46);
+    setCapacity(fixture, "i-1", 7000);
+    fixture.emulation.advanceTime(milliseconds(1000));
+    const std::string controller = fixture.emulation.controller();
+    fixture.emulation.submit(controller, 0xc9, longRunningJob(1, 6000));
+    fixture.emulation.platform().faults().isStoreDown = true;
+    fixture.emulation.advanceTime(milliseconds(1000));
+    setCapacity(fixture, "i-1", 2000);
+    fixture.emulation.advanceTime(milliseconds(5000));
+    fixture.emulation.platform().faults().isStoreDown = false;
+    fixture.emulation.advanceTime(milliseconds(3000));
+    CHECK(countRuns(fixture, "i-1", 0xc9) == 0);
+    CHECK(countRunsElsewhere(fixture, "i-1", 0xc9) == 1);
+    CHECK(fixture.violations().empty());
+}
