Exploration: schedules in which capacities change and the directory fails

A second test case plays the random schedules and changes the capacity of an instance at every sixth step and the state of the directory at every thirtieth on average. It draws from a generator of its own, so that the seeds of the other two test cases play as before.

--- a/src/emulator/tests/explorationtests.cpp
+++ b/src/emulator/tests/explorationtests.cpp
@@ -17,6 +17,11 @@
 constexpr milliseconds faultPhase { 12000 };
 /// Covers the outage limit, the longest lease and the time to run the remaining tasks.
 constexpr milliseconds recoveryPhase { 45000 };
+const jobs::Resources fullCapacity { 8000, 16000, 0 };
+constexpr std::int64_t milliCoresPerCore = 1000;
+constexpr std::int64_t stepsPerCapacityChange = 6; ///< Mean number of a schedule's steps for each change of a capacity.
+constexpr std::int64_t stepsPerDirectoryChange = 30; ///< Mean number of steps until the directory fails or returns.
+const std::vector<std::string> instanceNames { "i-1", "i-2", "i-3", "i-4" };
 
 std::uint64_t numberFromEnvironment(const char* name, std::uint64_t fallback)
 {
@@ -24,17 +29,22 @@
     return text ? std::strtoull(text, nullptr, 10) : fallback;
 }
 
+/// Faults of a schedule besides the usual ones. They are drawn from random numbers of their own.
+struct ScheduleOptions {
+    double deadlyJobRatio = 0; ///< Fraction of jobs with a task that crashes every instance that starts it.
+    bool changesCapacities = false; ///< Capacities change while the instances run, and the directory fails at times.
+};
+
 /// Random schedule of submissions, cancellations and faults, followed by a recovery phase without faults in which every
 /// accepted job must be finished.
 class FaultSchedule {
 public:
-    /// `deadlyJobRatio` is the fraction of jobs with a task that crashes every instance that starts it. They are drawn
-    /// from random numbers of their own.
-    explicit FaultSchedule(std::uint64_t seed, double deadlyJobRatio = 0)
+    explicit FaultSchedule(std::uint64_t seed, const ScheduleOptions& options = {})
         : random_(seed)
         , deadlyRandom_(seed)
-        , deadlyJobRatio_(deadlyJobRatio)
+        , options_(options)
         , fixture_(seed)
+        , capacityRandom_(~seed)
     {
     }
 
@@ -44,6 +54,8 @@
         const auto end = fixture_.emulation.clock().time + faultPhase;
         while (fixture_.emulation.clock().time < end) {
             performRandomAction();
+            if (options_.changesCapacities)
+                performRandomCapacityAction();
             fixture_.queryAllPending();
             fixture_.emulation.advanceTime(milliseconds(randomNumber(5, 250)));
             if (!fixture_.violations().empty())
@@ -78,7 +90,7 @@
         if (steps.size() == 1 && randomNumber(0, 4) == 0)
             steps.front().isLongRunning = true;
         const jobs::JobId id = nextJob_++;
-        if (std::uniform_real_distribution<double>(0, 1)(deadlyRandom_) < deadlyJobRatio_)
+        if (std::uniform_real_distribution<double>(0, 1)(deadlyRandom_) < options_.deadlyJobRatio)
             fixture_.emulation.platform().setDeadly({ id, 0, 0, 0 });
         fixture_.emulation.submit(randomEntry(), id, job(steps));
         submitted_.push_back({ id, job(steps) });
@@ -100,6 +112,27 @@
                 randomEntry(), submitted_[std::size_t(randomNumber(0, std::int64_t(submitted_.size()) - 1))].first);
     }
 
+    // Draws from a generator of its own, so that the other actions of a seed stay the same.
+    void performRandomCapacityAction()
+    {
+        const auto draw = [this](std::int64_t minimum, std::int64_t maximum) {
+            return std::uniform_int_distribution<std::int64_t>(minimum, maximum)(capacityRandom_);
+        };
+        const auto instance = draw(0, std::int64_t(instanceNames.size()) - 1);
+        const std::int64_t cores = draw(1, fullCapacity.milliCores / milliCoresPerCore);
+        if (draw(1, stepsPerCapacityChange) == 1)
+            setCapacity(instanceNames[std::size_t(instance)], cores * milliCoresPerCore);
+        auto& faults = fixture_.emulation.platform().faults();
+        if (draw(1, stepsPerDirectoryChange) == 1)
+            faults.isDirectoryDown = !faults.isDirectoryDown;
+    }
+
+    void setCapacity(const std::string& instance, std::int64_t milliCores)
+    {
+        fixture_.emulation.platform().setCapacity(
+            instance, { milliCores, fullCapacity.memoryMb, fullCapacity.accelerators });
+    }
+
     void performRandomAction()
     {
         auto& faults = fixture_.emulation.platform().faults();
@@ -140,7 +173,7 @@
                 faults.unreachableInstances.insert(instance);
             return;
         case 10:
-            fixture_.emulation.platform().restartInstance(instance, "desk", { 8000, 16000, 0 });
+            fixture_.emulation.platform().restartInstance(instance, "desk", fullCapacity);
             return;
         case 11:
             fixture_.emulation.platform().log().rebalance();
@@ -165,6 +198,8 @@
     void endFaultPhase()
     {
         fixture_.emulation.platform().faults() = InjectedFaults();
+        for (const auto& name : instanceNames)
+            setCapacity(name, fullCapacity.milliCores);
         for (const char* name : { "e-1", "e-2", "e-3" }) {
             fixture_.emulation.resumeEntry(name);
             if (!fixture_.emulation.entry(name))
@@ -206,21 +241,22 @@
 
     std::mt19937_64 random_;
     std::mt19937_64 deadlyRandom_;
-    double deadlyJobRatio_;
+    ScheduleOptions options_;
     EmulationFixture fixture_;
+    std::mt19937_64 capacityRandom_;
     jobs::JobId nextJob_ = 0x1000;
     std::vector<std::pair<jobs::JobId, jobs::JobSpec>> submitted_;
 };
 
-// The environment variables SCHEDULES and FIRST set the number of schedules and the first seed; SHOW_EVENTS prints the
-// events of failed schedules.
-void checkSchedules(double deadlyJobRatio)
+/// Plays schedules of successive seeds and returns how many failed. The environment variables SCHEDULES and FIRST set
+/// the number of schedules and the first seed; SHOW_EVENTS prints the events of failed schedules.
+std::size_t countFailedSchedules(const ScheduleOptions& options)
 {
     const auto scheduleCount = numberFromEnvironment("SCHEDULES", defaultScheduleCount);
     const auto firstSeed = numberFromEnvironment("FIRST", defaultFirstSeed);
     std::size_t failed = 0;
     for (std::uint64_t seed = firstSeed; seed < firstSeed + scheduleCount; ++seed) {
-        FaultSchedule schedule(seed, deadlyJobRatio);
+        FaultSchedule schedule(seed, options);
         const std::string violation = schedule.run();
         if (violation.empty())
             continue;
@@ -232,22 +268,32 @@
         }
         UNSCOPED_INFO(events << "seed " << seed << ": " << violation);
     }
-    CHECK(failed == 0);
+    return failed;
 }
 
 } // namespace
 
 TEST_CASE("exploration: no random fault schedule violates an invariant or loses a job", "[exploration]")
 {
-    checkSchedules(0);
+    CHECK(countFailedSchedules({}) == 0);
+}
+
+// Starts are planned with capacities that change before the orders arrive, and faults delay both the orders and the
+// news of the change.
+TEST_CASE("exploration: no random fault schedule with changing capacities violates an invariant", "[exploration]")
+{
+    ScheduleOptions options;
+    options.changesCapacities = true;
+    CHECK(countFailedSchedules(options) == 0);
 }
 
 // A task may crash each instance that starts it. Whatever else happens, it must be given up, and the tasks beside it
 // must be done.
 TEST_CASE("exploration: schedules with tasks that crash their instances violate no invariant", "[exploration]")
 {
-    constexpr double deadlyJobRatio = 0.15;
-    checkSchedules(deadlyJobRatio);
+    ScheduleOptions options;
+    options.deadlyJobRatio = 0.15;
+    CHECK(countFailedSchedules(options) == 0);
 }
 
 TEST_CASE("exploration: schedules that once violated an invariant pass", "[exploration]")
