--- a/src/emulator/tests/controltests.cpp
+++ b/src/emulator/tests/controltests.cpp
@@ -585,6 +585,27 @@
     CHECK(fixture.violations().empty());
 }
 
+// A controller with a slow link or too little processor time reads the log for seconds before it sends an order. The
+// intent of the run is in the log all the while.
+TEST_CASE("status: jobs whose start orders a slow controller holds back count as pending", "[emulation]")
+{
+    EmulationFixture fixture(40);
+    const std::string controller = fixture.emulation.controller();
+    fixture.emulation.platform().faults().linkBytesPerSecond[controller] = 1;
+    fixture.emulation.platform().log().append({ { jobs::encode(jobs::JobCancelled { 0x7ff }, 0) }, {} });
+    fixture.emulation.advanceTime(milliseconds(3500));
+    for (jobs::JobId id = 0x920; id < 0x924; ++id)
+        fixture.emulation.submit(controller, id, job({ step(1, 1000) }));
+    fixture.emulation.advanceTime(milliseconds(5200));
+    REQUIRE(fixture.emulation.controller() == controller);
+    REQUIRE(countRuns(fixture, 0x920) == 0);
+    CHECK(pendingAt(fixture, nonControllerEntry(fixture)) == std::optional<std::size_t>(4));
+    fixture.emulation.platform().faults().linkBytesPerSecond.clear();
+    fixture.emulation.advanceTime(milliseconds(5000));
+    CHECK(pendingAt(fixture, nonControllerEntry(fixture)) == std::optional<std::size_t>(0));
+    CHECK(fixture.violations().empty());
+}
+
 // The controller that records the start of a run may end before its record is in the log. Its successor has the run
 // confirmed by the instance's list.
 TEST_CASE("status: a job that runs while control changes does not count as pending", "[emulation]")
