Jobs: a conviction takes confirmed starts on two machines

Now two machines with confirmed starts convict, one of them with a sole suspicion; the rule for unconfirmed starts stays (three machines, two sole). The new test fails before.

--- a/src/jobs/internal/job.cpp
+++ b/src/jobs/internal/job.cpp
@@ -43,16 +43,19 @@
 bool CrashHistory::isConvicted() const
 {
     std::set<std::string> machines;
+    std::set<std::string> machinesOfConfirmed;
     std::ptrdiff_t sole = 0;
-    bool isSoleConfirmed = false;
+    bool hasSoleConfirmed = false;
     for (const auto& crash : crashes) {
         if (!crash.isSuspicion || crash.isExplained)
             continue;
         machines.insert(crash.machine);
         sole += crash.isSole;
-        isSoleConfirmed |= crash.isSole && crash.isConfirmed;
+        if (crash.isConfirmed)
+            machinesOfConfirmed.insert(crash.machine);
+        hasSoleConfirmed |= crash.isSole && crash.isConfirmed;
     }
-    return (isSoleConfirmed && machines.size() >= convictingMachines)
+    return (hasSoleConfirmed && machinesOfConfirmed.size() >= convictingMachines)
         || (sole >= minimumSoleUnconfirmed && machines.size() >= convictingMachinesUnconfirmed);
 }
 
--- a/src/jobs/tests/jobtests.cpp
+++ b/src/jobs/tests/jobtests.cpp
@@ -189,6 +189,19 @@
     CHECK_FALSE(fixture.isExhausted(2));
 }
 
+// The second instance may have crashed before the order arrived.
+TEST_CASE("table: a crash at a confirmed start and one without a confirmation do not exhaust a task", "[jobs]")
+{
+    CrashFixture fixture;
+    fixture.table.apply(crashAtStart(1, "m-1", { crashingTask }));
+    fixture.table.apply(crashAtStart(2, "m-2", { crashingTask }, false));
+    CHECK_FALSE(fixture.isExhausted(1));
+    fixture.table.apply(crashAtStart(3, "m-1", { crashingTask }));
+    CHECK_FALSE(fixture.isExhausted(1));
+    fixture.table.apply(crashAtStart(4, "m-3", { crashingTask }));
+    CHECK(fixture.isExhausted(1));
+}
+
 // A task that crashes its instances before they confirm its start cannot be told from one whose orders came too late.
 TEST_CASE("table: a task is exhausted by three crashes at starts without a confirmation", "[jobs]")
 {
