--- a/src/jobs/types/records.h
+++ b/src/jobs/types/records.h
@@ -112,8 +112,7 @@
     std::uint32_t run = 0;
     bool isConfirmed = false; ///< Whether the instance had confirmed the start of the run.
     bool isSuspicion = false; ///< Whether the run had just started, so that its start may have caused the crash.
-    bool hasEndured
-        = false; ///< Whether the run had worked for so long that the earlier crashes are not its task's doing.
+    bool hasEndured = false; ///< Whether the run had worked for too long to be the cause, of earlier crashes as well.
 };
 
 /// An instance crashed: its incarnation ended without an order of a controller and without draining first.
