--- a/src/control/tests/instancehealthtests.cpp
+++ b/src/control/tests/instancehealthtests.cpp
@@ -1,4 +1,5 @@
 #include "control/instancehealth.h"
+#include "control/tests/mocks/nulleventsink.h"
 #include "foundation/tests/mocks/manualclock.h"
 
 #include <catch2/catch.hpp>
@@ -8,14 +9,9 @@
 
 namespace {
 
-class NullEventSink : public telemetry::IEventSink {
-public:
-    void write(std::string_view, std::initializer_list<telemetry::EventField>) override { }
-};
-
 struct Fixture {
     foundation::mocks::ManualClock clock;
-    NullEventSink events;
+    mocks::NullEventSink events;
     InstanceHealth health { clock, events };
 };
 
--- a/src/control/tests/instancesessiontests.cpp
+++ b/src/control/tests/instancesessiontests.cpp
@@ -1,4 +1,5 @@
 #include "control/internal/instancesession.h"
+#include "control/tests/mocks/nulleventsink.h"
 #include "foundation/tests/mocks/manualclock.h"
 #include "foundation/timerqueue.h"
 
@@ -12,11 +13,6 @@
 
 namespace {
 
-class NullEventSink : public telemetry::IEventSink {
-public:
-    void write(std::string_view, std::initializer_list<telemetry::EventField>) override { }
-};
-
 class StartCounter : public ISessionObserver {
 public:
     void onRunStarted(InstanceSession&, const TaskId&) override { ++startedRuns; }
@@ -81,7 +77,7 @@
 
     foundation::mocks::ManualClock clock;
     foundation::TimerQueue timers;
-    NullEventSink events;
+    mocks::NullEventSink events;
     NullPeers peers;
     StartCounter observer;
     HeldInstanceControl control;
--- /dev/null
+++ b/src/control/tests/mocks/nulleventsink.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "telemetry/ieventsink.h"
+
+namespace turmericsill::control::mocks {
+
+/// Drops all events.
+class NullEventSink : public telemetry::IEventSink {
+public:
+    void write(std::string_view, std::initializer_list<telemetry::EventField>) override { }
+};
+
+} // namespace turmericsill::control::mocks
--- a/src/emulator/tests/controltests.cpp
+++ b/src/emulator/tests/controltests.cpp
@@ -9,18 +9,11 @@
 using namespace turmericsill::emulator;
 using fixtures::EmulationFixture;
 using fixtures::job;
+using fixtures::statusOf;
 using fixtures::step;
 
 namespace {
 
-entry::JobStatus statusOf(EmulationFixture& fixture, const std::string& entryName, jobs::JobId id)
-{
-    entry::JobStatus result;
-    fixture.emulation.queryStatus(entryName, id, [&](entry::JobStatus status) { result = status; });
-    fixture.emulation.advanceTime(milliseconds(50));
-    return result;
-}
-
 std::size_t countRuns(EmulationFixture& fixture, jobs::JobId id)
 {
     std::size_t runs = 0;
--- a/src/emulator/tests/crashtests.cpp
+++ b/src/emulator/tests/crashtests.cpp
@@ -7,6 +7,7 @@
 using namespace turmericsill::emulator;
 using fixtures::EmulationFixture;
 using fixtures::job;
+using fixtures::statusOf;
 using fixtures::step;
 
 namespace {
@@ -19,11 +20,7 @@
 
 jobs::JobState stateOf(EmulationFixture& fixture, jobs::JobId id)
 {
-    jobs::JobState state = jobs::JobState::Queued;
-    fixture.emulation.queryStatus(
-        fixture.emulation.liveEntries().front(), id, [&](entry::JobStatus status) { state = status.state; });
-    fixture.emulation.advanceTime(milliseconds(100));
-    return state;
+    return statusOf(fixture, fixture.emulation.liveEntries().front(), id).state;
 }
 
 /// Submits jobs that keep the instances busy, and a deadly one after them.
--- a/src/emulator/tests/fixtures.h
+++ b/src/emulator/tests/fixtures.h
@@ -80,4 +80,13 @@
     Emulation emulation;
 };
 
+/// Status of a job as an entry tells it to a caller.
+inline entry::JobStatus statusOf(EmulationFixture& fixture, const std::string& entryName, jobs::JobId id)
+{
+    entry::JobStatus result;
+    fixture.emulation.queryStatus(entryName, id, [&](entry::JobStatus status) { result = status; });
+    fixture.emulation.advanceTime(milliseconds(50));
+    return result;
+}
+
 } // namespace turmericsill::emulator::fixtures
--- a/src/jobs/internal/jobtable.cpp
+++ b/src/jobs/internal/jobtable.cpp
@@ -13,6 +13,11 @@
     constexpr std::size_t maximumUnknownCancellations = 20000;
     constexpr std::size_t retainedClaims = 16; ///< Exceeds the number of controller changes while a lease lasts.
 
+    bool isPending(const Job& job, const std::string& queue)
+    {
+        return job.queue == queue && !job.hasStarted && !job.isFinal();
+    }
+
     /// Whether only a run that an instance has started can end so. A controller also records the other outcomes for
     /// runs whose order may have had no effect.
     bool provesStart(RunOutcome outcome)
@@ -127,14 +132,14 @@
 
 std::size_t JobTable::pendingJobs(const std::string& queue) const
 {
-    return static_cast<std::size_t>(std::count_if(openJobs_.begin(), openJobs_.end(),
-        [&](const Job& job) { return job.queue == queue && !job.hasStarted && !job.isFinal(); }));
+    return static_cast<std::size_t>(
+        std::count_if(openJobs_.begin(), openJobs_.end(), [&](const Job& job) { return isPending(job, queue); }));
 }
 
 std::size_t JobTable::jobsAwaitingStart(const std::string& queue) const
 {
     return static_cast<std::size_t>(std::count_if(openJobs_.begin(), openJobs_.end(),
-        [&](const Job& job) { return job.queue == queue && !job.hasStarted && !job.isFinal() && job.activeRuns > 0; }));
+        [&](const Job& job) { return isPending(job, queue) && job.activeRuns > 0; }));
 }
 
 bool JobTable::hasStartedMaintenance(std::uint64_t wave, const std::string& machine) const
--- a/src/scheduling/internal/stepplacer.cpp
+++ b/src/scheduling/internal/stepplacer.cpp
@@ -71,15 +71,13 @@
 {
     if (state_.tasks[index].phase != TaskPhase::Pending)
         return false;
-    const StepId& id = waiting_.id;
-    return !constraints_.blockedTasks || !constraints_.blockedTasks->count({ id.job, id.occurrence, id.step, index });
+    return !constraints_.blockedTasks || !constraints_.blockedTasks->count(taskAt(index));
 }
 
 // Returns the history of a suspect, or null for any other task.
 const jobs::CrashHistory* StepPlacer::findSuspicions(std::uint32_t index) const
 {
-    const StepId& id = waiting_.id;
-    const jobs::CrashHistory* history = job_.findCrashHistory({ id.job, id.occurrence, id.step, index });
+    const jobs::CrashHistory* history = job_.findCrashHistory(taskAt(index));
     return history && history->requiresObservation() ? history : nullptr;
 }
 
@@ -244,8 +242,7 @@
 {
     instances_.addTask(instance, waiting_.id, spec_);
     const std::string ticket = waiting_.isTicketRequired ? tickets_->at(instance.name) : std::string();
-    const StepId& id = waiting_.id;
-    return { { id.job, id.occurrence, id.step, index }, run, instance.view.report->incarnation, waiting_.need, ticket };
+    return { taskAt(index), run, instance.view.report->incarnation, waiting_.need, ticket };
 }
 
 } // namespace turmericsill::scheduling
--- a/src/scheduling/internal/stepplacer.h
+++ b/src/scheduling/internal/stepplacer.h
@@ -31,6 +31,11 @@
     /// Fields in order of significance; the smallest rank is the best.
     using Rank = std::tuple<bool, bool, bool, std::uint32_t, std::int64_t, std::int64_t>;
 
+    jobs::TaskId taskAt(std::uint32_t index) const
+    {
+        return { waiting_.id.job, waiting_.id.occurrence, waiting_.id.step, index };
+    }
+
     bool canStart(std::uint32_t index) const;
     bool placeGang(PoolPlan& plan);
     bool placeSuspect(PoolPlan& plan, std::uint32_t index);
