HTTP client: a queue timeout cannot outlive its client

Callers saw: a controller ended with code 139 while it carried out a wave of maintenance; the next one took over. This is a memory fault that can do this; that it did so in that run is not proven, since the run left no core.

Cause: PooledHttpClient::scheduleQueueTimeout() captured `this` in the handler of an Asio timer. A timer that has expired queues its handler with a success code, and neither cancel() nor the destructor of the timer takes it back. HttpInstanceControl::dropConnections() destroys the client of an instance whose machine is taken down, by a posted handler. If the first queued call expires in the same turn of the loop, the handler runs on the destroyed client, reads its queue and calls the callbacks of destroyed calls. The turn is long when the controller is busy, and the timer stayed armed after the queue had become empty.

Evidence: the new test of the client fails before, in the ordinary build with SIGSEGV and under the sanitizers with a misaligned reference in the queue, each time. A program with HttpInstanceControl, eight orders to an instance that does not answer and a turn of 250 ms that ends with dropConnections() shows heap-use-after-free in the handler under AddressSanitizer, freed by the handler that dropConnections() posts.

Change: foundation::OneShotTimer, whose callback is dropped when the timer is cancelled, started again or destroyed, expired or not. The client uses it and cancels it when its queue is empty.

Ruled out by reading for the same run: references that the controller, its sessions and the machine manager hold across callbacks (removed sessions are held by intrusive pointers, the controller is destroyed by a timer only).

--- a/src/httpclient/internal/pooledhttpclient.cpp
+++ b/src/httpclient/internal/pooledhttpclient.cpp
@@ -60,24 +60,26 @@
         queuedCalls_.pop_front();
         connection->send(std::move(next.call), std::move(next.done), next.deadline);
     }
+    queueTimer_.cancel();
 }
 
 void PooledHttpClient::scheduleQueueTimeout()
 {
-    queueTimer_.expires_at(queuedCalls_.front().deadline);
-    queueTimer_.async_wait([this](boost::system::error_code error) {
-        if (error)
-            return;
-        const auto now = std::chrono::steady_clock::now();
-        while (!queuedCalls_.empty() && queuedCalls_.front().deadline <= now) {
-            QueuedCall expired = std::move(queuedCalls_.front());
-            queuedCalls_.pop_front();
-            expired.done(failure(Errc::Unavailable, expired.call.step, server_.toString(),
-                "no connection became free before the timeout"));
-        }
-        if (!queuedCalls_.empty())
-            scheduleQueueTimeout();
-    });
+    const auto timeLeft = queuedCalls_.front().deadline - std::chrono::steady_clock::now();
+    queueTimer_.start(timeLeft, [this] { failExpiredCalls(); });
+}
+
+void PooledHttpClient::failExpiredCalls()
+{
+    const auto now = std::chrono::steady_clock::now();
+    while (!queuedCalls_.empty() && queuedCalls_.front().deadline <= now) {
+        QueuedCall expired = std::move(queuedCalls_.front());
+        queuedCalls_.pop_front();
+        expired.done(failure(
+            Errc::Unavailable, expired.call.step, server_.toString(), "no connection became free before the timeout"));
+    }
+    if (!queuedCalls_.empty())
+        scheduleQueueTimeout();
 }
 
 void PooledHttpClient::onConnectionIdle(ClientConnection& connection)
--- a/src/httpclient/pooledhttpclient.h
+++ b/src/httpclient/pooledhttpclient.h
@@ -2,11 +2,11 @@
 
 #include "foundation/address.h"
 #include "foundation/iclock.h"
+#include "foundation/oneshottimer.h"
 #include "foundation/result.h"
 #include "httpclient/types/httpcall.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <cstddef>
 #include <deque>
@@ -48,6 +48,7 @@
     void onConnectionClosed(ClientConnection& connection);
     void sendQueuedCalls();
     void scheduleQueueTimeout();
+    void failExpiredCalls();
 
     boost::asio::io_context& context_;
     foundation::Address server_;
@@ -55,7 +56,7 @@
     std::vector<boost::intrusive_ptr<ClientConnection>> connections_;
     std::vector<boost::intrusive_ptr<ClientConnection>> idleConnections_;
     std::deque<QueuedCall> queuedCalls_;
-    boost::asio::steady_timer queueTimer_;
+    foundation::OneShotTimer queueTimer_; ///< Expires with the first queued call.
 };
 
 } // namespace turmericsill::httpclient
--- a/src/httpclient/tests/pooledhttpclienttests.cpp
+++ b/src/httpclient/tests/pooledhttpclienttests.cpp
@@ -1,6 +1,8 @@
+#include "foundation/tests/overwrittenobject.h"
 #include "httpclient/pooledhttpclient.h"
 #include "httpserver/httpserver.h"
 
+#include <boost/asio/post.hpp>
 #include <catch2/catch.hpp>
 #include <map>
 #include <string>
@@ -9,6 +11,7 @@
 using namespace turmericsill::httpclient;
 using foundation::Result;
 using namespace std::chrono_literals;
+namespace asio = boost::asio;
 
 namespace {
 
@@ -31,6 +34,20 @@
     return call;
 }
 
+/// Accepts connections and never responds.
+class SilentServer {
+public:
+    explicit SilentServer(asio::io_context& context)
+        : acceptor_(context, { asio::ip::make_address("127.0.0.1"), 0 })
+    {
+    }
+
+    foundation::Address address() const { return { "127.0.0.1", acceptor_.local_endpoint().port() }; }
+
+private:
+    asio::ip::tcp::acceptor acceptor_;
+};
+
 } // namespace
 
 TEST_CASE("http client: a connection that the server closed while idle is not reused", "[httpclient]")
@@ -77,3 +94,24 @@
     CHECK(outcomes["second"].find("no longer permitted") != std::string::npos);
     CHECK(outcomes["third"] == "third");
 }
+
+// A controller destroys the client of an instance that was taken down. On a busy thread the timeout of a queued call
+// has expired by then, and the handler of the expired timer runs after the client was destroyed.
+TEST_CASE("http client: a queue timeout that expires before the client is destroyed has no effect", "[httpclient]")
+{
+    asio::io_context context;
+    SilentServer server(context);
+    foundation::tests::OverwrittenObject<PooledHttpClient> client(context, server.address(), 1);
+    std::vector<std::string> outcomes;
+    const auto record = [&](const Result<HttpResponse>& response) {
+        outcomes.push_back(response ? response->body : response.error().message());
+    };
+    client->send(postCall("occupies the connection"), record);
+    HttpCall queued = postCall("waits for the connection");
+    queued.timeout = 0ms;
+    client->send(std::move(queued), record);
+    // Runs before the handler of the expired timer, which the context finds only when it waits for events.
+    asio::post(context, [&] { client.destroy(); });
+    context.poll();
+    CHECK(outcomes.empty());
+}
