Timer queue, HTTP server: no handler outlives its owner

Callers saw nothing: the timer queue and the servers of an entry live as long as their loop.

Cause: AsioTimerQueue read its queue, and HttpServer its acceptor and its list of connections, in handlers that neither own them nor ask whether they still exist. An accept that succeeds at once, since the next client waits already, is such a queued handler.

Evidence: both new tests fail before with SIGSEGV: a timer queue that is destroyed after a deadline has passed, and a server that is destroyed after a connection was accepted.

Change: both use OneShotTimer; the handler of accept() asks whether its server exists.

--- a/src/foundation/asiotimerqueue.h
+++ b/src/foundation/asiotimerqueue.h
@@ -1,14 +1,13 @@
 #pragma once
 
+#include "foundation/oneshottimer.h"
 #include "foundation/systemclock.h"
 #include "foundation/timerqueue.h"
 
-#include <boost/asio/steady_timer.hpp>
-
 namespace turmericsill::foundation {
 
-/// Timer queue driven by one Asio timer. Deadlines are times of SystemClock. Not thread-safe: used only on the thread
-/// that runs the context.
+/// Timer queue driven by one timer of a context. Deadlines are times of SystemClock. Not thread-safe: used only on the
+/// thread that runs the context.
 class AsioTimerQueue : public ITimerQueue {
 public:
     explicit AsioTimerQueue(boost::asio::io_context& context);
@@ -17,12 +16,13 @@
     void cancel(TimerId id) override;
 
 private:
-    /// Sets the Asio timer to the earliest deadline in the queue.
+    /// Sets the timer to the earliest deadline in the queue.
     void armTimer();
+    void runDue();
 
     SystemClock clock_;
     TimerQueue queue_;
-    boost::asio::steady_timer timer_;
+    OneShotTimer timer_;
     SteadyTime armedDeadline_ = SteadyTime::max(); ///< Expiry time of `timer_`; max() while it is not armed.
 };
 
--- a/src/foundation/internal/asiotimerqueue.cpp
+++ b/src/foundation/internal/asiotimerqueue.cpp
@@ -27,14 +27,14 @@
     if (!earliestDeadline)
         return;
     // Asio's timers stand still while the machine is suspended; a timer that is due by then fires soon after.
-    timer_.expires_after(*earliestDeadline - clock_.now());
-    timer_.async_wait([this](boost::system::error_code error) {
-        if (error)
-            return;
-        armedDeadline_ = SteadyTime::max();
-        queue_.runDue(clock_.now());
-        armTimer();
-    });
+    timer_.start(*earliestDeadline - clock_.now(), [this] { runDue(); });
+}
+
+void AsioTimerQueue::runDue()
+{
+    armedDeadline_ = SteadyTime::max();
+    queue_.runDue(clock_.now());
+    armTimer();
 }
 
 } // namespace turmericsill::foundation
--- a/src/foundation/tests/timertests.cpp
+++ b/src/foundation/tests/timertests.cpp
@@ -1,3 +1,4 @@
+#include "foundation/asiotimerqueue.h"
 #include "foundation/oneshottimer.h"
 #include "foundation/tests/overwrittenobject.h"
 
@@ -73,3 +74,14 @@
     context.run();
     CHECK(calls == 1);
 }
+
+// The handler of an expired timer would read the deadlines of a queue that no longer exists.
+TEST_CASE("timer queue: a queue that is destroyed after a deadline has passed runs no callback", "[foundation]")
+{
+    boost::asio::io_context context;
+    tests::OverwrittenObject<AsioTimerQueue> queue(context);
+    bool wasCalled = false;
+    queue->schedule(SystemClock().now(), [&] { wasCalled = true; });
+    runBeforeExpiredTimers(context, [&] { queue.destroy(); });
+    CHECK_FALSE(wasCalled);
+}
--- a/src/httpserver/httpserver.h
+++ b/src/httpserver/httpserver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "foundation/address.h"
+#include "foundation/oneshottimer.h"
 #include "foundation/result.h"
 #include "foundation/tcpstream.h"
 #include "httpserver/ihttphandler.h"
@@ -8,9 +9,9 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/intrusive/list.hpp>
 #include <boost/intrusive/list_hook.hpp>
+#include <memory>
 
 namespace turmericsill::httpserver {
 
@@ -62,12 +63,13 @@
     ServerLimits limits_;
     ServerCounters counters_;
     boost::asio::ip::tcp::acceptor acceptor_;
-    boost::asio::steady_timer acceptRetryTimer_;
-    boost::asio::steady_timer idleSweepTimer_;
+    foundation::OneShotTimer acceptRetryTimer_;
+    foundation::OneShotTimer idleSweepTimer_;
     bool isShuttingDown_ = false;
     boost::intrusive::list<HttpConnection, boost::intrusive::base_hook<ConnectionHook>,
         boost::intrusive::constant_time_size<false>>
         connections_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 } // namespace turmericsill::httpserver
--- a/src/httpserver/internal/httpserver.cpp
+++ b/src/httpserver/internal/httpserver.cpp
@@ -42,6 +42,7 @@
 
 HttpServer::~HttpServer()
 {
+    *alive_ = false;
     while (!connections_.empty()) {
         HttpConnection& connection = connections_.front();
         connections_.pop_front();
@@ -70,21 +71,21 @@
 
 void HttpServer::accept()
 {
-    acceptor_.async_accept(context_, [this](boost::system::error_code error, foundation::TcpSocket socket) {
-        if (error == asio::error::operation_aborted || !acceptor_.is_open())
-            return;
-        if (error)
-            return retryAcceptLater();
-        onAccept(std::move(socket));
-        accept();
-    });
+    acceptor_.async_accept(
+        context_, [this, alive = alive_](boost::system::error_code error, foundation::TcpSocket socket) {
+            if (!*alive || error == asio::error::operation_aborted || !acceptor_.is_open())
+                return;
+            if (error)
+                return retryAcceptLater();
+            onAccept(std::move(socket));
+            accept();
+        });
 }
 
 void HttpServer::retryAcceptLater()
 {
-    acceptRetryTimer_.expires_after(acceptRetryDelay);
-    acceptRetryTimer_.async_wait([this](boost::system::error_code error) {
-        if (!error && acceptor_.is_open())
+    acceptRetryTimer_.start(acceptRetryDelay, [this] {
+        if (acceptor_.is_open())
             accept();
     });
 }
@@ -101,10 +102,7 @@
 
 void HttpServer::scheduleIdleSweep()
 {
-    idleSweepTimer_.expires_after(idleSweepInterval);
-    idleSweepTimer_.async_wait([this](boost::system::error_code error) {
-        if (error)
-            return;
+    idleSweepTimer_.start(idleSweepInterval, [this] {
         closeIdleConnections();
         scheduleIdleSweep();
     });
--- a/src/httpserver/tests/httpservertests.cpp
+++ b/src/httpserver/tests/httpservertests.cpp
@@ -1,5 +1,7 @@
+#include "foundation/tests/overwrittenobject.h"
 #include "httpserver/httpserver.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
@@ -200,3 +202,26 @@
     CHECK(response.find("Connection: close") != std::string::npos);
     CHECK(response.find("done") != std::string::npos);
 }
+
+// The handler of a connection that is accepted at once, since the client was waiting already, is queued. It would add
+// the connection to a server that no longer exists.
+TEST_CASE("http server: a connection that was accepted before the server is destroyed is dropped", "[httpserver]")
+{
+    asio::io_context context;
+    RecordingHandler handler;
+    foundation::tests::OverwrittenObject<HttpServer> server(context, handler, ServerLimits());
+    REQUIRE(server->listen({ "127.0.0.1", 0 }));
+    const asio::ip::tcp::endpoint address(asio::ip::make_address("127.0.0.1"), server->port());
+    std::vector<asio::ip::tcp::socket> clients;
+    for (int index = 0; index < 2; ++index)
+        clients.emplace_back(context).connect(address);
+    // Destroys the server after it has accepted the first connection and before the handler of the second one runs.
+    asio::post(context, [&] { asio::post(context, [&] { server.destroy(); }); });
+    context.poll();
+    for (auto& client : clients) {
+        boost::system::error_code error;
+        std::array<char, 1> buffer {};
+        client.read_some(asio::buffer(buffer), error);
+        CHECK(error);
+    }
+}
