HTTP server: one read at a time writes into the buffer of a connection

Callers saw: a client that sends its next request before it has the response of the present one (pipelining) got no answer to a request that arrived in parts, and requests after a pipelined one could be read from stale bytes.

Cause: while a request is being answered, the connection reads ahead to notice that its client disconnects. If it has read the beginning of the next request by then, the read stays pending when the next request is parsed, and the parser reads into the same buffer: the bytes of the pending read end where the buffer was when it began, or in memory that the buffer has released since, and its completion resets the parser in the middle of a request.

Evidence: the new test fails before: the second request never reaches the handler.

Change: the pending read is cancelled, and parsing begins when it has ended. Bytes that it has read by then are kept.

--- a/src/httpserver/internal/httpconnection.cpp
+++ b/src/httpserver/internal/httpconnection.cpp
@@ -56,9 +56,20 @@
         return;
     parser_.reset();
     idleSince_ = std::chrono::steady_clock::now();
-    if (buffer_.size() > 0)
-        return parseRequest();
-    readAhead();
+    if (buffer_.size() == 0)
+        return readAhead();
+    isParsing_ = true;
+    if (isReadingAhead_)
+        return stopReadingAhead();
+    parseRequest();
+}
+
+// Parsing reads into the same buffer, so it begins when the cancelled read has ended.
+void HttpConnection::stopReadingAhead()
+{
+    isReadAheadCancelled_ = true;
+    beast::error_code ignored;
+    stream_.socket().cancel(ignored);
 }
 
 void HttpConnection::parseRequest()
@@ -66,7 +77,6 @@
     parser_.emplace();
     parser_->header_limit(static_cast<std::uint32_t>(server_->limits_.maximumHeaderBytes));
     parser_->body_limit(server_->limits_.maximumBodyBytes);
-    isParsing_ = true;
     stream_.expires_after(server_->limits_.requestTimeout);
     http::async_read(stream_, buffer_, *parser_, [self = SelfPtr(this)](beast::error_code failed, std::size_t) {
         self->isParsing_ = false;
@@ -121,11 +131,14 @@
 void HttpConnection::onReadAhead(beast::error_code error, std::size_t bytes)
 {
     isReadingAhead_ = false;
-    if (!server_ || error == asio::error::operation_aborted)
+    const bool isCancelled = std::exchange(isReadAheadCancelled_, false);
+    if (!server_ || (error == asio::error::operation_aborted && !isCancelled))
         return;
-    if (error)
+    if (error && error != asio::error::operation_aborted)
         return onClientDisconnected();
     buffer_.commit(bytes);
+    if (isCancelled)
+        return parseRequest();
     if (isAwaitingResponse_)
         return readAhead();
     if (!isWriting_)
--- a/src/httpserver/internal/httpconnection.h
+++ b/src/httpserver/internal/httpconnection.h
@@ -39,6 +39,7 @@
 
     void readRequest();
     void parseRequest();
+    void stopReadingAhead();
     void onRequest(boost::beast::error_code error);
     void rejectRequest(const boost::beast::error_code& error);
     void readAhead();
@@ -59,6 +60,7 @@
     bool isAwaitingResponse_ = false;
     bool isReadingAhead_ = false;
     bool isParsing_ = false;
+    bool isReadAheadCancelled_ = false; ///< Whether the pending read was cancelled in order to parse a request.
     bool isClientDisconnected_ = false;
     bool isWriting_ = false;
 };
--- a/src/httpserver/tests/httpservertests.cpp
+++ b/src/httpserver/tests/httpservertests.cpp
@@ -57,6 +57,13 @@
         return done();
     }
 
+    /// Runs the server for some time, in which it handles what it has received.
+    void runFor(foundation::milliseconds time)
+    {
+        context.restart();
+        context.run_for(time);
+    }
+
     /// Sends `text` on a new connection and returns what the server sends until it closes or has sent
     /// `expectedResponses` responses.
     std::string sendAndReceive(const std::string& text, std::size_t expectedResponses = 1)
@@ -145,6 +152,36 @@
     CHECK(second < third);
 }
 
+// While a request is being answered, the server reads ahead to notice that its client disconnects. If that read is
+// still pending when the next request is parsed, two reads write into the same buffer.
+TEST_CASE("http server: a pipelined request that arrives in parts is received as it was sent", "[httpserver]")
+{
+    ServerFixture fixture;
+    fixture.handler.respondsImmediately = false;
+    auto client = fixture.connect();
+    const std::string body(40000, 'x');
+    asio::write(client, asio::buffer(std::string("GET /first HTTP/1.1\r\n\r\n")));
+    REQUIRE(fixture.runUntil([&] { return fixture.handler.exchanges.size() == 1; }));
+    asio::write(client,
+        asio::buffer("POST /second HTTP/1.1\r\nContent-Length: " + std::to_string(body.size() + 2) + "\r\n\r\n<"));
+    fixture.runFor(20ms);
+    fixture.handler.exchanges[0]->respond(makeResponse(200, "first"));
+    fixture.runFor(20ms);
+    asio::write(client, asio::buffer(body + ">GET /third HTTP/1.1\r\n\r\n"));
+    REQUIRE(fixture.runUntil([&] { return fixture.handler.exchanges.size() == 2; }));
+    CHECK(fixture.handler.exchanges[1]->request().target() == "/second");
+    CHECK(fixture.handler.exchanges[1]->request().body() == "<" + body + ">");
+    fixture.runFor(20ms);
+    fixture.handler.exchanges[1]->respond(makeResponse(200, "second"));
+    REQUIRE(fixture.runUntil([&] { return fixture.handler.exchanges.size() == 3; }));
+    CHECK(fixture.handler.exchanges[2]->request().target() == "/third");
+    fixture.handler.exchanges[2]->respond(makeResponse(200, "third"));
+    fixture.runFor(20ms);
+    asio::write(client, asio::buffer(std::string("GET /fourth HTTP/1.1\r\n\r\n")));
+    REQUIRE(fixture.runUntil([&] { return fixture.handler.exchanges.size() == 4; }));
+    CHECK(fixture.handler.exchanges[3]->request().target() == "/fourth");
+}
+
 TEST_CASE("http server: a slow request is closed after the request timeout", "[httpserver]")
 {
     ServerLimits limits;
