Scheduling: an instance that reports a label twice does not end the controller

Callers saw nothing so far: the reports of all sites known state each label once. A report with a repeated label ended the controller, and each that followed.

Cause: InstanceIndex::unlink() erases the instance from the set of each of its labels and removes a set that is empty. The second time it looked up the removed set and erased through the end iterator.

Evidence: the new test fails before with SIGSEGV.

Change: the index keeps each label of an instance once.

--- a/src/scheduling/instanceindex.h
+++ b/src/scheduling/instanceindex.h
@@ -14,7 +14,7 @@
 /// lifetime of the report.
 struct IndexedInstance {
     std::string name;
-    std::vector<std::string> labels;
+    std::vector<std::string> labels; ///< Each label once.
     InstanceView view;
 };
 
--- a/src/scheduling/internal/instanceindex.cpp
+++ b/src/scheduling/internal/instanceindex.cpp
@@ -22,6 +22,8 @@
         entry = std::make_unique<IndexedInstance>();
     entry->name = report.incarnation.instance;
     entry->labels = report.labels;
+    std::sort(entry->labels.begin(), entry->labels.end());
+    entry->labels.erase(std::unique(entry->labels.begin(), entry->labels.end()), entry->labels.end());
     entry->view = std::move(view);
     link(*entry);
 }
--- a/src/scheduling/tests/instanceindextests.cpp
+++ b/src/scheduling/tests/instanceindextests.cpp
@@ -40,3 +40,21 @@
     index.remove("i-2");
     CHECK(index.freeMilliCores() == 0);
 }
+
+// Labels come from the reports that instances publish. The set of a label that occurs twice was removed with its last
+// instance and then looked up again.
+TEST_CASE("index: an instance with a repeated label is updated and removed like any other", "[scheduling]")
+{
+    fleet::InstanceReport report;
+    report.incarnation = { "i-1", 1 };
+    report.labels = { "a", "r1", "a" };
+    InstanceIndex index;
+    index.update(viewOf(report, 1000));
+    CHECK(index.instances("a").size() == 1);
+    index.update(viewOf(report, 2000));
+    CHECK(index.instances("a").size() == 1);
+    CHECK(index.instances("r1").size() == 1);
+    index.remove("i-1");
+    CHECK(index.instances("a").empty());
+    CHECK(index.instances().empty());
+}
