Jobs: a final job with a run is open until the run has ended

Metrics: "open_jobs" of control.begins and control.load could be too small, or wrap around below zero.

Cause: another entry appends a cancellation; the controller appends the intent of a run before it has read it. In the order of the log the job is final first, without runs, and is moved to the final jobs; the intent then gives it an active run there. The end of the run erased the job from the open jobs by an iterator of the final ones: the links stay sound, but with a constant-time size one list becomes one job too short and the other too long. Controller::inheritRuns() looks at the open jobs only, so the next controller does not track such a run: it learns of it only when the instance lists it, and its record says that the run is active until then.

Evidence: the new test fails before: 1 open job instead of 2, and sizes 0 and 2 instead of 1 and 1 after the end of the run.

Change: an intent moves a final job without runs back to the open ones. Jobs change lists by splice(), which keeps both sizes right.

--- a/src/jobs/internal/jobtable.cpp
+++ b/src/jobs/internal/jobtable.cpp
@@ -217,6 +217,9 @@
     Task& task = step.tasks[record.task.index];
     if (task.phase != TaskPhase::Pending || record.run <= task.lastRun)
         return;
+    // A job that another entry has cancelled before this record was appended is final already.
+    if (job->isFinal() && job->activeRuns == 0)
+        openJobs_.splice(openJobs_.end(), finalJobs_, finalJobs_.iterator_to(*job));
     task.phase = TaskPhase::Active;
     task.lastRun = record.run;
     task.incarnation = record.incarnation;
@@ -355,8 +358,7 @@
 {
     if (!job.isFinal() || job.activeRuns > 0)
         return;
-    openJobs_.erase(openJobs_.iterator_to(job));
-    finalJobs_.push_back(job);
+    finalJobs_.splice(finalJobs_.end(), openJobs_, openJobs_.iterator_to(job));
 }
 
 void JobTable::applyRecord(const JobExpired& record)
--- a/src/jobs/tests/jobtests.cpp
+++ b/src/jobs/tests/jobtests.cpp
@@ -320,6 +320,29 @@
     }
 }
 
+// Another entry's cancellation may stand in the log before the intent of the controller, which had not read it. A table
+// that counts such a job among the final ones hides its run from the next controller, which then never stops it.
+TEST_CASE("table: a final job with a run that was intended later is open until the run has ended", "[jobs]")
+{
+    JobTable table;
+    table.apply(submitted(1, { step(1) }));
+    table.apply(submitted(2, { step(1) }));
+    table.apply(JobCancelled { 1 });
+    CHECK(table.finalJobs().size() == 1);
+    table.apply(intended(1, 0, 1));
+    CHECK(table.openJobs().size() == 2);
+    CHECK(table.finalJobs().empty());
+    table.apply(JobExpired { 1 });
+    CHECK(table.find(JobId(1)));
+    table.apply(ended(1, 0, 1, RunOutcome::Stopped));
+    CHECK(table.openJobs().size() == 1);
+    CHECK(table.finalJobs().size() == 1);
+    table.apply(JobExpired { 1 });
+    CHECK_FALSE(table.find(JobId(1)));
+    CHECK(table.openJobs().size() == 1);
+    CHECK(table.finalJobs().empty());
+}
+
 TEST_CASE("table: a job that is cancelled before its submission is read never starts", "[jobs]")
 {
     JobTable table;
