Emulator: no task of a cancelled job runs on, whatever happens around its cancellation

The invariants asked only that no task of a cancelled job starts after the grace. That none runs on was asked nowhere, so a stop that is never sent passed every explored schedule.

Added: - An invariant, checked after every step: no run of a job whose cancellation was acknowledged is at work longer than the grace (3 s) and the longest stop (0.4 s). It counts anew after each disruption of an entry, an instance, a link or the store (for the store from the end of its stability window on), and for the run of a late order from the stability window (3 s) after its start. Workers that leave after a notice, cancellations, shut-down controllers and new entries do not suspend it. - Exploration with prompt cancellations through any entry, instances that drain and leave (0.2 to 3 s of notice) and are replaced at their address, controllers that are killed for good right after a start order, appends that are done 1 to 6 s late, maintenance orders without an answer, carried out late or accepted without effect. Releases, cancellations and controllers that are shut down for good right after an order go on for 10 s after the other faults have ended.

--- a/src/emulator/emulatedplatform.h
+++ b/src/emulator/emulatedplatform.h
@@ -33,6 +33,15 @@
     milliseconds appendDuration { 0 }; ///< Duration of an append; the log processes one at a time.
     bool isMaintenanceAlreadyDone = false; ///< Maintenance orders are accepted without effect, like repeated ones.
     bool isMaintenanceCarriedOut = false; ///< Maintenance orders take the machine's instance down and are accepted.
+    double lateAppendRatio = 0; ///< Fraction of appends that get no answer and take effect seconds later.
+    /// Fraction of maintenance orders that get no answer; half of them are carried out, at once or seconds later.
+    double unansweredMaintenanceRatio = 0;
+
+    /// Whether the store is disturbed for any entry.
+    bool isStoreDisturbed() const;
+
+    /// Whether an instance or a link to one is disturbed.
+    bool isInstanceDisturbed() const;
 };
 
 /// Platform of an emulation: log, instances and machines, with delays and injected faults. Time comes from the given
@@ -86,6 +95,10 @@
     void removeFromDirectory(const std::string& name);
     void setDraining(const std::string& name);
 
+    /// Makes an instance drain and leave after the notice; seconds later its machine starts another one with a new name
+    /// at its address.
+    void release(const std::string& name, milliseconds notice);
+
     /// Changes the capacity of an instance, if it runs, and in its entry in the directory.
     void setCapacity(const std::string& name, const jobs::Resources& capacity);
 
@@ -104,14 +117,21 @@
     /// Returns true with the given probability.
     bool drawWithProbability(double probability);
 
+    /// Random numbers of the faults that seeded schedules had not known before; the others stay as they are.
+    std::mt19937_64& laterFaultsRandom() { return laterFaultsRandom_; }
+
     /// Returns the course of a task's runs. It depends on the task alone, so that a repeated run takes the same course.
     RunPlan runPlanFor(const jobs::TaskId& task) const;
 
 private:
     void onRunStarted(const EmulatedInstance& instance, const jobs::TaskId& task);
 
+    /// Ends an instance; seconds later its machine starts another one with a new name at its address.
+    void endAndReplace(const std::string& name);
+
     foundation::IClock& clock_;
     std::mt19937_64 random_;
+    std::mt19937_64 laterFaultsRandom_;
     milliseconds maximumLease_;
     EmulatedLog log_;
     InvariantChecker invariants_;
--- a/src/emulator/emulatedplatformclient.h
+++ b/src/emulator/emulatedplatformclient.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace turmericsill::emulator {
@@ -74,6 +75,9 @@
 private:
     bool isStoreReachable() const;
 
+    /// Returns the lateness of a call that is carried out late without an answer; nothing for any other call.
+    std::optional<milliseconds> drawLateness(double ratio, milliseconds maximum);
+
     /// Queues an answer of the store on the entry's link and returns the time until it has arrived completely.
     milliseconds queueTransfer(std::size_t bytes);
 
--- a/src/emulator/emulation.h
+++ b/src/emulator/emulation.h
@@ -61,6 +61,9 @@
     /// Ends an entry's process without notice.
     void killEntry(const std::string& name);
 
+    /// Shuts an entry down: it gives up control and leaves the group, and its process ends soon after.
+    void shutDownEntry(const std::string& name);
+
     /// Stops an entry's execution until resumeEntry(); timers that fall due meanwhile fire then.
     void pauseEntry(const std::string& name) { pausedEntries_.insert(name); }
     void resumeEntry(const std::string& name) { pausedEntries_.erase(name); }
--- a/src/emulator/internal/emulatedplatform.cpp
+++ b/src/emulator/internal/emulatedplatform.cpp
@@ -16,9 +16,23 @@
 
 } // namespace
 
+bool InjectedFaults::isStoreDisturbed() const
+{
+    constexpr milliseconds usualLatency { 4 };
+    return isStoreDown || isStoreUnresponsive || !entriesPartitionedFromStore.empty() || isDirectoryDown
+        || !linkBytesPerSecond.empty() || lostAppendAnswerRatio > 0 || lateAppendRatio > 0
+        || storeLatency > usualLatency || appendDuration > milliseconds(0);
+}
+
+bool InjectedFaults::isInstanceDisturbed() const
+{
+    return lateOrderRatio > 0 || lostOrderAnswerRatio > 0 || !unreachableInstances.empty();
+}
+
 EmulatedPlatform::EmulatedPlatform(foundation::IClock& clock, std::uint64_t seed, milliseconds maximumLease)
     : clock_(clock)
     , random_(seed)
+    , laterFaultsRandom_(~seed)
     , maximumLease_(maximumLease)
     , log_(clock)
     , invariants_(instances_, clock)
@@ -88,8 +102,28 @@
 {
     if (!instances_.count(name))
         return;
+    invariants_.onDisruption(Disruption::Peripheral);
+    endAndReplace(name);
+}
+
+void EmulatedPlatform::release(const std::string& name, milliseconds notice)
+{
+    if (!instances_.count(name) || !listedInstances_.count(name))
+        return;
+    setDraining(name);
+    network_.schedule(clock_.now() + notice, [this, incarnation = instances_.at(name)->report().incarnation] {
+        const auto leaving = instances_.find(incarnation.instance);
+        if (leaving == instances_.end() || leaving->second->report().incarnation != incarnation)
+            return;
+        endAndReplace(incarnation.instance);
+        removeFromDirectory(incarnation.instance);
+    });
+}
+
+void EmulatedPlatform::endAndReplace(const std::string& name)
+{
     const fleet::InstanceReport report = instances_.at(name)->report();
-    crash(name);
+    instances_.erase(name);
     network_.schedule(clock_.now() + replacementDuration, [this, report] {
         const std::string& former = report.incarnation.instance;
         const std::string successor = report.machine + "-" + std::to_string(nextIncarnationStart_);
@@ -107,7 +141,11 @@
         deadlyTasks_.begin(), deadlyTasks_.end(), [&](const jobs::TaskId& task) { return task.job == job; });
 }
 
-void EmulatedPlatform::crash(const std::string& name) { instances_.erase(name); }
+void EmulatedPlatform::crash(const std::string& name)
+{
+    invariants_.onDisruption(Disruption::Peripheral);
+    instances_.erase(name);
+}
 
 void EmulatedPlatform::removeFromDirectory(const std::string& name) { listedInstances_.erase(name); }
 
@@ -146,6 +184,11 @@
 {
     for (const auto& [name, instance] : instances_)
         instance->advance();
+    if (faults_.isStoreDisturbed())
+        invariants_.onDisruption(Disruption::Store);
+    if (faults_.isInstanceDisturbed())
+        invariants_.onDisruption(Disruption::Peripheral);
+    invariants_.checkCancelledRuns();
 }
 
 RunPlan EmulatedPlatform::runPlanFor(const jobs::TaskId& task) const
--- a/src/emulator/internal/emulatedplatformclient.cpp
+++ b/src/emulator/internal/emulatedplatformclient.cpp
@@ -20,6 +20,10 @@
     constexpr milliseconds pageTransferTimeout { 1500 }; ///< Time limit of a page's transfer, as in the HTTP event log.
     constexpr milliseconds maximumOrderLateness { 12000 }; ///< Longest delay of an order that is executed late.
     constexpr milliseconds minimumOrderLateness { 500 }; ///< Shortest delay of an order that is executed late.
+    constexpr milliseconds minimumLateness { 1000 }; ///< Shortest delay of an append or machine order done late.
+    constexpr milliseconds latestAppend { 6000 }; ///< Longest delay of an append that is done late.
+    constexpr milliseconds latestMachineOrder { 4000 }; ///< Longest delay of a machine order that is carried out late.
+    constexpr milliseconds machineOrderTimeout { 800 }; ///< Time until a machine order without an answer fails.
     constexpr milliseconds watchPollInterval { 200 }; ///< Interval at which watches are answered.
 
 } // namespace
@@ -59,6 +63,11 @@
     const auto takesEffectAt = platform_.queueAppend();
     if (!takesEffectAt)
         return answer(networkDelay, [done] { done(failure(Errc::Unavailable, "log.append")); });
+    if (const auto lateness = drawLateness(platform_.faults().lateAppendRatio, latestAppend)) {
+        scheduleAfter(
+            *lateness, [&platform = platform_, request] { platform.log().append(request); }, true);
+        return answer(timeout, [done] { done(failure(Errc::Timeout, "log.append")); });
+    }
     scheduleAfter(
         std::chrono::duration_cast<milliseconds>(*takesEffectAt - clock_.now()),
         [this, &platform = platform_, isAlive = isAlive_, request, timeout, done, isAnswerLost] {
@@ -72,6 +81,14 @@
         true);
 }
 
+std::optional<milliseconds> EmulatedPlatformClient::drawLateness(double ratio, milliseconds maximum)
+{
+    auto& random = platform_.laterFaultsRandom();
+    if (ratio == 0 || std::uniform_real_distribution<double>(0, 1)(random) >= ratio)
+        return std::nullopt;
+    return milliseconds(std::uniform_int_distribution<std::int64_t>(minimumLateness.count(), maximum.count())(random));
+}
+
 // Answers share the entry's link and are transferred one after the other.
 milliseconds EmulatedPlatformClient::queueTransfer(std::size_t bytes)
 {
@@ -315,6 +332,15 @@
 {
     platform_.setLastMachineOrder(std::move(authority));
     const auto& faults = platform_.faults();
+    if (const auto lateness = drawLateness(faults.unansweredMaintenanceRatio, latestMachineOrder)) {
+        const bool isCarriedOut = lateness->count() % 2 == 0;
+        const std::string instance = platform_.instanceOn(machine);
+        if (isCarriedOut)
+            scheduleAfter(
+                *lateness - minimumLateness, [&platform = platform_, instance] { platform.crashAndReplace(instance); },
+                true);
+        return answer(machineOrderTimeout, [done] { done(failure(Errc::Timeout, "machine.maintain")); });
+    }
     if (faults.isMaintenanceCarriedOut)
         platform_.crashAndReplace(platform_.instanceOn(machine));
     const auto result = faults.isMaintenanceAlreadyDone || faults.isMaintenanceCarriedOut
--- a/src/emulator/internal/emulation.cpp
+++ b/src/emulator/internal/emulation.cpp
@@ -16,6 +16,7 @@
 
     constexpr milliseconds callerTimeout { 3000 };
     constexpr std::uint16_t firstPeerPort = 7000;
+    constexpr milliseconds shutdownDuration { 500 }; ///< Time from the start of an entry's shutdown to its end.
 
 } // namespace
 
@@ -64,10 +65,23 @@
 
 void Emulation::killEntry(const std::string& name)
 {
+    platform_.invariants().onDisruption(Disruption::Peripheral);
     entries_.erase(name);
     pausedEntries_.erase(name);
 }
 
+void Emulation::shutDownEntry(const std::string& name)
+{
+    EmulatedEntry* stopping = entry(name);
+    if (!stopping || pausedEntries_.count(name))
+        return;
+    stopping->control().stop([] {});
+    platform_.network().schedule(clock_.now() + shutdownDuration, [this, name, stopping] {
+        if (entry(name) == stopping)
+            entries_.erase(name);
+    });
+}
+
 EmulatedEntry* Emulation::findPeer(const foundation::Address& address) const
 {
     for (const auto& [name, port] : ports_) {
@@ -175,6 +189,8 @@
                 next = std::min(next, *deadline);
         }
         clock_.time = std::max(clock_.time, next);
+        if (!pausedEntries_.empty())
+            platform_.invariants().onDisruption(Disruption::Peripheral);
         platform_.advance();
         platform_.network().runDue(clock_.time);
         for (const auto& name : liveEntries())
--- a/src/emulator/internal/invariantchecker.cpp
+++ b/src/emulator/internal/invariantchecker.cpp
@@ -2,6 +2,8 @@
 
 #include "scheduling/instanceindex.h"
 
+#include <algorithm>
+
 namespace turmericsill::emulator {
 
 using jobs::JobId;
@@ -13,6 +15,13 @@
     /// Time after an acknowledged cancellation in which tasks of the job may still start.
     constexpr milliseconds cancellationGrace { 3000 };
 
+    /// Longest time that a stop may take on the platform. The emulated instances take less.
+    constexpr milliseconds longestStop { 400 };
+
+    /// The platform's stability window: the store counts as stable after this time without a disruption, and the run of
+    /// a late order counts from this time after its start.
+    constexpr milliseconds stabilityWindow { 3000 };
+
     /// Time after its acceptance from which a job that has not started must show in the number of pending jobs.
     constexpr milliseconds pendingVisibility { 5000 };
 
@@ -84,8 +93,35 @@
         doneTasks_.insert(end.task);
 }
 
+void InvariantChecker::onDisruption(Disruption kind)
+{
+    const auto until = clock_.now() + (kind == Disruption::Store ? stabilityWindow : milliseconds(0));
+    undisturbedSince_ = std::max(undisturbedSince_, until);
+}
+
+void InvariantChecker::checkCancelledRuns()
+{
+    if (cancelledAt_.empty() || clock_.now() <= undisturbedSince_ + cancellationGrace + longestStop)
+        return;
+    for (const auto& [name, instance] : instances_) {
+        for (const auto& task : instance->runningTasks()) {
+            const auto cancelled = cancelledAt_.find(task.job);
+            if (cancelled == cancelledAt_.end())
+                continue;
+            auto countsFrom = cancelled->second;
+            if (const auto late = lateStarts_.find(task); late != lateStarts_.end())
+                countsFrom = std::max(countsFrom, late->second + stabilityWindow);
+            if (clock_.now() > countsFrom + cancellationGrace + longestStop && overdueTasks_.insert(task).second)
+                addViolation("task of a cancelled job runs on", jobs::toText(task) + " on " + name);
+        }
+    }
+}
+
 void InvariantChecker::onRunStarted(const EmulatedInstance& instance, const TaskId& task)
 {
+    lateStarts_.erase(task);
+    if (isExecutingLateOrder_)
+        lateStarts_.emplace(task, clock_.now());
     started_.insert(task.job);
     ++starts_[task];
     const auto crashes = crashes_.find(task);
--- a/src/emulator/invariantchecker.h
+++ b/src/emulator/invariantchecker.h
@@ -12,6 +12,12 @@
 
 namespace turmericsill::emulator {
 
+/// Place of a disruption.
+enum class Disruption {
+    Peripheral, ///< At an entry, an instance or a link.
+    Store, ///< At the platform's store, which counts as stable only some time later.
+};
+
 /// Checks the invariants of job execution by comparing what callers were told with what instances run.
 class InvariantChecker {
 public:
@@ -33,6 +39,13 @@
     /// A caller was told the number of pending jobs; `askedAt` is the time of its request.
     void onReportedPending(std::size_t pending, foundation::SteadyTime askedAt);
 
+    /// An entry, an instance, a link or the store is disturbed at this moment. Workers that leave after a notice,
+    /// cancellations and new workers are no disruption.
+    void onDisruption(Disruption kind);
+
+    /// Checks at this moment that no task of a cancelled job is at work longer than the platform allows.
+    void checkCancelledRuns();
+
     /// Suspends the invariants with a time bound while an instance executes an order that arrived late.
     void setExecutingLateOrder(bool isLate) { isExecutingLateOrder_ = isLate; }
 
@@ -75,6 +88,10 @@
     std::map<jobs::TaskId, std::size_t> crashes_; ///< Number of instances that a task has crashed.
     std::map<jobs::TaskId, std::size_t> startsAfterCrashes_; ///< Starts after the bound of crashes was reached.
     std::set<jobs::TaskId> doneTasks_; ///< Tasks of which an end with RunOutcome::Done was acknowledged.
+    /// Time from which on no disruption is near: of the latest one, and for the store of the end of its instability.
+    foundation::SteadyTime undisturbedSince_ {};
+    std::map<jobs::TaskId, foundation::SteadyTime> lateStarts_; ///< Tasks whose latest start was by a late order.
+    std::set<jobs::TaskId> overdueTasks_; ///< Tasks of cancelled jobs that were found at work too late.
     std::vector<std::string> violations_;
     bool isExecutingLateOrder_ = false;
 };
--- a/src/emulator/tests/explorationtests.cpp
+++ b/src/emulator/tests/explorationtests.cpp
@@ -1,7 +1,9 @@
 #include "emulator/tests/fixtures.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <cstdlib>
+#include <iterator>
 #include <random>
 
 using namespace turmericsill;
@@ -21,6 +23,9 @@
 constexpr std::int64_t milliCoresPerCore = 1000;
 constexpr std::int64_t stepsPerCapacityChange = 6; ///< Mean number of a schedule's steps for each change of a capacity.
 constexpr std::int64_t stepsPerDirectoryChange = 30; ///< Mean number of steps until the directory fails or returns.
+constexpr milliseconds calmPhase { 10000 };
+constexpr std::int64_t promptCancellationDelayMs = 150; ///< Longest time from the answer to a job to its cancellation.
+const std::uint64_t cancellationSeedMask = 0x5bd1e995; ///< Makes the seed of the random cancellations.
 const std::vector<std::string> instanceNames { "i-1", "i-2", "i-3", "i-4" };
 
 std::uint64_t numberFromEnvironment(const char* name, std::uint64_t fallback)
@@ -33,6 +38,10 @@
 struct ScheduleOptions {
     double deadlyJobRatio = 0; ///< Fraction of jobs with a task that crashes every instance that starts it.
     bool changesCapacities = false; ///< Capacities change while the instances run, and the directory fails at times.
+    /// Jobs are cancelled right after their acceptance, instances leave after a notice, controllers are replaced right
+    /// after an order, appends and machine orders are carried out late. Cancellations and releases go on when the
+    /// other faults have ended.
+    bool cancelsPromptly = false;
 };
 
 /// Random schedule of submissions, cancellations and faults, followed by a recovery phase without faults in which every
@@ -45,6 +54,7 @@
         , options_(options)
         , fixture_(seed)
         , capacityRandom_(~seed)
+        , cancellationRandom_(seed ^ cancellationSeedMask)
     {
     }
 
@@ -56,12 +66,17 @@
             performRandomAction();
             if (options_.changesCapacities)
                 performRandomCapacityAction();
+            if (options_.cancelsPromptly)
+                performRandomCancellationAction(true);
             fixture_.queryAllPending();
             fixture_.emulation.advanceTime(milliseconds(randomNumber(5, 250)));
             if (!fixture_.violations().empty())
                 return fixture_.violations().front();
         }
-        endFaultPhase();
+        endFaults();
+        if (options_.cancelsPromptly)
+            playCalmPhase();
+        cancelLongRunningJobs();
         fixture_.emulation.advanceTime(recoveryPhase);
         fixture_.queryAllStatuses();
         fixture_.emulation.advanceTime(milliseconds(200));
@@ -127,6 +142,118 @@
             faults.isDirectoryDown = !faults.isDirectoryDown;
     }
 
+    std::int64_t drawForCancellations(std::int64_t minimum, std::int64_t maximum)
+    {
+        return std::uniform_int_distribution<std::int64_t>(minimum, maximum)(cancellationRandom_);
+    }
+
+    bool isDrawnOnceIn(std::int64_t steps) { return drawForCancellations(1, steps) == 1; }
+
+    std::string drawLiveEntry()
+    {
+        const auto names = fixture_.emulation.liveEntries();
+        return names.empty() ? std::string()
+                             : names[std::size_t(drawForCancellations(0, std::int64_t(names.size()) - 1))];
+    }
+
+    void submitAndCancel()
+    {
+        auto work = step(
+            static_cast<std::uint32_t>(drawForCancellations(1, 5)), milliCoresPerCore * drawForCancellations(1, 3));
+        work.isLongRunning = drawForCancellations(0, 2) > 0;
+        const jobs::JobId id = nextCancelledJob_++;
+        submitted_.push_back({ id, job({ work }) });
+        const auto delay = milliseconds(drawForCancellations(0, promptCancellationDelayMs));
+        fixture_.emulation.submit(drawLiveEntry(), id, job({ work }), [this, id, delay](entry::RequestResult result) {
+            if (result.outcome != entry::RequestOutcome::Stored)
+                return;
+            fixture_.emulation.platform().network().schedule(fixture_.emulation.clock().now() + delay,
+                [this, id] { fixture_.emulation.cancel(drawLiveEntry(), id); });
+        });
+    }
+
+    void releaseRandomInstance()
+    {
+        const auto& instances = fixture_.emulation.platform().instances();
+        if (instances.size() <= 2)
+            return;
+        const auto chosen = std::next(instances.begin(), drawForCancellations(0, std::int64_t(instances.size()) - 1));
+        fixture_.emulation.platform().release(chosen->first, milliseconds(drawForCancellations(200, 3000)));
+    }
+
+    // The controller ends for good after its next start order, and an entry at another address takes its place. It is
+    // killed if there are faults, and shut down otherwise.
+    void replaceControllerAfterOrder(bool hasFaults)
+    {
+        const auto isOrder = [](const std::string& line) { return line.rfind("run.ordered", 0) == 0; };
+        const auto known = std::int64_t(fixture_.sink.lines.size());
+        submitAndCancel();
+        constexpr int longestWaitMs = 100;
+        for (int waited = 0; waited < longestWaitMs; ++waited) {
+            const auto& lines = fixture_.sink.lines;
+            if (std::any_of(lines.begin() + known, lines.end(), isOrder))
+                break;
+            fixture_.emulation.advanceTime(milliseconds(1));
+        }
+        const std::string controller = fixture_.emulation.controller();
+        if (controller.empty())
+            return;
+        if (hasFaults)
+            fixture_.emulation.killEntry(controller);
+        else
+            fixture_.emulation.shutDownEntry(controller);
+        fixture_.emulation.startEntry("e-" + std::to_string(nextEntry_++));
+    }
+
+    void declareWave()
+    {
+        fleet::MaintenanceWave wave;
+        wave.number = nextWave_++;
+        wave.duration = milliseconds(drawForCancellations(100, 8000));
+        wave.maximumDown = 2;
+        for (const auto& [name, instance] : fixture_.emulation.platform().instances())
+            wave.machines.push_back(instance->report().machine);
+        for (const auto& name : fixture_.emulation.liveEntries())
+            fixture_.emulation.entry(name)->control().addWave(wave);
+    }
+
+    // Draws from a generator of its own, so that the other actions of a seed stay the same.
+    void performRandomCancellationAction(bool hasFaults)
+    {
+        auto& faults = fixture_.emulation.platform().faults();
+        if (isDrawnOnceIn(3))
+            submitAndCancel();
+        if (isDrawnOnceIn(15))
+            releaseRandomInstance();
+        if (isDrawnOnceIn(25))
+            replaceControllerAfterOrder(hasFaults);
+        if (!hasFaults)
+            return;
+        if (isDrawnOnceIn(25))
+            faults.lateAppendRatio = faults.lateAppendRatio > 0 ? 0 : 0.1;
+        if (isDrawnOnceIn(25))
+            faults.unansweredMaintenanceRatio = faults.unansweredMaintenanceRatio > 0 ? 0 : 0.5;
+        if (isDrawnOnceIn(25))
+            faults.isMaintenanceAlreadyDone = !faults.isMaintenanceAlreadyDone;
+        if (isDrawnOnceIn(25))
+            faults.isMaintenanceCarriedOut = !faults.isMaintenanceCarriedOut;
+        if (isDrawnOnceIn(25))
+            declareWave();
+    }
+
+    // Maintenance that was declared goes on. Orders for machines that were maintained before are accepted without
+    // effect.
+    void playCalmPhase()
+    {
+        auto& faults = fixture_.emulation.platform().faults();
+        (isDrawnOnceIn(2) ? faults.isMaintenanceAlreadyDone : faults.isMaintenanceCarriedOut) = true;
+        const auto end = fixture_.emulation.clock().time + calmPhase;
+        while (fixture_.emulation.clock().time < end && fixture_.violations().empty()) {
+            performRandomCancellationAction(false);
+            fixture_.emulation.advanceTime(milliseconds(drawForCancellations(5, 250)));
+        }
+    }
+
     void setCapacity(const std::string& instance, std::int64_t milliCores)
     {
         fixture_.emulation.platform().setCapacity(
@@ -195,7 +322,7 @@
         }
     }
 
-    void endFaultPhase()
+    void endFaults()
     {
         fixture_.emulation.platform().faults() = InjectedFaults();
         for (const auto& name : instanceNames)
@@ -205,20 +332,27 @@
             if (!fixture_.emulation.entry(name))
                 fixture_.emulation.startEntry(name);
         }
+    }
+
+    void cancelLongRunningJobs()
+    {
         // Long-running tasks may occupy the whole fleet, so that no other job could finish.
         fixture_.emulation.advanceTime(milliseconds(3000));
         for (const auto& [id, spec] : submitted_) {
             if (spec.steps.front().isLongRunning)
-                fixture_.emulation.cancel("e-1", id);
+                fixture_.emulation.cancel(queriedEntry(), id);
         }
     }
 
+    /// The first entry, unless it was shut down.
+    std::string queriedEntry() { return fixture_.emulation.liveEntries().front(); }
+
     /// Describes an accepted job that is unknown, or neither final nor long-running; empty when there is none.
     std::string findUnfinishedJob()
     {
         std::string result;
         for (const auto id : fixture_.emulation.platform().invariants().acceptedJobs()) {
-            fixture_.emulation.queryStatus("e-1", id, [&, id](entry::JobStatus status) {
+            fixture_.emulation.queryStatus(queriedEntry(), id, [&, id](entry::JobStatus status) {
                 const bool isFinal = status.state == jobs::JobState::Completed
                     || status.state == jobs::JobState::Cancelled
                     || (status.state == jobs::JobState::Failed && fixture_.emulation.platform().isDeadly(id));
@@ -244,7 +378,11 @@
     ScheduleOptions options_;
     EmulationFixture fixture_;
     std::mt19937_64 capacityRandom_;
+    std::mt19937_64 cancellationRandom_;
     jobs::JobId nextJob_ = 0x1000;
+    jobs::JobId nextCancelledJob_ = 0x9000;
+    int nextEntry_ = 4;
+    std::uint64_t nextWave_ = 1;
     std::vector<std::pair<jobs::JobId, jobs::JobSpec>> submitted_;
 };
 
@@ -296,6 +434,15 @@
     CHECK(countFailedSchedules(options) == 0);
 }
 
+// The stop of a run may get lost: with the controller that owed it, with the order that it waits for, or because nobody
+// knows of the run. The run then outlives the cancellation of its job.
+TEST_CASE("exploration: no task of a cancelled job runs on, whatever happens around its cancellation", "[exploration]")
+{
+    ScheduleOptions options;
+    options.cancelsPromptly = true;
+    CHECK(countFailedSchedules(options) == 0);
+}
+
 TEST_CASE("exploration: schedules that once violated an invariant pass", "[exploration]")
 {
     // Seeds by the subject of the fault that they found: claims under the same epoch (22, 122), successive incarnations
