Jobs: a run intended after the cancellation keeps its job open

What callers saw: nothing yet; found by reading. An entry that appends a cancellation itself, because the controller does not respond to it, may precede an intent of the controller in the log. The table then held the job among the final ones, with an active run.

Consequences: the next controller takes over the runs of open jobs only, so it did not know of this one. It was stopped as unexpected once a renewal listed it, its end was never recorded, and the job never expired: each retention time a further record JobExpired was written for it. When the run did end, the job was unlinked by the list of open jobs, whose size was wrong by one from then on, as was that of the final jobs.

Change: such a run moves the job back to the open ones until it has ended.

Evidence: both new tests failed before: the lists counted 1 and 1 instead of 2 and 0 jobs, then 0 and 2 instead of 1 and 1; after the change of controller one end was recorded instead of three.

Ruled out as the cause of a run that goes on for long: the unexpected run was stopped 3.4 s after the change of control at the latest, also without the change.

--- a/src/emulator/tests/cancellationtests.cpp
+++ b/src/emulator/tests/cancellationtests.cpp
@@ -1,4 +1,5 @@
 #include "emulator/tests/fixtures.h"
+#include "jobs/recordcodec.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -153,3 +154,31 @@
     CHECK(countRuns(fixture, cancelledJob) == 0);
     CHECK(fixture.violations().empty());
 }
+
+// The controller appends the intent of a run before it has read the cancellation that another entry appended, and ends
+// after its order. The log then holds the cancellation first.
+TEST_CASE(
+    "cancellations: a run intended after the cancellation in the log ends under the next controller", "[emulation]")
+{
+    EmulationFixture fixture(62);
+    auto& platform = fixture.emulation.platform();
+    const std::string controller = fixture.emulation.controller();
+    auto second = step(2, 1000, { 0 });
+    second.isLongRunning = true;
+    fixture.emulation.submit(controller, cancelledJob, job({ step(1, 1000), second }));
+    fixture.emulation.advanceTime(milliseconds(100));
+    REQUIRE(countRuns(fixture, cancelledJob) == 1);
+    constexpr std::size_t tooSlowToRead = 2;
+    platform.faults().linkBytesPerSecond[controller] = tooSlowToRead;
+    REQUIRE(platform.log().append({ { jobs::encode(jobs::JobCancelled { cancelledJob }, 0) }, std::nullopt }));
+    platform.invariants().onCancelled(cancelledJob);
+    for (int waited = 0; waited < 2500 && countRuns(fixture, cancelledJob) < 2; ++waited)
+        fixture.emulation.advanceTime(milliseconds(1));
+    REQUIRE(countRuns(fixture, cancelledJob) == 2);
+    fixture.emulation.killEntry(controller);
+    platform.faults() = InjectedFaults();
+    fixture.emulation.advanceTime(milliseconds(3400));
+    CHECK(countRuns(fixture, cancelledJob) == 0);
+    CHECK(countEvents(fixture, "run.ended") == 3);
+    CHECK(fixture.violations().empty());
+}
--- a/src/jobs/internal/jobtable.cpp
+++ b/src/jobs/internal/jobtable.cpp
@@ -13,6 +13,9 @@
     constexpr std::size_t maximumUnknownCancellations = 20000;
     constexpr std::size_t retainedClaims = 16; ///< Exceeds the number of controller changes while a lease lasts.
 
+    /// Whether the job can neither begin runs nor has active ones.
+    bool isEnded(const Job& job) { return job.isFinal() && job.activeRuns == 0; }
+
     bool isPending(const Job& job, const std::string& queue)
     {
         return job.queue == queue && !job.hasStarted && !job.isFinal();
@@ -86,7 +89,7 @@
 
 void JobTable::insert(std::unique_ptr<Job> job)
 {
-    (job->isFinal() && job->activeRuns == 0 ? finalJobs_ : openJobs_).push_back(*job);
+    (isEnded(*job) ? finalJobs_ : openJobs_).push_back(*job);
     if (job->isScheduled())
         scheduledJobs_.insert(job->id);
     if (!job->crashHistories.empty())
@@ -217,6 +220,9 @@
     Task& task = step.tasks[record.task.index];
     if (task.phase != TaskPhase::Pending || record.run <= task.lastRun)
         return;
+    // The controller had not read the cancellation that another entry appended before the intent.
+    if (isEnded(*job))
+        reopen(*job);
     task.phase = TaskPhase::Active;
     task.lastRun = record.run;
     task.incarnation = record.incarnation;
@@ -353,16 +359,22 @@
 
 void JobTable::moveToFinalIfEnded(Job& job)
 {
-    if (!job.isFinal() || job.activeRuns > 0)
+    if (!isEnded(job))
         return;
     openJobs_.erase(openJobs_.iterator_to(job));
     finalJobs_.push_back(job);
 }
 
+void JobTable::reopen(Job& job)
+{
+    finalJobs_.erase(finalJobs_.iterator_to(job));
+    openJobs_.push_back(job);
+}
+
 void JobTable::applyRecord(const JobExpired& record)
 {
     Job* job = findMutableJob(record.job);
-    if (!job || !job->isFinal() || job->activeRuns > 0)
+    if (!job || !isEnded(*job))
         return;
     finalJobs_.erase(finalJobs_.iterator_to(*job));
     jobsWithCrashes_.erase(record.job);
--- a/src/jobs/jobtable.h
+++ b/src/jobs/jobtable.h
@@ -111,6 +111,9 @@
     /// Moves an open job to the final ones once it is final and its last run has ended.
     void moveToFinalIfEnded(Job& job);
 
+    /// Moves a final job of which a run begins back to the open ones.
+    void reopen(Job& job);
+
     /// Retains the cancellation of a job whose submission has not been read yet.
     void addUnknownCancellation(JobId id);
 
--- a/src/jobs/tests/jobtests.cpp
+++ b/src/jobs/tests/jobtests.cpp
@@ -320,6 +320,25 @@
     }
 }
 
+// Only the runs of open jobs are taken over by the next controller, and each list counts its jobs.
+TEST_CASE("table: a run intended after the cancellation keeps its job open until the run has ended", "[jobs]")
+{
+    JobTable table;
+    table.apply(submitted(1, { step(2) }));
+    table.apply(submitted(2, { step(1) }));
+    table.apply(JobCancelled { 1 });
+    REQUIRE(table.finalJobs().size() == 1);
+    table.apply(intended(1, 0, 1));
+    CHECK(table.openJobs().size() == 2);
+    CHECK(table.finalJobs().empty());
+    table.apply(ended(1, 0, 1, RunOutcome::Stopped));
+    CHECK(table.openJobs().size() == 1);
+    CHECK(table.finalJobs().size() == 1);
+    table.apply(JobExpired { 1 });
+    CHECK(table.finalJobs().empty());
+    CHECK(table.find(JobId(1)) == nullptr);
+}
+
 TEST_CASE("table: a job that is cancelled before its submission is read never starts", "[jobs]")
 {
     JobTable table;
