HTTP client: one pending read and one timer for all deadlines

A call of the client cost 4 to 5 system calls besides its own send and receive: a read that found nothing after each write, and a timer of its own for the write and for the read, each set and cancelled. The check for a connection that the server has closed stays, since the pending read is served later than the close arrives.

--- a/src/httpclient/internal/clientconnection.cpp
+++ b/src/httpclient/internal/clientconnection.cpp
@@ -2,9 +2,12 @@
 
 #include "foundation/controltraffic.h"
 
+#include <array>
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/http/read.hpp>
-#include <boost/beast/http/write.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/read_size.hpp>
+#include <boost/beast/http/error.hpp>
 #include <cerrno>
 #include <sys/socket.h>
 #include <utility>
@@ -21,11 +24,18 @@
 namespace {
 
     constexpr std::uint64_t maximumResponseBytes = 256u << 20; ///< Enough for a page of the largest log read.
+    constexpr std::size_t maximumReadBytes = 64 << 10; ///< Of one system call.
+
+    void appendField(std::string& header, std::string_view name, std::string_view value)
+    {
+        header.append(name).append(": ").append(value).append("\r\n");
+    }
 
 } // namespace
 
 ClientConnection::ClientConnection(asio::io_context& context, PooledHttpClient& client)
-    : stream_(context)
+    : socket_(context)
+    , deadlines_(asio::use_service<CallDeadlines>(context))
     , client_(&client)
 {
 }
@@ -35,78 +45,148 @@
     operation_ = std::move(call.step);
     done_ = std::move(done);
     closesConnection_ = call.closesConnection;
-    request_ = {};
-    request_.method(call.verb);
-    request_.target(call.target);
-    request_.version(11);
-    request_.set(http::field::host, client_->address().toString());
-    request_.keep_alive(!closesConnection_);
-    if (!call.body.empty() && !call.contentType.empty())
-        request_.set(http::field::content_type, call.contentType);
-    for (const auto& [name, value] : call.headers)
-        request_.set(name, value);
-    request_.body() = std::move(call.body);
-    request_.prepare_payload();
-    stream_.expires_at(deadline);
+    writeHeader(call);
+    body_ = std::move(call.body);
+    parser_.emplace();
+    parser_->body_limit(maximumResponseBytes);
+    deadlines_.add(*this, deadline);
     if (isConnected_)
         return write();
     connect();
 }
 
+void ClientConnection::writeHeader(const HttpCall& call)
+{
+    const beast::string_view verb = http::to_string(call.verb);
+    header_.assign(verb.data(), verb.size());
+    header_.append(" ").append(call.target).append(" HTTP/1.1\r\n");
+    appendField(header_, "Host", client_->address().toString());
+    if (call.closesConnection)
+        appendField(header_, "Connection", "close");
+    if (!call.body.empty() && !call.contentType.empty())
+        appendField(header_, "Content-Type", call.contentType);
+    for (const auto& [name, value] : call.headers)
+        appendField(header_, name, value);
+    if (!call.body.empty() || call.verb == http::verb::post)
+        appendField(header_, "Content-Length", std::to_string(call.body.size()));
+    header_ += "\r\n";
+}
+
 void ClientConnection::detach()
 {
     client_ = nullptr;
     done_ = nullptr;
-    stream_.close();
+    close();
+}
+
+void ClientConnection::close()
+{
+    isClosed_ = true;
+    isConnected_ = false;
+    CallDeadlines::cancel(*this);
+    beast::error_code ignored;
+    socket_.close(ignored);
 }
 
+// The server may have closed the connection since the pending read was last served.
 bool ClientConnection::isUsable()
 {
+    if (!isConnected_)
+        return false;
     char unsolicited = 0;
-    const auto result = ::recv(stream_.socket().native_handle(), &unsolicited, 1, MSG_PEEK | MSG_DONTWAIT);
+    const auto result = ::recv(socket_.native_handle(), &unsolicited, 1, MSG_PEEK | MSG_DONTWAIT);
     return result < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+void ClientConnection::onDeadline() { fail(isConnected_ ? Errc::Timeout : Errc::Unavailable, beast::error::timeout); }
+
 void ClientConnection::connect()
 {
     const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(client_->address().ip), client_->address().port);
-    stream_.async_connect(endpoint, [self = SelfPtr(this)](beast::error_code error) {
+    socket_.async_connect(endpoint, [self = SelfPtr(this)](beast::error_code error) {
+        if (self->isClosed_)
+            return;
         if (error)
             return self->fail(Errc::Unavailable, error);
         self->isConnected_ = true;
         beast::error_code ignored; // Without this option the connection is only slower.
-        self->stream_.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+        self->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
         self->write();
+        self->read();
     });
 }
 
 void ClientConnection::write()
 {
-    http::async_write(stream_, request_, [self = SelfPtr(this)](beast::error_code error, std::size_t bytes) {
+    isWriting_ = true;
+    const std::array<asio::const_buffer, 2> request { asio::buffer(header_), asio::buffer(body_) };
+    asio::async_write(socket_, request, [self = SelfPtr(this)](beast::error_code error, std::size_t bytes) {
         foundation::ControlTraffic::processTotals().sent += bytes;
         self->onWritten(error);
     });
 }
 
-void ClientConnection::onWritten(beast::error_code error)
+void ClientConnection::onWritten(const beast::error_code& error)
 {
-    if (error)
-        return fail(error == beast::error::timeout ? Errc::Timeout : Errc::ProtocolViolation, error);
-    parser_.emplace();
-    parser_->body_limit(maximumResponseBytes);
-    http::async_read(stream_, buffer_, *parser_, [self = SelfPtr(this)](beast::error_code failed, std::size_t bytes) {
+    isWriting_ = false;
+    if (error && !isClosed_)
+        fail(Errc::ProtocolViolation, error);
+}
+
+void ClientConnection::read()
+{
+    const auto space = buffer_.prepare(beast::read_size_or_throw(buffer_, maximumReadBytes));
+    socket_.async_read_some(space, [self = SelfPtr(this)](beast::error_code error, std::size_t bytes) {
         foundation::ControlTraffic::processTotals().received += bytes;
-        self->onRead(failed);
+        self->buffer_.commit(bytes);
+        self->onRead(error);
     });
 }
 
-void ClientConnection::onRead(beast::error_code error)
+void ClientConnection::onRead(const beast::error_code& error)
 {
+    if (isClosed_)
+        return;
     if (error)
-        return fail(error == beast::error::timeout ? Errc::Timeout : Errc::ProtocolViolation, error);
-    const bool canReuseConnection = !closesConnection_ && parser_->get().keep_alive() && buffer_.size() == 0;
-    auto message = parser_->release();
-    finish(HttpResponse { message.result_int(), std::move(message.body()) }, canReuseConnection);
+        return onDisconnected(error);
+    if (!done_)
+        return close(); // Unsolicited data. The client drops the idle connection when it would use it.
+    parseResponse();
+}
+
+void ClientConnection::parseResponse()
+{
+    beast::error_code error;
+    buffer_.consume(parser_->put(buffer_.data(), error));
+    if (error && error != http::error::need_more)
+        return fail(Errc::ProtocolViolation, error);
+    if (!parser_->is_done())
+        return read();
+    onResponse();
+}
+
+// The end of the connection ends the body of a response without a length.
+void ClientConnection::onDisconnected(const beast::error_code& error)
+{
+    if (!done_)
+        return close();
+    if (error != asio::error::eof)
+        return fail(Errc::ProtocolViolation, error);
+    beast::error_code incomplete = http::error::end_of_stream;
+    if (parser_->got_some())
+        parser_->put_eof(incomplete);
+    if (incomplete)
+        return fail(Errc::ProtocolViolation, incomplete);
+    closesConnection_ = true;
+    onResponse();
+}
+
+void ClientConnection::onResponse()
+{
+    const bool canReuseConnection = !closesConnection_ && parser_->keep_alive() && buffer_.size() == 0 && !isWriting_;
+    if (canReuseConnection)
+        read();
+    finish(HttpResponse { parser_->status(), parser_->takeBody() }, canReuseConnection);
 }
 
 void ClientConnection::fail(Errc code, const beast::error_code& error)
@@ -120,12 +200,9 @@
     const SelfPtr self(this);
     auto done = std::move(done_);
     done_ = nullptr;
-    if (canReuseConnection) {
-        stream_.expires_never();
-    } else {
-        stream_.close();
-        isConnected_ = false;
-    }
+    CallDeadlines::cancel(*this);
+    if (!canReuseConnection)
+        close();
     if (client_ && canReuseConnection)
         client_->onConnectionIdle(*this);
     else if (client_)
--- a/src/httpclient/internal/clientconnection.h
+++ b/src/httpclient/internal/clientconnection.h
@@ -1,19 +1,23 @@
 #pragma once
 
 #include "foundation/tcpstream.h"
+#include "httpclient/internal/calldeadlines.h"
+#include "httpclient/internal/responseparser.h"
 #include "httpclient/pooledhttpclient.h"
 
+#include <boost/beast/core/error.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/message.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 #include <optional>
+#include <string>
 
 namespace turmericsill::httpclient {
 
 /// A connection of a PooledHttpClient; carries one call at a time. Asynchronous operations keep it alive.
-class ClientConnection : public boost::intrusive_ref_counter<ClientConnection, boost::thread_unsafe_counter> {
+/// While it is connected, one read is always pending, so that a response or a disconnect needs no further system call
+/// than the one that receives it.
+class ClientConnection : public boost::intrusive_ref_counter<ClientConnection, boost::thread_unsafe_counter>,
+                         private TimedCall {
 public:
     ClientConnection(boost::asio::io_context& context, PooledHttpClient& client);
 
@@ -27,21 +31,32 @@
     bool isUsable();
 
 private:
+    void onDeadline() override;
+    void writeHeader(const HttpCall& call);
     void connect();
     void write();
-    void onWritten(boost::beast::error_code error);
-    void onRead(boost::beast::error_code error);
+    void onWritten(const boost::beast::error_code& error);
+    void read();
+    void onRead(const boost::beast::error_code& error);
+    void parseResponse();
+    void onDisconnected(const boost::beast::error_code& error);
+    void onResponse();
     void fail(foundation::Errc code, const boost::beast::error_code& error);
     void finish(foundation::Result<HttpResponse> result, bool canReuseConnection);
+    void close();
 
-    foundation::TcpStream stream_;
+    foundation::TcpSocket socket_;
+    CallDeadlines& deadlines_;
     PooledHttpClient* client_;
     boost::beast::flat_buffer buffer_;
-    boost::beast::http::request<boost::beast::http::string_body> request_;
-    std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser_;
+    std::string header_; ///< Of the request, up to the empty line.
+    std::string body_; ///< Of the request.
+    std::optional<ResponseParser> parser_;
     std::string operation_;
-    HttpCallback done_;
+    HttpCallback done_; ///< Empty while the connection is idle.
     bool isConnected_ = false;
+    bool isClosed_ = false;
+    bool isWriting_ = false;
     bool closesConnection_ = false;
 };
 
--- a/src/httpclient/tests/pooledhttpclienttests.cpp
+++ b/src/httpclient/tests/pooledhttpclienttests.cpp
@@ -1,9 +1,14 @@
 #include "httpclient/pooledhttpclient.h"
 #include "httpserver/httpserver.h"
 
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <map>
+#include <optional>
 #include <string>
+#include <vector>
 
 using namespace turmericsill;
 using namespace turmericsill::httpclient;
@@ -20,6 +25,61 @@
     }
 };
 
+/// Server that answers the first request of a connection with fixed bytes, in pieces, and then closes the connection.
+class ScriptedServer {
+public:
+    ScriptedServer(boost::asio::io_context& context, std::vector<std::string> pieces)
+        : acceptor_(context, { boost::asio::ip::make_address("127.0.0.1"), 0 })
+        , connection_(context)
+        , pieces_(std::move(pieces))
+    {
+        acceptor_.async_accept(connection_, [this](boost::system::error_code error) {
+            if (error)
+                return;
+            connection_.set_option(boost::asio::ip::tcp::no_delay(true));
+            connection_.async_read_some(
+                boost::asio::buffer(request_), [this](boost::system::error_code failed, std::size_t) {
+                    if (!failed)
+                        writeNextPiece();
+                });
+        });
+    }
+
+    foundation::Address address() const { return { "127.0.0.1", acceptor_.local_endpoint().port() }; }
+
+private:
+    void writeNextPiece()
+    {
+        if (nextPiece_ == pieces_.size())
+            return connection_.close();
+        boost::asio::async_write(connection_, boost::asio::buffer(pieces_[nextPiece_++]),
+            [this](boost::system::error_code error, std::size_t) {
+                if (!error)
+                    writeNextPiece();
+            });
+    }
+
+    boost::asio::ip::tcp::acceptor acceptor_;
+    boost::asio::ip::tcp::socket connection_;
+    std::array<char, 4096> request_ {};
+    std::vector<std::string> pieces_;
+    std::size_t nextPiece_ = 0;
+};
+
+/// Server that accepts connections by its queue only, and never answers.
+class SilentServer {
+public:
+    explicit SilentServer(boost::asio::io_context& context)
+        : acceptor_(context, { boost::asio::ip::make_address("127.0.0.1"), 0 })
+    {
+    }
+
+    foundation::Address address() const { return { "127.0.0.1", acceptor_.local_endpoint().port() }; }
+
+private:
+    boost::asio::ip::tcp::acceptor acceptor_;
+};
+
 HttpCall postCall(const std::string& body)
 {
     HttpCall call;
@@ -77,3 +137,71 @@
     CHECK(outcomes["second"].find("no longer permitted") != std::string::npos);
     CHECK(outcomes["third"] == "third");
 }
+
+// All calls share a timer, which is not set anew for a call with an earlier deadline than the one it is armed for.
+TEST_CASE("http client: each call fails at its own deadline when the server does not answer", "[httpclient]")
+{
+    boost::asio::io_context context;
+    SilentServer server(context);
+    PooledHttpClient client(context, server.address(), 4);
+    std::vector<std::string> failed;
+    const auto startedAt = std::chrono::steady_clock::now();
+    for (const auto& [name, timeout] :
+        { std::pair("last", 150ms), std::pair("first", 50ms), std::pair("second", 100ms) }) {
+        HttpCall call = postCall(name);
+        call.timeout = timeout;
+        client.send(std::move(call), [&, name = std::string(name), timeout = timeout](const auto& response) {
+            REQUIRE(!response);
+            CHECK(response.error().code == foundation::Errc::Timeout);
+            CHECK(std::chrono::steady_clock::now() - startedAt >= timeout);
+            failed.push_back(name);
+        });
+    }
+    while (failed.size() < 3)
+        context.run_one();
+    CHECK(failed == std::vector<std::string> { "first", "second", "last" });
+}
+
+// The response arrives in several reads, and an answered call must not fail at its deadline afterwards.
+TEST_CASE(
+    "http client: a response in pieces is complete, and one without a length ends with the connection", "[httpclient]")
+{
+    const std::vector<std::string> withLength { "HTTP/1.1 200 OK\r\nContent-", "Length: 10\r\n", "\r\n12345", "67890" };
+    const std::vector<std::string> withoutLength { "HTTP/1.1 200 OK\r\n\r\n12345", "67890" };
+    const std::vector<std::string> chunked { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n12345\r\n",
+        "5\r\n67890\r\n0\r\n\r\n" };
+    for (const auto& pieces : { withLength, withoutLength, chunked }) {
+        boost::asio::io_context context;
+        ScriptedServer server(context, pieces);
+        PooledHttpClient client(context, server.address(), 1);
+        int answers = 0;
+        HttpCall call = postCall("request body");
+        call.timeout = 300ms;
+        client.send(std::move(call), [&](const Result<HttpResponse>& response) {
+            ++answers;
+            REQUIRE(response);
+            CHECK(response->status == 200);
+            CHECK(response->body == "1234567890");
+        });
+        context.run_for(400ms);
+        CHECK(answers == 1);
+    }
+}
+
+// A truncated answer leaves open whether the call was carried out.
+TEST_CASE("http client: a response that is cut off is a protocol violation", "[httpclient]")
+{
+    for (const char* cut : { "", "HTTP/1.1 200 OK\r\nConte", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n12345" }) {
+        boost::asio::io_context context;
+        ScriptedServer server(context, { cut });
+        PooledHttpClient client(context, server.address(), 1);
+        std::optional<foundation::Errc> failure;
+        client.send(postCall("request body"), [&](const Result<HttpResponse>& response) {
+            REQUIRE(!response);
+            failure = response.error().code;
+        });
+        while (!failure)
+            context.run_one();
+        CHECK(failure == foundation::Errc::ProtocolViolation);
+    }
+}
