--- a/src/telemetry/internal/jsoneventsink.cpp
+++ b/src/telemetry/internal/jsoneventsink.cpp
@@ -1,6 +1,7 @@
 #include "telemetry/jsoneventsink.h"
 
-#include <algorithm>
+#include "foundation/jsontext.h"
+
 #include <nlohmann/json.hpp>
 #include <spdlog/async.h>
 #include <spdlog/async_logger.h>
@@ -17,25 +18,7 @@
     constexpr std::size_t maximumQueuedBlocks = 512; ///< At most 2 MB.
     constexpr unsigned maximumLinesPerSecond = 3000; ///< For each event; a busy controller starts 4,500 runs a second.
 
-    bool isPlain(char character)
-    {
-        constexpr char firstPrintable = ' ';
-        constexpr char lastAscii = '~';
-        return character >= firstPrintable && character <= lastAscii && character != '"' && character != '\\';
-    }
-
-    /// Nearly all texts need no escapes; the others are left to the JSON library, with invalid bytes replaced.
-    void appendValue(std::string& line, const std::string& text)
-    {
-        if (!std::all_of(text.begin(), text.end(), isPlain)) {
-            line += nlohmann::json(text).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-            return;
-        }
-        line += '"';
-        line += text;
-        line += '"';
-    }
-
+    void appendValue(std::string& line, const std::string& text) { foundation::appendJsonString(line, text); }
     void appendValue(std::string& line, bool value) { line += value ? "true" : "false"; }
     void appendValue(std::string& line, double value) { line += nlohmann::json(value).dump(); }
     void appendValue(std::string& line, std::int64_t value) { line += std::to_string(value); }
