control.load: calls to instances, processor time and bytes each second

Whether the controller or the pool is the limit could be told by the lateness of the loop only, not by what its time is spent on. The event now tells starts, stops and renewals, and the processor time and payload of the process.

--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -6,6 +6,7 @@
 #include "control/instancehealth.h"
 #include "control/internal/instancesession.h"
 #include "control/internal/isessionobserver.h"
+#include "control/internal/meteredinstancecontrol.h"
 #include "control/internal/poolscheduler.h"
 #include "control/internal/recordstore.h"
 #include "control/snapshotter.h"
@@ -17,6 +18,7 @@
 #include "fleet/iinstancecontrol.h"
 #include "foundation/iclock.h"
 #include "foundation/itimerqueue.h"
+#include "foundation/processusage.h"
 #include "scheduling/types/poolview.h"
 #include "telemetry/ieventsink.h"
 
@@ -130,6 +132,7 @@
         std::uint64_t placements = 0;
         foundation::SteadyTime::duration planTime {};
         milliseconds maximumLag { 0 };
+        foundation::ProcessUsage usageAtStart; ///< At the time `since`.
     };
 
     void onRunStarted(InstanceSession& session, const jobs::TaskId& task) override;
@@ -175,6 +178,7 @@
     ControllerContext context_;
     ControlSettings settings_;
     FormerControllers formerControllers_;
+    MeteredInstanceControl instanceControl_;
     SessionContext sessionContext_;
     std::function<void(const std::string&)> onStepDown_;
     eventlog::ControllerWriter writer_;
--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -45,7 +45,8 @@
     : context_(context)
     , settings_(settings)
     , formerControllers_(context.peers, context.clock, context.timers, context.events, settings.lease)
-    , sessionContext_ { context.instances, context.clock, *this, formerControllers_, epoch, settings.lease }
+    , instanceControl_(context.instances)
+    , sessionContext_ { instanceControl_, context.clock, *this, formerControllers_, epoch, settings.lease }
     , onStepDown_(std::move(onStepDown))
     , writer_(context.log, context.clock, context.timers, context.events, epoch, 1,
           [this] { stepDown("fenced by the log"); })
@@ -87,6 +88,7 @@
         { { "epoch", sessionContext_.epoch }, { "offset", context_.follower.offset() },
             { "unknown_records", context_.follower.unknownRecords() },
             { "open_jobs", static_cast<std::uint64_t>(context_.follower.table().openJobs().size()) } });
+    load_.usageAtStart = foundation::currentUsage();
     formerControllers_.begin(context_.follower.table().claims());
     inheritRuns();
     directory_.start();
@@ -309,13 +311,20 @@
     if (now - load_.since < loadReportInterval)
         return;
     const auto planTime = std::chrono::duration_cast<milliseconds>(load_.planTime);
+    const foundation::ProcessUsage usage = foundation::currentUsage();
+    const foundation::ProcessUsage used = usage - load_.usageAtStart;
+    const auto processorTime = std::chrono::duration_cast<milliseconds>(used.processorTime);
+    const InstanceCallCounts calls = instanceControl_.takeCounts();
     context_.events.write("control.load",
         { { "plans", load_.plans }, { "plan_ms", std::int64_t(planTime.count()) }, { "placements", load_.placements },
             { "lag_ms", std::int64_t(load_.maximumLag.count()) },
             { "open_jobs", std::uint64_t(context_.follower.table().openJobs().size()) },
-            { "instances", std::uint64_t(sessions_.size()) } });
+            { "instances", std::uint64_t(sessions_.size()) }, { "starts", calls.starts }, { "stops", calls.stops },
+            { "renewals", calls.renewals }, { "processor_ms", std::int64_t(processorTime.count()) },
+            { "sent_bytes", used.bytesSent }, { "received_bytes", used.bytesReceived } });
     load_ = {};
     load_.since = now;
+    load_.usageAtStart = usage;
 }
 
 void Controller::startPlacements(const std::string& pool, const scheduling::PoolPlan& plan)
