A start that is confirmed while ends are being stored is renewed with their acknowledgement

After each confirmed start a session sent a renewal when none was pending. While listed ends are being appended to the log none is, so each start in that time sent one that does not wait and lists every run and the unacknowledged ends once more, and the acknowledgement followed with another. The acknowledgement alone renews the lease within the time of an append; when the log does not answer, the periodic renewal still does.

--- a/src/control/internal/instancesession.cpp
+++ b/src/control/internal/instancesession.cpp
@@ -200,7 +200,8 @@
         run.order.payload.clear();
         if (run.isStopping)
             return sendStop(task, run);
-        if (!isRenewing_)
+        // While listed ends are being appended, their acknowledgement renews the lease soon.
+        if (isRenewalDue())
             renew();
         return;
     case StartResult::Fenced:
@@ -281,7 +282,7 @@
     run->isStopCallPending = false;
     if (answer)
         run->settledAt = context_.clock.now() + stopEndAllowance;
-    if (answer && !isRenewing_)
+    if (answer && isRenewalDue())
         renew();
 }
 
--- a/src/control/tests/instancesessiontests.cpp
+++ b/src/control/tests/instancesessiontests.cpp
@@ -41,8 +41,10 @@
         starts[order.task] = std::move(done);
     }
     void stop(const fleet::InstanceHandle&, const TaskId&, std::uint32_t, StopCallback) override { }
-    void renew(const fleet::InstanceHandle&, const fleet::RenewRequest&, RenewCallback done) override
+    void renew(const fleet::InstanceHandle&, const fleet::RenewRequest& request, RenewCallback done) override
     {
+        ++renewals;
+        lastRequest = request;
         renewal = std::move(done);
     }
     void throttle(const fleet::InstanceHandle&, const TaskId&, std::uint32_t, int, StopCallback) override { }
@@ -50,6 +52,8 @@
 
     std::map<TaskId, StartCallback> starts;
     RenewCallback renewal;
+    fleet::RenewRequest lastRequest;
+    int renewals = 0;
 };
 
 struct SessionFixture {
@@ -222,3 +226,37 @@
     fixture.control.starts.at(ended)(fleet::StartAnswer { fleet::StartResult::Superseded, std::nullopt });
     CHECK(fixture.observer.startedRuns == 1);
 }
+
+// Each renewal lists all runs of the instance, so a renewal for each start that is confirmed while an end is being
+// stored doubles what a busy controller has to read.
+TEST_CASE(
+    "session: a start that is confirmed while ends are being stored is renewed with their acknowledgement", "[control]")
+{
+    SessionFixture fixture;
+    const TaskId ended { 1, 0, 0, 0 };
+    const TaskId next { 1, 0, 0, 1 };
+    fixture.order(ended);
+    fixture.confirmStart(ended);
+    fixture.control.renewal(
+        fleet::RenewAnswer { 7, fleet::InstanceTime(700), {}, { { 1, ended, 1, jobs::RunOutcome::Done, "" } }, false });
+    const int renewals = fixture.control.renewals;
+    fixture.order(next);
+    fixture.confirmStart(next);
+    CHECK(fixture.control.renewals == renewals);
+    SECTION("the acknowledgement renews the lease and waits for the next end")
+    {
+        fixture.session->acknowledgeEnds(1);
+        CHECK(fixture.control.renewals == renewals + 1);
+        CHECK(fixture.control.lastRequest.acknowledgedEnds == 1);
+        CHECK(fixture.control.lastRequest.leaseEnd.has_value());
+        CHECK(fixture.control.lastRequest.wait == fixture.terms.renewalWait);
+    }
+    SECTION("while the log does not answer, the lease is renewed without the acknowledgement")
+    {
+        fixture.clock.time += fixture.terms.renewalWait;
+        fixture.session->tick(ControlStatus::Confirmed);
+        CHECK(fixture.control.renewals == renewals + 1);
+        CHECK(fixture.control.lastRequest.acknowledgedEnds == 0);
+        CHECK(fixture.control.lastRequest.leaseEnd.has_value());
+    }
+}
