--- a/src/httpclient/tests/pooledhttpclienttests.cpp
+++ b/src/httpclient/tests/pooledhttpclienttests.cpp
@@ -195,7 +195,7 @@
         boost::asio::io_context context;
         ScriptedServer server(context, { cut });
         PooledHttpClient client(context, server.address(), 1);
-        std::optional<foundation::Errc> failure;
+        std::optional<std::error_code> failure;
         client.send(postCall("request body"), [&](const Result<HttpResponse>& response) {
             REQUIRE(!response);
             failure = response.error().code;
