Event job.ended: where the time of a job went

Callers of the large site saw too little served, and the logs did not tell whether a late job had waited for room, for the log, or for the answer of an instance: run.ordered and run.ended exceed their 3,000 lines a second there. One line a job now names its stages: until the controller knew it, ready without a run, from plan to order, from order to confirmation.

--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -6,6 +6,7 @@
 #include "control/instancehealth.h"
 #include "control/internal/instancesession.h"
 #include "control/internal/isessionobserver.h"
+#include "control/internal/jobtimer.h"
 #include "control/internal/poolscheduler.h"
 #include "control/internal/recordstore.h"
 #include "control/snapshotter.h"
@@ -184,6 +185,7 @@
     InstanceHealth health_;
     AdviceCache adviceCache_;
     PoolScheduler scheduler_;
+    JobTimer jobTimer_;
     fleet::FleetConfiguration configuration_;
     std::map<std::string, InstanceSessionPtr> sessions_; ///< Key: instance name.
     std::vector<InstanceSessionPtr> changedSessions_; ///< Sessions whose instances the scheduler has to update.
--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -58,6 +58,7 @@
     , health_(context.clock, context.events)
     , adviceCache_(context.advice, context.clock, context.events, [this] { schedulePlan(); })
     , scheduler_(context.follower)
+    , jobTimer_(context.clock, context.events)
     , planDelay_(planBatchingDelay)
 {
     writer_.setBatchesRuns(settings.batchesRunRecords);
@@ -338,6 +339,8 @@
         if (job)
             failJobIfCrashing(*job);
         scheduler_.updateJob(id);
+        if (job)
+            jobTimer_.update(*job, configuration_.findQueue(job->queue), scheduler_.isWaiting(id));
         if (job && job->isFinal() && job->activeRuns > 0)
             stopRuns(*job);
     }
@@ -574,8 +577,10 @@
 }
 
 // The record is appended with the next others, at the latest those of the next tick.
-void Controller::onRunStarted(InstanceSession&, const TaskId& task)
+void Controller::onRunStarted(InstanceSession& session, const TaskId& task)
 {
+    if (const auto run = session.runs().find(task); run != session.runs().end())
+        jobTimer_.onRunStarted(task.job, run->second);
     const Job* job = context_.follower.table().find(task.job);
     if (job && !job->hasStarted)
         records_.write(jobs::JobsStarted { { task.job } });
--- a/src/control/internal/poolscheduler.cpp
+++ b/src/control/internal/poolscheduler.cpp
@@ -41,6 +41,12 @@
     pool.isPlanDue = true;
 }
 
+bool PoolScheduler::isWaiting(jobs::JobId id) const
+{
+    const auto poolName = poolOfJob_.find(id);
+    return poolName != poolOfJob_.end() && pools_.at(poolName->second).backlog.contains(id);
+}
+
 void PoolScheduler::updateInstance(scheduling::InstanceView view)
 {
     const std::string& name = view.report->incarnation.instance;
--- a/src/control/internal/poolscheduler.h
+++ b/src/control/internal/poolscheduler.h
@@ -33,6 +33,9 @@
     /// Applies a change of a job: its state, or whether its tasks are blocked.
     void updateJob(jobs::JobId id);
 
+    /// Whether a job has tasks that are ready to run and that no run was planned for.
+    bool isWaiting(jobs::JobId id) const;
+
     /// Applies a change of an instance that accepts tasks. The view's report must stay valid until the next update or
     /// removal of the instance, or until the next plan at the latest.
     void updateInstance(scheduling::InstanceView view);
--- a/src/scheduling/internal/poolbacklog.cpp
+++ b/src/scheduling/internal/poolbacklog.cpp
@@ -1,6 +1,7 @@
 #include "scheduling/poolbacklog.h"
 
 #include "scheduling/instanceindex.h"
+#include "scheduling/jobobjective.h"
 
 #include <algorithm>
 #include <limits>
@@ -16,18 +17,11 @@
 
 namespace {
 
-    constexpr double assumedTaskSeconds = 1; ///< Duration assumed for tasks without an estimate.
-
-    double taskSeconds(const StepSpec& step)
-    {
-        return step.estimatedDuration.count() > 0 ? std::chrono::duration<double>(step.estimatedDuration).count()
-                                                  : assumedTaskSeconds;
-    }
-
     double coreSeconds(const StepSpec& step)
     {
         constexpr double milliCoresPerCore = 1000;
-        return taskSeconds(step) * static_cast<double>(step.resourcesPerTask.milliCores) / milliCoresPerCore;
+        const std::chrono::duration<double> seconds = taskDuration(step);
+        return seconds.count() * static_cast<double>(step.resourcesPerTask.milliCores) / milliCoresPerCore;
     }
 
     /// Number of tasks that can be started; a gang starts completely or not at all.
--- a/src/scheduling/poolbacklog.h
+++ b/src/scheduling/poolbacklog.h
@@ -44,6 +44,9 @@
     void update(const jobs::Job& job, const fleet::Queue* queue);
     void remove(jobs::JobId job);
 
+    /// Whether a job has tasks that are ready and wait for room.
+    bool contains(jobs::JobId job) const { return ranks_.count(job) > 0; }
+
     /// Waiting steps by job, in the order of service; the steps of a job in the order of their occurrence and number.
     const Jobs& jobs() const { return jobs_; }
 
