--- a/src/httpclient/internal/clientconnection.cpp
+++ b/src/httpclient/internal/clientconnection.cpp
@@ -47,6 +47,7 @@
         request_.set(name, value);
     request_.body() = std::move(call.body);
     request_.prepare_payload();
+    buffer_.reserve(call.readBufferBytes); // Beast reads as much at a time as the buffer holds.
     stream_.expires_at(deadline);
     if (isConnected_)
         return write();
--- a/src/httpclient/tests/pooledhttpclienttests.cpp
+++ b/src/httpclient/tests/pooledhttpclienttests.cpp
@@ -20,6 +20,16 @@
     }
 };
 
+class PageHandler : public httpserver::IHttpHandler {
+public:
+    void handle(const httpserver::HttpExchangePtr& exchange) override
+    {
+        exchange->respond(httpserver::makeResponse(200, std::string(pageBytes, 'x')));
+    }
+
+    static constexpr std::size_t pageBytes = 1 << 20;
+};
+
 HttpCall postCall(const std::string& body)
 {
     HttpCall call;
@@ -77,3 +87,28 @@
     CHECK(outcomes["second"].find("no longer permitted") != std::string::npos);
     CHECK(outcomes["third"] == "third");
 }
+
+// A response that is received in parts of 512 bytes takes thousands of turns of the loop. On an entry whose turns take
+// 50 ms, reads of the log and of the instance directory then take seconds.
+TEST_CASE("http client: a large page is received in few turns of the loop", "[httpclient]")
+{
+    boost::asio::io_context context;
+    PageHandler handler;
+    httpserver::HttpServer server(context, handler, {});
+    REQUIRE(server.listen({ "127.0.0.1", 0 }));
+    PooledHttpClient client(context, { "127.0.0.1", server.port() }, 1);
+    HttpCall call;
+    call.target = "/";
+    call.timeout = 5s;
+    call.readBufferBytes = 64 << 10;
+    std::size_t received = 0;
+    client.send(std::move(call), [&](const Result<HttpResponse>& response) {
+        REQUIRE(response);
+        received = response->body.size();
+    });
+    int turns = 0;
+    for (; received == 0; ++turns)
+        context.run_one();
+    CHECK(received == PageHandler::pageBytes);
+    CHECK(turns < 200);
+}
--- a/src/httpclient/types/httpcall.h
+++ b/src/httpclient/types/httpcall.h
@@ -4,6 +4,7 @@
 #include "foundation/result.h"
 
 #include <boost/beast/http/verb.hpp>
+#include <cstddef>
 #include <functional>
 #include <string>
 #include <utility>
@@ -24,6 +25,9 @@
     /// with Errc::Unavailable.
     std::function<bool()> isStillWanted;
     bool closesConnection = false; ///< Whether to close the connection after the response.
+    /// Largest part of the response that is received at a time, if more than the least. A busy thread receives one part
+    /// in each turn of its loop.
+    std::size_t readBufferBytes = 0;
 };
 
 /// Response of an HTTP server.
