--- a/src/httpclient/internal/clientconnection.cpp
+++ b/src/httpclient/internal/clientconnection.cpp
@@ -2,11 +2,11 @@
 
 #include "foundation/controltraffic.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http/error.hpp>
 #include <cerrno>
 #include <sys/socket.h>
@@ -24,7 +24,7 @@
 namespace {
 
     constexpr std::uint64_t maximumResponseBytes = 256u << 20; ///< Enough for a page of the largest log read.
-    constexpr std::size_t maximumReadBytes = 64 << 10; ///< Of one system call.
+    constexpr std::size_t minimumReadBytes = 1024; ///< Enough for nearly all answers of instances.
 
     void appendField(std::string& header, std::string_view name, std::string_view value)
     {
@@ -49,6 +49,7 @@
     body_ = std::move(call.body);
     parser_.emplace();
     parser_->body_limit(maximumResponseBytes);
+    readBytes_ = std::max(minimumReadBytes, call.readBufferBytes);
     deadlines_.add(*this, deadline);
     if (isConnected_)
         return write();
@@ -135,12 +136,12 @@
 
 void ClientConnection::read()
 {
-    const auto space = buffer_.prepare(beast::read_size_or_throw(buffer_, maximumReadBytes));
-    socket_.async_read_some(space, [self = SelfPtr(this)](beast::error_code error, std::size_t bytes) {
-        foundation::ControlTraffic::processTotals().received += bytes;
-        self->buffer_.commit(bytes);
-        self->onRead(error);
-    });
+    socket_.async_read_some(
+        buffer_.prepare(readBytes_), [self = SelfPtr(this)](beast::error_code error, std::size_t bytes) {
+            foundation::ControlTraffic::processTotals().received += bytes;
+            self->buffer_.commit(bytes);
+            self->onRead(error);
+        });
 }
 
 void ClientConnection::onRead(const beast::error_code& error)
--- a/src/httpclient/internal/clientconnection.h
+++ b/src/httpclient/internal/clientconnection.h
@@ -54,6 +54,7 @@
     std::optional<ResponseParser> parser_;
     std::string operation_;
     HttpCallback done_; ///< Empty while the connection is idle.
+    std::size_t readBytes_ = 0; ///< Largest part that the next read receives.
     bool isConnected_ = false;
     bool isClosed_ = false;
     bool isWriting_ = false;
