--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -398,15 +398,23 @@
         && !cordoned_.count(instance);
 }
 
+// The runs are in the order of their tasks, so those of a step follow each other.
 scheduling::InstanceView Controller::viewOf(const InstanceSession& session) const
 {
     scheduling::InstanceView view;
     view.report = &session.report();
     view.free = session.free();
+    view.tasksByStep.reserve(session.runs().size());
+    const jobs::StepSpec* spec = nullptr;
     for (const auto& [task, run] : session.runs()) {
-        ++view.tasksByStep[scheduling::stepOf(task)];
-        if (const Job* job = context_.follower.table().find(task.job))
-            scheduling::countTask(view, job->spec.steps[task.step]);
+        const scheduling::StepId step = scheduling::stepOf(task);
+        if (view.tasksByStep.empty() || !(view.tasksByStep.rbegin()->first == step)) {
+            const Job* job = context_.follower.table().find(task.job);
+            spec = job ? &job->spec.steps[task.step] : nullptr;
+        }
+        ++view.tasksByStep[step];
+        if (spec)
+            scheduling::countTask(view, *spec);
         view.isObserved |= isObserved(task);
     }
     view.isOnProbation = health_.isOnProbation(session.incarnation().instance);
--- a/src/scheduling/internal/instanceindex.cpp
+++ b/src/scheduling/internal/instanceindex.cpp
@@ -16,6 +16,10 @@
 {
     const fleet::InstanceReport& report = *view.report;
     auto& entry = byName_[report.incarnation.instance];
+    if (entry && entry->view.free.milliCores == view.free.milliCores && entry->labels == report.labels) {
+        entry->view = std::move(view); // Its place in the orders stays the same.
+        return;
+    }
     if (entry)
         unlink(*entry);
     else
--- a/src/scheduling/types/poolview.h
+++ b/src/scheduling/types/poolview.h
@@ -3,6 +3,7 @@
 #include "fleet/types/fleet.h"
 #include "jobs/types/job.h"
 
+#include <boost/container/flat_map.hpp>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -39,7 +40,7 @@
     /// Capacity that no run holds, including runs that are being stopped. Negative while the runs exceed a capacity
     /// that has shrunk.
     jobs::Resources free;
-    std::map<StepId, std::uint32_t> tasksByStep; ///< Number of tasks on the instance.
+    boost::container::flat_map<StepId, std::uint32_t> tasksByStep; ///< Number of tasks on the instance.
     std::uint32_t longRunningTasks = 0;
     std::uint32_t latencySensitiveTasks = 0; ///< Tasks with a latency target (StepSpec::latencyTarget).
     std::uint32_t bestEffortTasks = 0; ///< Tasks with StepSpec::isBestEffort, which slow latency-sensitive tasks down.
