--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -45,7 +45,8 @@
     : context_(context)
     , settings_(settings)
     , formerControllers_(context.peers, context.clock, context.timers, context.events, settings.lease)
-    , sessionContext_ { context.instances, context.clock, *this, formerControllers_, epoch, settings.lease }
+    , instanceControl_(context.instances)
+    , sessionContext_ { instanceControl_, context.clock, *this, formerControllers_, epoch, settings.lease }
     , onStepDown_(std::move(onStepDown))
     , writer_(context.log, context.clock, context.timers, context.events, epoch, 1,
           [this] { stepDown("fenced by the log"); })
@@ -58,6 +59,7 @@
     , health_(context.clock, context.events)
     , adviceCache_(context.advice, context.clock, context.events, [this] { schedulePlan(); })
     , scheduler_(context.follower)
+    , jobTimer_(context.clock, context.events)
     , planDelay_(planBatchingDelay)
 {
     writer_.setBatchesRuns(settings.batchesRunRecords);
@@ -87,6 +89,7 @@
         { { "epoch", sessionContext_.epoch }, { "offset", context_.follower.offset() },
             { "unknown_records", context_.follower.unknownRecords() },
             { "open_jobs", static_cast<std::uint64_t>(context_.follower.table().openJobs().size()) } });
+    load_.usageAtStart = foundation::currentUsage();
     formerControllers_.begin(context_.follower.table().claims());
     inheritRuns();
     directory_.start();
@@ -309,13 +312,20 @@
     if (now - load_.since < loadReportInterval)
         return;
     const auto planTime = std::chrono::duration_cast<milliseconds>(load_.planTime);
+    const foundation::ProcessUsage usage = foundation::currentUsage();
+    const foundation::ProcessUsage used = usage - load_.usageAtStart;
+    const auto processorTime = std::chrono::duration_cast<milliseconds>(used.processorTime);
+    const InstanceCallCounts calls = instanceControl_.takeCounts();
     context_.events.write("control.load",
         { { "plans", load_.plans }, { "plan_ms", std::int64_t(planTime.count()) }, { "placements", load_.placements },
             { "lag_ms", std::int64_t(load_.maximumLag.count()) },
             { "open_jobs", std::uint64_t(context_.follower.table().openJobs().size()) },
-            { "instances", std::uint64_t(sessions_.size()) } });
+            { "instances", std::uint64_t(sessions_.size()) }, { "starts", calls.starts }, { "stops", calls.stops },
+            { "renewals", calls.renewals }, { "processor_ms", std::int64_t(processorTime.count()) },
+            { "sent_bytes", used.bytesSent }, { "received_bytes", used.bytesReceived } });
     load_ = {};
     load_.since = now;
+    load_.usageAtStart = usage;
 }
 
 void Controller::startPlacements(const std::string& pool, const scheduling::PoolPlan& plan)
@@ -338,6 +348,8 @@
         if (job)
             failJobIfCrashing(*job);
         scheduler_.updateJob(id);
+        if (job)
+            jobTimer_.update(*job, configuration_.findQueue(job->queue), scheduler_.isWaiting(id));
         if (job && job->isFinal() && job->activeRuns > 0)
             stopRuns(*job);
     }
@@ -386,15 +398,23 @@
         && !cordoned_.count(instance);
 }
 
+// The runs are in the order of their tasks, so those of a step follow each other.
 scheduling::InstanceView Controller::viewOf(const InstanceSession& session) const
 {
     scheduling::InstanceView view;
     view.report = &session.report();
     view.free = session.free();
+    view.tasksByStep.reserve(session.runs().size());
+    const jobs::StepSpec* spec = nullptr;
     for (const auto& [task, run] : session.runs()) {
-        ++view.tasksByStep[scheduling::stepOf(task)];
-        if (const Job* job = context_.follower.table().find(task.job))
-            scheduling::countTask(view, job->spec.steps[task.step]);
+        const scheduling::StepId step = scheduling::stepOf(task);
+        if (view.tasksByStep.empty() || !(view.tasksByStep.rbegin()->first == step)) {
+            const Job* job = context_.follower.table().find(task.job);
+            spec = job ? &job->spec.steps[task.step] : nullptr;
+        }
+        ++view.tasksByStep[step];
+        if (spec)
+            scheduling::countTask(view, *spec);
         view.isObserved |= isObserved(task);
     }
     view.isOnProbation = health_.isOnProbation(session.incarnation().instance);
@@ -574,8 +594,10 @@
 }
 
 // The record is appended with the next others, at the latest those of the next tick.
-void Controller::onRunStarted(InstanceSession&, const TaskId& task)
+void Controller::onRunStarted(InstanceSession& session, const TaskId& task)
 {
+    if (const auto run = session.runs().find(task); run != session.runs().end())
+        jobTimer_.onRunStarted(task.job, run->second);
     const Job* job = context_.follower.table().find(task.job);
     if (job && !job->hasStarted)
         records_.write(jobs::JobsStarted { { task.job } });
