--- a/src/eventlog/isnapshotstore.h
+++ b/src/eventlog/isnapshotstore.h
@@ -26,7 +26,7 @@
     /// Stores all entries or none. Errc::Fenced: a controller of a higher epoch has written.
     virtual void save(std::vector<SnapshotEntry> entries, ProducerPosition position, SaveCallback done) = 0;
 
-    /// Reads all entries.
+    /// Reads all entries as of one moment.
     virtual void load(LoadCallback done) = 0;
 };
 
