HTTP client: a late thread does not take its own lateness for the server's

What callers saw: while the controller was at its limit, instances that answered in 2 ms counted as silent, their runs blocked their room until the lease was over, and starts ended as never started.

Cause: an order's timeout of 200 ms ran while the thread was busy with its turn. The reactor hands over 128 sockets at a time and then the timers, so a timer was served before the response that lay in its socket. Orders that waited for a connection kept the deadline of when they were queued.

Change: at its deadline a call whose socket is ready is looked at again 20 ms later. The timeout of a queued call starts anew when it is sent, and the queue's own timeout subtracts the thread's lateness, up to once more the timeout.

--- a/src/httpclient/internal/clientconnection.h
+++ b/src/httpclient/internal/clientconnection.h
@@ -13,6 +13,9 @@
 
 namespace turmericsill::httpclient {
 
+/// Time for a late thread to handle what has arrived, after which a call that has expired is looked at again.
+constexpr foundation::milliseconds lateHandlingAllowance { 20 };
+
 /// A connection of a PooledHttpClient; carries one call at a time. Asynchronous operations keep it alive.
 /// While it is connected, one read is always pending, so that a response or a disconnect needs no further system call
 /// than the one that receives it.
@@ -32,6 +35,7 @@
 
 private:
     void onDeadline() override;
+    bool hasUnhandledEvent();
     void writeHeader(const HttpCall& call);
     void connect();
     void write();
--- a/src/httpclient/internal/pooledhttpclient.cpp
+++ b/src/httpclient/internal/pooledhttpclient.cpp
@@ -54,32 +54,44 @@
             connection = new ClientConnection(context_, *this);
             connections_.push_back(connection);
         } else {
-            return scheduleQueueTimeout();
+            return scheduleQueueTimeout(queuedCalls_.front().deadline);
         }
         QueuedCall next = std::move(queuedCalls_.front());
         queuedCalls_.pop_front();
-        connection->send(std::move(next.call), std::move(next.done), next.deadline);
+        const auto deadline = std::chrono::steady_clock::now() + next.call.timeout;
+        connection->send(std::move(next.call), std::move(next.done), deadline);
     }
 }
 
-void PooledHttpClient::scheduleQueueTimeout()
+void PooledHttpClient::scheduleQueueTimeout(foundation::SteadyTime when)
 {
-    queueTimer_.expires_at(queuedCalls_.front().deadline);
+    queueTimeoutDueAt_ = when;
+    queueTimer_.expires_at(when);
     queueTimer_.async_wait([this](boost::system::error_code error) {
-        if (error)
-            return;
-        const auto now = std::chrono::steady_clock::now();
-        while (!queuedCalls_.empty() && queuedCalls_.front().deadline <= now) {
-            QueuedCall expired = std::move(queuedCalls_.front());
-            queuedCalls_.pop_front();
-            expired.done(failure(Errc::Unavailable, expired.call.step, server_.toString(),
-                "no connection became free before the timeout"));
-        }
-        if (!queuedCalls_.empty())
-            scheduleQueueTimeout();
+        if (!error)
+            failExpiredCalls();
     });
 }
 
+// While the thread is late, the responses that free connections may have arrived without having been handled. They are
+// handled before the timer expires again.
+void PooledHttpClient::failExpiredCalls()
+{
+    const auto now = std::chrono::steady_clock::now();
+    const bool isThreadLate = now - queueTimeoutDueAt_ > lateHandlingAllowance;
+    while (!queuedCalls_.empty() && queuedCalls_.front().deadline <= now) {
+        const QueuedCall& first = queuedCalls_.front();
+        if (isThreadLate && now - first.deadline < first.call.timeout)
+            return scheduleQueueTimeout(now + lateHandlingAllowance);
+        QueuedCall expired = std::move(queuedCalls_.front());
+        queuedCalls_.pop_front();
+        expired.done(failure(
+            Errc::Unavailable, expired.call.step, server_.toString(), "no connection became free before the timeout"));
+    }
+    if (!queuedCalls_.empty())
+        scheduleQueueTimeout(queuedCalls_.front().deadline);
+}
+
 void PooledHttpClient::onConnectionIdle(ClientConnection& connection)
 {
     idleConnections_.emplace_back(&connection);
--- a/src/httpclient/pooledhttpclient.h
+++ b/src/httpclient/pooledhttpclient.h
@@ -18,7 +18,9 @@
 
 /// HTTP/1.1 client of one server, with a pool of persistent connections that carry one call at a time.
 /// A connection that the server has closed while it was idle is not reused.
-/// Calls beyond the connection limit wait in a queue; their timeout includes the time in the queue.
+/// Calls beyond the connection limit wait in a queue, at most for their timeout, which starts anew when they are sent.
+/// A late thread does not take its own lateness for the server's: a call whose response has arrived when its timeout
+/// expires does not fail, and a queued call may wait for up to twice its timeout.
 /// Errors: Errc::Unavailable: no byte of the call was sent. Errc::Timeout and Errc::ProtocolViolation: it is unknown
 /// whether the server has carried out the call; the connection is closed, since a late response may still arrive on it.
 class PooledHttpClient {
@@ -47,7 +49,8 @@
     void eraseConnection(const ClientConnection& connection);
     void onConnectionClosed(ClientConnection& connection);
     void sendQueuedCalls();
-    void scheduleQueueTimeout();
+    void scheduleQueueTimeout(foundation::SteadyTime when);
+    void failExpiredCalls();
 
     boost::asio::io_context& context_;
     foundation::Address server_;
@@ -56,6 +59,7 @@
     std::vector<boost::intrusive_ptr<ClientConnection>> idleConnections_;
     std::deque<QueuedCall> queuedCalls_;
     boost::asio::steady_timer queueTimer_;
+    foundation::SteadyTime queueTimeoutDueAt_ {}; ///< When the timer should expire.
 };
 
 } // namespace turmericsill::httpclient
--- a/src/httpclient/tests/pooledhttpclienttests.cpp
+++ b/src/httpclient/tests/pooledhttpclienttests.cpp
@@ -8,10 +8,12 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace turmericsill;
 using namespace turmericsill::httpclient;
+using foundation::milliseconds;
 using foundation::Result;
 using namespace std::chrono_literals;
 
@@ -172,6 +174,43 @@
     CHECK(failed == std::vector<std::string> { "first", "second", "last" });
 }
 
+// A controller whose turns take longer than the timeout of an order took answered orders for lost ones and sound
+// instances for silent ones.
+TEST_CASE("http client: a call whose response arrived while the thread was late does not time out", "[httpclient]")
+{
+    boost::asio::io_context serverContext;
+    EchoHandler handler;
+    httpserver::HttpServer server(serverContext, handler, {});
+    REQUIRE(server.listen({ "127.0.0.1", 0 }));
+    boost::asio::io_context context;
+    PooledHttpClient client(context, { "127.0.0.1", server.port() }, 1);
+    std::vector<std::string> bodies;
+    const auto send = [&](const char* body, milliseconds timeout) {
+        HttpCall call = postCall(body);
+        call.timeout = timeout;
+        client.send(std::move(call), [&](const Result<HttpResponse>& response) {
+            REQUIRE(response);
+            bodies.push_back(response->body);
+        });
+    };
+    send("connects", 5s);
+    while (bodies.empty()) {
+        context.poll();
+        serverContext.poll();
+    }
+    for (const char* body : { "sent", "queued", "queued for long" })
+        send(body, 400ms);
+    // The server answers at once; the client's thread looks only after the timeout.
+    for (int turn = 0; turn < 3; ++turn) {
+        context.poll();
+        std::this_thread::sleep_for(20ms);
+        serverContext.poll();
+        std::this_thread::sleep_for(460ms);
+    }
+    context.poll();
+    CHECK(bodies == std::vector<std::string> { "connects", "sent", "queued", "queued for long" });
+}
+
 // The response arrives in several reads, and an answered call must not fail at its deadline afterwards.
 TEST_CASE(
     "http client: a response in pieces is complete, and one without a length ends with the connection", "[httpclient]")
--- a/src/httpclient/types/httpcall.h
+++ b/src/httpclient/types/httpcall.h
@@ -19,7 +19,7 @@
     std::string body;
     std::string contentType; ///< Sent if the body is not empty.
     std::vector<std::pair<std::string, std::string>> headers;
-    foundation::milliseconds timeout { 1000 }; ///< Time from send() to the last byte of the response.
+    foundation::milliseconds timeout { 1000 }; ///< Time from sending the call to the last byte of the response.
     std::string step; ///< Name of the operation in errors, for example "log.append".
     /// If set, called right before the call is sent, which may be after a wait for a connection; false drops the call
     /// with Errc::Unavailable.
