HTTP client: a failing test of bytes that follow a response

The read that is started before the connection is handed back takes bytes that are in the socket already, when the read before it was filled completely. The check for a usable connection then finds an empty socket, the next call is sent, and the bytes are parsed as its answer.

--- a/src/httpclient/tests/pooledhttpclienttests.cpp
+++ b/src/httpclient/tests/pooledhttpclienttests.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <thread>
@@ -95,6 +96,63 @@
     static constexpr std::size_t pageBytes = 1 << 20;
 };
 
+/// Server that sends further bytes right behind its answer to the first request of each connection. The answer fills a
+/// read of the client exactly, and its body begins with the number of the connection.
+class TalkativeServer {
+public:
+    explicit TalkativeServer(boost::asio::io_context& context)
+        : context_(context)
+        , acceptor_(context, { boost::asio::ip::make_address("127.0.0.1"), 0 })
+    {
+        accept();
+    }
+
+    foundation::Address address() const { return { "127.0.0.1", acceptor_.local_endpoint().port() }; }
+
+private:
+    struct Connection {
+        explicit Connection(boost::asio::io_context& context)
+            : socket(context)
+        {
+        }
+
+        boost::asio::ip::tcp::socket socket;
+        std::array<char, 4096> request {};
+        std::string answer;
+    };
+
+    static std::string answerOf(std::size_t connection)
+    {
+        constexpr std::size_t readBytes = 1024;
+        const std::string header = "HTTP/1.1 200 OK\r\nContent-Length: 900\r\nX-Padding: ";
+        constexpr std::size_t bodyBytes = 900;
+        std::string body = std::to_string(connection);
+        body.resize(bodyBytes, '.');
+        return header + std::string(readBytes - bodyBytes - header.size() - 4, 'p') + "\r\n\r\n" + body;
+    }
+
+    void accept()
+    {
+        connections_.push_back(std::make_unique<Connection>(context_));
+        Connection& connection = *connections_.back();
+        connection.answer = answerOf(connections_.size()) + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale";
+        acceptor_.async_accept(connection.socket, [this, &connection](boost::system::error_code error) {
+            if (error)
+                return;
+            connection.socket.async_read_some(
+                boost::asio::buffer(connection.request), [&connection](boost::system::error_code failed, std::size_t) {
+                    if (!failed)
+                        boost::asio::write(connection.socket, boost::asio::buffer(connection.answer));
+                });
+            accept();
+        });
+    }
+
+    boost::asio::io_context& context_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    std::vector<std::unique_ptr<Connection>> connections_;
+};
+
 HttpCall postCall(const std::string& body)
 {
     HttpCall call;
@@ -303,3 +361,31 @@
     CHECK(received == PageHandler::pageBytes);
     CHECK(turns < 200);
 }
+
+// The next read of a kept connection may take unsolicited bytes from the socket before the next call is sent on it. The
+// check for a usable connection no longer sees them, and they would be taken for the answer to that call.
+TEST_CASE("http client: bytes that follow a response are not taken for the answer to the next call", "[httpclient]")
+{
+    asio::io_context context;
+    TalkativeServer server(context);
+    PooledHttpClient client(context, server.address(), 1);
+    std::vector<std::string> answers;
+    const auto record = [&](const Result<HttpResponse>& response) {
+        answers.push_back(response ? response->body.substr(0, 5) : response.error().message());
+    };
+    SECTION("that waits for the connection")
+    {
+        client.send(postCall("first"), record);
+        client.send(postCall("second"), record);
+    }
+    SECTION("that is sent when the response is there")
+    {
+        client.send(postCall("first"), [&](const Result<HttpResponse>& response) {
+            record(response);
+            client.send(postCall("second"), record);
+        });
+    }
+    while (answers.size() < 2)
+        context.run_one();
+    CHECK(answers == std::vector<std::string> { "1....", "2...." });
+}
