--- a/src/foundation/tests/timertests.cpp
+++ b/src/foundation/tests/timertests.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/post.hpp>
 #include <catch2/catch.hpp>
 #include <functional>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -85,3 +86,18 @@
     runBeforeExpiredTimers(context, [&] { queue.destroy(); });
     CHECK_FALSE(wasCalled);
 }
+
+// The event loop goes on after an exception. If the queue is not armed again, everything that is due later waits until
+// some other handler happens to schedule a timer.
+TEST_CASE("timer queue: a callback that throws does not hold up the later ones", "[foundation]")
+{
+    boost::asio::io_context context;
+    AsioTimerQueue queue(context);
+    bool wasCalled = false;
+    queue.schedule(SystemClock().now(), [] { throw std::runtime_error("unexpected"); });
+    queue.schedule(SystemClock().now() + 5ms, [&] { wasCalled = true; });
+    CHECK_THROWS(context.run());
+    context.restart();
+    context.run_for(1s);
+    CHECK(wasCalled);
+}
