Emulator: failing tests of ticks after an exception, of deadly tasks beside cancellations and of a rebuilt table

- The election schedules its next tick at the end of a tick: after one exception there is none.
- The crash of an instance under a deadly task suspends the invariant on runs of cancelled jobs: 0 violations, not 1.
- Passes: the runs of a cancelled job end in time when their controller is removed around the cancellation.

--- a/src/emulator/tests/cancellationtests.cpp
+++ b/src/emulator/tests/cancellationtests.cpp
@@ -3,11 +3,15 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <optional>
+#include <stdexcept>
+#include <utility>
 
 using namespace turmericsill;
 using namespace turmericsill::emulator;
 using fixtures::EmulationFixture;
 using fixtures::job;
+using fixtures::statusOf;
 using fixtures::step;
 
 namespace {
@@ -40,6 +44,20 @@
         [&](const std::string& line) { return line.rfind(start, 0) == 0; }));
 }
 
+/// Ends the handler that writes the next event of a kind, as an unexpected exception does.
+class ThrowingSink : public telemetry::IEventSink {
+public:
+    void write(std::string_view event, std::initializer_list<telemetry::EventField>) override
+    {
+        written += event == "control.load";
+        if (event == "control.load" && std::exchange(throwsNext, false))
+            throw std::runtime_error("unexpected");
+    }
+
+    int written = 0;
+    bool throwsNext = false;
+};
+
 /// An instance that no controller stops anything on, and the invariants that watch it.
 struct UnattendedInstance {
     UnattendedInstance()
@@ -182,3 +200,102 @@
     CHECK(countEvents(fixture, "run.ended") == 3);
     CHECK(fixture.violations().empty());
 }
+
+// A task that crashes every instance is a job that cannot be done, and such jobs excuse no run of a cancelled job.
+TEST_CASE("invariants: a task that crashes another instance does not excuse a cancelled job's task", "[emulation]")
+{
+    UnattendedInstance instance;
+    constexpr jobs::JobId deadlyJob = 0xd100;
+    instance.platform.startInstance("i-2", "desk", { 8000, 16000, 0 });
+    instance.platform.invariants().onSubmitted(deadlyJob, longRunningJob(1));
+    instance.platform.invariants().onAccepted(deadlyJob);
+    instance.platform.setDeadly({ deadlyJob, 0, 0, 0 });
+    instance.start();
+    instance.platform.invariants().onCancelled(cancelledJob);
+    instance.advanceTime(milliseconds(2000));
+    const fleet::StartOrder order { { deadlyJob, 0, 0, 0 }, 1, {}, {}, {}, fleet::InstanceTime(1000000) };
+    instance.platform.instances().at("i-2")->start(
+        order, 1, [&](const jobs::TaskId& task) { return instance.platform.runPlanFor(task); });
+    for (int elapsed = 0; elapsed < 1500; ++elapsed) {
+        instance.advanceTime(milliseconds(1));
+        instance.platform.network().runDue(instance.clock.time);
+    }
+    CHECK(instance.platform.instances().count("i-2") == 0);
+    CHECK(instance.countViolations() == 1);
+}
+
+// The platform's bound also holds for a task whose starter has been removed.
+TEST_CASE("cancellations: a run ends in time when its controller is removed around the cancellation", "[emulation]")
+{
+    for (int removedAfter = -1500; removedAfter <= 10; removedAfter += removedAfter < 0 ? 150 : 1) {
+        EmulationFixture fixture(100);
+        auto& invariants = fixture.emulation.platform().invariants();
+        const std::string controller = fixture.emulation.controller();
+        const std::string other = controller == "e-1" ? "e-2" : "e-1";
+        fixture.emulation.submit(controller, cancelledJob, longRunningJob(4));
+        fixture.emulation.advanceTime(milliseconds(1500));
+        REQUIRE(countRuns(fixture, cancelledJob) == 4);
+        if (removedAfter < 0) {
+            fixture.emulation.killEntry(controller);
+            fixture.emulation.advanceTime(milliseconds(-removedAfter));
+        }
+        fixture.emulation.cancel(other, cancelledJob);
+        std::optional<foundation::SteadyTime> cancelledAt;
+        const auto sentAt = fixture.emulation.clock().time;
+        for (int waited = 0; waited < 20000 && (countRuns(fixture, cancelledJob) > 0 || !cancelledAt); ++waited) {
+            if (waited == removedAfter)
+                fixture.emulation.killEntry(controller);
+            fixture.emulation.advanceTime(milliseconds(1));
+            if (!cancelledAt && invariants.isCancelled(cancelledJob))
+                cancelledAt = fixture.emulation.clock().time;
+        }
+        REQUIRE(cancelledAt);
+        INFO("removed " << removedAfter << " ms after the cancellation was sent");
+        INFO("acknowledged after " << (*cancelledAt - sentAt) / milliseconds(1) << " ms");
+        CHECK((fixture.emulation.clock().time - *cancelledAt) / milliseconds(1) <= longestRunAfterCancellation.count());
+    }
+}
+
+// The event loop goes on after an exception, and the entry stays the controller. Without further ticks no stop is sent
+// again, no idle instance is asked for its runs and no lease counts as expired.
+TEST_CASE("control: a tick that ends with an exception is followed by the next one", "[emulation]")
+{
+    ThrowingSink sink;
+    Emulation emulation(63, EmulationFixture::settings(), sink);
+    emulation.platform().setConfiguration(fixtures::configuration());
+    emulation.platform().startInstance("i-1", "desk", { 8000, 16000, 0 });
+    emulation.startEntry("e-1");
+    emulation.advanceTime(milliseconds(4000));
+    REQUIRE(emulation.controller() == "e-1");
+    sink.throwsNext = true;
+    CHECK_THROWS(emulation.advanceTime(milliseconds(2000)));
+    const int written = sink.written;
+    emulation.advanceTime(milliseconds(5000));
+    CHECK(emulation.controller() == "e-1");
+    CHECK(sink.written > written);
+}
+
+// The controller applies its own records before it appends them, and skips them when it reads the log. A table that is
+// rebuilt during its term, because the log has dropped a record that it had not read, lacks them.
+TEST_CASE("cancellations: a cancellation in the log holds when the controller's table is rebuilt", "[emulation]")
+{
+    EmulationFixture fixture(64);
+    auto& platform = fixture.emulation.platform();
+    const std::string controller = fixture.emulation.controller();
+    fixture.emulation.submit(controller, cancelledJob, longRunningJob(4));
+    const auto snapshots = countEvents(fixture, "snapshot.written");
+    fixture.emulation.advanceTime(milliseconds(500));
+    REQUIRE(countRuns(fixture, cancelledJob) == 4);
+    for (int waited = 0; waited < 5000 && countEvents(fixture, "snapshot.written") == snapshots; ++waited)
+        fixture.emulation.advanceTime(milliseconds(1));
+    constexpr jobs::JobId otherJob = 0xc200;
+    REQUIRE(platform.log().append({ { jobs::encode(jobs::JobCancelled { otherJob }, 0) }, std::nullopt }));
+    platform.log().dropRecords();
+    fixture.emulation.cancel(controller, cancelledJob);
+    fixture.emulation.advanceTime(milliseconds(8000));
+    CHECK(platform.invariants().isCancelled(cancelledJob));
+    CHECK(countRuns(fixture, cancelledJob) == 0);
+    CHECK(fixture.violations().empty());
+    for (const auto& name : fixture.emulation.liveEntries())
+        CHECK(statusOf(fixture, name, cancelledJob).state == jobs::JobState::Cancelled);
+}
