HTTP client: bytes that follow a response are not taken for the next answer

Cause: the read for the next response begins when a response is complete. If the read before it was filled exactly, bytes that the server has sent unasked are moved out of the socket at once; the check for a usable connection then looks at an empty socket, and the bytes are parsed as the answer to the next call.

Change: after a read that was filled the connection is kept only if its socket is empty. Other reads have emptied it.

--- a/src/httpclient/internal/clientconnection.cpp
+++ b/src/httpclient/internal/clientconnection.cpp
@@ -152,9 +152,10 @@
 
 void ClientConnection::read()
 {
-    socket_.async_read_some(
-        buffer_.prepare(readBytes_), [self = SelfPtr(this)](beast::error_code error, std::size_t bytes) {
+    socket_.async_read_some(buffer_.prepare(readBytes_),
+        [self = SelfPtr(this), requested = readBytes_](beast::error_code error, std::size_t bytes) {
             foundation::ControlTraffic::processTotals().received += bytes;
+            self->isReadFull_ = bytes == requested;
             self->buffer_.commit(bytes);
             self->onRead(error);
         });
@@ -198,9 +199,12 @@
     onResponse();
 }
 
+// After a read that was not filled the socket is empty. Otherwise the next read could take unsolicited bytes from it
+// before the next call, and they would be parsed as the answer to that call.
 void ClientConnection::onResponse()
 {
-    const bool canReuseConnection = !closesConnection_ && parser_->keep_alive() && buffer_.size() == 0 && !isWriting_;
+    const bool isComplete = !closesConnection_ && parser_->keep_alive() && buffer_.size() == 0 && !isWriting_;
+    const bool canReuseConnection = isComplete && (!isReadFull_ || isUsable());
     if (canReuseConnection)
         read();
     finish(HttpResponse { parser_->status(), parser_->takeBody() }, canReuseConnection);
--- a/src/httpclient/internal/clientconnection.h
+++ b/src/httpclient/internal/clientconnection.h
@@ -62,6 +62,7 @@
     bool isConnected_ = false;
     bool isClosed_ = false;
     bool isWriting_ = false;
+    bool isReadFull_ = false; ///< Whether the latest read returned as much as it had asked for.
     bool closesConnection_ = false;
 };
 
