Control, timers: an exception that leaves a callback does not end what repeats

What callers saw: nothing shown. The event loop of an entry goes on after an exception. A controller whose tick ends with one got no further tick, while its joins kept the control: no stop is repeated, no idle instance is asked for its runs, no lease counts as expired. A timer queue whose callback throws was armed again only when some other handler scheduled a timer.

Cause: the next step of both was scheduled at the end of the present one.

Evidence: both new tests fail before (no further tick in 5 s; the later callback is not called within 1 s). No path of today's code is known to throw there.

Change: both schedule the next step also when an exception leaves the present one.

--- a/src/control/controllerelection.h
+++ b/src/control/controllerelection.h
@@ -86,6 +86,7 @@
     void retryClaim();
     ControlStatus controlStatus() const;
     void tick(foundation::SteadyTime scheduledAt);
+    void scheduleTick();
 
     ControllerContext context_;
     eventlog::IControlGroup& group_;
--- a/src/control/internal/controllerelection.cpp
+++ b/src/control/internal/controllerelection.cpp
@@ -2,6 +2,7 @@
 
 #include "jobs/recordcodec.h"
 
+#include <absl/cleanup/cleanup.h>
 #include <algorithm>
 #include <tuple>
 #include <utility>
@@ -293,14 +294,20 @@
     return silence < settings_.lease.logOutageLimit ? ControlStatus::Unconfirmed : ControlStatus::Lost;
 }
 
+// The next tick also follows an exception, since this entry stays the controller.
 void ControllerElection::tick(SteadyTime scheduledAt)
 {
+    const absl::Cleanup scheduleNext = [this] { scheduleTick(); };
     const auto lag = std::chrono::duration_cast<milliseconds>(context_.clock.now() - scheduledAt);
     if (controller_)
         controller_->tick(controlStatus(), lag);
     // Machines check no fencing tokens, so they get orders only while control is confirmed.
     if (machineManager_ && controlStatus() == ControlStatus::Confirmed)
         machineManager_->tick();
+}
+
+void ControllerElection::scheduleTick()
+{
     if (isStopping_)
         return;
     const auto next = context_.clock.now() + tickInterval;
--- a/src/foundation/internal/asiotimerqueue.cpp
+++ b/src/foundation/internal/asiotimerqueue.cpp
@@ -1,5 +1,6 @@
 #include "foundation/asiotimerqueue.h"
 
+#include <absl/cleanup/cleanup.h>
 #include <boost/asio/io_context.hpp>
 #include <utility>
 
@@ -33,8 +34,9 @@
 void AsioTimerQueue::runDue()
 {
     armedDeadline_ = SteadyTime::max();
+    // Also after an exception, since the event loop goes on.
+    const absl::Cleanup rearm = [this] { armTimer(); };
     queue_.runDue(clock_.now());
-    armTimer();
 }
 
 } // namespace turmericsill::foundation
