Control: a controller whose unread records were dropped ends its term

What callers saw: nothing yet; found by a review. A read of the log that is answered with the loss of an unread record rebuilt the table. The controller stayed in its term, without the records of its own epoch, which it applies before they are appended and skips when it reads them: cancellations that were stored through it, intents and ends were gone for it.

Not shown: that a deployment drops records that a live controller has not read; its reads are seconds behind at most.

Change: the term ends, and the table is rebuilt with all records.

--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -218,12 +218,16 @@
 {
     if (context_.follower.table().latestClaim().epoch > sessionContext_.epoch)
         return stepDown("the log holds a later claim");
+    if (!context_.follower.isInControl(sessionContext_.epoch))
+        return stepDown("the log dropped records that were not read");
     writer_.onLogRead(context_.follower.ownRecordsRead());
     schedulePlan();
 }
 
 void Controller::tick(ControlStatus status, milliseconds lag)
 {
+    if (hasSteppedDown_)
+        return;
     // Start orders rely on the capacities in the directory as well.
     controlStatus_ = directory_.isCurrent() ? status : std::min(status, ControlStatus::Unconfirmed);
     reportLoad(lag);
@@ -239,7 +243,7 @@
             removeSession(session);
     }
     removeExpiredJobs();
-    if (snapshotter_.isDue() && writer_.isIdle())
+    if (snapshotter_.isDue() && writer_.isIdle() && context_.follower.hasCaughtUp())
         snapshotter_.write();
     schedulePlan();
     writer_.flush();
--- a/src/eventlog/internal/jobfollower.cpp
+++ b/src/eventlog/internal/jobfollower.cpp
@@ -148,7 +148,7 @@
         return;
     if (!page) {
         if (page.error().code == Errc::RetentionPassed)
-            rebuild();
+            onRetentionPassed();
         return;
     }
     applyPage(*page);
@@ -226,6 +226,15 @@
     rebuild();
 }
 
+// A table that is rebuilt during a term of control lacks the controller's own records, so the term ends.
+void JobFollower::onRetentionPassed()
+{
+    const bool wasInControl = ownEpoch_ > 0;
+    endControl();
+    if (wasInControl && changeCallback_)
+        changeCallback_();
+}
+
 void JobFollower::rebuild()
 {
     ++generation_;
--- a/src/eventlog/jobfollower.h
+++ b/src/eventlog/jobfollower.h
@@ -70,6 +70,10 @@
     /// Applies a record of this controller that is about to be appended.
     void applyOwnRecord(const jobs::Record& record) { table_->apply(record); }
 
+    /// Whether control under this epoch has begun and goes on. It ends with endControl(), and when the log no longer
+    /// holds a record that was not read; the table is rebuilt then, and the change callback is called.
+    bool isInControl(std::uint64_t epoch) const { return ownEpoch_ == epoch; }
+
     /// Skips the records of an append of this controller that the log has acknowledged, instead of reading them back:
     /// under load, reading them takes longer than writing them.
     void onOwnRecordsStored(std::uint64_t offset, std::uint64_t count);
@@ -106,6 +110,7 @@
     void skipOwnRecords();
     void onPage(const foundation::Result<LogPage>& page, std::uint64_t generation, foundation::SteadyTime sentAt);
     void applyPage(const LogPage& page);
+    void onRetentionPassed();
     void rebuild();
     void startReadToEnd();
 
