Control: the stops that a final job owes are repeated as long as it has runs

What callers saw: a task of a cancelled job may run on. The stop of a run was ordered once, when the change of its job was taken from the list of changed jobs. Whatever loses that change, such as an exception between the two, loses the stop for the rest of the term, and the controller renews the lease of a long-running task for ever.

That a change is lost on today's paths is not shown.

Change: every 0.5 s the controller asks for the stops of all open jobs that are final.

--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -166,6 +166,7 @@
     void applySessionChanges();
     void excludeUntilHealthy(const std::string& instance);
     void stopRuns(const jobs::Job& job);
+    void repeatStops();
     void startPlacements(const std::string& pool, const scheduling::PoolPlan& plan);
     void requestAdvice(const scheduling::PoolPlan& plan, const scheduling::InstanceIndex& instances);
     void failJobIfAttemptsExhausted(const jobs::TaskId& task);
@@ -207,6 +208,7 @@
     std::set<std::string> cordoned_; ///< Names of the instances that get no new work.
     std::set<jobs::TaskId> blockedTasks_; ///< Tasks not placed for now because an order was refused as invalid.
     std::unordered_map<jobs::JobId, foundation::SteadyTime> finalSince_;
+    foundation::SteadyTime stopsRepeatedAt_ {};
     milliseconds planDelay_ { 0 }; ///< Time from a change to the next plan.
     LoadReport load_; ///< Since the latest event "control.load".
     bool isPlanScheduled_ = false;
--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -31,6 +31,7 @@
     /// Time after the start of a suspect in which its instance starts nothing else. Exceeds the time within which a
     /// crash counts as caused by a start.
     constexpr milliseconds observationTime { 300 };
+    constexpr milliseconds stopRepeatInterval { 500 }; ///< A run of a cancelled job may go on for seconds.
     constexpr milliseconds invalidBackoff { 1000 }; ///< Delay before a task that was refused as invalid is retried.
 
     milliseconds timeOfDay(const foundation::IClock& clock)
@@ -242,6 +243,7 @@
         if (!session->isListed() && session->runs().empty() && !session->awaitsCrashEvidence())
             removeSession(session);
     }
+    repeatStops();
     removeExpiredJobs();
     if (snapshotter_.isDue() && writer_.isIdle() && context_.follower.hasCaughtUp())
         snapshotter_.write();
@@ -566,6 +568,19 @@
     }
 }
 
+// The change of a job may be lost, for example with an exception, but the stops that it owes must not.
+void Controller::repeatStops()
+{
+    const auto now = context_.clock.now();
+    if (now - stopsRepeatedAt_ < stopRepeatInterval)
+        return;
+    stopsRepeatedAt_ = now;
+    for (const Job& job : context_.follower.table().openJobs()) {
+        if (job.isFinal())
+            stopRuns(job);
+    }
+}
+
 void Controller::relocate(InstanceSession& session, const TaskId& task)
 {
     context_.events.write(
--- a/src/emulator/emulation.h
+++ b/src/emulator/emulation.h
@@ -35,6 +35,7 @@
     foundation::TimerQueue& timers() { return timers_; }
     entry::JobService& service() { return service_; }
     control::ControllerElection& control() { return control_; }
+    eventlog::JobFollower& follower() { return follower_; }
 
 private:
     foundation::TimerQueue timers_;
--- a/src/emulator/tests/cancellationtests.cpp
+++ b/src/emulator/tests/cancellationtests.cpp
@@ -299,3 +299,23 @@
     for (const auto& name : fixture.emulation.liveEntries())
         CHECK(statusOf(fixture, name, cancelledJob).state == jobs::JobState::Cancelled);
 }
+
+// The stop of a run is ordered when the change of its job is applied. A change that is lost, for example with an
+// exception, must not leave the run at work.
+TEST_CASE("cancellations: runs are stopped although the change of their job was lost", "[emulation]")
+{
+    EmulationFixture fixture(65);
+    const std::string controller = fixture.emulation.controller();
+    auto& follower = fixture.emulation.entry(controller)->follower();
+    fixture.emulation.submit(controller, cancelledJob, longRunningJob(4));
+    fixture.emulation.advanceTime(milliseconds(1500));
+    REQUIRE(countRuns(fixture, cancelledJob) == 4);
+    fixture.emulation.cancel(controller, cancelledJob);
+    const auto isCancelled = [&] { return follower.table().find(cancelledJob)->isCancelled; };
+    for (int waited = 0; waited < 100 && !isCancelled(); ++waited)
+        fixture.emulation.advanceTime(milliseconds(1));
+    REQUIRE(isCancelled());
+    REQUIRE_FALSE(follower.takeChangedJobs().empty());
+    fixture.emulation.advanceTime(longestRunAfterCancellation);
+    CHECK(countRuns(fixture, cancelledJob) == 0);
+}
