--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -240,7 +240,9 @@
         session->tick(controlStatus_);
         if (hasSteppedDown_)
             return;
-        if (!session->isListed() && session->runs().empty() && !session->awaitsCrashEvidence())
+        const bool isNeeded = session->isListed() || !session->runs().empty() || session->hasUnexpectedRuns()
+            || session->awaitsCrashEvidence();
+        if (!isNeeded)
             removeSession(session);
     }
     repeatStops();
--- a/src/control/internal/instancesession.cpp
+++ b/src/control/internal/instancesession.cpp
@@ -314,7 +314,11 @@
     // While the ends are being appended to the log, the lease is still renewed.
     if (lastListedEnd_ > lastAcknowledgedEnd_)
         return sinceLast >= context_.leaseTerms.renewalWait;
-    return !runs_.empty() || !unexpectedRuns_.empty() || sinceLast >= context_.leaseTerms.idleRenewInterval;
+    // An order for the earlier incarnation may still arrive.
+    const bool mayStartUnexpectedly = context_.clock.now() <= adoptedLeasesExpiredAt_;
+    const auto idleInterval
+        = mayStartUnexpectedly ? context_.leaseTerms.renewalWait : context_.leaseTerms.idleRenewInterval;
+    return !runs_.empty() || !unexpectedRuns_.empty() || sinceLast >= idleInterval;
 }
 
 void InstanceSession::tick(ControlStatus status)
@@ -500,6 +504,11 @@
     adoptedLeasesExpiredAt_ = context_.clock.now() + std::chrono::duration_cast<SteadyTime::duration>(longest);
 }
 
+bool InstanceSession::hasUnexpectedRuns() const
+{
+    return !unexpectedRuns_.empty() && context_.clock.now() - lastRenewalAnswerAt_ < context_.leaseTerms.maximumLease;
+}
+
 bool InstanceSession::awaitsCrashEvidence() const
 {
     return !expiredRuns_.empty() && context_.clock.now() - unansweredSince_ < crashEvidenceTime;
--- a/src/control/internal/instancesession.h
+++ b/src/control/internal/instancesession.h
@@ -138,6 +138,9 @@
     /// unanswered are stopped first.
     void adoptRuns(InstanceSession& earlier);
 
+    /// Whether the instance listed runs that are not tracked, and their lease may not be over yet.
+    bool hasUnexpectedRuns() const;
+
     /// Whether it is open if the instance has crashed or was only silent when the lease of its runs expired.
     bool awaitsCrashEvidence() const;
 
