Control: starts in progress are bounded by the latency of their orders

What callers saw: surges on the large site were served late although the pool had room, small jobs and large ones alike.

Cause: a plan starts whatever fits. When several hundred machines joined a pool with a backlog, one plan ordered up to 6,000 starts, more than the controller's half core handles in a second. Every order waited behind all others, in no order of service; orders and renewals timed out after 200 ms, and instances that had answered in time counted as lost, which took their room away and brought more calls.

Ruled out as the cause: instances that do not answer, since they confirm within 10 ms when the loop is not late.

Change: StartWindow bounds the starts in progress and follows the latency of confirmations. What exceeds it stays in the backlog in the order of service; its demand beyond the free room still counts for moves.

A confirmation plans again only if the window was full, so that the timing of a controller without overload stays as it was.

--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -9,6 +9,7 @@
 #include "control/internal/jobtimer.h"
 #include "control/internal/poolscheduler.h"
 #include "control/internal/recordstore.h"
+#include "control/internal/startwindow.h"
 #include "control/snapshotter.h"
 #include "control/types/controlsettings.h"
 #include "eventlog/controllerwriter.h"
@@ -156,6 +157,7 @@
     void removeSession(const InstanceSessionPtr& session);
     void schedulePlan();
     void plan();
+    void planPools();
     void reportLoad(milliseconds lag);
     void applyJobChanges();
     void applySessionChanges();
@@ -186,6 +188,7 @@
     AdviceCache adviceCache_;
     PoolScheduler scheduler_;
     JobTimer jobTimer_;
+    StartWindow startWindow_;
     fleet::FleetConfiguration configuration_;
     std::map<std::string, InstanceSessionPtr> sessions_; ///< Key: instance name.
     std::vector<InstanceSessionPtr> changedSessions_; ///< Sessions whose instances the scheduler has to update.
--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -287,14 +287,8 @@
     applySessionChanges();
     // Plans nothing while intents could not be appended; a later plan is made with newer information.
     if (directory_.isCurrent() && controlStatus_ == ControlStatus::Confirmed && !writer_.isStalled()
-        && configuration_.version > 0) {
-        const scheduling::StepTickets tickets = adviceCache_.validTickets();
-        std::set<jobs::JobId> observedJobs;
-        for (const auto& [task, until] : observedUntil_)
-            observedJobs.insert(task.job);
-        scheduler_.planChangedPools({ &blockedTasks_, &tickets, &observedJobs },
-            [this](const std::string& pool, const scheduling::PoolPlan& plan) { startPlacements(pool, plan); });
-    }
+        && configuration_.version > 0)
+        planPools();
     writer_.flush();
     const auto planTime = context_.clock.now() - begunAt;
     const auto took = std::chrono::ceil<milliseconds>(planTime);
@@ -303,6 +297,19 @@
     planDelay_ = std::clamp(took * planPauseFactor, planBatchingDelay, maximumPlanDelay);
 }
 
+void Controller::planPools()
+{
+    const std::size_t startsInProgress = sessionContext_.startsInProgress;
+    if (startsInProgress >= startWindow_.size())
+        return; // The next confirmation schedules a plan, as does every tick.
+    const scheduling::StepTickets tickets = adviceCache_.validTickets();
+    std::set<jobs::JobId> observedJobs;
+    for (const auto& [task, until] : observedUntil_)
+        observedJobs.insert(task.job);
+    scheduler_.planChangedPools({ &blockedTasks_, &tickets, &observedJobs, startWindow_.size() - startsInProgress },
+        [this](const std::string& pool, const scheduling::PoolPlan& plan) { startPlacements(pool, plan); });
+}
+
 void Controller::reportLoad(milliseconds lag)
 {
     load_.maximumLag = std::max(load_.maximumLag, lag);
@@ -579,8 +586,14 @@
 // The record is appended with the next others, at the latest those of the next tick.
 void Controller::onRunStarted(InstanceSession& session, const TaskId& task)
 {
-    if (const auto run = session.runs().find(task); run != session.runs().end())
+    if (const auto run = session.runs().find(task); run != session.runs().end()) {
         jobTimer_.onRunStarted(task.job, run->second);
+        if (run->second.orderedAt)
+            startWindow_.onConfirmed(context_.clock.now() - *run->second.orderedAt);
+    }
+    // The plan that filled the window deferred what is ready.
+    if (sessionContext_.startsInProgress + 1 >= startWindow_.size())
+        schedulePlan();
     const Job* job = context_.follower.table().find(task.job);
     if (job && !job->hasStarted)
         records_.write(jobs::JobsStarted { { task.job } });
--- a/src/control/internal/instancesession.cpp
+++ b/src/control/internal/instancesession.cpp
@@ -66,6 +66,7 @@
         removeRun(known);
     reserved_ += run.resources;
     shortTaskMilliCores_ += run.isLongRunning ? 0 : run.resources.milliCores;
+    context_.startsInProgress += isStartInProgress(run.state);
     idleSince_.reset();
     runs_.emplace(task, std::move(run));
     reportChange();
@@ -75,6 +76,7 @@
 {
     reserved_ -= run->second.resources;
     shortTaskMilliCores_ -= run->second.isLongRunning ? 0 : run->second.resources.milliCores;
+    context_.startsInProgress -= isStartInProgress(run->second.state);
     const auto next = runs_.erase(run);
     if (runs_.empty())
         idleSince_ = context_.clock.now();
@@ -82,6 +84,13 @@
     return next;
 }
 
+void InstanceSession::setState(TrackedRun& run, OrderState state)
+{
+    context_.startsInProgress -= isStartInProgress(run.state);
+    context_.startsInProgress += isStartInProgress(state);
+    run.state = state;
+}
+
 jobs::Resources InstanceSession::free() const
 {
     jobs::Resources free = report_.capacity;
@@ -153,7 +162,7 @@
 
 void InstanceSession::sendStart(const TaskId& task, TrackedRun& run)
 {
-    run.state = OrderState::Sent;
+    setState(run, OrderState::Sent);
     run.lastAttemptAt = context_.clock.now();
     if (consecutiveFailures_ == 0)
         run.orderedAt = context_.clock.now();
@@ -187,7 +196,7 @@
         return;
     if (answer.error().code == Errc::Unavailable && !run->hadUnansweredOrder)
         return end(task, RunOutcome::NeverStarted, {});
-    run->state = OrderState::Unanswered;
+    setState(*run, OrderState::Unanswered);
     run->unansweredSince = context_.clock.now();
     run->hadUnansweredOrder = true;
 }
@@ -210,12 +219,12 @@
         // that was stopped before its order arrived has not started.
         if (!run.isStopping)
             return confirmStart(task, run);
-        run.state = OrderState::Started;
+        setState(run, OrderState::Started);
         run.settledAt = context_.clock.now();
         return;
     case StartResult::LeaseExpired:
         // The clock estimate was stale; this answer has corrected it.
-        run.state = OrderState::Unanswered;
+        setState(run, OrderState::Unanswered);
         run.unansweredSince = context_.clock.now();
         return;
     case StartResult::InsufficientResources:
@@ -234,7 +243,7 @@
 
 void InstanceSession::confirmStart(const TaskId& task, TrackedRun& run)
 {
-    run.state = OrderState::Started;
+    setState(run, OrderState::Started);
     run.settledAt = context_.clock.now();
     context_.observer.onRunStarted(*this, task);
 }
@@ -247,7 +256,7 @@
     TrackedRun& run = found->second;
     run.isStopping = true;
     run.isPlannedStop = isPlanned;
-    if (run.state != OrderState::IntentPending && run.state != OrderState::Sent)
+    if (!isStartInProgress(run.state))
         sendStop(task, run);
 }
 
@@ -325,7 +334,7 @@
         if (found == runs_.end())
             continue;
         TrackedRun& run = found->second;
-        const bool isPossiblyRunning = run.state != OrderState::IntentPending && run.state != OrderState::Sent;
+        const bool isPossiblyRunning = !isStartInProgress(run.state);
         const bool isStopSettled = run.settledAt && *run.settledAt > now - stopEndAllowance;
         if (run.isStopping && isPossiblyRunning && !isStopSettled)
             sendStop(task, run);
--- a/src/control/internal/instancesession.h
+++ b/src/control/internal/instancesession.h
@@ -35,6 +35,12 @@
     Inherited, ///< A former controller, or this one to an earlier incarnation, may have sent the order.
 };
 
+/// Whether the run is planned or its order was sent, and the outcome of the order is open.
+inline bool isStartInProgress(OrderState state)
+{
+    return state == OrderState::IntentPending || state == OrderState::Sent;
+}
+
 /// A run that may exist on an instance.
 struct TrackedRun {
     std::uint32_t run = 0;
@@ -64,6 +70,7 @@
     const FormerControllers& former;
     std::uint64_t epoch = 0;
     LeaseTerms leaseTerms;
+    std::size_t startsInProgress = 0; ///< Number of runs in OrderState::IntentPending or Sent, of all sessions.
 };
 
 /// The controller's session with one incarnation of an instance. Keeps its lease, an estimate of its clock and the runs
@@ -149,6 +156,7 @@
     void reportChange();
     void insertRun(const jobs::TaskId& task, TrackedRun run);
     Runs::iterator removeRun(Runs::iterator run);
+    void setState(TrackedRun& run, OrderState state);
     fleet::InstanceHandle handle() const;
     fleet::InstanceTime clockEstimate() const;
     bool hasLeaseExpired() const;
--- a/src/control/internal/poolscheduler.cpp
+++ b/src/control/internal/poolscheduler.cpp
@@ -2,10 +2,25 @@
 
 #include "scheduling/placementplanner.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace turmericsill::control {
 
+namespace {
+
+    /// Part of a demand that exceeds the free processor time.
+    jobs::Resources unservable(const jobs::Resources& demand, std::int64_t freeMilliCores)
+    {
+        const std::int64_t excess = demand.milliCores - freeMilliCores;
+        if (excess <= 0)
+            return {};
+        return { excess, demand.memoryMb * excess / demand.milliCores,
+            demand.accelerators * excess / demand.milliCores };
+    }
+
+} // namespace
+
 void PoolScheduler::setConfiguration(const fleet::FleetConfiguration& configuration)
 {
     configuration_ = configuration;
@@ -72,15 +87,21 @@
     poolOfInstance_.erase(known);
 }
 
-void PoolScheduler::planChangedPools(const scheduling::PlanConstraints& constraints, const PlanHandler& onPlan)
+void PoolScheduler::planChangedPools(scheduling::PlanConstraints constraints, const PlanHandler& onPlan)
 {
     const scheduling::PlacementPlanner planner([this](jobs::JobId id) { return follower_.table().find(id); });
+    std::size_t placementsLeft = constraints.maximumPlacements;
+    auto poolsLeft = static_cast<std::size_t>(
+        std::count_if(pools_.begin(), pools_.end(), [](const auto& pool) { return pool.second.isPlanDue; }));
     for (auto& [name, pool] : pools_) {
         if (!std::exchange(pool.isPlanDue, false))
             continue;
+        constraints.maximumPlacements = placementsLeft / poolsLeft--;
         const scheduling::PoolPlan plan = planner.plan(pool.instances, pool.backlog, constraints);
+        placementsLeft -= std::min(placementsLeft, plan.placements.size());
         pool.unplaced = plan.unplaced;
-        pool.isPlanDue |= !plan.stepsAwaitingTickets.empty();
+        pool.unplaced += unservable(plan.deferred, pool.instances.freeMilliCores());
+        pool.isPlanDue |= !plan.stepsAwaitingTickets.empty() || plan.deferredTasks > 0;
         onPlan(name, plan);
     }
 }
--- a/src/control/internal/poolscheduler.h
+++ b/src/control/internal/poolscheduler.h
@@ -43,8 +43,9 @@
     /// Removes an instance that accepts no tasks.
     void removeInstance(const std::string& name);
 
-    /// Plans the pools that have changed since their latest plan, and those whose steps wait for tickets.
-    void planChangedPools(const scheduling::PlanConstraints& constraints, const PlanHandler& onPlan);
+    /// Plans the pools that have changed since their latest plan, and those whose steps wait for tickets or were
+    /// deferred. The pools share PlanConstraints::maximumPlacements.
+    void planChangedPools(scheduling::PlanConstraints constraints, const PlanHandler& onPlan);
 
     /// Instances of a pool that accept tasks.
     const scheduling::InstanceIndex& instancesOf(const std::string& pool) { return pools_[pool].instances; }
--- a/src/scheduling/internal/placementplanner.cpp
+++ b/src/scheduling/internal/placementplanner.cpp
@@ -38,6 +38,11 @@
     for (const auto& [rank, steps] : backlog.jobs()) {
         const jobs::Job* job = nullptr;
         for (const WaitingStep& waiting : steps) {
+            if (plan.placements.size() >= constraints.maximumPlacements) {
+                plan.deferredTasks += waiting.tasks;
+                plan.deferred += waiting.need * waiting.tasks;
+                continue;
+            }
             const bool hasNoRoom = unmetNeeds.covers(waiting.requiredLabel, waiting.need);
             if (hasNoRoom && !hasBlockedTasks) {
                 addUnplaced(plan, waiting, waiting.tasks);
--- a/src/scheduling/tests/plannertests.cpp
+++ b/src/scheduling/tests/plannertests.cpp
@@ -278,6 +278,30 @@
     CHECK(fixture.plan().placements.size() == 1);
 }
 
+// Load pattern: hundreds of machines join a pool with a backlog of thousands of tasks. Started all at once, the orders
+// take longer than instances are given to answer them.
+TEST_CASE("placement: steps beyond the limit of placements are deferred in the order of service", "[scheduling]")
+{
+    PlannerFixture fixture;
+    InstanceIndex instances;
+    for (int i = 0; i < 40; ++i)
+        fixture.addInstance("i-" + std::to_string(i));
+    for (const auto& view : fixture.view.instances)
+        instances.update(view);
+    PoolBacklog backlog;
+    for (jobs::JobId id = 1; id <= 6; ++id)
+        backlog.update(fixture.addJob(id, "plain", { step(static_cast<std::uint32_t>(4 * id), 2000) }),
+            &fixture.configuration.queues.back());
+    const PlacementPlanner planner([&](jobs::JobId id) { return fixture.jobs.at(id - 1).get(); });
+    const PoolPlan plan = planner.plan(instances, backlog, { nullptr, nullptr, nullptr, 10 });
+    CHECK(PlannerFixture::tasksOf(plan, 1) == 4);
+    CHECK(PlannerFixture::tasksOf(plan, 2) == 8);
+    CHECK(plan.placements.size() == 12);
+    CHECK(plan.unplaced.milliCores == 0);
+    CHECK(plan.deferredTasks == 12 + 16 + 20 + 24);
+    CHECK(plan.deferred.milliCores == static_cast<std::int64_t>(plan.deferredTasks) * 2000);
+}
+
 // A surge exceeds the capacity of one pool while the other pools are idle.
 TEST_CASE("moves: standby machines go first, then idle machines of pools without unplaced work", "[scheduling]")
 {
--- a/src/scheduling/types/poolview.h
+++ b/src/scheduling/types/poolview.h
@@ -3,7 +3,9 @@
 #include "fleet/types/fleet.h"
 #include "jobs/types/job.h"
 
+#include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <set>
 #include <string>
@@ -54,6 +56,8 @@
     /// Jobs of which a task that may crash its instances has just started; null if there are none. No other such task
     /// of theirs starts meanwhile.
     const std::set<jobs::JobId>* observedJobs = nullptr;
+    /// Number of placements after which no further step is tried.
+    std::size_t maximumPlacements = std::numeric_limits<std::size_t>::max();
 };
 
 /// The next run of a task and the instance chosen for it.
@@ -69,6 +73,8 @@
 struct PoolPlan {
     std::vector<Placement> placements;
     jobs::Resources unplaced; ///< Resources requested by all ready tasks that found no room.
+    std::uint64_t deferredTasks = 0; ///< Number of ready tasks of the steps that were not tried.
+    jobs::Resources deferred; ///< Resources that these tasks request.
     std::vector<StepId> stepsAwaitingTickets; ///< Steps with tasks that were not placed and require a ticket.
 };
 
