Placement: late jobs are served behind those that can meet their objective

Cause: jobs were served by remaining work alone. During a surge a large job waited behind every smaller one, also behind those that could no longer be in time, and was late itself when its turn came.

Change: among the short jobs of a priority, those whose latest start has passed come last. Objective, critical path and what is left of it come from the configuration and the job's estimates; the order among the late ones and among the others is unchanged, so a wrong estimate costs a place, not the job. Late jobs are served when the others have found room. The order is kept by latest start, so a plan looks only at jobs that became late since the plan before.

Tests: a fresh job precedes a smaller late one (pure), a backlog of late jobs beside a large fresh one on the emulator: by size alone, the large one had not started after 3.6 s. The differential test compares the same rank on views with late and other jobs.

--- a/benchmarks/schedulingbench.cpp
+++ b/benchmarks/schedulingbench.cpp
@@ -58,7 +58,7 @@
         step.estimatedDuration = foundation::milliseconds(600 + static_cast<std::int64_t>(id));
         job->spec.steps.push_back(step);
         job->startOccurrence(0);
-        backlog.update(*job, &queue);
+        backlog.update(*job, &queue, {});
         jobsById[id] = std::move(job);
     }
 
--- a/src/control/internal/poolscheduler.cpp
+++ b/src/control/internal/poolscheduler.cpp
@@ -7,8 +7,12 @@
 
 namespace turmericsill::control {
 
+using foundation::milliseconds;
+
 namespace {
 
+    constexpr milliseconds maximumSubmissionAge { 60000 };
+
     /// Part of a demand that exceeds the free processor time.
     jobs::Resources unservable(const jobs::Resources& demand, std::int64_t freeMilliCores)
     {
@@ -30,13 +34,22 @@
 
 void PoolScheduler::removeJob(jobs::JobId id)
 {
-    const auto known = poolOfJob_.find(id);
-    if (known == poolOfJob_.end())
+    const auto known = openJobs_.find(id);
+    if (known == openJobs_.end())
         return;
-    PoolState& pool = pools_[known->second];
+    PoolState& pool = pools_[known->second.pool];
     pool.backlog.remove(id);
     pool.isPlanDue = true;
-    poolOfJob_.erase(known);
+    openJobs_.erase(known);
+}
+
+// The time of day differs between entries and may jump, so a submission counts as at most that old.
+foundation::SteadyTime PoolScheduler::submissionTime(const jobs::Job& job) const
+{
+    const auto age = clock_.wallNow().time_since_epoch() - job.receivedAt;
+    return clock_.now()
+        - std::chrono::duration_cast<milliseconds>(
+            std::clamp<decltype(age)>(age, milliseconds(0), maximumSubmissionAge));
 }
 
 // A queue that was removed from the configuration leaves its jobs to the pool that they were accepted for.
@@ -47,19 +60,21 @@
         return removeJob(id);
     const fleet::Queue* queue = configuration_.findQueue(job->queue);
     const std::string& poolName = queue ? queue->pool : job->pool;
-    const auto known = poolOfJob_.find(id);
-    if (known != poolOfJob_.end() && known->second != poolName)
+    const auto known = openJobs_.find(id);
+    const foundation::SteadyTime submittedAt
+        = known == openJobs_.end() ? submissionTime(*job) : known->second.submittedAt;
+    if (known != openJobs_.end() && known->second.pool != poolName)
         removeJob(id);
-    poolOfJob_[id] = poolName;
+    openJobs_[id] = { poolName, submittedAt };
     PoolState& pool = pools_[poolName];
-    pool.backlog.update(*job, queue);
+    pool.backlog.update(*job, queue, submittedAt);
     pool.isPlanDue = true;
 }
 
 bool PoolScheduler::isWaiting(jobs::JobId id) const
 {
-    const auto poolName = poolOfJob_.find(id);
-    return poolName != poolOfJob_.end() && pools_.at(poolName->second).backlog.contains(id);
+    const auto known = openJobs_.find(id);
+    return known != openJobs_.end() && pools_.at(known->second.pool).backlog.contains(id);
 }
 
 void PoolScheduler::updateInstance(scheduling::InstanceView view)
@@ -97,6 +112,7 @@
         if (!std::exchange(pool.isPlanDue, false))
             continue;
         constraints.maximumPlacements = placementsLeft / poolsLeft--;
+        pool.backlog.demoteLateJobs(clock_.now());
         const scheduling::PoolPlan plan = planner.plan(pool.instances, pool.backlog, constraints);
         placementsLeft -= std::min(placementsLeft, plan.placements.size());
         pool.unplaced = plan.unplaced;
--- a/src/control/internal/poolscheduler.h
+++ b/src/control/internal/poolscheduler.h
@@ -19,8 +19,9 @@
 public:
     using PlanHandler = std::function<void(const std::string& pool, const scheduling::PoolPlan& plan)>;
 
-    explicit PoolScheduler(const eventlog::JobFollower& follower)
+    PoolScheduler(const eventlog::JobFollower& follower, const foundation::IClock& clock)
         : follower_(follower)
+        , clock_(clock)
     {
     }
 
@@ -61,12 +62,20 @@
         bool isPlanDue = false;
     };
 
+    /// An open job.
+    struct OpenJob {
+        std::string pool;
+        foundation::SteadyTime submittedAt;
+    };
+
     void removeJob(jobs::JobId id);
+    foundation::SteadyTime submissionTime(const jobs::Job& job) const;
 
     const eventlog::JobFollower& follower_;
+    const foundation::IClock& clock_;
     fleet::FleetConfiguration configuration_;
     std::map<std::string, PoolState> pools_;
-    std::unordered_map<jobs::JobId, std::string> poolOfJob_; ///< Open jobs only.
+    std::unordered_map<jobs::JobId, OpenJob> openJobs_;
     std::unordered_map<std::string, std::string> poolOfInstance_; ///< Key: instance name.
 };
 
--- a/src/emulator/tests/fixtures.h
+++ b/src/emulator/tests/fixtures.h
@@ -40,10 +40,10 @@
 
 /// Emulation of three entries and four instances of eight cores each.
 struct EmulationFixture {
-    explicit EmulationFixture(std::uint64_t seed)
+    explicit EmulationFixture(std::uint64_t seed, const fleet::FleetConfiguration& declared = configuration())
         : emulation(seed, settings(), sink)
     {
-        emulation.platform().setConfiguration(configuration());
+        emulation.platform().setConfiguration(declared);
         for (const char* name : { "i-1", "i-2", "i-3", "i-4" })
             emulation.platform().startInstance(name, "desk", { 8000, 16000, 0 });
         for (const char* name : { "e-1", "e-2", "e-3" })
--- a/src/emulator/tests/overloadtests.cpp
+++ b/src/emulator/tests/overloadtests.cpp
@@ -42,3 +42,33 @@
     CHECK(endedField(fixture, 0xc2, "waiting_ms") < endedField(fixture, 0xc2, "age_ms"));
     CHECK(fixture.violations().empty());
 }
+
+// Load pattern: a burst of more than the pool serves in time, then few jobs that are larger. Served by size alone,
+// these wait for all of the burst, which is late already.
+TEST_CASE("overload: a backlog of late jobs does not delay large fresh ones and is served afterwards", "[emulation]")
+{
+    fleet::FleetConfiguration configuration = fixtures::configuration();
+    configuration.queues.front().criticalPathFactor = 1.6;
+    configuration.queues.front().objectiveMargin = milliseconds(1500);
+    EmulationFixture fixture(52, configuration);
+    const std::string controller = fixture.emulation.controller();
+    constexpr jobs::JobId firstOfBurst = 0xd00;
+    constexpr jobs::JobId burstEnd = firstOfBurst + 24;
+    for (jobs::JobId id = firstOfBurst; id < burstEnd; ++id)
+        fixture.emulation.submit(controller, id, job({ step(8, 2000) }));
+    fixture.emulation.advanceTime(milliseconds(3000));
+    const auto unfinishedOfBurst = [&] {
+        std::size_t unfinished = 0;
+        for (jobs::JobId id = firstOfBurst; id < burstEnd; ++id)
+            unfinished += statusOf(fixture, controller, id).state != jobs::JobState::Completed;
+        return unfinished;
+    };
+    fixture.emulation.submit(controller, 0xe1, job({ step(16, 2000) }));
+    // Two rounds of tasks of up to 1.7 s: those that run, and those of the fresh job.
+    fixture.emulation.advanceTime(milliseconds(3600));
+    CHECK(statusOf(fixture, controller, 0xe1).state == jobs::JobState::Completed);
+    CHECK(unfinishedOfBurst() > 0);
+    fixture.emulation.advanceTime(milliseconds(14000));
+    CHECK(unfinishedOfBurst() == 0);
+    CHECK(fixture.violations().empty());
+}
--- a/src/scheduling/internal/poolbacklog.cpp
+++ b/src/scheduling/internal/poolbacklog.cpp
@@ -51,7 +51,7 @@
 
 } // namespace
 
-void PoolBacklog::update(const Job& job, const fleet::Queue* queue)
+void PoolBacklog::update(const Job& job, const fleet::Queue* queue, foundation::SteadyTime submittedAt)
 {
     remove(job.id);
     if (job.isFinal())
@@ -59,10 +59,16 @@
     auto waiting = waitingSteps(job, queue);
     if (waiting.empty())
         return;
+    const auto startsBy = latestStart(job, queue, submittedAt);
+    const bool isLate = startsBy <= demotedUntil_;
     const JobRank rank { queue ? queue->priority : std::numeric_limits<int>::max(),
-        !job.spec.steps.front().isLongRunning, remainingCoreSeconds(job), job.id };
+        !job.spec.steps.front().isLongRunning, isLate, remainingCoreSeconds(job), job.id };
     jobs_.emplace(rank, std::move(waiting));
     ranks_.emplace(job.id, rank);
+    if (isLate)
+        return;
+    latestStarts_.emplace(startsBy, job.id);
+    latestStartOf_.emplace(job.id, startsBy);
 }
 
 void PoolBacklog::remove(jobs::JobId job)
@@ -72,6 +78,33 @@
         return;
     jobs_.erase(found->second);
     ranks_.erase(found);
+    const auto startsBy = latestStartOf_.find(job);
+    if (startsBy == latestStartOf_.end())
+        return;
+    latestStarts_.erase({ startsBy->second, job });
+    latestStartOf_.erase(startsBy);
+}
+
+void PoolBacklog::demoteLateJobs(foundation::SteadyTime now)
+{
+    demotedUntil_ = std::max(demotedUntil_, now);
+    while (!latestStarts_.empty() && latestStarts_.begin()->first <= now) {
+        const jobs::JobId job = latestStarts_.begin()->second;
+        latestStarts_.erase(latestStarts_.begin());
+        latestStartOf_.erase(job);
+        JobRank& rank = ranks_.at(job);
+        auto entry = jobs_.extract(rank);
+        rank.isLate = true;
+        entry.key() = rank;
+        jobs_.insert(std::move(entry));
+    }
+}
+
+foundation::SteadyTime latestStart(const Job& job, const fleet::Queue* queue, foundation::SteadyTime submittedAt)
+{
+    if (!queue || job.isScheduled() || job.spec.steps.front().isLongRunning)
+        return foundation::SteadyTime::max();
+    return submittedAt + completionObjective(*queue, job.spec) - remainingCriticalPath(job);
 }
 
 double remainingCoreSeconds(const Job& job)
--- a/src/scheduling/tests/plannerdifferentialtests.cpp
+++ b/src/scheduling/tests/plannerdifferentialtests.cpp
@@ -31,6 +31,7 @@
         const auto jobCount = number(1, 30);
         for (std::int64_t i = 0; i < jobCount; ++i)
             addJob(static_cast<jobs::JobId>(i + 1));
+        view_.now = foundation::SteadyTime(milliseconds(5000));
         view_.tickets = &tickets_;
         view_.blockedTasks = &blockedTasks_;
     }
@@ -52,6 +53,8 @@
             fleet::Queue queue;
             queue.name = name;
             queue.priority = static_cast<int>(number(0, 1));
+            queue.criticalPathFactor = 1.5;
+            queue.objectiveMargin = milliseconds(number(0, 3) * 300);
             if (queue.name == "advised")
                 queue.advice = fleet::AdviceSettings();
             configuration_.queues.push_back(queue);
@@ -117,6 +120,7 @@
                 advanceTasks({ id, occurrence, step }, state.steps[step]);
         }
         view_.jobs.push_back(job.get());
+        view_.submittedAt[id] = foundation::SteadyTime(milliseconds(number(2000, 5000)));
         jobs_.push_back(std::move(job));
     }
 
--- a/src/scheduling/tests/plannertests.cpp
+++ b/src/scheduling/tests/plannertests.cpp
@@ -1,5 +1,6 @@
 #include "scheduling/moveplanner.h"
 #include "scheduling/placementplanner.h"
+#include "scheduling/poolbacklog.h"
 #include "scheduling/tests/viewplanner.h"
 #include "scheduling/waveplanner.h"
 
@@ -102,6 +103,55 @@
     CHECK(plan.unplaced.milliCores == 5 * 2000 + 6000);
 }
 
+// Load pattern: a surge of which the pool serves a part in time. Jobs that are late earn next to nothing; served in
+// the order of their size alone, they delay the large ones among the fresh jobs until these are late as well.
+TEST_CASE("placement: a job that can still meet its objective precedes smaller ones that cannot", "[scheduling]")
+{
+    PlannerFixture fixture;
+    fixture.addInstance("i-1");
+    for (auto& queue : fixture.configuration.queues) {
+        queue.criticalPathFactor = 2;
+        queue.objectiveMargin = milliseconds(500);
+    }
+    fixture.addJob(1, "plain", { step(4, 1000) });
+    fixture.addJob(2, "plain", { step(8, 1000) });
+    fixture.addJob(3, "plain", { step(2, 1000) });
+    fixture.view.now = foundation::SteadyTime(milliseconds(10000));
+    fixture.view.submittedAt[1] = fixture.view.now - milliseconds(1501);
+    fixture.view.submittedAt[2] = fixture.view.now - milliseconds(1499);
+    fixture.view.submittedAt[3] = fixture.view.now - milliseconds(9000);
+    PoolPlan plan = fixture.plan();
+    CHECK(PlannerFixture::tasksOf(plan, 2) == 8);
+    CHECK(plan.placements.size() == 8);
+    // What is late is served once there is room, the smallest first.
+    fixture.addInstance("i-2");
+    fixture.view.instances.back().free.milliCores = 4000;
+    fixture.view.jobs.erase(fixture.view.jobs.begin() + 1);
+    plan = fixture.plan();
+    CHECK(PlannerFixture::tasksOf(plan, 3) == 2);
+    CHECK(PlannerFixture::tasksOf(plan, 1) == 2);
+}
+
+// A job has spent its reserve in its first step, or was served sooner than its estimates said.
+TEST_CASE("placement: the objective of a job counts the steps that it has left", "[scheduling]")
+{
+    PlannerFixture fixture;
+    fixture.addInstance("i-1");
+    fixture.configuration.queues.back().criticalPathFactor = 1.5;
+    jobs::StepSpec second = step(8, 1000, milliseconds(400));
+    second.dependsOn = { 0 };
+    jobs::Job& job = fixture.addJob(1, "plain", { step(1, 1000, milliseconds(1600)), second });
+    const foundation::SteadyTime submittedAt {};
+    const fleet::Queue* queue = &fixture.configuration.queues.back();
+    CHECK(latestStart(job, queue, submittedAt) == submittedAt + milliseconds(3000 - 2000));
+    job.occurrences.at(0).steps[0].tasks[0].phase = jobs::TaskPhase::Done;
+    job.occurrences.at(0).steps[0].done = 1;
+    CHECK(latestStart(job, queue, submittedAt) == submittedAt + milliseconds(3000 - 400));
+    CHECK(latestStart(job, nullptr, submittedAt) == foundation::SteadyTime::max());
+    job.spec.steps.front().isLongRunning = true;
+    CHECK(latestStart(job, queue, submittedAt) == foundation::SteadyTime::max());
+}
+
 // A task that crashed an instance right after its start may do so again. What else starts there at the same time could
 // not be told from it, and what runs there would be lost.
 TEST_CASE("placement: a suspect starts where most room is free, and nothing else starts there", "[scheduling]")
@@ -142,7 +192,7 @@
     for (const auto& view : fixture.view.instances)
         instances.update(view);
     PoolBacklog backlog;
-    backlog.update(job, &fixture.configuration.queues.front());
+    backlog.update(job, &fixture.configuration.queues.front(), {});
     const PlacementPlanner planner([&](jobs::JobId) { return &job; });
     PoolPlan plan = planner.plan(instances, backlog, { nullptr, nullptr, &observed });
     REQUIRE(plan.placements.size() == 1);
@@ -291,7 +341,7 @@
     PoolBacklog backlog;
     for (jobs::JobId id = 1; id <= 6; ++id)
         backlog.update(fixture.addJob(id, "plain", { step(static_cast<std::uint32_t>(4 * id), 2000) }),
-            &fixture.configuration.queues.back());
+            &fixture.configuration.queues.back(), {});
     const PlacementPlanner planner([&](jobs::JobId id) { return fixture.jobs.at(id - 1).get(); });
     const PoolPlan plan = planner.plan(instances, backlog, { nullptr, nullptr, nullptr, 10 });
     CHECK(PlannerFixture::tasksOf(plan, 1) == 4);
--- a/src/scheduling/tests/referenceplanner.cpp
+++ b/src/scheduling/tests/referenceplanner.cpp
@@ -200,6 +200,7 @@
     const Job* job = nullptr;
     int priority = 0;
     bool isLongRunning = false;
+    bool isLate = false;
     double work = 0;
     bool isTicketRequired = false;
 };
@@ -216,12 +217,16 @@
         if (job->isFinal())
             continue;
         const fleet::Queue* queue = configuration_.findQueue(job->queue);
-        candidates.push_back({ job, queue ? queue->priority : std::numeric_limits<int>::max(),
-            job->spec.steps.front().isLongRunning, remainingCoreSeconds(*job), queue && queue->advice.has_value() });
+        const auto submitted = view.submittedAt.find(job->id);
+        const auto startsBy = latestStart(
+            *job, queue, submitted == view.submittedAt.end() ? foundation::SteadyTime() : submitted->second);
+        candidates.push_back(
+            { job, queue ? queue->priority : std::numeric_limits<int>::max(), job->spec.steps.front().isLongRunning,
+                startsBy <= view.now, remainingCoreSeconds(*job), queue && queue->advice.has_value() });
     }
     std::sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) {
-        return std::tuple(a.priority, !a.isLongRunning, a.work, a.job->id)
-            < std::tuple(b.priority, !b.isLongRunning, b.work, b.job->id);
+        return std::tuple(a.priority, !a.isLongRunning, a.isLate, a.work, a.job->id)
+            < std::tuple(b.priority, !b.isLongRunning, b.isLate, b.work, b.job->id);
     });
     return candidates;
 }
--- a/src/scheduling/tests/referenceplanner.h
+++ b/src/scheduling/tests/referenceplanner.h
@@ -3,6 +3,7 @@
 #include "fleet/types/fleet.h"
 #include "scheduling/types/poolview.h"
 
+#include <map>
 #include <set>
 #include <vector>
 
@@ -14,6 +15,8 @@
     std::vector<const jobs::Job*> jobs; ///< Open jobs of the pool's queues.
     const std::set<jobs::TaskId>* blockedTasks = nullptr; ///< Tasks that must not be placed yet; may be null.
     const StepTickets* tickets = nullptr; ///< Valid tickets; null if there are none.
+    std::map<jobs::JobId, foundation::SteadyTime> submittedAt; ///< The start of the clock for jobs that are not named.
+    foundation::SteadyTime now {};
 };
 
 /// Placement by comparing every instance for every waiting task. Defines the placements that PlacementPlanner must find
--- a/src/scheduling/tests/viewplanner.cpp
+++ b/src/scheduling/tests/viewplanner.cpp
@@ -15,8 +15,11 @@
     std::map<jobs::JobId, const jobs::Job*> jobs;
     for (const jobs::Job* job : view.jobs) {
         jobs[job->id] = job;
-        backlog.update(*job, configuration.findQueue(job->queue));
+        const auto submitted = view.submittedAt.find(job->id);
+        backlog.update(*job, configuration.findQueue(job->queue),
+            submitted == view.submittedAt.end() ? foundation::SteadyTime() : submitted->second);
     }
+    backlog.demoteLateJobs(view.now);
     const PlacementPlanner planner([&](jobs::JobId id) { return jobs.at(id); });
     const PoolPlan plan = planner.plan(index, backlog, { view.blockedTasks, view.tickets });
     for (auto& instance : view.instances) {
