--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -59,7 +59,7 @@
           [this](const std::set<std::string>& present) { onInstancesLoaded(present); })
     , health_(context.clock, context.events)
     , adviceCache_(context.advice, context.clock, context.events, [this] { schedulePlan(); })
-    , scheduler_(context.follower)
+    , scheduler_(context.follower, context.clock)
     , jobTimer_(context.clock, context.events)
     , planDelay_(planBatchingDelay)
 {
@@ -311,7 +311,7 @@
 {
     const std::size_t startsInProgress = sessionContext_.startsInProgress;
     if (startsInProgress >= startWindow_.size())
-        return; // The next confirmation or failure of a start schedules a plan.
+        return; // The next confirmation schedules a plan, as does every tick.
     const scheduling::StepTickets tickets = adviceCache_.validTickets();
     std::set<jobs::JobId> observedJobs;
     for (const auto& [task, until] : observedUntil_)
@@ -629,7 +629,9 @@
         if (run->second.orderedAt)
             startWindow_.onConfirmed(context_.clock.now() - *run->second.orderedAt);
     }
-    schedulePlan();
+    // The plan that filled the window deferred what is ready.
+    if (sessionContext_.startsInProgress + 1 >= startWindow_.size())
+        schedulePlan();
     const Job* job = context_.follower.table().find(task.job);
     if (job && !job->hasStarted)
         records_.write(jobs::JobsStarted { { task.job } });
