Control: a stopped run that never started ends while its stop is repeated

Cause: the absence of a run counts in a renewal that was sent 0.7 s after its stop was answered. Every answer put that moment off, the stop was repeated every 1.4 s, and the renewal of an idle instance is held for 1 s: its answer always came too late.

Evidence: the new test fails before, the run is still tracked after 4 s.

Change: the first answered stop sets the moment. Repeated stops do not.

--- a/src/control/internal/instancesession.cpp
+++ b/src/control/internal/instancesession.cpp
@@ -289,7 +289,8 @@
     if (!run)
         return;
     run->isStopCallPending = false;
-    if (answer)
+    // The instance does what the first stop orders; an answer to a repeated one must not put the moment off.
+    if (answer && !std::exchange(run->isStopAnswered, true))
         run->settledAt = context_.clock.now() + stopEndAllowance;
     if (answer && isRenewalDue())
         renew();
@@ -340,7 +341,9 @@
             continue;
         TrackedRun& run = found->second;
         const bool isPossiblyRunning = !isStartInProgress(run.state);
-        const bool isStopSettled = run.settledAt && *run.settledAt > now - stopEndAllowance;
+        const auto stopAttemptedAt = run.isStopAnswered ? run.lastAttemptAt : run.settledAt.value_or(SteadyTime {});
+        const auto stopInterval = run.isStopAnswered ? 2 * stopEndAllowance : stopEndAllowance;
+        const bool isStopSettled = stopAttemptedAt > now - stopInterval;
         if (run.isStopping && isPossiblyRunning && !isStopSettled)
             sendStop(task, run);
         else if (!run.isStopping && run.state == OrderState::Unanswered && status == ControlStatus::Confirmed)
@@ -490,6 +493,7 @@
         adopted.state = isUnsettled ? OrderState::Unanswered : OrderState::Inherited;
         adopted.isStopping = run.isStopping || isUnsettled;
         adopted.isStopCallPending = false;
+        adopted.isStopAnswered = false;
         adopted.settledAt.reset();
         adopted.lastAttemptAt = {};
         insertRun(task, std::move(adopted));
--- a/src/control/internal/instancesession.h
+++ b/src/control/internal/instancesession.h
@@ -49,6 +49,7 @@
     OrderState state = OrderState::IntentPending;
     bool hadUnansweredOrder = false; ///< An earlier start order may have been carried out.
     bool isStopping = false; ///< A stop was requested.
+    bool isStopAnswered = false; ///< The instance has answered a call to stop the run.
     bool isStopCallPending = false; ///< A call to stop the run awaits its answer.
     bool isPlannedStop = false; ///< Stopped to relocate the task.
     /// From then on no order is in flight; a later listing without the run shows that it does not exist.
--- a/src/control/tests/instancesessiontests.cpp
+++ b/src/control/tests/instancesessiontests.cpp
@@ -4,6 +4,7 @@
 #include "foundation/timerqueue.h"
 
 #include <catch2/catch.hpp>
+#include <utility>
 
 using namespace turmericsill;
 using namespace turmericsill::control;
@@ -40,7 +41,11 @@
     {
         starts[order.task] = std::move(done);
     }
-    void stop(const fleet::InstanceHandle&, const TaskId&, std::uint32_t, StopCallback) override { }
+    void stop(const fleet::InstanceHandle&, const TaskId&, std::uint32_t, StopCallback done) override
+    {
+        ++stops;
+        pendingStop = std::move(done);
+    }
     void renew(const fleet::InstanceHandle&, const fleet::RenewRequest& request, RenewCallback done) override
     {
         ++renewals;
@@ -51,6 +56,8 @@
     void dropConnections(const foundation::Address&) override { }
 
     std::map<TaskId, StartCallback> starts;
+    StopCallback pendingStop;
+    int stops = 0;
     RenewCallback renewal;
     fleet::RenewRequest lastRequest;
     int renewals = 0;
@@ -260,3 +267,35 @@
         CHECK(fixture.control.lastRequest.leaseEnd.has_value());
     }
 }
+
+// An order that had no effect is never listed. The absence of its run counts only in a renewal that was sent after the
+// stop had been answered for a while; a repeated stop must not put that moment off again and again.
+TEST_CASE("session: a stopped run that never started ends while its stop is repeated", "[control]")
+{
+    SessionFixture fixture;
+    const TaskId task { 1, 0, 0, 0 };
+    fixture.order(task);
+    fixture.control.starts.at(task)(failure(Errc::Timeout, "instance.start"));
+    fixture.session->requestStop(task, false);
+    constexpr milliseconds step { 50 };
+    constexpr milliseconds renewalDuration { 1000 };
+    milliseconds elapsed { 0 };
+    int answeredRenewals = fixture.control.renewals;
+    milliseconds renewalSentAt { 0 };
+    for (; elapsed < milliseconds(4000) && !fixture.session->runs().empty(); elapsed += step) {
+        const int renewalsBefore = fixture.control.renewals;
+        if (auto answerStop = std::exchange(fixture.control.pendingStop, nullptr))
+            answerStop({});
+        if (fixture.control.renewals > answeredRenewals && elapsed - renewalSentAt >= renewalDuration) {
+            answeredRenewals = fixture.control.renewals;
+            const auto answer = std::move(fixture.control.renewal);
+            answer(fleet::RenewAnswer { 7, fleet::InstanceTime(50) + elapsed, {}, {}, false });
+        }
+        fixture.session->tick(ControlStatus::Confirmed);
+        if (fixture.control.renewals > renewalsBefore)
+            renewalSentAt = elapsed;
+        fixture.clock.time += step;
+    }
+    INFO("ended after " << elapsed.count() << " ms");
+    CHECK(fixture.session->runs().empty());
+}
