Control: the stop after a refused repetition of an unanswered order is repeated

What callers saw: a task may run on although its job was cancelled.

Cause: an order without an answer is repeated. If the repetition is refused, the run is stopped, since the first copy may still be carried out. The run kept the state of an order in progress, in which stops are not repeated and further requests to stop have no effect. If that one stop gets lost and the first copy is carried out, the run goes on with the lease that the renewals of its instance extend, on a controller that has no other trouble.

Evidence: the new test fails before: one stop call instead of two.

Change: the run counts as unanswered, so its stop is repeated until it is answered.

--- a/src/control/internal/instancesession.cpp
+++ b/src/control/internal/instancesession.cpp
@@ -238,6 +238,9 @@
     context_.observer.onStartRefused(*this, task, result);
     if (!run.hadUnansweredOrder)
         return end(task, RunOutcome::NeverStarted, {});
+    // The earlier copy of the order may still be carried out.
+    setState(run, OrderState::Unanswered);
+    run.unansweredSince = context_.clock.now();
     run.isStopping = true;
     sendStop(task, run);
 }
--- a/src/control/tests/instancesessiontests.cpp
+++ b/src/control/tests/instancesessiontests.cpp
@@ -299,3 +299,21 @@
     INFO("ended after " << elapsed.count() << " ms");
     CHECK(fixture.session->runs().empty());
 }
+
+// An order without an answer is repeated, and the repetition is refused; the first copy may still be carried out. If
+// the only stop gets lost, the run goes on with the lease of its instance.
+TEST_CASE("session: the stop of a run whose repeated order was refused is repeated until it is answered", "[control]")
+{
+    SessionFixture fixture;
+    const TaskId task { 1, 0, 0, 0 };
+    fixture.order(task);
+    fixture.control.starts.at(task)(failure(Errc::Timeout, "instance.start"));
+    fixture.clock.time += milliseconds(200);
+    fixture.session->tick(ControlStatus::Confirmed);
+    fixture.control.starts.at(task)(fleet::StartAnswer { fleet::StartResult::Unhealthy, std::nullopt });
+    REQUIRE(fixture.control.stops == 1);
+    std::exchange(fixture.control.pendingStop, nullptr)(failure(Errc::Timeout, "instance.stop"));
+    fixture.clock.time += milliseconds(200);
+    fixture.session->tick(ControlStatus::Confirmed);
+    CHECK(fixture.control.stops == 2);
+}
