--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,15 +1,17 @@
 #!/usr/bin/env bash
 # Soak test: runs entry processes on a stand-in for the platform, with callers and faults on a seeded random schedule.
 # SEEDS: seeds to run, separated by spaces (default "1"); SECONDS_OF_TROUBLE: time during which faults begin, in seconds
-# (default 15); ENTRIES: number of entries (default 4). The logs of a seed that violated a guarantee are kept in
-# build/soak-logs/. Kills only processes that it started itself.
+# (default 15); ENTRIES: number of entries (default 4); BUILD: build folder (default build). A seed fails if a guarantee
+# was violated or an entry ended by itself; its logs are kept in soak-logs/ of the build folder. Kills only processes
+# that it started itself.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 seeds=${SEEDS:-1}
 fault_seconds=${SECONDS_OF_TROUBLE:-15}
 entries=${ENTRIES:-4}
+build=${BUILD:-build}
 platform=127.0.0.1:7700
-mkdir -p build/soak-logs
+mkdir -p "$build/soak-logs"
 work_dir=
 pids=()
 stop_all() {
@@ -21,12 +23,20 @@
     true
 }
 trap stop_all EXIT
-# Restarts the named entry whenever its process has ended, as the platform does.
+# Restarts the named entry whenever its process has ended, as the platform does. Only a shutdown and the signals that
+# the soak test sends (SIGHUP, SIGKILL, SIGTERM) may end it.
 keep_running() {
+    local code
     while [ ! -e "$work_dir/stop" ]; do
-        build/src/entryd/turmericsill-entry --settings "$work_dir/$1.json" >>"$work_dir/$1.log" 2>>"$work_dir/$1.err" &
+        "$build/src/entryd/turmericsill-entry" --settings "$work_dir/$1.json" \
+            >>"$work_dir/$1.log" 2>>"$work_dir/$1.err" &
         echo $! >"$work_dir/$1.pid"
-        wait $! || true
+        code=0
+        wait $! || code=$?
+        case $code in
+        0 | 129 | 137 | 143) ;;
+        *) echo "$1 ended by itself with code $code" >>"$work_dir/crashes" ;;
+        esac
         sleep 0.3
     done
 }
@@ -34,7 +44,7 @@
 run_seed() {
     work_dir=$(mktemp -d)
     pids=()
-    build/standins/standin_jobplatform --address "$platform" >"$work_dir/platform.log" 2>&1 &
+    "$build/standins/standin_jobplatform" --address "$platform" >"$work_dir/platform.log" 2>&1 &
     pids+=($!)
     local callers=() proxies=() pid_files=() n
     for n in $(seq "$entries"); do
@@ -52,14 +62,18 @@
         disown $! # Keeps bash from reporting the signal that ends it.
     done
     local status=0
-    build/soak/turmericsill_soak --seed "$1" --seconds "$fault_seconds" --platform "$platform" \
+    "$build/soak/turmericsill_soak" --seed "$1" --seconds "$fault_seconds" --platform "$platform" \
         --callers "$(IFS=,; echo "${callers[*]}")" --proxies "$(IFS=,; echo "${proxies[*]}")" \
         --pid_files "$(IFS=,; echo "${pid_files[*]}")" || status=1
     stop_all
+    if [ -e "$work_dir/crashes" ]; then
+        sed "s/^/seed $1: /" "$work_dir/crashes" >&2
+        status=1
+    fi
     if [ "$status" != 0 ]; then
-        rm -rf "build/soak-logs/seed-$1"
-        mv "$work_dir" "build/soak-logs/seed-$1"
-        echo "seed $1 violated a guarantee; its logs are in build/soak-logs/seed-$1" >&2
+        rm -rf "$build/soak-logs/seed-$1"
+        mv "$work_dir" "$build/soak-logs/seed-$1"
+        echo "seed $1 failed; its logs are in $build/soak-logs/seed-$1" >&2
     else
         rm -rf "$work_dir"
     fi
