Moves: an instance whose machine order had no effect returns also when no list is answered

What callers saw: nothing yet; found by reading. An accepted order for a machine ends the session of its idle instance, and the reports of that incarnation are ignored from then on. If the order had no effect, since it repeats one that was carried out, a list that shows the machine up takes that back. Without such a list the operation ended by its timeout of 8 s and left the instance ignored until its next incarnation: it got no work, and nothing that it may run would have been stopped.

Change: the timeout of an operation whose machine was never seen down takes it back as well. By then the lease of every run and the entry of an instance that is gone have expired.

Evidence: the new test failed before: 0 of 16 tasks ran after four idle instances were ordered while lists failed.

--- a/src/control/internal/machinemanager.cpp
+++ b/src/control/internal/machinemanager.cpp
@@ -144,11 +144,11 @@
     const bool isBack = report && report->state == MachineState::Up && listedAsOf_ > operation.since;
     if (isBack && operation.wasSeenDown)
         return true;
-    if (isBack && listedAsOf_ - operation.since > downVisibilityDelay) {
+    const bool isWithoutEffect = isBack && listedAsOf_ - operation.since > downVisibilityDelay;
+    const bool isTimedOut = context_.clock.now() - operation.since > moveTimeout;
+    if (!operation.wasSeenDown && (isWithoutEffect || isTimedOut))
         controller_.onMachineNotTakenDown(operation.instance);
-        return true;
-    }
-    return context_.clock.now() - operation.since > moveTimeout;
+    return isWithoutEffect || isTimedOut;
 }
 
 // The list may still show the machine as it was before the move.
--- a/src/emulator/emulatedplatform.h
+++ b/src/emulator/emulatedplatform.h
@@ -32,6 +32,7 @@
     milliseconds storeLatency { 4 }; ///< Delay before each call to the store is processed.
     milliseconds appendDuration { 0 }; ///< Duration of an append; the log processes one at a time.
     bool isMaintenanceAlreadyDone = false; ///< Maintenance orders are accepted without effect, like repeated ones.
+    bool isMachineListDown = false; ///< Lists of the machines fail.
     bool isMaintenanceCarriedOut = false; ///< Maintenance orders take the machine's instance down and are accepted.
     double lateAppendRatio = 0; ///< Fraction of appends that get no answer and take effect seconds later.
     /// Fraction of maintenance orders that get no answer; half of them are carried out, at once or seconds later.
--- a/src/emulator/internal/emulatedplatformclient.cpp
+++ b/src/emulator/internal/emulatedplatformclient.cpp
@@ -308,6 +308,8 @@
 
 void EmulatedPlatformClient::list(ListCallback done)
 {
+    if (platform_.faults().isMachineListDown)
+        return answer(networkDelay, [done] { done(failure(Errc::Unavailable, "machines.list")); });
     answer(networkDelay, [this, done] {
         std::vector<fleet::MachineReport> machines;
         for (const auto& [name, report] : platform_.listedInstances()) {
--- a/src/emulator/tests/controltests.cpp
+++ b/src/emulator/tests/controltests.cpp
@@ -658,6 +658,25 @@
     CHECK(fixture.violations().empty());
 }
 
+// Without a list that shows the machine, the operation ends by its timeout only.
+TEST_CASE(
+    "control: an idle instance returns after a machine order without effect while no list is answered", "[emulation]")
+{
+    EmulationFixture fixture(36);
+    fixture.emulation.advanceTime(milliseconds(4000));
+    fixture.emulation.platform().faults().isMaintenanceAlreadyDone = true;
+    fixture.emulation.platform().faults().isMachineListDown = true;
+    const fleet::MaintenanceWave wave = waveOverAllInstances(milliseconds(5000));
+    fixture.emulation.entry(fixture.emulation.controller())->control().addWave(wave);
+    fixture.emulation.advanceTime(milliseconds(10000));
+    fixture.emulation.platform().faults().isMachineListDown = false;
+    fixture.emulation.advanceTime(milliseconds(1000));
+    fixture.emulation.submit("e-1", 0xe8, job({ step(16, 2000) }));
+    fixture.emulation.advanceTime(milliseconds(150));
+    CHECK(countRuns(fixture, 0xe8) == 16);
+    CHECK(fixture.violations().empty());
+}
+
 // A controller that reads back what it writes falls behind under load: its link and its processor carry every record
 // twice. Starts and stops then wait for reads that never reach the log's end.
 TEST_CASE("control: a controller's own records need no reading, however slow its link is", "[emulation]")
