--- a/scripts/sanitize.sh
+++ b/scripts/sanitize.sh
@@ -1,9 +1,9 @@
 #!/usr/bin/env bash
 # Builds with AddressSanitizer and UndefinedBehaviorSanitizer in build-sanitize/ and runs a short soak test and all
 # tests, the explorations of random schedules among them. Every finding of a sanitizer is a failure.
-# SCHEDULES: schedules of jobs and faults that each exploration plays (default 30); EXPLORE_COUNT: schedules of the
-# HTTP caller path (default 20); SEEDS and SECONDS_OF_TROUBLE: see
-# scripts/soak.sh (default "1" and 4); JOBS: number of processes (default: one for each processor).
+# SCHEDULES: schedules of jobs and faults that each exploration plays (default 30); EXPLORE_COUNT: schedules of the HTTP
+# caller path (default 20); SEEDS and SECONDS_OF_TROUBLE: see scripts/soak.sh (default "1" and 4); JOBS: number of
+# processes (default: one for each processor).
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=build-sanitize
--- a/src/httpclient/tests/pooledhttpclienttests.cpp
+++ b/src/httpclient/tests/pooledhttpclienttests.cpp
@@ -356,8 +356,10 @@
         received = response->body.size();
     });
     int turns = 0;
-    for (; received == 0; ++turns)
+    while (received == 0) {
         context.run_one();
+        ++turns;
+    }
     CHECK(received == PageHandler::pageBytes);
     CHECK(turns < 200);
 }
