HTTP client: a header of the call replaces the client's own; the soak asks for accepted submissions

What callers saw: nothing on the platform, whose calls set no header of the client's own.

Cause: the former client set fields, which replaces them; the new one appends them.

Change: a header that a call gives replaces the client's own.

The new test was not run on the code before.

--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -313,15 +313,19 @@
             if (job != jobs_.end() && job->second.outcome == SubmissionOutcome::Refused)
                 violations_.push_back("a refused job is stored: " + text);
         }
+        if (countJobs(SubmissionOutcome::Accepted) == 0)
+            violations_.push_back("no submission was accepted");
     });
 }
 
+std::ptrdiff_t Soak::countJobs(SubmissionOutcome outcome) const
+{
+    return std::count_if(
+        jobs_.begin(), jobs_.end(), [outcome](const auto& job) { return job.second.outcome == outcome; });
+}
+
 std::string Soak::summary() const
 {
-    const auto countJobs = [this](SubmissionOutcome outcome) {
-        return std::count_if(
-            jobs_.begin(), jobs_.end(), [outcome](const auto& job) { return job.second.outcome == outcome; });
-    };
     return json {
         { "seed", plan_.seed }, { "sent", jobs_.size() }, { "accepted", countJobs(SubmissionOutcome::Accepted) },
         { "refused", countJobs(SubmissionOutcome::Refused) }, { "unknown", countJobs(SubmissionOutcome::Unknown) },
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -6,6 +6,7 @@
 #include "soak/faultproxy.h"
 
 #include <boost/asio/io_context.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -65,6 +66,7 @@
 
     void submitNextJob();
     void submitJob(std::uint64_t id, std::size_t entry);
+    std::ptrdiff_t countJobs(SubmissionOutcome outcome) const;
     void onSubmitted(std::uint64_t id, std::size_t entry, const foundation::Result<httpclient::HttpResponse>& answer,
         foundation::SteadyTime sentAt);
     void cancelRandomJob();
--- a/src/httpclient/internal/clientconnection.cpp
+++ b/src/httpclient/internal/clientconnection.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
 #include <cerrno>
 #include <poll.h>
@@ -62,10 +63,16 @@
     const beast::string_view verb = http::to_string(call.verb);
     header_.assign(verb.data(), verb.size());
     header_.append(" ").append(call.target).append(" HTTP/1.1\r\n");
-    appendField(header_, "Host", client_->address().toString());
+    const auto isGiven = [&call](std::string_view name) {
+        return std::any_of(call.headers.begin(), call.headers.end(), [name](const auto& field) {
+            return beast::iequals(field.first, beast::string_view(name.data(), name.size()));
+        });
+    };
+    if (!isGiven("Host"))
+        appendField(header_, "Host", client_->address().toString());
     if (call.closesConnection)
         appendField(header_, "Connection", "close");
-    if (!call.body.empty() && !call.contentType.empty())
+    if (!call.body.empty() && !call.contentType.empty() && !isGiven("Content-Type"))
         appendField(header_, "Content-Type", call.contentType);
     for (const auto& [name, value] : call.headers)
         appendField(header_, name, value);
--- a/src/httpclient/tests/pooledhttpclienttests.cpp
+++ b/src/httpclient/tests/pooledhttpclienttests.cpp
@@ -186,6 +186,38 @@
     }
 }
 
+// A server finds the queue of a request by its host. A second Host field beside the client's own leaves open which
+// counts.
+TEST_CASE("http client: a header of the call replaces the client's own", "[httpclient]")
+{
+    class HostHandler : public httpserver::IHttpHandler {
+    public:
+        void handle(const httpserver::HttpExchangePtr& exchange) override
+        {
+            hosts = exchange->request().count(boost::beast::http::field::host);
+            const auto host = exchange->request()[boost::beast::http::field::host];
+            exchange->respond(httpserver::makeResponse(200, std::string(host.data(), host.size())));
+        }
+        std::size_t hosts = 0;
+    };
+    boost::asio::io_context context;
+    HostHandler handler;
+    httpserver::HttpServer server(context, handler, {});
+    REQUIRE(server.listen({ "127.0.0.1", 0 }));
+    PooledHttpClient client(context, { "127.0.0.1", server.port() }, 1);
+    HttpCall call = postCall("request body");
+    call.headers = { { "host", "calls.example" } };
+    std::string answer;
+    client.send(std::move(call), [&](const Result<HttpResponse>& response) {
+        REQUIRE(response);
+        answer = response->body;
+    });
+    while (answer.empty())
+        context.run_one();
+    CHECK(answer == "calls.example");
+    CHECK(handler.hosts == 1);
+}
+
 // An order that waits for a connection, or for the machine to wake up, may lose its authority meanwhile.
 TEST_CASE("http client: a queued call that is no longer wanted is dropped unsent", "[httpclient]")
 {
--- a/src/httpclient/types/httpcall.h
+++ b/src/httpclient/types/httpcall.h
@@ -18,7 +18,7 @@
     std::string target;
     std::string body;
     std::string contentType; ///< Sent if the body is not empty.
-    std::vector<std::pair<std::string, std::string>> headers;
+    std::vector<std::pair<std::string, std::string>> headers; ///< Each replaces a field that the client would send.
     foundation::milliseconds timeout { 1000 }; ///< Time from sending the call to the last byte of the response.
     std::string step; ///< Name of the operation in errors, for example "log.append".
     /// If set, called right before the call is sent, which may be after a wait for a connection; false drops the call
