Scheduling: labels in any order leave an instance its place in the index

The index keeps the labels of an instance sorted and once each, and compared them with the report as it came: an instance that lists its labels in another order lost and regained its place with every change of its runs, which the comparison was to save. Found by reading the change. Placements stay the same: the differential test of 2,000 views and the script of all tests pass (244, also under the sanitizers). Its cost was not measured; the sites known list their labels in order.

--- a/src/scheduling/internal/instanceindex.cpp
+++ b/src/scheduling/internal/instanceindex.cpp
@@ -16,7 +16,9 @@
 {
     const fleet::InstanceReport& report = *view.report;
     auto& entry = byName_[report.incarnation.instance];
-    if (entry && entry->view.free.milliCores == view.free.milliCores && entry->labels == report.labels) {
+    const bool hasSameLabels = entry
+        && std::is_permutation(entry->labels.begin(), entry->labels.end(), report.labels.begin(), report.labels.end());
+    if (hasSameLabels && entry->view.free.milliCores == view.free.milliCores) {
         entry->view = std::move(view); // Its place in the orders stays the same.
         return;
     }
