Entry: logs and metrics tell how old the configuration was that answered a request

What callers saw: 404 for a route that was confirmed before. Nothing told whether the entry had an old configuration, how old it was, and how many versions it had passed over: a request without a queue left no line, and a watch that brought nothing left no trace.

The event queue.unknown has host, path, version and age. configuration.in-force has the records that were read, the age of what was known before and that of what is known now; job events have the age, and the gauge configuration_age_seconds shows it all the time. The age counts from the time at which a read was sent, or from the end of its wait if it brought nothing.

Measured: entry_tests pass, the new case among them.

--- a/src/entry/declarationwatcher.h
+++ b/src/entry/declarationwatcher.h
@@ -6,9 +6,12 @@
 #include "telemetry/ieventsink.h"
 
 #include <functional>
+#include <optional>
 
 namespace turmericsill::entry {
 
+using foundation::milliseconds;
+
 /// Watches the declarations of operators and reports each change. A configuration that is no newer than the one in
 /// force is ignored.
 class DeclarationWatcher {
@@ -30,10 +33,14 @@
     /// Version of the configuration in force; 0 before the first one was read.
     std::uint64_t version() const { return version_; }
 
+    /// Age of what is known of the declarations: every change that was confirmed longer ago has been read. The longest
+    /// duration before the first read.
+    milliseconds age() const;
+
 private:
     void load();
     void watch();
-    void applyChanges(const fleet::OperatorChanges& changes);
+    void applyChanges(const fleet::OperatorChanges& changes, foundation::SteadyTime asOf);
     void scheduleRetry(std::function<void()> action);
 
     fleet::IFleetSource& source_;
@@ -44,6 +51,7 @@
     std::function<void(const fleet::MaintenanceWave&)> waveCallback_;
     std::uint64_t version_ = 0;
     std::uint64_t nextOffset_ = 0; ///< Offset at which the next watch begins.
+    std::optional<foundation::SteadyTime> asOf_; ///< Time up to which every change has been read.
     bool isSourceLost_ = false; ///< Whether the latest watch failed.
 };
 
--- a/src/entry/ijobservice.h
+++ b/src/entry/ijobservice.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <optional>
+#include <string>
 
 namespace turmericsill::entry {
 
@@ -44,6 +45,9 @@
     /// The configuration in force; null before the first one was read.
     virtual const fleet::FleetConfiguration* configuration() const = 0;
 
+    /// The queue of a request to a host and path; null if the configuration in force has none.
+    virtual const fleet::Queue* findQueue(const std::string& host, const std::string& path) = 0;
+
     /// Accepts a job. A submission with a known id counts as a repetition and is answered as stored without a further
     /// effect.
     virtual void submit(const fleet::Queue& queue, jobs::JobId id, jobs::JobSpec spec, foundation::SteadyTime deadline,
--- a/src/entry/internal/declarationwatcher.cpp
+++ b/src/entry/internal/declarationwatcher.cpp
@@ -1,5 +1,6 @@
 #include "entry/declarationwatcher.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace turmericsill::entry {
@@ -40,17 +41,18 @@
 
 void DeclarationWatcher::load()
 {
-    source_.loadDeclarations([this](const Result<OperatorChanges>& changes) {
+    source_.loadDeclarations([this, sentAt = clock_.now()](const Result<OperatorChanges>& changes) {
         if (!changes)
             return scheduleRetry([this] { load(); });
-        applyChanges(*changes);
+        applyChanges(*changes, sentAt);
         watch();
     });
 }
 
 void DeclarationWatcher::watch()
 {
-    source_.watchDeclarations(nextOffset_, watchTimeout, [this](const Result<OperatorChanges>& changes) {
+    const auto sentAt = clock_.now();
+    source_.watchDeclarations(nextOffset_, watchTimeout, [this, sentAt](const Result<OperatorChanges>& changes) {
         const bool wasSourceLost = std::exchange(isSourceLost_, !changes.has_value());
         if (!changes && !wasSourceLost)
             events_.write("store.lost", { { "reason", changes.error().message() } });
@@ -60,19 +62,30 @@
             return load();
         if (!changes)
             return scheduleRetry([this] { watch(); });
-        applyChanges(*changes);
+        // A watch that brings nothing has waited at the store for its whole time.
+        const bool hasWaited = changes->nextOffset == nextOffset_ && clock_.now() - sentAt >= watchTimeout;
+        applyChanges(*changes, hasWaited ? sentAt + watchTimeout : sentAt);
         watch();
     });
 }
 
-void DeclarationWatcher::applyChanges(const OperatorChanges& changes)
+milliseconds DeclarationWatcher::age() const
 {
+    return asOf_ ? std::chrono::duration_cast<milliseconds>(clock_.now() - *asOf_) : milliseconds::max();
+}
+
+void DeclarationWatcher::applyChanges(const OperatorChanges& changes, foundation::SteadyTime asOf)
+{
+    const std::uint64_t records = changes.nextOffset - std::min(nextOffset_, changes.nextOffset);
+    const auto formerAge = asOf_ ? age() : milliseconds(0);
     nextOffset_ = changes.nextOffset;
+    asOf_ = asOf;
     if (changes.configuration && changes.configuration->version > version_) {
         version_ = changes.configuration->version;
         events_.write("configuration.in-force",
-            { { "version", version_ },
-                { "queues", static_cast<std::uint64_t>(changes.configuration->queues.size()) } });
+            { { "version", version_ }, { "queues", static_cast<std::uint64_t>(changes.configuration->queues.size()) },
+                { "records", records }, { "former_age_ms", std::int64_t(formerAge.count()) },
+                { "age_ms", std::int64_t(age().count()) } });
         configurationCallback_(*changes.configuration);
     }
     for (const auto& wave : changes.waves) {
--- a/src/entry/internal/jobservice.cpp
+++ b/src/entry/internal/jobservice.cpp
@@ -64,6 +64,16 @@
     return configuration_.version > 0 ? &configuration_ : nullptr;
 }
 
+const fleet::Queue* JobService::findQueue(const std::string& host, const std::string& path)
+{
+    const fleet::Queue* queue = configuration_.route(host, path);
+    if (!queue)
+        events_.write("queue.unknown",
+            { { "host", host }, { "path", path }, { "configuration", configuration_.version },
+                { "age_ms", std::int64_t(configurationAge_().count()) } });
+    return queue;
+}
+
 void JobService::submit(const fleet::Queue& queue, JobId id, jobs::JobSpec spec, foundation::SteadyTime deadline,
     std::function<void(RequestResult)> done)
 {
@@ -97,7 +107,9 @@
             const auto took = std::chrono::duration_cast<milliseconds>(clock_.now() - appendStartedAt);
             events_.write(event,
                 { { "job", jobs::toText(id) }, { "outcome", toText(result.outcome) },
-                    { "configuration", configuration_.version }, { "took_ms", std::int64_t(took.count()) } });
+                    { "configuration", configuration_.version },
+                    { "configuration_age_ms", std::int64_t(configurationAge_().count()) },
+                    { "took_ms", std::int64_t(took.count()) } });
             done(result);
         });
 }
--- a/src/entry/jobservice.h
+++ b/src/entry/jobservice.h
@@ -21,7 +21,11 @@
     /// log, and whether everything that it knows about a job is already in the log.
     void setControlStateChecks(std::function<bool()> isController, std::function<bool(jobs::JobId)> isStored);
 
+    /// Sets the source of the age of the configuration: changes that were confirmed longer ago are in force.
+    void setConfigurationAge(std::function<milliseconds()> age) { configurationAge_ = std::move(age); }
+
     const fleet::FleetConfiguration* configuration() const override;
+    const fleet::Queue* findQueue(const std::string& host, const std::string& path) override;
     void submit(const fleet::Queue& queue, jobs::JobId id, jobs::JobSpec spec, foundation::SteadyTime deadline,
         std::function<void(RequestResult)> done) override;
     void cancel(jobs::JobId id, foundation::SteadyTime deadline, std::function<void(RequestResult)> done) override;
@@ -41,6 +45,7 @@
     foundation::IClock& clock_;
     telemetry::IEventSink& events_;
     fleet::FleetConfiguration configuration_;
+    std::function<milliseconds()> configurationAge_ = [] { return milliseconds(0); };
     std::function<bool()> isController_ = [] { return false; };
     std::function<bool(jobs::JobId)> isJobStored_ = [](jobs::JobId) { return true; };
 };
--- a/src/entry/tests/declarationwatchertests.cpp
+++ b/src/entry/tests/declarationwatchertests.cpp
@@ -29,6 +29,56 @@
     return { configuration, {}, version };
 }
 
+/// Keeps the calls of a watcher open until the test answers them.
+class OpenCallsSource : public fleet::IFleetSource {
+public:
+    struct Call {
+        std::uint64_t from = 0;
+        milliseconds wait { 0 };
+        OperatorCallback done;
+    };
+
+    void loadDeclarations(OperatorCallback done) override { loads.push_back(std::move(done)); }
+    void watchDeclarations(std::uint64_t from, milliseconds wait, OperatorCallback done) override
+    {
+        watches.push_back({ from, wait, std::move(done) });
+    }
+    void loadInstances(InstanceCallback) override { }
+    void watchInstances(std::uint64_t, milliseconds, InstanceCallback) override { }
+    void reportWave(std::uint64_t, bool, std::function<void(foundation::Result<void>)>) override { }
+
+    std::vector<OperatorCallback> loads;
+    std::vector<Call> watches; ///< In the order in which they were sent; answered ones too.
+};
+
+/// A watcher whose first load was answered with version 1.
+struct WatcherFixture {
+    WatcherFixture()
+        : watcher(source, clock, timers, events)
+    {
+        watcher.onConfiguration(
+            [this](const fleet::FleetConfiguration& configuration) { inForce.push_back(configuration.version); });
+        watcher.start();
+        source.loads.front()(configurationOfVersion(1));
+    }
+
+    void advance(milliseconds duration)
+    {
+        constexpr milliseconds step { 10 };
+        for (milliseconds passed { 0 }; passed < duration; passed += step) {
+            clock.time += step;
+            timers.runDue(clock.time);
+        }
+    }
+
+    ManualClock clock;
+    SilentSink events;
+    foundation::TimerQueue timers;
+    OpenCallsSource source;
+    DeclarationWatcher watcher;
+    std::vector<std::uint64_t> inForce;
+};
+
 /// Answers each load and watch with the next of the prepared versions, and leaves the last watch open.
 class PreparedSource : public fleet::IFleetSource {
 public:
@@ -73,3 +123,19 @@
     CHECK(inForce == std::vector<std::uint64_t> { 7, 12, 13 });
     CHECK(watcher.version() == 13);
 }
+
+// An entry that does not know how old its knowledge is takes an old configuration for the present one.
+TEST_CASE("declarations: the age is the time since when a change may be missing", "[entry]")
+{
+    WatcherFixture fixture;
+    CHECK(fixture.watcher.age() == milliseconds(0));
+    fixture.advance(milliseconds(1000));
+    CHECK(fixture.watcher.age() == milliseconds(1000));
+    // The watch has waited at the store for its whole time, so nothing was written up to then.
+    fixture.source.watches.front().done(fleet::OperatorChanges { std::nullopt, {}, 1 });
+    CHECK(fixture.watcher.age() == milliseconds(0));
+    fixture.advance(milliseconds(300));
+    // What was written after the watch was sent may follow the change that it brings.
+    fixture.source.watches.back().done(configurationOfVersion(2));
+    CHECK(fixture.watcher.age() == milliseconds(300));
+}
--- a/src/entryd/entryprocess.h
+++ b/src/entryd/entryprocess.h
@@ -79,6 +79,7 @@
     telemetry::MetricsRegistry metrics_;
     telemetry::EventMetrics events_;
     telemetry::Readiness readiness_;
+    prometheus::Gauge& configurationAge_;
     httpclient::PooledHttpClient storeReadClient_;
     httpclient::PooledHttpClient storeWriteClient_;
     httpclient::PooledHttpClient machineControlClient_;
--- a/src/entryd/internal/entryprocess.cpp
+++ b/src/entryd/internal/entryprocess.cpp
@@ -79,6 +79,8 @@
     , timers_(context_)
     , eventSink_(settings_.entry, clock_)
     , events_(metrics_, eventSink_)
+    , configurationAge_(metrics_.gauge("configuration_age_seconds",
+          "Time since when changes of the configuration that were confirmed may be missing"))
     , storeReadClient_(context_, settings_.storeAddress, storeReadConnections)
     , storeWriteClient_(context_, settings_.storeAddress, storeWriteConnections)
     , machineControlClient_(context_, settings_.machineControlAddress, machineControlConnections)
@@ -129,6 +131,7 @@
 {
     jobService_.setControlStateChecks(
         [this] { return control_.isController(); }, [this](jobs::JobId job) { return control_.isStored(job); });
+    jobService_.setConfigurationAge([this] { return declarationWatcher_.age(); });
     jobSubmitter_.setStoreAvailabilityCheck([this] { return control_.isStoreAnswering(); });
     declarationWatcher_.onConfiguration([this](const fleet::FleetConfiguration& configuration) {
         jobService_.setConfiguration(configuration);
@@ -188,6 +191,8 @@
         readiness_.setReason("store", "the platform's store does not respond to this entry");
     else
         readiness_.clearReason("store");
+    if (declarationWatcher_.version() > 0)
+        configurationAge_.Set(std::chrono::duration<double>(declarationWatcher_.age()).count());
     timers_.schedule(clock_.now() + readinessCheckInterval, [this] { updateReadiness(); });
 }
 
