Keyed topics: a reader that is behind gets the newest record of each key at once

Cause: a watch went on at the first record that the reader had missed. It transferred and decoded every superseded configuration, about 300 KB each, over links of 10 to 20 Mbit/s, while further ones arrived. The class: work for each version although only the newest one counts. The instances' entries were read the same way, and a list of several pages could tell an older report after a newer one.

Change: a watch asks for a small page and compares what is missing with the size of the latest load; if that is less it loads the newest record of each key, as of one moment, and says that the result is complete. Otherwise it reads to the end of the topic.

--- a/src/control/instancedirectory.h
+++ b/src/control/instancedirectory.h
@@ -35,6 +35,7 @@
 private:
     void load();
     void watch();
+    void apply(const fleet::InstanceChanges& changes, foundation::SteadyTime asOf);
     template <typename Action> void scheduleAfter(foundation::milliseconds delay, Action action);
 
     fleet::IFleetSource& source_;
--- a/src/control/internal/instancedirectory.cpp
+++ b/src/control/internal/instancedirectory.cpp
@@ -51,18 +51,24 @@
             events_.write("instances.unavailable", { { "reason", entries.error().message() } });
             return scheduleAfter(retryDelay, [this] { load(); });
         }
-        std::set<std::string> present;
-        for (const auto& change : entries->changes) {
-            present.insert(change.instance);
-            onChange_(change);
-        }
-        nextOffset_ = entries->nextOffset;
-        asOf_ = sentAt;
-        onLoaded_(present);
+        apply(*entries, sentAt);
         watch();
     });
 }
 
+void InstanceDirectory::apply(const fleet::InstanceChanges& changes, foundation::SteadyTime asOf)
+{
+    nextOffset_ = changes.nextOffset;
+    asOf_ = asOf;
+    std::set<std::string> present;
+    for (const auto& change : changes.changes) {
+        present.insert(change.instance);
+        onChange_(change);
+    }
+    if (changes.isComplete)
+        onLoaded_(present);
+}
+
 void InstanceDirectory::watch()
 {
     source_.watchInstances(nextOffset_, watchTimeout,
@@ -75,10 +81,7 @@
                 events_.write("instances.unavailable", { { "reason", changes.error().message() } });
                 return scheduleAfter(retryDelay, [this] { watch(); });
             }
-            nextOffset_ = changes->nextOffset;
-            asOf_ = sentAt;
-            for (const auto& change : changes->changes)
-                onChange_(change);
+            apply(*changes, sentAt);
             scheduleAfter(pauseBetweenWatches, [this] { watch(); });
         });
 }
--- a/src/emulator/internal/emulatedplatformclient.cpp
+++ b/src/emulator/internal/emulatedplatformclient.cpp
@@ -189,6 +189,7 @@
         return answer(networkDelay, [done] { done(failure(Errc::Unavailable, "instances.load")); });
     answer(platform_.faults().storeLatency, [this, done] {
         fleet::InstanceChanges changes;
+        changes.isComplete = true;
         for (const auto& [name, report] : platform_.listedInstances())
             changes.changes.push_back({ name, report });
         done(changes);
--- a/src/fleet/ifleetsource.h
+++ b/src/fleet/ifleetsource.h
@@ -26,6 +26,7 @@
 struct InstanceChanges {
     std::vector<InstanceChange> changes;
     std::uint64_t nextOffset = 0; ///< Offset at which the next watch begins.
+    bool isComplete = false; ///< The changes hold the reports of all instances; a missing instance has none any more.
 };
 
 /// Source of what operators declare and instances report. Records of other writers are skipped and counted.
@@ -39,14 +40,15 @@
     /// Reads all current declarations, whatever was read before.
     virtual void loadDeclarations(OperatorCallback done) = 0;
 
-    /// Reads the changes from offset `from` on; waits up to `wait` for the first one.
+    /// Reads the changes from offset `from` on, up to the present; waits up to `wait` for the first one.
     /// Errc::RetentionPassed: changes from `from` on are no longer retained; call loadDeclarations() again.
     virtual void watchDeclarations(std::uint64_t from, milliseconds wait, OperatorCallback done) = 0;
 
     /// Reads the reports of all instances.
     virtual void loadInstances(InstanceCallback done) = 0;
 
-    /// Reads changed reports in the same way as watchDeclarations() reads declarations.
+    /// Reads changed reports in the same way as watchDeclarations() reads declarations. Returns the reports of all
+    /// instances instead if too much has changed.
     virtual void watchInstances(std::uint64_t from, milliseconds wait, InstanceCallback done) = 0;
 
     /// Reports to the operators that a maintenance wave has started or is completed.
