Declaration watcher: further reads are sent while the watch is overdue

Cause: what an entry knows depended on a single call. A watch waits for 1 s, its timeout is 1.5 s longer, and the retry follows 0.1 s later, so that one lost answer makes the knowledge 2.6 s old. The comment beside the timeout said that the bound holds.

Change: 0.2 s after the end of its long poll a watch counts as overdue. From then on a read that does not wait is sent every 0.3 s on a further connection, five at most, until one is answered; the late answer to the watch still counts, unless it was overtaken. While parts of an answer arrive, nothing is sent beside it: on a link of 10 Mbit/s a configuration takes 0.3 s, and further reads would take their share of it. Loads are treated alike. The gauge and the events tell the age.

Evidence: five of the seven tests of the watcher fail on the code before (lost answers: one call instead of two to four within 1.9 s; a stalled answer, the bound of the reads, an overtaken answer, an overdue load).

--- a/src/emulator/emulatedplatformclient.h
+++ b/src/emulator/emulatedplatformclient.h
@@ -47,6 +47,7 @@
 
     void loadDeclarations(OperatorCallback done) override;
     void watchDeclarations(std::uint64_t from, milliseconds wait, OperatorCallback done) override;
+    bool isReceivingDeclarations() const override { return false; }
     void loadInstances(InstanceCallback done) override;
     void watchInstances(std::uint64_t from, milliseconds wait, InstanceCallback done) override;
     void reportWave(std::uint64_t wave, bool completed, std::function<void(foundation::Result<void>)> done) override;
--- a/src/entry/declarationwatcher.h
+++ b/src/entry/declarationwatcher.h
@@ -13,7 +13,8 @@
 using foundation::milliseconds;
 
 /// Watches the declarations of operators and reports each change. A configuration that is no newer than the one in
-/// force is ignored.
+/// force is ignored. While a read is overdue, further ones are sent beside it, so that the age of what is known does not
+/// depend on a single answer.
 class DeclarationWatcher {
 public:
     DeclarationWatcher(fleet::IFleetSource& source, foundation::IClock& clock, foundation::ITimerQueue& timers,
@@ -38,10 +39,15 @@
     milliseconds age() const;
 
 private:
-    void load();
+    using ReadCallback = std::function<void(bool isRead)>;
+
     void watch();
+    void scheduleOverdueRead(std::uint64_t watch, milliseconds delay);
+    void read(milliseconds wait, ReadCallback done);
+    void onAnswer(const fleet::OperatorChanges& changes, foundation::SteadyTime sentAt, milliseconds wait);
+    void onFailure(const foundation::Error& error);
     void applyChanges(const fleet::OperatorChanges& changes, foundation::SteadyTime asOf);
-    void scheduleRetry(std::function<void()> action);
+    void setSourceLost(bool isLost, const std::string& reason);
 
     fleet::IFleetSource& source_;
     foundation::IClock& clock_;
@@ -52,7 +58,10 @@
     std::uint64_t version_ = 0;
     std::uint64_t nextOffset_ = 0; ///< Offset at which the next watch begins.
     std::optional<foundation::SteadyTime> asOf_; ///< Time up to which every change has been read.
-    bool isSourceLost_ = false; ///< Whether the latest watch failed.
+    bool mustLoad_ = true; ///< Whether the changes from nextOffset_ on cannot be read.
+    std::uint64_t watch_ = 0; ///< Number of the latest watch.
+    std::size_t overdueReads_ = 0; ///< Reads in progress beside an overdue watch.
+    bool isSourceLost_ = false; ///< Whether the latest watch is overdue or has failed.
 };
 
 } // namespace turmericsill::entry
--- a/src/entry/internal/declarationwatcher.cpp
+++ b/src/entry/internal/declarationwatcher.cpp
@@ -12,10 +12,17 @@
 
 namespace {
 
-    /// Limits the delay that an unanswered watch adds to a change, which must be in force within 2 s.
-    constexpr milliseconds watchTimeout { 1000 };
+    constexpr milliseconds watchTimeout { 1000 }; ///< Long-poll time of a watch.
     constexpr milliseconds retryDelay { 100 };
 
+    /// Time after the end of a watch's long poll when it counts as overdue.
+    constexpr milliseconds overdueMargin { 200 };
+
+    /// Interval of the reads beside an overdue watch. Three of them fit into the 2 s in which a change must be in
+    /// force.
+    constexpr milliseconds overdueReadInterval { 300 };
+    constexpr std::size_t maximumOverdueReads = 5; ///< Enough until the first one times out.
+
 } // namespace
 
 DeclarationWatcher::DeclarationWatcher(fleet::IFleetSource& source, foundation::IClock& clock,
@@ -32,41 +39,88 @@
     configurationCallback_ = std::move(callback);
 }
 
-void DeclarationWatcher::start() { load(); }
+void DeclarationWatcher::start() { watch(); }
 
-void DeclarationWatcher::scheduleRetry(std::function<void()> action)
+void DeclarationWatcher::watch()
 {
-    timers_.schedule(clock_.now() + retryDelay, std::move(action));
+    const std::uint64_t watch = ++watch_;
+    read(watchTimeout, [this, watch](bool isRead) {
+        if (watch != watch_)
+            return;
+        if (isRead)
+            return this->watch();
+        timers_.schedule(clock_.now() + retryDelay, [this, watch] {
+            if (watch == watch_)
+                this->watch();
+        });
+    });
+    scheduleOverdueRead(watch, watchTimeout + overdueMargin);
 }
 
-void DeclarationWatcher::load()
+// The first answer to any of the reads ends the watch and begins the next one.
+void DeclarationWatcher::scheduleOverdueRead(std::uint64_t watch, milliseconds delay)
 {
-    source_.loadDeclarations([this, sentAt = clock_.now()](const Result<OperatorChanges>& changes) {
-        if (!changes)
-            return scheduleRetry([this] { load(); });
-        applyChanges(*changes, sentAt);
-        watch();
+    timers_.schedule(clock_.now() + delay, [this, watch] {
+        if (watch != watch_)
+            return;
+        scheduleOverdueRead(watch, overdueReadInterval);
+        if (source_.isReceivingDeclarations())
+            return;
+        setSourceLost(true, "the watch of the declarations is overdue");
+        if (overdueReads_ >= maximumOverdueReads)
+            return;
+        ++overdueReads_;
+        read(milliseconds(0), [this, watch](bool isRead) {
+            --overdueReads_;
+            if (isRead && watch == watch_)
+                this->watch();
+        });
     });
 }
 
-void DeclarationWatcher::watch()
+void DeclarationWatcher::read(milliseconds wait, ReadCallback done)
 {
-    const auto sentAt = clock_.now();
-    source_.watchDeclarations(nextOffset_, watchTimeout, [this, sentAt](const Result<OperatorChanges>& changes) {
-        const bool wasSourceLost = std::exchange(isSourceLost_, !changes.has_value());
-        if (!changes && !wasSourceLost)
-            events_.write("store.lost", { { "reason", changes.error().message() } });
-        if (changes && wasSourceLost)
-            events_.write("store.regained", { { "next", changes->nextOffset } });
-        if (!changes && changes.error().code == Errc::RetentionPassed)
-            return load();
-        if (!changes)
-            return scheduleRetry([this] { watch(); });
-        // A watch that brings nothing has waited at the store for its whole time.
-        const bool hasWaited = changes->nextOffset == nextOffset_ && clock_.now() - sentAt >= watchTimeout;
-        applyChanges(*changes, hasWaited ? sentAt + watchTimeout : sentAt);
-        watch();
-    });
+    const auto timeAtStore = mustLoad_ ? milliseconds(0) : wait;
+    const auto onAnswered = [this, timeAtStore, watch = watch_, sentAt = clock_.now(), done = std::move(done)](
+                                const Result<OperatorChanges>& changes) {
+        if (changes)
+            onAnswer(*changes, sentAt, timeAtStore);
+        else if (watch == watch_)
+            onFailure(changes.error());
+        done(changes.has_value());
+    };
+    if (mustLoad_)
+        source_.loadDeclarations(onAnswered);
+    else
+        source_.watchDeclarations(nextOffset_, wait, onAnswered);
+}
+
+void DeclarationWatcher::onFailure(const foundation::Error& error)
+{
+    mustLoad_ = mustLoad_ || error.code == Errc::RetentionPassed;
+    setSourceLost(true, error.message());
+}
+
+// Answers may overtake each other. One that ends before what is known brings nothing new.
+void DeclarationWatcher::onAnswer(const OperatorChanges& changes, foundation::SteadyTime sentAt, milliseconds wait)
+{
+    setSourceLost(false, {});
+    if (changes.nextOffset < nextOffset_)
+        return;
+    // A watch that brings nothing has waited at the store for its whole time.
+    const bool hasWaited = changes.nextOffset == nextOffset_ && clock_.now() - sentAt >= wait;
+    mustLoad_ = false;
+    applyChanges(changes, hasWaited ? sentAt + wait : sentAt);
+}
+
+void DeclarationWatcher::setSourceLost(bool isLost, const std::string& reason)
+{
+    if (std::exchange(isSourceLost_, isLost) == isLost)
+        return;
+    if (isLost)
+        events_.write("store.lost", { { "reason", reason }, { "age_ms", std::int64_t(asOf_ ? age().count() : 0) } });
+    else
+        events_.write("store.regained", { { "next", nextOffset_ } });
 }
 
 milliseconds DeclarationWatcher::age() const
@@ -79,7 +133,7 @@
     const std::uint64_t records = changes.nextOffset - std::min(nextOffset_, changes.nextOffset);
     const auto formerAge = asOf_ ? age() : milliseconds(0);
     nextOffset_ = changes.nextOffset;
-    asOf_ = asOf;
+    asOf_ = asOf_ ? std::max(*asOf_, asOf) : asOf;
     if (changes.configuration && changes.configuration->version > version_) {
         version_ = changes.configuration->version;
         events_.write("configuration.in-force",
--- a/src/entry/tests/declarationwatchertests.cpp
+++ b/src/entry/tests/declarationwatchertests.cpp
@@ -43,11 +43,13 @@
     {
         watches.push_back({ from, wait, std::move(done) });
     }
+    bool isReceivingDeclarations() const override { return isReceiving; }
     void loadInstances(InstanceCallback) override { }
     void watchInstances(std::uint64_t, milliseconds, InstanceCallback) override { }
     void reportWave(std::uint64_t, bool, std::function<void(foundation::Result<void>)>) override { }
 
     std::vector<OperatorCallback> loads;
+    bool isReceiving = false;
     std::vector<Call> watches; ///< In the order in which they were sent; answered ones too.
 };
 
@@ -84,6 +86,7 @@
 public:
     void loadDeclarations(OperatorCallback done) override { answer(std::move(done)); }
     void watchDeclarations(std::uint64_t, milliseconds, OperatorCallback done) override { answer(std::move(done)); }
+    bool isReceivingDeclarations() const override { return false; }
     void loadInstances(InstanceCallback) override { }
     void watchInstances(std::uint64_t, milliseconds, InstanceCallback) override { }
     void reportWave(std::uint64_t, bool, std::function<void(foundation::Result<void>)>) override { }
@@ -139,3 +142,74 @@
     fixture.source.watches.back().done(configurationOfVersion(2));
     CHECK(fixture.watcher.age() == milliseconds(300));
 }
+
+// A lost answer, or a path that is back while a call still waits for its timeout, leaves the entry with an old
+// configuration for longer than a change may take.
+TEST_CASE("declarations: a change is in force in time although the answer to the watch is lost", "[entry]")
+{
+    constexpr milliseconds bound { 2000 };
+    constexpr milliseconds readDuration { 100 };
+    WatcherFixture fixture;
+    REQUIRE(fixture.source.watches.size() == 1);
+    const std::size_t lostAnswers = GENERATE(1u, 2u, 3u);
+    fixture.advance(bound - readDuration);
+    REQUIRE(fixture.source.watches.size() > lostAnswers);
+    const auto& answered = fixture.source.watches[lostAnswers];
+    CHECK(answered.wait == milliseconds(0));
+    answered.done(configurationOfVersion(2));
+    CHECK(fixture.inForce == std::vector<std::uint64_t> { 1, 2 });
+    CHECK(fixture.watcher.age() < bound);
+}
+
+// On a slow link each further read delays the answer that is under way, so that the entry falls behind for good.
+TEST_CASE("declarations: nothing is read beside an answer that is arriving", "[entry]")
+{
+    WatcherFixture fixture;
+    fixture.source.isReceiving = true;
+    fixture.advance(milliseconds(1900));
+    CHECK(fixture.source.watches.size() == 1);
+    fixture.source.isReceiving = false; // The transfer has stalled.
+    fixture.advance(milliseconds(300));
+    CHECK(fixture.source.watches.size() == 2);
+}
+
+// Reads that time out must not pile up at a store that does not respond.
+TEST_CASE("declarations: the number of reads beside an overdue watch is bounded", "[entry]")
+{
+    WatcherFixture fixture;
+    fixture.advance(milliseconds(60000));
+    CHECK(fixture.source.watches.size() == 6);
+}
+
+// An answer that was overtaken by a newer one ends at an earlier place: what was read in between would be read again,
+// and the age would be that of the newer answer.
+TEST_CASE("declarations: an answer that was overtaken changes nothing", "[entry]")
+{
+    WatcherFixture fixture;
+    fixture.advance(milliseconds(1250));
+    REQUIRE(fixture.source.watches.size() == 2);
+    fixture.source.watches[1].done(configurationOfVersion(5));
+    REQUIRE(fixture.source.watches.size() == 3);
+    fixture.advance(milliseconds(200));
+    const auto age = fixture.watcher.age();
+    fixture.source.watches[0].done(configurationOfVersion(3));
+    CHECK(fixture.inForce == std::vector<std::uint64_t> { 1, 5 });
+    CHECK(fixture.watcher.age() == age);
+    CHECK(fixture.source.watches.size() == 3);
+    CHECK(fixture.source.watches[2].from == 5);
+}
+
+// The changes that a watch would go on with may be deleted. Without a new load the entry would follow nothing any more.
+TEST_CASE("declarations: all declarations are loaded when the changes are no longer retained", "[entry]")
+{
+    WatcherFixture fixture;
+    fixture.source.watches[0].done(foundation::failure(foundation::Errc::RetentionPassed, "keyed.watch"));
+    fixture.advance(milliseconds(200));
+    REQUIRE(fixture.source.loads.size() == 2);
+    fixture.advance(milliseconds(1300));
+    REQUIRE(fixture.source.loads.size() > 2); // The load is overdue.
+    fixture.source.loads[2](configurationOfVersion(9));
+    fixture.source.loads[1](configurationOfVersion(8));
+    CHECK(fixture.inForce == std::vector<std::uint64_t> { 1, 9 });
+    CHECK(fixture.source.watches.back().from == 9);
+}
--- a/src/fleet/ifleetsource.h
+++ b/src/fleet/ifleetsource.h
@@ -44,6 +44,10 @@
     /// Errc::RetentionPassed: changes from `from` on are no longer retained; call loadDeclarations() again.
     virtual void watchDeclarations(std::uint64_t from, milliseconds wait, OperatorCallback done) = 0;
 
+    /// Whether parts of the declarations that are being read have arrived lately. A large answer takes a slow link a
+    /// second, and further reads beside it would take their share of the link.
+    virtual bool isReceivingDeclarations() const = 0;
+
     /// Reads the reports of all instances.
     virtual void loadInstances(InstanceCallback done) = 0;
 
--- a/src/httpclient/internal/clientconnection.cpp
+++ b/src/httpclient/internal/clientconnection.cpp
@@ -46,6 +46,7 @@
 {
     operation_ = std::move(call.step);
     done_ = std::move(done);
+    onProgress_ = std::move(call.onProgress);
     closesConnection_ = call.closesConnection;
     writeHeader(call);
     body_ = std::move(call.body);
@@ -176,6 +177,8 @@
         return onDisconnected(error);
     if (!done_)
         return close(); // Unsolicited data. The client drops the idle connection when it would use it.
+    if (onProgress_)
+        onProgress_();
     parseResponse();
 }
 
--- a/src/httpclient/internal/clientconnection.h
+++ b/src/httpclient/internal/clientconnection.h
@@ -63,6 +63,7 @@
     bool isClosed_ = false;
     bool isWriting_ = false;
     bool isReadFull_ = false; ///< Whether the latest read returned as much as it had asked for.
+    std::function<void()> onProgress_;
     bool closesConnection_ = false;
 };
 
--- a/src/httpclient/types/httpcall.h
+++ b/src/httpclient/types/httpcall.h
@@ -28,6 +28,8 @@
     /// Largest part of the response that is received at a time, if more than the least. A busy thread receives one part
     /// in each turn of its loop.
     std::size_t readBufferBytes = 0;
+    /// If set, called each time a part of the response has arrived.
+    std::function<void()> onProgress;
 };
 
 /// Response of an HTTP server.
