Callers: an old configuration does not tell that a queue is missing

What callers saw: 404, the final answer, for a queue that a configuration has which the entry has not read yet.

Cause: the handler took what the entry knew for what is in force, however old it was.

Change: the entry knows the age of its configuration. Submissions to queues that are known, states and cancellations are not affected.

--- a/src/entry/ijobservice.h
+++ b/src/entry/ijobservice.h
@@ -25,6 +25,13 @@
     milliseconds retryAfter { 0 }; ///< Delay before the caller retries a request that was not stored.
 };
 
+/// Queue that a request is routed to.
+struct QueueLookup {
+    const fleet::Queue* queue = nullptr; ///< Null if the configuration that this entry knows has none.
+    /// Whether every configuration that must be in force is known. Otherwise a newer one may have other queues.
+    bool isCurrent = false;
+};
+
 /// Outcome of looking up a job.
 enum class JobLookup : std::uint8_t {
     Found,
@@ -42,11 +49,8 @@
 public:
     virtual ~IJobService() = default;
 
-    /// The configuration in force; null before the first one was read.
-    virtual const fleet::FleetConfiguration* configuration() const = 0;
-
-    /// The queue of a request to a host and path; null if the configuration in force has none.
-    virtual const fleet::Queue* findQueue(const std::string& host, const std::string& path) = 0;
+    /// Finds the queue of a request to a host and path.
+    virtual QueueLookup findQueue(const std::string& host, const std::string& path) = 0;
 
     /// Accepts a job. A submission with a known id counts as a repetition and is answered as stored without a further
     /// effect.
--- a/src/entry/internal/jobservice.cpp
+++ b/src/entry/internal/jobservice.cpp
@@ -29,6 +29,9 @@
         return { RequestOutcome::Unknown, milliseconds(0) };
     }
 
+    /// Age of the configuration for the log; -1 before the first one was read.
+    std::int64_t ageField(milliseconds age) { return age == milliseconds::max() ? -1 : std::int64_t(age.count()); }
+
     std::string toText(RequestOutcome outcome)
     {
         switch (outcome) {
@@ -59,19 +62,22 @@
     isJobStored_ = std::move(isStored);
 }
 
-const fleet::FleetConfiguration* JobService::configuration() const
+void JobService::setConfigurationAge(std::function<milliseconds()> age, milliseconds maximumAge)
 {
-    return configuration_.version > 0 ? &configuration_ : nullptr;
+    configurationAge_ = std::move(age);
+    maximumConfigurationAge_ = maximumAge;
 }
 
-const fleet::Queue* JobService::findQueue(const std::string& host, const std::string& path)
+QueueLookup JobService::findQueue(const std::string& host, const std::string& path)
 {
-    const fleet::Queue* queue = configuration_.route(host, path);
-    if (!queue)
+    const auto age = configurationAge_();
+    const QueueLookup lookup { configuration_.route(host, path), age <= maximumConfigurationAge_ };
+    if (!lookup.queue)
         events_.write("queue.unknown",
             { { "host", host }, { "path", path }, { "configuration", configuration_.version },
-                { "age_ms", std::int64_t(configurationAge_().count()) } });
-    return queue;
+                { "age_ms", ageField(age) },
+                { "outcome", std::string(lookup.isCurrent ? "not-found" : "unavailable") } });
+    return lookup;
 }
 
 void JobService::submit(const fleet::Queue& queue, JobId id, jobs::JobSpec spec, foundation::SteadyTime deadline,
@@ -108,7 +114,7 @@
             events_.write(event,
                 { { "job", jobs::toText(id) }, { "outcome", toText(result.outcome) },
                     { "configuration", configuration_.version },
-                    { "configuration_age_ms", std::int64_t(configurationAge_().count()) },
+                    { "configuration_age_ms", ageField(configurationAge_()) },
                     { "took_ms", std::int64_t(took.count()) } });
             done(result);
         });
--- a/src/entry/jobservice.h
+++ b/src/entry/jobservice.h
@@ -21,11 +21,11 @@
     /// log, and whether everything that it knows about a job is already in the log.
     void setControlStateChecks(std::function<bool()> isController, std::function<bool(jobs::JobId)> isStored);
 
-    /// Sets the source of the age of the configuration: changes that were confirmed longer ago are in force.
-    void setConfigurationAge(std::function<milliseconds()> age) { configurationAge_ = std::move(age); }
+    /// Sets the source of the age of the configuration: changes that were confirmed longer ago are known. A configuration
+    /// older than `maximumAge` does not tell that a queue does not exist.
+    void setConfigurationAge(std::function<milliseconds()> age, milliseconds maximumAge);
 
-    const fleet::FleetConfiguration* configuration() const override;
-    const fleet::Queue* findQueue(const std::string& host, const std::string& path) override;
+    QueueLookup findQueue(const std::string& host, const std::string& path) override;
     void submit(const fleet::Queue& queue, jobs::JobId id, jobs::JobSpec spec, foundation::SteadyTime deadline,
         std::function<void(RequestResult)> done) override;
     void cancel(jobs::JobId id, foundation::SteadyTime deadline, std::function<void(RequestResult)> done) override;
@@ -45,7 +45,8 @@
     foundation::IClock& clock_;
     telemetry::IEventSink& events_;
     fleet::FleetConfiguration configuration_;
-    std::function<milliseconds()> configurationAge_ = [] { return milliseconds(0); };
+    std::function<milliseconds()> configurationAge_ = [] { return milliseconds::max(); };
+    milliseconds maximumConfigurationAge_ { 0 };
     std::function<bool()> isController_ = [] { return false; };
     std::function<bool(jobs::JobId)> isJobStored_ = [](jobs::JobId) { return true; };
 };
--- a/src/entryd/internal/entryprocess.cpp
+++ b/src/entryd/internal/entryprocess.cpp
@@ -131,7 +131,7 @@
 {
     jobService_.setControlStateChecks(
         [this] { return control_.isController(); }, [this](jobs::JobId job) { return control_.isStored(job); });
-    jobService_.setConfigurationAge([this] { return declarationWatcher_.age(); });
+    jobService_.setConfigurationAge([this] { return declarationWatcher_.age(); }, settings_.configurationBound);
     jobSubmitter_.setStoreAvailabilityCheck([this] { return control_.isStoreAnswering(); });
     declarationWatcher_.onConfiguration([this](const fleet::FleetConfiguration& configuration) {
         jobService_.setConfiguration(configuration);
--- a/src/settings/entrysettings.h
+++ b/src/settings/entrysettings.h
@@ -30,6 +30,7 @@
     /// Whether runs are stored in a form that versions before it cannot read.
     bool batchesRunRecords = true;
     foundation::milliseconds shutdownGrace { 6000 };
+    foundation::milliseconds configurationBound { 2000 }; ///< Time in which a confirmed configuration is in force.
 };
 
 /// Processor time that the process may use, in thousandths of a core.
--- a/src/settings/internal/entrysettings.cpp
+++ b/src/settings/internal/entrysettings.cpp
@@ -45,6 +45,7 @@
             optionalInterval("log_retention_ms", 1000),
             optionalInterval("status_retention_ms", 1000),
             optionalInterval("shutdown_grace_ms", 500),
+            optionalInterval("configuration_bound_ms", 100),
             { "run_records", FieldType::Choice, false, 0, 0, { batchedRunRecords, singleRunRecords } },
         };
         return fields;
@@ -73,6 +74,7 @@
         copier.copy("log_retention_ms", result.logRetention);
         copier.copy("status_retention_ms", result.statusRetention);
         copier.copy("shutdown_grace_ms", result.shutdownGrace);
+        copier.copy("configuration_bound_ms", result.configurationBound);
         result.batchesRunRecords = object.value("run_records", batchedRunRecords) == batchedRunRecords;
         return result;
     }
