Emulator: entries read their configuration through the declaration watcher, under faults

The emulator handed entries their configuration, so that neither the watcher nor the age of what it knows was part of any explored schedule. Now each emulated entry has a watcher that reads the declarations from the emulated store, with the store's outages, partitions, latencies and lost answers; a connection that breaks down while an answer is held back shows by its timeout only.

Every schedule asks each live entry for queues that were declared, added, removed and never declared, and the checker compares the answers with the configurations that were the latest ones within the bound of 2 s. An entry in touch must know them. A further exploration adds and removes queues and loses answers to reads.

--- a/src/emulator/emulatedplatform.h
+++ b/src/emulator/emulatedplatform.h
@@ -37,6 +37,7 @@
     double lateAppendRatio = 0; ///< Fraction of appends that get no answer and take effect seconds later.
     /// Fraction of maintenance orders that get no answer; half of them are carried out, at once or seconds later.
     double unansweredMaintenanceRatio = 0;
+    double lostDeclarationAnswerRatio = 0; ///< Fraction of reads of the declarations that get no answer.
 
     /// Whether the store is disturbed for any entry.
     bool isStoreDisturbed() const;
@@ -63,9 +64,15 @@
     const fleet::MachineOrderAuthority& lastMachineOrder() const { return lastMachineOrder_; }
     void setLastMachineOrder(fleet::MachineOrderAuthority authority) { lastMachineOrder_ = std::move(authority); }
 
-    void setConfiguration(const fleet::FleetConfiguration& configuration) { configuration_ = configuration; }
+    /// Declares a configuration, which is confirmed to the operator at once.
+    void setConfiguration(const fleet::FleetConfiguration& configuration);
+
+    /// The configuration that was declared last.
     const fleet::FleetConfiguration& configuration() const { return configuration_; }
 
+    /// Offset past the last declaration.
+    std::uint64_t endOfDeclarations() const { return endOfDeclarations_; }
+
     /// Starts an incarnation of an instance and ends an earlier incarnation under the same name.
     /// `machine` is the machine it runs on; one of its own if empty.
     void startInstance(const std::string& name, const std::string& pool, const jobs::Resources& capacity,
@@ -139,6 +146,7 @@
     InjectedFaults faults_;
     foundation::TimerQueue network_;
     fleet::FleetConfiguration configuration_;
+    std::uint64_t endOfDeclarations_ = 0;
     fleet::MachineOrderAuthority lastMachineOrder_;
     std::map<std::string, std::unique_ptr<EmulatedInstance>> instances_; ///< Running instances, by name.
     std::map<std::string, fleet::InstanceReport> listedInstances_; ///< Instances in the directory, by name.
--- a/src/emulator/emulatedplatformclient.h
+++ b/src/emulator/emulatedplatformclient.h
@@ -75,6 +75,8 @@
 
 private:
     bool isStoreReachable() const;
+    void answerDeclarations(std::uint64_t from, milliseconds wait, const OperatorCallback& done);
+    void failDeclarations(milliseconds wait, const OperatorCallback& done);
 
     /// Returns the lateness of a call that is carried out late without an answer; nothing for any other call.
     std::optional<milliseconds> drawLateness(double ratio, milliseconds maximum);
--- a/src/emulator/emulation.h
+++ b/src/emulator/emulation.h
@@ -3,6 +3,7 @@
 #include "control/submissionrouter.h"
 #include "emulator/emulatedplatform.h"
 #include "emulator/emulatedplatformclient.h"
+#include "entry/declarationwatcher.h"
 #include "entry/jobservice.h"
 #include "eventlog/jobfollower.h"
 #include "eventlog/jobsubmitter.h"
@@ -37,6 +38,9 @@
     control::ControllerElection& control() { return control_; }
     eventlog::JobFollower& follower() { return follower_; }
 
+    /// Time at which the process started.
+    foundation::SteadyTime startedAt() const { return startedAt_; }
+
 private:
     foundation::TimerQueue timers_;
     EmulatedPlatformClient platformClient_;
@@ -46,6 +50,8 @@
     control::SubmissionRouter router_;
     eventlog::JobSubmitter submitter_;
     entry::JobService service_;
+    entry::DeclarationWatcher declarationWatcher_;
+    foundation::SteadyTime startedAt_;
 };
 
 /// Several entries on one emulated platform, driven by one clock. Runs with the same seed are identical.
@@ -91,6 +97,9 @@
     /// the number answers with nothing.
     void queryPending(const std::string& entryName, std::function<void(std::optional<std::size_t>)> onAnswer = nullptr);
 
+    /// Looks up the queue of a request at an entry and checks the answer against the invariants.
+    void queryQueue(const std::string& entryName, const std::string& host, const std::string& path);
+
     /// Advances the clock by `duration` and runs everything that falls due.
     void advanceTime(milliseconds duration);
 
--- a/src/emulator/internal/emulatedplatform.cpp
+++ b/src/emulator/internal/emulatedplatform.cpp
@@ -21,7 +21,7 @@
     constexpr milliseconds usualLatency { 4 };
     return isStoreDown || isStoreUnresponsive || !entriesPartitionedFromStore.empty() || isDirectoryDown
         || !linkBytesPerSecond.empty() || lostAppendAnswerRatio > 0 || lateAppendRatio > 0
-        || storeLatency > usualLatency || appendDuration > milliseconds(0);
+        || lostDeclarationAnswerRatio > 0 || storeLatency > usualLatency || appendDuration > milliseconds(0);
 }
 
 bool InjectedFaults::isInstanceDisturbed() const
@@ -39,6 +39,13 @@
 {
 }
 
+void EmulatedPlatform::setConfiguration(const fleet::FleetConfiguration& configuration)
+{
+    configuration_ = configuration;
+    ++endOfDeclarations_;
+    invariants_.onConfigurationDeclared(configuration);
+}
+
 bool EmulatedPlatform::drawWithProbability(double probability)
 {
     return probability > 0 && std::uniform_real_distribution<double>(0, 1)(random_) < probability;
--- a/src/emulator/internal/emulatedplatformclient.cpp
+++ b/src/emulator/internal/emulatedplatformclient.cpp
@@ -24,7 +24,9 @@
     constexpr milliseconds latestAppend { 6000 }; ///< Longest delay of an append that is done late.
     constexpr milliseconds latestMachineOrder { 4000 }; ///< Longest delay of a machine order that is carried out late.
     constexpr milliseconds machineOrderTimeout { 800 }; ///< Time until a machine order without an answer fails.
-    constexpr milliseconds watchPollInterval { 200 }; ///< Interval at which watches are answered.
+    constexpr milliseconds watchPollInterval { 200 }; ///< Interval at which watches of the instances are answered.
+    constexpr milliseconds declarationPollInterval { 50 }; ///< Delay of a declaration until a watch is answered.
+    constexpr milliseconds declarationTimeoutMargin { 1500 }; ///< As in the HTTP client of keyed topics.
 
 } // namespace
 
@@ -174,12 +176,39 @@
 
 void EmulatedPlatformClient::loadDeclarations(OperatorCallback done)
 {
-    answer(networkDelay, [this, done] { done(fleet::OperatorChanges { platform_.configuration(), {}, 0 }); });
+    // No reader has read the declarations from offset 0 on, so all of them count as changes.
+    watchDeclarations(0, milliseconds(0), std::move(done));
 }
 
-void EmulatedPlatformClient::watchDeclarations(std::uint64_t, milliseconds, OperatorCallback done)
+void EmulatedPlatformClient::watchDeclarations(std::uint64_t from, milliseconds wait, OperatorCallback done)
 {
-    answer(watchPollInterval, [this, done] { done(fleet::OperatorChanges { platform_.configuration(), {}, 0 }); });
+    if (!isStoreReachable())
+        return answer(networkDelay, [done] { done(failure(Errc::Unavailable, "declarations.watch")); });
+    const double lostRatio = platform_.faults().lostDeclarationAnswerRatio;
+    if (lostRatio > 0 && std::uniform_real_distribution<double>(0, 1)(platform_.laterFaultsRandom()) < lostRatio)
+        return failDeclarations(wait, done);
+    answer(platform_.faults().storeLatency, [this, from, wait, done] { answerDeclarations(from, wait, done); });
+}
+
+// A connection that breaks down while the store holds the answer back shows by its timeout only.
+void EmulatedPlatformClient::answerDeclarations(std::uint64_t from, milliseconds wait, const OperatorCallback& done)
+{
+    if (!isStoreReachable() || platform_.faults().isStoreUnresponsive)
+        return failDeclarations(wait, done);
+    if (platform_.endOfDeclarations() <= from && wait > milliseconds(0)) {
+        const auto pause = std::min(wait, declarationPollInterval);
+        return answer(pause, [this, from, wait, pause, done] { answerDeclarations(from, wait - pause, done); });
+    }
+    fleet::OperatorChanges changes;
+    changes.nextOffset = platform_.endOfDeclarations();
+    if (changes.nextOffset > from)
+        changes.configuration = platform_.configuration();
+    answer(networkDelay, [done, changes] { done(changes); });
+}
+
+void EmulatedPlatformClient::failDeclarations(milliseconds wait, const OperatorCallback& done)
+{
+    answer(wait + declarationTimeoutMargin, [done] { done(failure(Errc::Timeout, "declarations.watch")); });
 }
 
 // Every load returns the whole list of instances, and watchInstances() makes the caller load again.
--- a/src/emulator/internal/emulation.cpp
+++ b/src/emulator/internal/emulation.cpp
@@ -32,17 +32,23 @@
     , router_(control_, context_, self.entry)
     , submitter_(router_, clock, timers_)
     , service_(follower_, submitter_, clock, events)
+    , declarationWatcher_(platformClient_, clock, timers_, events)
+    , startedAt_(clock.now())
 {
     service_.setControlStateChecks(
         [this] { return control_.isController(); }, [this](jobs::JobId job) { return control_.isStored(job); });
     submitter_.setStoreAvailabilityCheck([this] { return control_.isStoreAnswering(); });
-    service_.setConfiguration(platform.configuration());
-    control_.setConfiguration(platform.configuration());
+    service_.setConfigurationAge([this] { return declarationWatcher_.age(); }, configurationBound);
+    declarationWatcher_.onConfiguration([this](const fleet::FleetConfiguration& configuration) {
+        service_.setConfiguration(configuration);
+        control_.setConfiguration(configuration);
+    });
     follower_.onChange([this] {
         submitter_.onLogRead();
         control_.onTableChanged();
     });
     follower_.start();
+    declarationWatcher_.start();
     control_.start();
 }
 
@@ -176,6 +182,16 @@
         });
 }
 
+void Emulation::queryQueue(const std::string& entryName, const std::string& host, const std::string& path)
+{
+    EmulatedEntry* target = entry(entryName);
+    if (!target || pausedEntries_.count(entryName))
+        return;
+    const auto lookup = target->service().findQueue(host, path);
+    platform_.invariants().onQueueLookup(
+        { entryName, target->startedAt(), host, path, lookup.queue != nullptr, lookup.isCurrent });
+}
+
 void Emulation::advanceTime(milliseconds duration)
 {
     const auto end = clock_.time + duration;
--- a/src/emulator/internal/invariantchecker.cpp
+++ b/src/emulator/internal/invariantchecker.cpp
@@ -93,10 +93,35 @@
         doneTasks_.insert(end.task);
 }
 
+void InvariantChecker::onConfigurationDeclared(const fleet::FleetConfiguration& configuration)
+{
+    configurations_.emplace_back(clock_.now(), configuration);
+}
+
+// An answer may be that of each configuration that was the latest one at some time within the bound.
+void InvariantChecker::onQueueLookup(const QueueAnswer& answer)
+{
+    const std::string name = answer.entry + ", " + answer.host + answer.path;
+    if (!answer.isCurrent) {
+        if (clock_.now() > std::max(inTouchSince_, answer.entryStartedAt + stabilityWindow))
+            addViolation("configuration older than its bound on an undisturbed entry", name);
+        return;
+    }
+    for (std::size_t i = configurations_.size(); i-- > 0;) {
+        const auto& [declaredAt, configuration] = configurations_[i];
+        if ((configuration.route(answer.host, answer.path) != nullptr) == answer.isFound)
+            return;
+        if (declaredAt + configurationBound < clock_.now())
+            break;
+    }
+    addViolation("queue looked up in a superseded configuration", name + (answer.isFound ? ", found" : ", not found"));
+}
+
 void InvariantChecker::onDisruption(Disruption kind)
 {
     const auto until = clock_.now() + (kind == Disruption::Store ? stabilityWindow : milliseconds(0));
     undisturbedSince_ = std::max(undisturbedSince_, until);
+    inTouchSince_ = std::max(inTouchSince_, clock_.now() + stabilityWindow);
 }
 
 void InvariantChecker::checkCancelledRuns()
--- a/src/emulator/invariantchecker.h
+++ b/src/emulator/invariantchecker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "emulator/emulatedinstance.h"
+#include "fleet/types/fleet.h"
 #include "jobs/types/jobspec.h"
 #include "jobs/types/taskid.h"
 
@@ -8,6 +9,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace turmericsill::emulator {
@@ -18,6 +20,19 @@
     Store, ///< At the platform's store, which counts as stable only some time later.
 };
 
+/// Time in which a declared configuration must be in force at every entry.
+constexpr milliseconds configurationBound { 2000 };
+
+/// An entry's answer about the queue of a request.
+struct QueueAnswer {
+    std::string entry;
+    foundation::SteadyTime entryStartedAt;
+    std::string host;
+    std::string path;
+    bool isFound = false;
+    bool isCurrent = false; ///< Whether the entry relies on its configuration.
+};
+
 /// Checks the invariants of job execution by comparing what callers were told with what instances run.
 class InvariantChecker {
 public:
@@ -39,6 +54,12 @@
     /// A caller was told the number of pending jobs; `askedAt` is the time of its request.
     void onReportedPending(std::size_t pending, foundation::SteadyTime askedAt);
 
+    /// An operator declared a configuration and was told that it is stored.
+    void onConfigurationDeclared(const fleet::FleetConfiguration& configuration);
+
+    /// An entry was asked for the queue of a request.
+    void onQueueLookup(const QueueAnswer& answer);
+
     /// An entry, an instance, a link or the store is disturbed at this moment. Workers that leave after a notice,
     /// cancellations and new workers are no disruption.
     void onDisruption(Disruption kind);
@@ -90,8 +111,11 @@
     std::set<jobs::TaskId> doneTasks_; ///< Tasks of which an end with RunOutcome::Done was acknowledged.
     /// Time from which on no disruption is near: of the latest one, and for the store of the end of its instability.
     foundation::SteadyTime undisturbedSince_ {};
+    /// Time from which on the entries count as in touch with the platform.
+    foundation::SteadyTime inTouchSince_ {};
     std::map<jobs::TaskId, foundation::SteadyTime> lateStarts_; ///< Tasks whose latest start was by a late order.
     std::set<jobs::TaskId> overdueTasks_; ///< Tasks of cancelled jobs that were found at work too late.
+    std::vector<std::pair<foundation::SteadyTime, fleet::FleetConfiguration>> configurations_; ///< With their times.
     std::vector<std::string> violations_;
     bool isExecutingLateOrder_ = false;
 };
--- a/src/emulator/tests/explorationtests.cpp
+++ b/src/emulator/tests/explorationtests.cpp
@@ -26,6 +26,9 @@
 constexpr milliseconds calmPhase { 10000 };
 constexpr std::int64_t promptCancellationDelayMs = 150; ///< Longest time from the answer to a job to its cancellation.
 const std::uint64_t cancellationSeedMask = 0x5bd1e995; ///< Makes the seed of the random cancellations.
+const std::uint64_t configurationSeedMask = 0x2545f491; ///< Makes the seed of the random configurations.
+constexpr std::int64_t stepsPerConfiguration = 6; ///< Mean number of a schedule's steps for each configuration.
+constexpr std::int64_t stepsPerLossChange = 25; ///< Mean number of steps until answers get lost or no more.
 const std::vector<std::string> instanceNames { "i-1", "i-2", "i-3", "i-4" };
 
 std::uint64_t numberFromEnvironment(const char* name, std::uint64_t fallback)
@@ -42,6 +45,8 @@
     /// after an order, appends and machine orders are carried out late. Cancellations and releases go on when the
     /// other faults have ended.
     bool cancelsPromptly = false;
+    /// Queues are added and removed, and answers to reads of the declarations get lost.
+    bool changesConfigurations = false;
 };
 
 /// Random schedule of submissions, cancellations and faults, followed by a recovery phase without faults in which every
@@ -55,6 +60,7 @@
         , fixture_(seed)
         , capacityRandom_(~seed)
         , cancellationRandom_(seed ^ cancellationSeedMask)
+        , configurationRandom_(seed ^ configurationSeedMask)
     {
     }
 
@@ -68,7 +74,10 @@
                 performRandomCapacityAction();
             if (options_.cancelsPromptly)
                 performRandomCancellationAction(true);
+            if (options_.changesConfigurations)
+                performRandomConfigurationAction();
             fixture_.queryAllPending();
+            queryAllQueues();
             fixture_.emulation.advanceTime(milliseconds(randomNumber(5, 250)));
             if (!fixture_.violations().empty())
                 return fixture_.violations().front();
@@ -77,7 +86,7 @@
         if (options_.cancelsPromptly)
             playCalmPhase();
         cancelLongRunningJobs();
-        fixture_.emulation.advanceTime(recoveryPhase);
+        playRecovery();
         fixture_.queryAllStatuses();
         fixture_.emulation.advanceTime(milliseconds(200));
         if (!fixture_.violations().empty())
@@ -142,6 +151,52 @@
             faults.isDirectoryDown = !faults.isDirectoryDown;
     }
 
+    // Draws from a generator of its own, so that the other actions of a seed stay the same.
+    void performRandomConfigurationAction()
+    {
+        const auto isDrawn = [this](std::int64_t steps) {
+            return std::uniform_int_distribution<std::int64_t>(1, steps)(configurationRandom_) == 1;
+        };
+        auto& faults = fixture_.emulation.platform().faults();
+        if (isDrawn(stepsPerLossChange))
+            faults.lostDeclarationAnswerRatio = faults.lostDeclarationAnswerRatio > 0 ? 0 : 0.4;
+        if (!isDrawn(stepsPerConfiguration))
+            return;
+        auto configuration = fixture_.emulation.platform().configuration();
+        ++configuration.version;
+        if (configuration.queues.size() > 1 && isDrawn(3)) {
+            configuration.queues.pop_back();
+        } else {
+            auto queue = configuration.queues.front();
+            queue.name = "added-" + std::to_string(nextQueue_++);
+            queue.pathPrefix = "/" + queue.name + "/";
+            configuration.queues.push_back(queue);
+        }
+        fixture_.emulation.platform().setConfiguration(configuration);
+    }
+
+    /// Asks each live entry for queues that were never removed, added, removed or never declared.
+    void queryAllQueues()
+    {
+        constexpr int checkedQueues = 5;
+        for (const auto& entry : fixture_.emulation.liveEntries()) {
+            for (const char* path : { "/calls/", "/other/" })
+                fixture_.emulation.queryQueue(entry, "calls.example", path);
+            for (int number = std::max(1, nextQueue_ - checkedQueues); number < nextQueue_; ++number)
+                fixture_.emulation.queryQueue(entry, "calls.example", "/added-" + std::to_string(number) + "/");
+        }
+    }
+
+    void playRecovery()
+    {
+        constexpr milliseconds queryInterval { 500 };
+        const auto end = fixture_.emulation.clock().time + recoveryPhase;
+        while (fixture_.emulation.clock().time < end) {
+            fixture_.emulation.advanceTime(queryInterval);
+            queryAllQueues();
+        }
+    }
+
     std::int64_t drawForCancellations(std::int64_t minimum, std::int64_t maximum)
     {
         return std::uniform_int_distribution<std::int64_t>(minimum, maximum)(cancellationRandom_);
@@ -381,6 +436,8 @@
     std::mt19937_64 cancellationRandom_;
     jobs::JobId nextJob_ = 0x1000;
     jobs::JobId nextCancelledJob_ = 0x9000;
+    std::mt19937_64 configurationRandom_;
+    int nextQueue_ = 1;
     int nextEntry_ = 4;
     std::uint64_t nextWave_ = 1;
     std::vector<std::pair<jobs::JobId, jobs::JobSpec>> submitted_;
@@ -443,6 +500,15 @@
     CHECK(countFailedSchedules(options) == 0);
 }
 
+// An entry that does not notice that its reads get no answer, or that goes on from an old place, refuses requests for
+// queues that were declared and serves queues that were removed.
+TEST_CASE("exploration: no entry answers by a configuration that is older than its bound", "[exploration]")
+{
+    ScheduleOptions options;
+    options.changesConfigurations = true;
+    CHECK(countFailedSchedules(options) == 0);
+}
+
 TEST_CASE("exploration: schedules that once violated an invariant pass", "[exploration]")
 {
     // Seeds by the subject of the fault that they found: claims under the same epoch (22, 122), successive incarnations
