--- a/src/control/internal/instancedirectory.cpp
+++ b/src/control/internal/instancedirectory.cpp
@@ -60,7 +60,7 @@
 {
     nextOffset_ = changes.nextOffset;
     asOf_ = asOf;
-    std::set<std::string> present;
+    std::set<std::string> present = changes.undecodable;
     for (const auto& change : changes.changes) {
         present.insert(change.instance);
         onChange_(change);
--- a/src/fleet/ifleetsource.h
+++ b/src/fleet/ifleetsource.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,8 @@
 struct InstanceChanges {
     std::vector<InstanceChange> changes;
     std::uint64_t nextOffset = 0; ///< Offset at which the next watch begins.
+    /// Instances with an entry that cannot be decoded. What they reported before holds.
+    std::set<std::string> undecodable;
     bool isComplete = false; ///< The changes hold the reports of all instances; a missing instance has none any more.
 };
 
