Entry: reads of the declarations have connections of their own

Cause, read in the code: the watch shared twelve connections and one queue with callers' reads and the job log. When these get no response, a watch that has to be sent again waits for its whole timeout and fails without having been sent, so that a configuration comes into force too late. The users' report may or may not be of this kind: suspected.

Change: HttpFleetSource takes a client for the declarations, with eight connections, enough for a watch and the reads beside an overdue one.

With one client for both, its load of the declarations waits behind the reads that hang.

--- a/src/entryd/entryprocess.h
+++ b/src/entryd/entryprocess.h
@@ -80,6 +80,7 @@
     telemetry::EventMetrics events_;
     telemetry::Readiness readiness_;
     prometheus::Gauge& configurationAge_;
+    httpclient::PooledHttpClient declarationClient_;
     httpclient::PooledHttpClient storeReadClient_;
     httpclient::PooledHttpClient storeWriteClient_;
     httpclient::PooledHttpClient machineControlClient_;
--- a/src/entryd/internal/entryprocess.cpp
+++ b/src/entryd/internal/entryprocess.cpp
@@ -14,7 +14,8 @@
     constexpr unsigned statusBadRequest = 400;
     constexpr unsigned statusServiceUnavailable = 503;
     constexpr unsigned statusGatewayTimeout = 504;
-    constexpr std::size_t storeReadConnections = 12; ///< Three for long polls, the others for callers' reads.
+    constexpr std::size_t declarationConnections = 8; ///< Enough for a watch and the reads beside an overdue one.
+    constexpr std::size_t storeReadConnections = 12; ///< Two for long polls, the others for callers' reads.
     /// Enough for 100 appends a second, a third of which get no response and occupy a connection for 2.5 s.
     constexpr std::size_t storeWriteConnections = 100;
     /// A surge moves hundreds of machines at once; the platform takes an order in about 15 ms.
@@ -81,11 +82,12 @@
     , events_(metrics_, eventSink_)
     , configurationAge_(metrics_.gauge("configuration_age_seconds",
           "Time since when changes of the configuration that were confirmed may be missing"))
+    , declarationClient_(context_, settings_.storeAddress, declarationConnections)
     , storeReadClient_(context_, settings_.storeAddress, storeReadConnections)
     , storeWriteClient_(context_, settings_.storeAddress, storeWriteConnections)
     , machineControlClient_(context_, settings_.machineControlAddress, machineControlConnections)
     , jobLog_(storeReadClient_, storeWriteClient_, { settings_.entry, settings::processorMillicores(settings_) })
-    , fleetSource_(storeReadClient_,
+    , fleetSource_(declarationClient_, storeReadClient_,
           [this](const foundation::Error& error) {
               events_.write("entry.foreign", { { "reason", error.message() } });
           })
