HTTP client: the connection of a call that was given up is reset

Cause: a call that had timed out closed its connection in the ordinary way, which still delivers what was sent on it once a partition heals. The class: an authority that is checked when an order is sent, and not bounded for the time that the order may be under way. It holds for every order, also those for instances.

Change: a call that fails, or whose client is destroyed, resets its connection, and TCP_USER_TIMEOUT ends a connection with data that were not delivered for 2 s, also while the process is frozen (by its definition, not shown by a run).

The new test fails on the code before: end of file instead of a reset.

--- a/review/standin/net.h
+++ b/review/standin/net.h
@@ -321,12 +321,22 @@
         ::close(client);
     }
 
+    static bool isReset(int fd)
+    {
+        pollfd entry { fd, POLLIN, 0 };
+        return ::poll(&entry, 1, 0) > 0 && (entry.revents & POLLERR) != 0;
+    }
+
     void pump(int from, int to) const
     {
         char buffer[65536];
         while (true) {
             const ssize_t got = ::recv(from, buffer, sizeof(buffer), 0);
+            const bool isHeldUp = isCut_;
             waitUntilHealed();
+            // Bytes that are held up by a partition are lost if their sender resets the connection.
+            if (isHeldUp && isReset(from))
+                break;
             if (got <= 0 || !sendAll(to, buffer, static_cast<std::size_t>(got)))
                 break;
         }
--- a/src/httpclient/internal/clientconnection.cpp
+++ b/src/httpclient/internal/clientconnection.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
 #include <cerrno>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <utility>
@@ -25,7 +26,11 @@
 
 namespace {
 
+    /// Option of a socket: milliseconds after which the system ends a connection whose data were not delivered.
+    using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+
     constexpr std::uint64_t maximumResponseBytes = 256u << 20; ///< Enough for a page of the largest log read.
+    constexpr foundation::milliseconds deliveryTimeout { 2000 }; ///< Holds while this process does not run, too.
     constexpr std::size_t minimumReadBytes = 1024; ///< Enough for nearly all answers of instances.
 
     void appendField(std::string& header, std::string_view name, std::string_view value)
@@ -85,10 +90,21 @@
 void ClientConnection::detach()
 {
     client_ = nullptr;
+    if (done_)
+        abort();
     done_ = nullptr;
     close();
 }
 
+// A connection that is closed in the ordinary way still delivers what was sent on it, however late. The server must not
+// carry out a call after its caller has given it up, since an order that was sent later may have overtaken it by then.
+void ClientConnection::abort()
+{
+    beast::error_code ignored;
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    close();
+}
+
 void ClientConnection::close()
 {
     isClosed_ = true;
@@ -136,6 +152,7 @@
         self->isConnected_ = true;
         beast::error_code ignored; // Without this option the connection is only slower.
         self->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+        self->socket_.set_option(UserTimeout(static_cast<int>(deliveryTimeout.count())), ignored);
         self->write();
         self->read();
     });
@@ -223,6 +240,7 @@
 void ClientConnection::fail(Errc code, const beast::error_code& error)
 {
     const std::string address = client_ ? client_->address().toString() : std::string();
+    abort();
     finish(failure(code, operation_, address, error.message()), false);
 }
 
--- a/src/httpclient/internal/clientconnection.h
+++ b/src/httpclient/internal/clientconnection.h
@@ -47,6 +47,7 @@
     void onResponse();
     void fail(foundation::Errc code, const boost::beast::error_code& error);
     void finish(foundation::Result<HttpResponse> result, bool canReuseConnection);
+    void abort();
     void close();
 
     foundation::TcpSocket socket_;
--- a/src/httpclient/tests/pooledhttpclienttests.cpp
+++ b/src/httpclient/tests/pooledhttpclienttests.cpp
@@ -288,6 +288,33 @@
     CHECK(failed == std::vector<std::string> { "first", "second", "last" });
 }
 
+// What a partition holds up is delivered when it heals, unless the sender has reset the connection. An order would be
+// carried out after those of a later controller.
+TEST_CASE("http client: the connection of a call that has timed out is reset", "[httpclient]")
+{
+    boost::asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
+    const foundation::Address address { "127.0.0.1", acceptor.local_endpoint().port() };
+    std::optional<PooledHttpClient> client(std::in_place, context, address, 1);
+    bool isAnswered = false;
+    HttpCall call = postCall("late");
+    call.timeout = 50ms;
+    const bool isClientDestroyed = GENERATE(false, true);
+    client->send(std::move(call), [&](const auto&) { isAnswered = true; });
+    asio::ip::tcp::socket server = acceptor.accept();
+    context.run_for(20ms);
+    if (isClientDestroyed)
+        client.reset();
+    else
+        context.run_for(200ms);
+    CHECK(isAnswered == !isClientDestroyed);
+    boost::system::error_code error;
+    std::array<char, 4096> received {};
+    while (!error)
+        server.read_some(asio::buffer(received), error);
+    CHECK(error == asio::error::connection_reset);
+}
+
 // A controller whose turns take longer than the timeout of an order took answered orders for lost ones and sound
 // instances for silent ones.
 TEST_CASE("http client: a call whose response arrived while the thread was late does not time out", "[httpclient]")
