--- a/src/entry/declarationwatcher.h
+++ b/src/entry/declarationwatcher.h
@@ -13,8 +13,8 @@
 using foundation::milliseconds;
 
 /// Watches the declarations of operators and reports each change. A configuration that is no newer than the one in
-/// force is ignored. While a read is overdue, further ones are sent beside it, so that the age of what is known does not
-/// depend on a single answer.
+/// force is ignored. While a read is overdue, further ones are sent beside it, so that the age of what is known does
+/// not depend on a single answer.
 class DeclarationWatcher {
 public:
     DeclarationWatcher(fleet::IFleetSource& source, foundation::IClock& clock, foundation::ITimerQueue& timers,
--- a/src/entry/jobservice.h
+++ b/src/entry/jobservice.h
@@ -21,8 +21,8 @@
     /// log, and whether everything that it knows about a job is already in the log.
     void setControlStateChecks(std::function<bool()> isController, std::function<bool(jobs::JobId)> isStored);
 
-    /// Sets the source of the age of the configuration: changes that were confirmed longer ago are known. A configuration
-    /// older than `maximumAge` does not tell that a queue does not exist.
+    /// Sets the source of the age of the configuration: changes that were confirmed longer ago are known. A
+    /// configuration older than `maximumAge` does not tell that a queue does not exist.
     void setConfigurationAge(std::function<milliseconds()> age, milliseconds maximumAge);
 
     QueueLookup findQueue(const std::string& host, const std::string& path) override;
