Revert "Declaration watcher: reads beside an overdue watch become rarer while they time out"

While one call loads the newest records, another fails at once with Unavailable, which the change took for a store out of reach, so that it read more often instead of less.

--- a/src/entry/declarationwatcher.h
+++ b/src/entry/declarationwatcher.h
@@ -45,7 +45,7 @@
     void scheduleOverdueRead(std::uint64_t watch, milliseconds delay);
     void read(milliseconds wait, ReadCallback done);
     void onAnswer(const fleet::OperatorChanges& changes, foundation::SteadyTime sentAt, milliseconds wait);
-    void onFailure(const foundation::Error& error, bool isCurrentWatch);
+    void onFailure(const foundation::Error& error);
     void applyChanges(const fleet::OperatorChanges& changes, foundation::SteadyTime asOf);
     void setSourceLost(bool isLost, const std::string& reason);
 
@@ -61,8 +61,6 @@
     bool mustLoad_ = true; ///< Whether the changes from nextOffset_ on cannot be read.
     std::uint64_t watch_ = 0; ///< Number of the latest watch.
     std::size_t overdueReads_ = 0; ///< Reads in progress beside an overdue watch.
-    milliseconds overdueReadInterval_; ///< Interval of such reads.
-    bool isStoreUnreachable_ = false; ///< Whether the latest read that failed did not reach the store.
     bool isSourceLost_ = false; ///< Whether the latest watch is overdue or has failed.
 };
 
--- a/src/entry/internal/declarationwatcher.cpp
+++ b/src/entry/internal/declarationwatcher.cpp
@@ -21,9 +21,7 @@
     /// Interval of the reads beside an overdue watch. Three of them fit into the 2 s in which a change must be in
     /// force.
     constexpr milliseconds overdueReadInterval { 300 };
-    constexpr milliseconds longestOverdueReadInterval { 4800 };
-    constexpr std::size_t maximumOverdueReads = 2;
-    constexpr std::size_t maximumUnconnectedReads = 5; ///< Enough until the first one times out.
+    constexpr std::size_t maximumOverdueReads = 5; ///< Enough until the first one times out.
 
 } // namespace
 
@@ -33,7 +31,6 @@
     , clock_(clock)
     , timers_(timers)
     , events_(events)
-    , overdueReadInterval_(overdueReadInterval)
 {
 }
 
@@ -57,9 +54,7 @@
                 this->watch();
         });
     });
-    // While the store is out of reach, only a further read shows that the path is back.
-    const auto usualDelay = std::max(watchTimeout + overdueMargin, overdueReadInterval_);
-    scheduleOverdueRead(watch, isStoreUnreachable_ ? overdueReadInterval_ : usualDelay);
+    scheduleOverdueRead(watch, watchTimeout + overdueMargin);
 }
 
 // The first answer to any of the reads ends the watch and begins the next one.
@@ -68,11 +63,11 @@
     timers_.schedule(clock_.now() + delay, [this, watch] {
         if (watch != watch_)
             return;
-        scheduleOverdueRead(watch, overdueReadInterval_);
+        scheduleOverdueRead(watch, overdueReadInterval);
         if (source_.isReceivingDeclarations())
             return;
         setSourceLost(true, "the watch of the declarations is overdue");
-        if (overdueReads_ >= (isStoreUnreachable_ ? maximumUnconnectedReads : maximumOverdueReads))
+        if (overdueReads_ >= maximumOverdueReads)
             return;
         ++overdueReads_;
         read(milliseconds(0), [this, watch](bool isRead) {
@@ -90,8 +85,8 @@
                                 const Result<OperatorChanges>& changes) {
         if (changes)
             onAnswer(*changes, sentAt, timeAtStore);
-        else
-            onFailure(changes.error(), watch == watch_);
+        else if (watch == watch_)
+            onFailure(changes.error());
         done(changes.has_value());
     };
     if (mustLoad_)
@@ -100,15 +95,8 @@
         source_.watchDeclarations(nextOffset_, wait, onAnswered);
 }
 
-// An overloaded store answers none of many reads in time, so they become rarer. Reads that do not reach the store cost
-// it nothing, and one of them must be under way when the path is back.
-void DeclarationWatcher::onFailure(const foundation::Error& error, bool isCurrentWatch)
+void DeclarationWatcher::onFailure(const foundation::Error& error)
 {
-    isStoreUnreachable_ = error.code == Errc::Unavailable;
-    overdueReadInterval_
-        = isStoreUnreachable_ ? overdueReadInterval : std::min(2 * overdueReadInterval_, longestOverdueReadInterval);
-    if (!isCurrentWatch)
-        return;
     mustLoad_ = mustLoad_ || error.code == Errc::RetentionPassed;
     setSourceLost(true, error.message());
 }
@@ -117,8 +105,6 @@
 void DeclarationWatcher::onAnswer(const OperatorChanges& changes, foundation::SteadyTime sentAt, milliseconds wait)
 {
     setSourceLost(false, {});
-    isStoreUnreachable_ = false;
-    overdueReadInterval_ = overdueReadInterval;
     if (changes.nextOffset < nextOffset_)
         return;
     // A watch that brings nothing has waited at the store for its whole time.
