Controller: a task whose attempts are used up fails its job under any controller

What callers saw: nothing yet.

Cause: whether the attempts of a task are used up was asked once, by the controller that recorded the end of the run, with the configuration of that moment. The end and the failure of the job are two records. A controller that ends between them leaves the first one only; with a queue that is not in the configuration the question was never asked again.

Evidence: a log that holds four failed runs and no failure of the job, taken over by an entry (maximum attempts 4). On the new test fails: the task is started a fifth time and the job is completed, with the queue known and unknown.

Change: JobTable counts the failed runs of a job, and the controller asks for each job that changed, a table that was just taken over included, and for all jobs with failures when the configuration changes. A job without enough failures is passed over by one comparison. Conviction after crashes was derived from the table already.

Ruled out: keeping the pair in one append; it would bind the size of appends to what is decided together.

--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -169,7 +169,7 @@
     void repeatStops();
     void startPlacements(const std::string& pool, const scheduling::PoolPlan& plan);
     void requestAdvice(const scheduling::PoolPlan& plan, const scheduling::InstanceIndex& instances);
-    void failJobIfAttemptsExhausted(const jobs::TaskId& task);
+    void failJobIfAttemptsExhausted(const jobs::Job& job);
     void removeExpiredJobs();
     bool isSchedulable(const InstanceSession& session) const;
     scheduling::InstanceView viewOf(const InstanceSession& session) const;
--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -99,6 +99,13 @@
 void Controller::setConfiguration(const fleet::FleetConfiguration& configuration)
 {
     configuration_ = configuration;
+    std::vector<jobs::JobId> jobsWithFailures; // A job that fails leaves the list of open jobs.
+    for (const Job& job : context_.follower.table().openJobs()) {
+        if (job.failedRuns > 0)
+            jobsWithFailures.push_back(job.id);
+    }
+    for (const jobs::JobId id : jobsWithFailures)
+        failJobIfAttemptsExhausted(*context_.follower.table().find(id));
     scheduler_.setConfiguration(configuration);
     schedulePlan();
 }
@@ -360,8 +367,10 @@
 {
     for (const jobs::JobId id : context_.follower.takeChangedJobs()) {
         const Job* job = context_.follower.table().find(id);
-        if (job)
+        if (job) {
             failJobIfCrashing(*job);
+            failJobIfAttemptsExhausted(*job);
+        }
         scheduler_.updateJob(id);
         if (job)
             jobTimer_.update(*job, configuration_.findQueue(job->queue), scheduler_.isWaiting(id));
@@ -648,32 +657,25 @@
     health_.recordRunOutcome(session.incarnation().instance, record.outcome);
     if (record.outcome == RunOutcome::Failed)
         excludeUntilHealthy(session.incarnation().instance);
-    if (record.outcome == RunOutcome::Failed)
-        failJobIfAttemptsExhausted(record.task);
+    const Job* job = context_.follower.table().find(record.task.job);
+    if (record.outcome == RunOutcome::Failed && job)
+        failJobIfAttemptsExhausted(*job);
     schedulePlan();
 }
 
-void Controller::failJobIfAttemptsExhausted(const TaskId& id)
+// The end of a run may be in the log without the failure of its job that follows from it, and the queue of the job may
+// have been unknown then. So the failures in the table are what counts, not the end that was just recorded.
+void Controller::failJobIfAttemptsExhausted(const Job& job)
 {
-    const Job* job = context_.follower.table().find(id.job);
-    if (!job || job->isFinal() || job->spec.steps[id.step].isLongRunning)
-        return;
-    const fleet::Queue* queue = configuration_.findQueue(job->queue);
-    if (!queue)
-        return;
-    const auto& step = job->occurrences.at(id.occurrence).steps[id.step];
-    std::uint32_t failures = step.tasks[id.index].failures;
-    if (job->spec.steps[id.step].isGang) {
-        failures = 0;
-        for (const auto& member : step.tasks)
-            failures += member.failures;
-    }
-    if (failures < queue->maximumAttempts)
+    const fleet::Queue* queue = job.isFinal() ? nullptr : configuration_.findQueue(job.queue);
+    const auto task = queue ? job.findTaskWithoutAttempts(queue->maximumAttempts) : std::nullopt;
+    if (!task)
         return;
     context_.events.write("job.failed",
-        { { "job", jobs::toText(id.job) }, { "task", jobs::toText(id) }, { "failures", std::uint64_t(failures) },
-            { "allowed", std::uint64_t(queue->maximumAttempts) }, { "configuration", configuration_.version } });
-    records_.writeDecidingRecord(jobs::JobFailed { id.job }, id.job);
+        { { "job", jobs::toText(job.id) }, { "task", jobs::toText(*task) },
+            { "failures", std::uint64_t(job.failuresOf(*task)) }, { "allowed", std::uint64_t(queue->maximumAttempts) },
+            { "configuration", configuration_.version } });
+    records_.writeDecidingRecord(jobs::JobFailed { job.id }, job.id);
 }
 
 void Controller::onEndsListed(InstanceSession& session, std::uint64_t number)
--- a/src/emulator/tests/controltests.cpp
+++ b/src/emulator/tests/controltests.cpp
@@ -144,6 +144,39 @@
     CHECK(fixture.violations().empty());
 }
 
+// The end of a run and the failure of its job may be stored in two appends. A controller that ends between them leaves
+// the failures only, and the next one would give the task one attempt too many.
+TEST_CASE("control: a task whose attempts are used up fails its job under the next controller", "[emulation]")
+{
+    constexpr jobs::JobId failing = 0xaf;
+    for (const bool isQueueKnown : { true, false }) {
+        mocks::RecordingSink sink;
+        Emulation emulation(6, EmulationFixture::settings(), sink);
+        fleet::FleetConfiguration otherQueue = fixtures::configuration();
+        otherQueue.queues.front().name = "other";
+        emulation.platform().setConfiguration(isQueueKnown ? fixtures::configuration() : otherQueue);
+        std::vector<std::string> records { jobs::encode(
+            jobs::JobSubmitted { failing, "calls", "desk", milliseconds(1), job({ step(1, 500) }) }, 0) };
+        for (std::uint32_t run = 1; run <= 4; ++run) {
+            const jobs::TaskId task { failing, 0, 0, 0 };
+            records.push_back(jobs::encode(jobs::RunIntended { task, run, { "i-0", 7 } }, 0));
+            records.push_back(jobs::encode(jobs::RunEnded { task, run, jobs::RunOutcome::Failed, {} }, 0));
+        }
+        REQUIRE(emulation.platform().log().append({ records, std::nullopt }));
+        emulation.startEntry("e-1");
+        emulation.advanceTime(milliseconds(1000));
+        REQUIRE(emulation.controller() == "e-1");
+        fleet::FleetConfiguration configuration = fixtures::configuration();
+        configuration.version = 2;
+        emulation.platform().setConfiguration(configuration);
+        emulation.advanceTime(milliseconds(1000));
+        emulation.platform().startInstance("i-1", "desk", { 8000, 16000, 0 });
+        emulation.advanceTime(milliseconds(2000));
+        CHECK(emulation.platform().invariants().startsOf({ failing, 0, 0, 0 }) == 0);
+        CHECK(emulation.entry("e-1")->follower().table().find(failing)->state() == jobs::JobState::Failed);
+    }
+}
+
 // New controllers have no address of the instance, which has left the directory. They must still treat its run as
 // possibly active until its lease has expired.
 TEST_CASE("control: a run on a removed instance is restarted after the former controller was queried", "[emulation]")
--- a/src/jobs/internal/job.cpp
+++ b/src/jobs/internal/job.cpp
@@ -1,6 +1,7 @@
 #include "jobs/types/job.h"
 
 #include <algorithm>
+#include <numeric>
 #include <set>
 
 namespace turmericsill::jobs {
@@ -134,4 +135,33 @@
     return found == crashHistories.end() ? nullptr : &found->first;
 }
 
+std::uint32_t Job::failuresOf(const TaskId& id) const
+{
+    const auto& tasks = occurrences.at(id.occurrence).steps[id.step].tasks;
+    if (!spec.steps[id.step].isGang)
+        return tasks[id.index].failures;
+    return std::accumulate(tasks.begin(), tasks.end(), std::uint32_t(0),
+        [](std::uint32_t sum, const Task& member) { return sum + member.failures; });
+}
+
+std::optional<TaskId> Job::findTaskWithoutAttempts(std::uint32_t maximumAttempts) const
+{
+    if (failedRuns < maximumAttempts)
+        return std::nullopt;
+    for (const auto& [number, occurrence] : occurrences) {
+        for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+            if (spec.steps[step].isLongRunning || occurrence.steps[step].isDone())
+                continue;
+            const auto& tasks = occurrence.steps[step].tasks;
+            for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+                const TaskId task { id, number, step, index };
+                const bool hasFailed = tasks[index].phase != TaskPhase::Done && tasks[index].failures > 0;
+                if (hasFailed && failuresOf(task) >= maximumAttempts)
+                    return task;
+            }
+        }
+    }
+    return std::nullopt;
+}
+
 } // namespace turmericsill::jobs
--- a/src/jobs/internal/jobtable.cpp
+++ b/src/jobs/internal/jobtable.cpp
@@ -243,8 +243,10 @@
     job->hasStarted |= provesStart(record.outcome);
     if (!record.checkpoint.empty())
         task.checkpoint = record.checkpoint;
-    if (record.outcome == RunOutcome::Failed)
+    if (record.outcome == RunOutcome::Failed) {
         ++task.failures;
+        ++job->failedRuns;
+    }
     if (record.outcome == RunOutcome::Done && !job->spec.steps[record.task.step].isLongRunning)
         finishTask(*job, record.task, task);
     markChanged(*job);
--- a/src/jobs/internal/snapshotcodec.cpp
+++ b/src/jobs/internal/snapshotcodec.cpp
@@ -77,6 +77,7 @@
                 step.tasks[j] = taskFromJson(steps.at(i).at(j));
                 step.done += step.tasks[j].phase == TaskPhase::Done;
                 step.active += step.tasks[j].phase == TaskPhase::Active;
+                job.failedRuns += step.tasks[j].failures;
             }
             job.activeRuns += step.active;
         }
--- a/src/jobs/tests/jobtests.cpp
+++ b/src/jobs/tests/jobtests.cpp
@@ -352,6 +352,35 @@
     CHECK(table.openJobs().empty());
 }
 
+TEST_CASE("table: a task is without attempts by its own failures, or by those of its gang, until it is done", "[jobs]")
+{
+    JobTable table;
+    auto gang = step(2);
+    gang.isGang = true;
+    table.apply(submitted(1, { step(2), gang }));
+    const Job& job = *table.find(JobId(1));
+    const auto fail = [&](std::uint32_t stepIndex, std::uint32_t index, std::uint32_t run) {
+        const TaskId task { 1, 0, stepIndex, index };
+        table.apply(RunIntended { task, run, { "i-1", 7 } });
+        table.apply(RunEnded { task, run, RunOutcome::Failed, {} });
+    };
+    fail(0, 0, 1);
+    fail(0, 1, 1);
+    CHECK_FALSE(job.findTaskWithoutAttempts(2));
+    fail(0, 1, 2);
+    CHECK(job.findTaskWithoutAttempts(2) == TaskId { 1, 0, 0, 1 });
+    auto restored = decodeJob(encodeJob(job));
+    REQUIRE(restored);
+    CHECK((*restored)->findTaskWithoutAttempts(2) == TaskId { 1, 0, 0, 1 });
+    table.apply(RunIntended { { 1, 0, 0, 1 }, 3, { "i-1", 7 } });
+    table.apply(RunEnded { { 1, 0, 0, 1 }, 3, RunOutcome::Done, {} });
+    CHECK_FALSE(job.findTaskWithoutAttempts(2));
+    fail(1, 0, 1);
+    fail(1, 1, 2);
+    CHECK(job.findTaskWithoutAttempts(2));
+    CHECK_FALSE(job.findTaskWithoutAttempts(3));
+}
+
 TEST_CASE("table: one done run completes all members of a gang", "[jobs]")
 {
     StepSpec gang = step(3);
--- a/src/jobs/types/job.h
+++ b/src/jobs/types/job.h
@@ -5,6 +5,7 @@
 #include <boost/intrusive/list_hook.hpp>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -95,6 +96,7 @@
     std::map<TaskId, CrashHistory> crashHistories; ///< Tasks under which an instance has crashed.
     std::uint32_t completedOccurrences = 0;
     std::uint32_t activeRuns = 0;
+    std::uint32_t failedRuns = 0; ///< Number of runs, of all tasks, that ended with RunOutcome::Failed.
     bool hasStarted = false; ///< Whether an instance is known to have started a run of any task.
     bool isCancelled = false;
     bool hasFailed = false;
@@ -121,6 +123,12 @@
 
     /// The first task that must not start again because of the crashes under it, or null when there is none.
     const TaskId* findExhaustedTask() const;
+
+    /// Number of failed runs of a task, or of all members of its gang. The job must have the task.
+    std::uint32_t failuresOf(const TaskId& id) const;
+
+    /// The first short task that is not done and of which, or of whose gang, this many runs have failed.
+    std::optional<TaskId> findTaskWithoutAttempts(std::uint32_t maximumAttempts) const;
 };
 
 } // namespace turmericsill::jobs
