Log: appends and records keep to the store's limits, and a rejected append is divided

Cause: batches of runs were bounded by their number, an append by nothing. The store answers 400 to a record over record_bytes, and the writer sent the same bytes again every 50 ms; while its append is refused nothing is planned. The submitter put a rejected batch back as a whole, so one record would hold up its neighbours until their deadline.

Change: limits come from the settings through the adapter, which also says which refusals are final (Errc::Rejected). AppendBuilder bounds records and appends by bytes; the writer sends several appends, each with the callbacks of its records, and divides one that is rejected. A checkpoint that no record holds is dropped with an event, a submission that no record holds is answered 413 at once.

Ruled out: a lower number of runs a batch (any number is too large for some checkpoint); rejecting checkpoints at the instance (the end of the run has to be stored whatever it holds); stepping down on a rejection (the next controller meets the same record).

--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -169,6 +169,7 @@
     void repeatStops();
     void startPlacements(const std::string& pool, const scheduling::PoolPlan& plan);
     void requestAdvice(const scheduling::PoolPlan& plan, const scheduling::InstanceIndex& instances);
+    jobs::RunEnded withStorableCheckpoint(const jobs::RunEnded& record);
     void failJobIfAttemptsExhausted(const jobs::Job& job);
     void removeExpiredJobs();
     bool isSchedulable(const InstanceSession& session) const;
--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -1,6 +1,7 @@
 #include "control/controller.h"
 
 #include "control/internal/controltext.h"
+#include "jobs/appendbuilder.h"
 
 #include <algorithm>
 #include <iterator>
@@ -50,7 +51,9 @@
     , sessionContext_ { instanceControl_, context.clock, *this, formerControllers_, epoch, settings.lease }
     , onStepDown_(std::move(onStepDown))
     , writer_(context.log, context.clock, context.timers, context.events, epoch, 1,
-          [this] { stepDown("fenced by the log"); })
+          [this](const foundation::Error& error) {
+              stepDown(error.code == Errc::Fenced ? "fenced by the log" : "the log rejects a record");
+          })
     , records_(context.follower, writer_)
     , snapshotter_(context.snapshots, context.follower, context.clock, context.events, epoch, settings.snapshotInterval)
     , directory_(
@@ -548,8 +551,10 @@
         { { "instance", incarnation.instance }, { "machine", record.machine },
             { "runs", std::uint64_t(record.runs.size()) }, { "confirmed", countRuns(&jobs::CrashedRun::isConfirmed) },
             { "suspicions", countRuns(&jobs::CrashedRun::isSuspicion) } });
-    if (!record.runs.empty())
-        records_.write(record);
+    if (record.runs.empty())
+        return;
+    for (const auto& part : jobs::divideToFit(record, context_.log.recordLimits()))
+        records_.write(part);
 }
 
 void Controller::failJobIfCrashing(const Job& job)
@@ -652,7 +657,7 @@
         { { "task", jobs::toText(record.task) }, { "run", std::uint64_t(record.run) },
             { "instance", session.incarnation().instance }, { "how", toText(record.outcome) },
             { "epoch", sessionContext_.epoch } });
-    records_.writeDecidingRecord(record, record.task.job);
+    records_.writeDecidingRecord(withStorableCheckpoint(record), record.task.job);
     observedUntil_.erase(record.task);
     health_.recordRunOutcome(session.incarnation().instance, record.outcome);
     if (record.outcome == RunOutcome::Failed)
@@ -663,6 +668,19 @@
     schedulePlan();
 }
 
+// The end of the run has to be stored in any case. Without a checkpoint the task keeps the one before.
+RunEnded Controller::withStorableCheckpoint(const RunEnded& record)
+{
+    RunEnded storable = record;
+    if (jobs::fitsRecord(record, context_.log.recordLimits()))
+        return storable;
+    context_.events.write("checkpoint.dropped",
+        { { "task", jobs::toText(record.task) }, { "run", std::uint64_t(record.run) },
+            { "bytes", std::uint64_t(record.checkpoint.size()) } });
+    storable.checkpoint.clear();
+    return storable;
+}
+
 // The end of a run may be in the log without the failure of its job that follows from it, and the queue of the job may
 // have been unknown then. So the failures in the table are what counts, not the end that was just recorded.
 void Controller::failJobIfAttemptsExhausted(const Job& job)
--- a/src/control/internal/httppeercontrol.cpp
+++ b/src/control/internal/httppeercontrol.cpp
@@ -15,7 +15,15 @@
 
     constexpr milliseconds queryTimeout { 500 };
     constexpr unsigned statusOk = 200;
-    constexpr unsigned statusNotStored = 503;
+    constexpr unsigned statusBadRequest = 400;
+    constexpr unsigned statusContentTooLarge = 413;
+    constexpr unsigned statusServiceUnavailable = 503;
+
+    /// Whether the controller has surely not stored the records that were handed over.
+    bool isNotStored(unsigned status)
+    {
+        return status == statusBadRequest || status == statusContentTooLarge || status == statusServiceUnavailable;
+    }
 
     nlohmann::json toBinary(const std::string& text) { return nlohmann::json::binary({ text.begin(), text.end() }); }
 
@@ -70,7 +78,7 @@
             return done(tl::unexpected(answer.error()));
         if (answer->status == statusOk)
             return done({});
-        const Errc code = answer->status == statusNotStored ? Errc::Unavailable : Errc::ProtocolViolation;
+        const Errc code = isNotStored(answer->status) ? Errc::Unavailable : Errc::ProtocolViolation;
         done(failure(code, "control.forward", {}, "HTTP status " + std::to_string(answer->status)));
     });
 }
--- a/src/control/submissionrouter.h
+++ b/src/control/submissionrouter.h
@@ -16,6 +16,7 @@
     SubmissionRouter(ControllerElection& control, const ControllerContext& context, std::string entry);
 
     std::size_t maximumConcurrentCalls() const override;
+    jobs::RecordLimits recordLimits() const override { return context_.log.recordLimits(); }
     void store(std::vector<std::string> records, foundation::milliseconds timeout, StoreCallback done) override;
 
 private:
--- a/src/control/tests/instancehealthtests.cpp
+++ b/src/control/tests/instancehealthtests.cpp
@@ -1,6 +1,6 @@
 #include "control/instancehealth.h"
-#include "control/tests/mocks/nulleventsink.h"
 #include "foundation/tests/mocks/manualclock.h"
+#include "telemetry/tests/mocks/nulleventsink.h"
 
 #include <catch2/catch.hpp>
 
@@ -11,7 +11,7 @@
 
 struct Fixture {
     foundation::mocks::ManualClock clock;
-    mocks::NullEventSink events;
+    telemetry::mocks::NullEventSink events;
     InstanceHealth health { clock, events };
 };
 
--- a/src/control/tests/instancesessiontests.cpp
+++ b/src/control/tests/instancesessiontests.cpp
@@ -1,7 +1,7 @@
 #include "control/internal/instancesession.h"
-#include "control/tests/mocks/nulleventsink.h"
 #include "foundation/tests/mocks/manualclock.h"
 #include "foundation/timerqueue.h"
+#include "telemetry/tests/mocks/nulleventsink.h"
 
 #include <catch2/catch.hpp>
 #include <utility>
@@ -88,7 +88,7 @@
 
     foundation::mocks::ManualClock clock;
     foundation::TimerQueue timers;
-    mocks::NullEventSink events;
+    telemetry::mocks::NullEventSink events;
     NullPeers peers;
     StartCounter observer;
     HeldInstanceControl control;
--- a/src/emulator/emulatedinstance.h
+++ b/src/emulator/emulatedinstance.h
@@ -19,6 +19,7 @@
     milliseconds duration { 1000 }; ///< Time from the start until the run ends by itself.
     jobs::RunOutcome outcome = jobs::RunOutcome::Done;
     bool isLongRunning = false; ///< The run lasts until it is stopped or the lease expires.
+    std::string checkpoint; ///< Left by the run when it is stopped.
 };
 
 /// One incarnation of an instance with its fencing token, lease, runs and unacknowledged ends, as the platform's
--- a/src/emulator/emulatedlog.h
+++ b/src/emulator/emulatedlog.h
@@ -6,6 +6,7 @@
 #include "foundation/iclock.h"
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -20,7 +21,15 @@
 public:
     explicit EmulatedLog(const foundation::IClock& clock);
 
-    /// Fails with Errc::Fenced when the epoch is lower than the latest one or the sequence number is out of order.
+    /// Sizes of the records and appends that the log accepts, and of the entries of a snapshot.
+    const jobs::RecordLimits& limits() const { return limits_; }
+    void setLimits(const jobs::RecordLimits& limits) { limits_ = limits; }
+
+    /// Makes the log accept smaller appends to the job log than limits() tells.
+    void setAcceptedAppendBytes(std::size_t bytes) { acceptedAppendBytes_ = bytes; }
+
+    /// Fails with Errc::Fenced when the epoch is lower than the latest one or the sequence number is out of order, and
+    /// with Errc::Rejected when the append or one of its records is too large.
     foundation::Result<eventlog::AppendReceipt> append(const eventlog::AppendRequest& request);
 
     /// Fails with Errc::RetentionPassed when the first record asked for was dropped.
@@ -48,7 +57,11 @@
 
     void expireMembers();
 
+    foundation::Result<void> checkSizes(const std::vector<std::size_t>& sizes, std::size_t maximumTotal) const;
+
     const foundation::IClock& clock_;
+    jobs::RecordLimits limits_ { 256 << 10, 2 << 20, 4 };
+    std::size_t acceptedAppendBytes_ = std::numeric_limits<std::size_t>::max();
     std::vector<std::string> records_; ///< Records from offset firstOffset_ on.
     std::uint64_t firstOffset_ = 0;
     std::map<std::string, std::string> snapshot_;
--- a/src/emulator/emulatedplatform.h
+++ b/src/emulator/emulatedplatform.h
@@ -92,6 +92,9 @@
     void setDeadly(const jobs::TaskId& task) { deadlyTasks_.insert(task); }
     bool isDeadly(jobs::JobId job) const;
 
+    /// Makes each run of a task that resumes from checkpoints leave one of this size when it is stopped.
+    void setCheckpointBytes(std::size_t bytes) { checkpointBytes_ = bytes; }
+
     /// Gives the address of the instance `former` to the one that is started next under the name `successor`.
     void reuseAddress(const std::string& former, const std::string& successor)
     {
@@ -152,6 +155,7 @@
     std::map<std::string, fleet::InstanceReport> listedInstances_; ///< Instances in the directory, by name.
     std::map<std::string, std::uint16_t> ports_; ///< Ports of instances, by name.
     std::set<jobs::TaskId> deadlyTasks_;
+    std::size_t checkpointBytes_ = 0; ///< Size of the checkpoints of stopped runs.
     foundation::SteadyTime logFreeAt_ {}; ///< Time at which every queued append has taken effect.
     std::int64_t nextIncarnationStart_ = 1000;
 };
--- a/src/emulator/emulatedplatformclient.h
+++ b/src/emulator/emulatedplatformclient.h
@@ -36,6 +36,8 @@
         EmulatedPlatform& platform, foundation::IClock& clock, eventlog::GroupMember self, PeerLookup peerLookup);
     ~EmulatedPlatformClient() override;
 
+    jobs::RecordLimits recordLimits() const override { return platform_.log().limits(); }
+    jobs::RecordLimits entryLimits() const override { return platform_.log().limits(); }
     void append(eventlog::AppendRequest request, milliseconds timeout, AppendCallback done) override;
     void read(const eventlog::ReadRequest& request, ReadCallback done) override;
     void save(
--- a/src/emulator/internal/emulatedinstance.cpp
+++ b/src/emulator/internal/emulatedinstance.cpp
@@ -98,7 +98,8 @@
     const auto found = runs_.find(task);
     if (found != runs_.end() && found->second.run <= run && !found->second.isStopping) {
         found->second.isStopping = true;
-        found->second.plan = { {}, RunOutcome::Stopped, false };
+        found->second.plan.outcome = RunOutcome::Stopped;
+        found->second.plan.isLongRunning = false;
         found->second.endsAt = clock_.now() + stopDuration;
     }
     return {};
@@ -133,7 +134,8 @@
     const auto found = runs_.find(task);
     auto& closed = highestClosedRuns_[task];
     closed = std::max(closed, found->second.run);
-    unacknowledgedEnds_.push_back({ ++endCount_, task, found->second.run, outcome, {} });
+    const std::string checkpoint = outcome == RunOutcome::Stopped ? found->second.plan.checkpoint : std::string();
+    unacknowledgedEnds_.push_back({ ++endCount_, task, found->second.run, outcome, checkpoint });
     runs_.erase(found);
 }
 
--- a/src/emulator/internal/emulatedlog.cpp
+++ b/src/emulator/internal/emulatedlog.cpp
@@ -1,5 +1,7 @@
 #include "emulator/emulatedlog.h"
 
+#include <algorithm>
+
 namespace turmericsill::emulator {
 
 using eventlog::AppendReceipt;
@@ -15,11 +17,30 @@
 {
 }
 
+Result<void> EmulatedLog::checkSizes(const std::vector<std::size_t>& sizes, std::size_t maximumTotal) const
+{
+    std::size_t total = 0;
+    for (const std::size_t size : sizes) {
+        total += limits_.framedSize(size);
+        if (size > limits_.recordBytes)
+            return failure(Errc::Rejected, "emulator.append", {}, "record of " + std::to_string(size) + " bytes");
+    }
+    if (total > maximumTotal)
+        return failure(Errc::Rejected, "emulator.append", {}, "append of " + std::to_string(total) + " bytes");
+    return {};
+}
+
 Result<AppendReceipt> EmulatedLog::append(const AppendRequest& request)
 {
     static const std::string step = "emulator.append";
     if (request.position && request.position->epoch < epoch_)
         return failure(Errc::Fenced, step);
+    std::vector<std::size_t> sizes;
+    for (const auto& payload : request.payloads)
+        sizes.push_back(payload.size());
+    const std::size_t acceptedBytes = std::min(limits_.appendBytes, acceptedAppendBytes_);
+    if (const auto checked = checkSizes(sizes, acceptedBytes); !checked)
+        return tl::unexpected(checked.error());
     if (request.position && request.position->epoch == epoch_) {
         const auto duplicate = receipts_.find(request.position->sequence);
         if (duplicate != receipts_.end())
@@ -69,6 +90,11 @@
 {
     if (position.epoch < snapshotEpoch_)
         return failure(Errc::Fenced, "emulator.save");
+    std::vector<std::size_t> sizes;
+    for (const auto& entry : entries)
+        sizes.push_back(entry.key.size() + entry.value.size());
+    if (const auto checked = checkSizes(sizes, limits_.appendBytes); !checked)
+        return checked;
     snapshotEpoch_ = position.epoch;
     for (const auto& entry : entries) {
         if (entry.value.empty())
--- a/src/emulator/internal/emulatedplatform.cpp
+++ b/src/emulator/internal/emulatedplatform.cpp
@@ -201,11 +201,14 @@
 RunPlan EmulatedPlatform::runPlanFor(const jobs::TaskId& task) const
 {
     const jobs::JobSpec* spec = invariants_.findSpec(task.job);
-    if (spec && spec->steps[task.step].isLongRunning)
-        return { milliseconds(0), jobs::RunOutcome::Done, true };
+    RunPlan plan;
+    if (spec && spec->steps[task.step].resumesFromCheckpoint)
+        plan.checkpoint.assign(checkpointBytes_, 'c');
+    plan.isLongRunning = spec && spec->steps[task.step].isLongRunning;
     constexpr std::uint64_t durationRangeMs = 1500;
     const std::uint64_t hash = foundation::hashBytes(jobs::toText(task));
-    return { milliseconds(200 + static_cast<std::int64_t>(hash % durationRangeMs)), jobs::RunOutcome::Done, false };
+    plan.duration = milliseconds(200 + static_cast<std::int64_t>(hash % durationRangeMs));
+    return plan;
 }
 
 } // namespace turmericsill::emulator
--- a/src/entry/ijobservice.h
+++ b/src/entry/ijobservice.h
@@ -18,6 +18,7 @@
     Stored, ///< The request is in the log.
     NotStored, ///< The request surely has no effect, now or later.
     Unknown, ///< The request may or may not take effect.
+    Rejected, ///< The request has no effect, nor would it if it was repeated: it is too large for the log.
 };
 
 struct RequestResult {
--- a/src/entry/internal/jobservice.cpp
+++ b/src/entry/internal/jobservice.cpp
@@ -23,6 +23,8 @@
             return { RequestOutcome::Stored, milliseconds(0) };
         case AppendOutcome::NotStored:
             return { RequestOutcome::NotStored, storeRetryAfter };
+        case AppendOutcome::Rejected:
+            return { RequestOutcome::Rejected, milliseconds(0) };
         case AppendOutcome::Unknown:
             break;
         }
@@ -39,6 +41,8 @@
             return "stored";
         case RequestOutcome::NotStored:
             return "not-stored";
+        case RequestOutcome::Rejected:
+            return "rejected";
         case RequestOutcome::Unknown:
             break;
         }
--- a/src/entryd/internal/entryprocess.cpp
+++ b/src/entryd/internal/entryprocess.cpp
@@ -1,5 +1,6 @@
 #include "entryd/entryprocess.h"
 
+#include <algorithm>
 #include <csignal>
 #include <utility>
 
@@ -41,6 +42,14 @@
         return limits;
     }
 
+    /// Other entries hand over as many records in one call as an append takes.
+    httpserver::ServerLimits peerLimits(const jobs::RecordLimits& records)
+    {
+        httpserver::ServerLimits limits;
+        limits.maximumBodyBytes = std::max(limits.maximumBodyBytes, 2 * records.appendBytes);
+        return limits;
+    }
+
 } // namespace
 
 PeerCallHandler::PeerCallHandler(control::ControllerElection& control, telemetry::TelemetryHandler& telemetry)
@@ -86,7 +95,8 @@
     , storeReadClient_(context_, settings_.storeAddress, storeReadConnections)
     , storeWriteClient_(context_, settings_.storeAddress, storeWriteConnections)
     , machineControlClient_(context_, settings_.machineControlAddress, machineControlConnections)
-    , jobLog_(storeReadClient_, storeWriteClient_, { settings_.entry, settings::processorMillicores(settings_) })
+    , jobLog_(storeReadClient_, storeWriteClient_, { settings_.entry, settings::processorMillicores(settings_) },
+          { settings_.logRecordBytes, settings_.logAppendBytes })
     , fleetSource_(declarationClient_, storeReadClient_,
           [this](const foundation::Error& error) {
               events_.write("entry.foreign", { { "reason", error.message() } });
@@ -111,7 +121,7 @@
     , peerHandler_(control_, telemetryHandler_)
     , callerServer_(context_, jobHandler_, callerLimits())
     , healthServer_(context_, readinessHandler_, httpserver::ServerLimits())
-    , telemetryServer_(context_, peerHandler_, httpserver::ServerLimits())
+    , telemetryServer_(context_, peerHandler_, peerLimits(jobLog_.recordLimits()))
     , signals_(context_, SIGTERM, SIGINT, SIGHUP)
 {
 }
--- a/src/eventlog/controllerwriter.h
+++ b/src/eventlog/controllerwriter.h
@@ -6,6 +6,7 @@
 #include "jobs/types/records.h"
 #include "telemetry/ieventsink.h"
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -13,18 +14,22 @@
 
 namespace turmericsill::eventlog {
 
-/// Appends the controller's records of one epoch, each exactly once and in order. An append without an answer is
-/// retried until the log answers or a later controller has fenced this one.
+/// Appends the controller's records of one epoch, each exactly once and in order, in appends that the log accepts. An
+/// append without an answer is retried until the log answers or a later controller has fenced this one. One that the
+/// log rejects for good is divided.
 class ControllerWriter {
 public:
     using StoredCallback = std::function<void()>;
 
-    /// Called with the offset of the first record and the number of records of an acknowledged append.
+    /// Errc::Fenced: a later controller has taken over. Errc::Rejected: the log does not accept a record.
+    using EndCallback = std::function<void(const foundation::Error&)>;
+
+    /// Called with the offset of the first payload and the number of payloads of an acknowledged append.
     using AcknowledgedCallback = std::function<void(std::uint64_t offset, std::uint64_t count)>;
 
-    /// `fenced` is called once, when a later controller has taken over. Appends are numbered from `firstSequence` on.
+    /// `ended` is called once, when no further record can be appended. Appends are numbered from `firstSequence` on.
     ControllerWriter(IEventLog& log, foundation::IClock& clock, foundation::ITimerQueue& timers,
-        telemetry::IEventSink& events, std::uint64_t epoch, std::uint64_t firstSequence, std::function<void()> fenced);
+        telemetry::IEventSink& events, std::uint64_t epoch, std::uint64_t firstSequence, EndCallback ended);
 
     /// Whether runs are stored as jobs::RunBatch records; true unless set otherwise.
     void setBatchesRuns(bool batchesRuns) { batchesRuns_ = batchesRuns; }
@@ -42,27 +47,35 @@
     /// Calls `done` once every record written so far is in the log; immediately if that is already the case.
     void whenStored(StoredCallback done);
 
-    /// To be called when the log was read further and holds `ownRecordCount` records of the epoch, not counting the
+    /// To be called when the log was read further and holds `ownPayloadCount` payloads of the epoch, not counting the
     /// claim. If they include the append in flight, its answer is lost or late and the append counts as answered.
-    void onLogRead(std::uint64_t ownRecordCount);
+    void onLogRead(std::uint64_t ownPayloadCount);
 
     /// Starts appending the queued records unless an append is in flight; called at the end of each controller step.
     void flush();
 
-    /// Whether the log accepts no records: it has rejected the append in flight, or has left it unanswered for longer
+    /// Whether the log accepts no records: it has refused the append in flight, or has left it unanswered for longer
     /// than a slow store would.
     bool isStalled() const;
 
     /// Whether every record written so far is in the log.
-    bool isIdle() const { return queuedRecords_.empty() && !isAppendInFlight_; }
+    bool isIdle() const { return queuedRecords_.empty(); }
 
     /// Drops all callbacks; to be called before the writer is destroyed.
     void stop();
 
 private:
-    void sendBatch();
+    struct WaitingCallback {
+        std::uint64_t recordCount = 0; ///< Number of records, from the first one on, that have to be in the log.
+        StoredCallback done;
+    };
+
+    void encodeAppend();
+    void sendAppend();
     void onAnswer(const foundation::Result<AppendReceipt>& answer);
-    void completeBatch();
+    void onRejected(const foundation::Error& error);
+    void end(const foundation::Error& error);
+    void completeAppend();
 
     IEventLog& log_;
     foundation::IClock& clock_;
@@ -70,17 +83,20 @@
     telemetry::IEventSink& events_;
     std::uint64_t epoch_;
     std::uint64_t sequence_; ///< Number of the append in flight, or else of the next one.
-    std::function<void()> fencedCallback_;
+    EndCallback endCallback_;
     AcknowledgedCallback acknowledgedCallback_;
     bool batchesRuns_ = true;
-    std::vector<jobs::Record> queuedRecords_;
-    std::vector<std::string> batchRecords_; ///< Encoded records of the append in flight.
-    std::vector<StoredCallback> queuedCallbacks_; ///< Callers to notify once the queued records are stored.
-    std::vector<StoredCallback> batchCallbacks_; ///< Callers to notify once the append in flight is stored.
-    foundation::SteadyTime batchStartedAt_ {};
-    std::uint64_t storedRecordCount_ = 0; ///< Records of the epoch that are in the log, not counting the claim.
+    jobs::RecordLimits limits_; ///< Lower than those of the log after an append was rejected.
+    std::deque<jobs::Record> queuedRecords_; ///< Records that are not in the log yet; the first ones may be in flight.
+    std::size_t inFlightCount_ = 0; ///< Number of queued records that the append in flight holds.
+    std::vector<std::string> payloads_; ///< Payloads of the append in flight.
+    std::deque<WaitingCallback> callbacks_; ///< In the order of the records that they wait for.
+    foundation::SteadyTime appendStartedAt_ {};
+    std::uint64_t writtenRecords_ = 0; ///< Number of records that were written.
+    std::uint64_t storedRecords_ = 0; ///< Number of these that are in the log.
+    std::uint64_t storedPayloads_ = 0; ///< Payloads of the epoch that are in the log, not counting the claim.
     bool isAppendInFlight_ = false;
-    bool wasAppendRejected_ = false; ///< Whether the log's latest answer rejected the append in flight.
+    bool wasAppendRefused_ = false; ///< Whether the log's latest answer refused the append in flight for now.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/eventlog/ieventlog.h
+++ b/src/eventlog/ieventlog.h
@@ -2,6 +2,7 @@
 
 #include "foundation/iclock.h"
 #include "foundation/result.h"
+#include "jobs/types/recordlimits.h"
 
 #include <cstdint>
 #include <functional>
@@ -50,8 +51,12 @@
 
     virtual ~IEventLog() = default;
 
-    /// Appends all payloads or none. Errc::Unavailable: surely not appended. Errc::Fenced: a higher epoch has written.
-    /// After any other error the append may have taken effect or may still do so.
+    /// Sizes of the records and appends that the log accepts.
+    virtual jobs::RecordLimits recordLimits() const = 0;
+
+    /// Appends all payloads or none. Errc::Unavailable: surely not appended. Errc::Rejected: not appended, nor will a
+    /// repetition be. Errc::Fenced: a higher epoch has written. After any other error the append may have taken effect
+    /// or may still do so.
     virtual void append(AppendRequest request, foundation::milliseconds timeout, AppendCallback done) = 0;
 
     /// Reads a page of records. Errc::RetentionPassed: the log no longer holds the first record of the range.
--- a/src/eventlog/internal/controllerwriter.cpp
+++ b/src/eventlog/internal/controllerwriter.cpp
@@ -1,8 +1,10 @@
 #include "eventlog/controllerwriter.h"
 
-#include "jobs/recordcodec.h"
+#include "jobs/appendbuilder.h"
 
+#include <algorithm>
 #include <utility>
+#include <variant>
 
 namespace turmericsill::eventlog {
 
@@ -21,46 +23,57 @@
 } // namespace
 
 ControllerWriter::ControllerWriter(IEventLog& log, foundation::IClock& clock, foundation::ITimerQueue& timers,
-    telemetry::IEventSink& events, std::uint64_t epoch, std::uint64_t firstSequence, std::function<void()> fenced)
+    telemetry::IEventSink& events, std::uint64_t epoch, std::uint64_t firstSequence, EndCallback ended)
     : log_(log)
     , clock_(clock)
     , timers_(timers)
     , events_(events)
     , epoch_(epoch)
     , sequence_(firstSequence)
-    , fencedCallback_(std::move(fenced))
+    , endCallback_(std::move(ended))
+    , limits_(log.recordLimits())
 {
 }
 
-void ControllerWriter::write(const jobs::Record& record) { queuedRecords_.push_back(record); }
+void ControllerWriter::write(const jobs::Record& record)
+{
+    queuedRecords_.push_back(record);
+    ++writtenRecords_;
+}
 
 void ControllerWriter::whenStored(StoredCallback done)
 {
-    if (!queuedRecords_.empty())
-        queuedCallbacks_.push_back(std::move(done));
-    else if (isAppendInFlight_)
-        batchCallbacks_.push_back(std::move(done));
-    else
-        done();
+    if (queuedRecords_.empty())
+        return done();
+    callbacks_.push_back({ writtenRecords_, std::move(done) });
 }
 
 void ControllerWriter::flush()
 {
     if (isAppendInFlight_ || queuedRecords_.empty() || !*alive_)
         return;
-    batchRecords_ = jobs::encodeAppend(queuedRecords_, epoch_, batchesRuns_);
-    queuedRecords_.clear();
-    batchCallbacks_ = std::move(queuedCallbacks_);
-    queuedCallbacks_.clear();
     isAppendInFlight_ = true;
-    batchStartedAt_ = clock_.now();
-    sendBatch();
+    appendStartedAt_ = clock_.now();
+    encodeAppend();
+    sendAppend();
 }
 
-void ControllerWriter::sendBatch()
+void ControllerWriter::encodeAppend()
+{
+    jobs::AppendBuilder builder(limits_, epoch_);
+    builder.setBatchesRuns(batchesRuns_);
+    for (const auto& record : queuedRecords_) {
+        if (!builder.add(record))
+            break;
+    }
+    inFlightCount_ = builder.recordCount();
+    payloads_ = builder.build();
+}
+
+void ControllerWriter::sendAppend()
 {
     AppendRequest request;
-    request.payloads = batchRecords_;
+    request.payloads = payloads_;
     request.position = ProducerPosition { epoch_, sequence_ };
     log_.append(std::move(request), appendTimeout,
         [this, alive = alive_, number = sequence_](const Result<AppendReceipt>& answer) {
@@ -71,47 +84,76 @@
 
 void ControllerWriter::onAnswer(const Result<AppendReceipt>& answer)
 {
-    if (!answer && answer.error().code == Errc::Fenced) {
-        stop();
-        return fencedCallback_();
-    }
+    if (!answer && answer.error().code == Errc::Fenced)
+        return end(answer.error());
+    if (!answer && answer.error().code == Errc::Rejected)
+        return onRejected(answer.error());
     if (!answer) {
-        wasAppendRejected_ = answer.error().code == Errc::Unavailable;
+        wasAppendRefused_ = answer.error().code == Errc::Unavailable;
         events_.write("log.append-unanswered",
             { { "epoch", epoch_ }, { "sequence", sequence_ }, { "reason", answer.error().message() } });
         timers_.schedule(clock_.now() + retryDelay, [this, alive = alive_, number = sequence_] {
             if (*alive && number == sequence_)
-                sendBatch();
+                sendAppend();
         });
         return;
     }
     if (acknowledgedCallback_)
-        acknowledgedCallback_(answer->offset, batchRecords_.size());
-    completeBatch();
+        acknowledgedCallback_(answer->offset, payloads_.size());
+    completeAppend();
 }
 
-void ControllerWriter::onLogRead(std::uint64_t ownRecordCount)
+// The same append would be rejected again, and nothing behind it would ever be stored. The sequence number of a
+// rejected append is not used up.
+void ControllerWriter::onRejected(const foundation::Error& error)
 {
-    if (isAppendInFlight_ && ownRecordCount >= storedRecordCount_ + batchRecords_.size())
-        completeBatch();
+    std::size_t bytes = 0;
+    for (const auto& payload : payloads_)
+        bytes += limits_.framedSize(payload.size());
+    events_.write("log.append-rejected",
+        { { "epoch", epoch_ }, { "sequence", sequence_ }, { "records", std::uint64_t(inFlightCount_) },
+            { "bytes", std::uint64_t(bytes) }, { "reason", error.message() } });
+    auto* ended = std::get_if<jobs::RunEnded>(&queuedRecords_.front());
+    if (inFlightCount_ > 1)
+        limits_.appendBytes = bytes / 2;
+    else if (ended && !ended->checkpoint.empty())
+        ended->checkpoint.clear(); // A run without a checkpoint starts again from the beginning.
+    else
+        return end(error);
+    encodeAppend();
+    sendAppend();
+}
+
+void ControllerWriter::end(const foundation::Error& error)
+{
+    stop();
+    endCallback_(error);
 }
 
-void ControllerWriter::completeBatch()
+void ControllerWriter::onLogRead(std::uint64_t ownPayloadCount)
 {
-    const auto took = std::chrono::duration_cast<milliseconds>(clock_.now() - batchStartedAt_);
-    storedRecordCount_ += batchRecords_.size();
+    if (isAppendInFlight_ && ownPayloadCount >= storedPayloads_ + payloads_.size())
+        completeAppend();
+}
+
+void ControllerWriter::completeAppend()
+{
+    const auto took = std::chrono::duration_cast<milliseconds>(clock_.now() - appendStartedAt_);
+    storedPayloads_ += payloads_.size();
+    storedRecords_ += inFlightCount_;
+    queuedRecords_.erase(queuedRecords_.begin(), queuedRecords_.begin() + static_cast<std::ptrdiff_t>(inFlightCount_));
     events_.write("log.appended",
-        { { "epoch", epoch_ }, { "sequence", sequence_ },
-            { "records", static_cast<std::uint64_t>(batchRecords_.size()) }, { "stored", storedRecordCount_ },
-            { "took_ms", std::int64_t(took.count()) } });
+        { { "epoch", epoch_ }, { "sequence", sequence_ }, { "records", static_cast<std::uint64_t>(payloads_.size()) },
+            { "stored", storedPayloads_ }, { "took_ms", std::int64_t(took.count()) } });
     ++sequence_;
     isAppendInFlight_ = false;
-    wasAppendRejected_ = false;
-    auto stored = std::move(batchCallbacks_);
-    batchCallbacks_.clear();
+    wasAppendRefused_ = false;
+    limits_.appendBytes = std::min(log_.recordLimits().appendBytes, 2 * limits_.appendBytes);
     const auto alive = alive_;
-    for (auto& callback : stored) {
-        callback();
+    while (!callbacks_.empty() && callbacks_.front().recordCount <= storedRecords_) {
+        const StoredCallback done = std::move(callbacks_.front().done);
+        callbacks_.pop_front();
+        done();
         if (!*alive)
             return;
     }
@@ -120,7 +162,7 @@
 
 bool ControllerWriter::isStalled() const
 {
-    return isAppendInFlight_ && (wasAppendRejected_ || clock_.now() - batchStartedAt_ > stallThreshold);
+    return isAppendInFlight_ && (wasAppendRefused_ || clock_.now() - appendStartedAt_ > stallThreshold);
 }
 
 void ControllerWriter::stop() { *alive_ = false; }
--- a/src/eventlog/internal/jobsubmitter.cpp
+++ b/src/eventlog/internal/jobsubmitter.cpp
@@ -3,6 +3,7 @@
 #include "jobs/recordcodec.h"
 
 #include <iterator>
+#include <limits>
 #include <utility>
 
 namespace turmericsill::eventlog {
@@ -23,7 +24,8 @@
     constexpr milliseconds slowStoreTimeout { 1200 }; ///< A slow store answers an append in 0.2 to 0.9 s.
     constexpr milliseconds unansweredAppendTimeout { 600 }; ///< For an unanswered append while the store is silent.
     constexpr milliseconds deadlineCheckInterval { 100 };
-    constexpr std::size_t maximumBatchBytes = 256 << 10;
+    /// The controller encodes a record anew under its epoch. With the largest one a record has its largest size.
+    constexpr std::uint64_t largestEpoch = std::numeric_limits<std::uint64_t>::max();
 
 } // namespace
 
@@ -37,6 +39,8 @@
 void JobSubmitter::submit(
     const jobs::Record& record, foundation::SteadyTime deadline, std::function<bool()> isStored, Callback done)
 {
+    if (jobs::encode(record, largestEpoch).size() > path_.recordLimits().recordBytes)
+        return done(AppendOutcome::Rejected);
     waiting_.push_back({ jobs::encode(record, 0), clock_.now(), deadline, std::move(isStored), std::move(done) });
     scheduleDeadlineCheck();
     sendBatches();
@@ -55,17 +59,28 @@
         sendBatch();
 }
 
-void JobSubmitter::sendBatch()
+std::size_t JobSubmitter::countNextBatch() const
 {
-    std::vector<std::string> records;
+    if (waiting_.front().isSentAlone)
+        return 1;
+    const jobs::RecordLimits limits = path_.recordLimits();
     std::size_t bytes = 0;
     std::size_t count = 0;
-    while (count < waiting_.size() && (count == 0 || bytes + waiting_[count].payload.size() <= maximumBatchBytes)) {
-        bytes += waiting_[count].payload.size();
-        records.push_back(waiting_[count].payload);
+    for (const auto& pending : waiting_) {
+        bytes += limits.framedSize(pending.payload.size());
+        if (pending.isSentAlone || (count > 0 && bytes > limits.appendBytes))
+            break;
         ++count;
     }
-    const auto batchEnd = waiting_.begin() + static_cast<std::ptrdiff_t>(count);
+    return count;
+}
+
+void JobSubmitter::sendBatch()
+{
+    const auto batchEnd = waiting_.begin() + static_cast<std::ptrdiff_t>(countNextBatch());
+    std::vector<std::string> records;
+    for (auto pending = waiting_.begin(); pending != batchEnd; ++pending)
+        records.push_back(pending->payload);
     const std::uint64_t number = ++lastBatchNumber_;
     inFlight_[number].assign(std::make_move_iterator(waiting_.begin()), std::make_move_iterator(batchEnd));
     waiting_.erase(waiting_.begin(), batchEnd);
@@ -85,18 +100,35 @@
             complete(pending, AppendOutcome::Stored);
         return sendBatches();
     }
+    if (stored.error().code == Errc::Rejected)
+        return onRejected(std::move(batch));
     const bool isKnownNotStored = stored.error().code == Errc::Unavailable;
     for (auto& pending : batch) {
         if (!pending.done)
             continue;
         pending.mayBeStored |= !isKnownNotStored;
-        pending.wasRejected = isKnownNotStored;
+        pending.wasRefused = isKnownNotStored;
         waiting_.push_back(std::move(pending));
     }
     failExpiredWaiting();
     scheduleRetry();
 }
 
+// One record may be the reason why the whole batch was rejected, so each is sent again by itself.
+void JobSubmitter::onRejected(Batch batch)
+{
+    const bool isSingle = batch.size() == 1;
+    for (auto& pending : batch) {
+        if (isSingle)
+            complete(pending, pending.mayBeStored ? AppendOutcome::Unknown : AppendOutcome::Rejected);
+        if (!pending.done)
+            continue;
+        pending.isSentAlone = true;
+        waiting_.push_back(std::move(pending));
+    }
+    sendBatches();
+}
+
 void JobSubmitter::scheduleRetry()
 {
     isRetryScheduled_ = true;
@@ -137,7 +169,7 @@
     if (pending.mayBeStored)
         return !isStoreResponsive_() && now >= pending.submittedAt + unansweredAppendTimeout;
     const milliseconds waitingTimeout
-        = isStoreResponsive_() && !pending.wasRejected ? slowStoreTimeout : silentStoreTimeout;
+        = isStoreResponsive_() && !pending.wasRefused ? slowStoreTimeout : silentStoreTimeout;
     return now >= pending.submittedAt + waitingTimeout;
 }
 
--- a/src/eventlog/isnapshotstore.h
+++ b/src/eventlog/isnapshotstore.h
@@ -23,7 +23,12 @@
 
     virtual ~ISnapshotStore() = default;
 
-    /// Stores all entries or none. Errc::Fenced: a controller of a higher epoch has written.
+    /// Sizes of the entries and calls of save() that the store accepts. The size of an entry is that of its key and its
+    /// value together.
+    virtual jobs::RecordLimits entryLimits() const = 0;
+
+    /// Stores all entries or none. Errc::Fenced: a controller of a higher epoch has written. Errc::Rejected: nothing
+    /// was stored, nor will be by a repetition.
     virtual void save(std::vector<SnapshotEntry> entries, ProducerPosition position, SaveCallback done) = 0;
 
     /// Reads all entries as of one moment.
--- a/src/eventlog/isubmissionpath.h
+++ b/src/eventlog/isubmissionpath.h
@@ -2,6 +2,7 @@
 
 #include "foundation/iclock.h"
 #include "foundation/result.h"
+#include "jobs/types/recordlimits.h"
 
 #include <cstddef>
 #include <functional>
@@ -20,8 +21,11 @@
     /// Limit of store() calls in flight at the same time.
     virtual std::size_t maximumConcurrentCalls() const = 0;
 
-    /// Stores all encoded records or none. Errc::Unavailable: surely not stored. After any other error the records may
-    /// have been stored or may still be.
+    /// Sizes of the records and calls of store() that the path accepts.
+    virtual jobs::RecordLimits recordLimits() const = 0;
+
+    /// Stores all encoded records or none. Errc::Unavailable: surely not stored. Errc::Rejected: not stored, nor will
+    /// they be by a repetition. After any other error the records may have been stored or may still be.
     virtual void store(std::vector<std::string> records, foundation::milliseconds timeout, StoreCallback done) = 0;
 };
 
--- a/src/eventlog/jobsubmitter.h
+++ b/src/eventlog/jobsubmitter.h
@@ -18,6 +18,7 @@
     Stored,
     NotStored, ///< Surely not stored, now or later.
     Unknown, ///< An attempt got no answer, so the record may have been stored or may still be.
+    Rejected, ///< Not stored, nor would it be if it was submitted again.
 };
 
 /// Stores callers' records for this entry in batches. As many batches are in flight as the path allows; records that
@@ -56,7 +57,9 @@
         std::function<bool()> isStored;
         Callback done; ///< Null once the caller was told the outcome.
         bool mayBeStored = false; ///< Whether an attempt got no answer.
-        bool wasRejected = false; ///< Whether the log, or a controller that it rejects, rejected the latest attempt.
+        bool wasRefused
+            = false; ///< Whether the log, or a controller that it refuses, refused the latest attempt for now.
+        bool isSentAlone = false; ///< Whether the record was part of a batch that was rejected for good.
     };
 
     using Batch = std::vector<PendingRecord>;
@@ -64,6 +67,8 @@
     void sendBatches();
     void sendBatch();
     void onAnswer(std::uint64_t number, const foundation::Result<void>& stored);
+    void onRejected(Batch batch);
+    std::size_t countNextBatch() const;
     void scheduleRetry();
     void failExpiredWaiting();
     void failExpiredInFlight();
--- /dev/null
+++ b/src/eventlog/tests/jobsubmittertests.cpp
@@ -0,0 +1,123 @@
+#include "eventlog/jobsubmitter.h"
+#include "foundation/tests/mocks/manualclock.h"
+#include "foundation/timerqueue.h"
+#include "jobs/recordcodec.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <set>
+#include <utility>
+
+using namespace turmericsill;
+using namespace turmericsill::eventlog;
+using foundation::Errc;
+using foundation::milliseconds;
+using jobs::JobId;
+
+namespace {
+
+/// A path that answers at once and rejects each call that holds a record of certain sizes.
+class RejectingPath : public ISubmissionPath {
+public:
+    std::size_t maximumConcurrentCalls() const override { return 1; }
+    jobs::RecordLimits recordLimits() const override { return { 2000, 8000, 4 }; }
+
+    void store(std::vector<std::string> records, milliseconds, StoreCallback done) override
+    {
+        calls.push_back(records);
+        if (isHeld)
+            return held.push_back(std::move(done));
+        done(answerTo(records));
+    }
+
+    void answerHeld()
+    {
+        isHeld = false;
+        const auto callbacks = std::exchange(held, {});
+        for (std::size_t i = 0; i < callbacks.size(); ++i)
+            callbacks[i](answerTo(calls[calls.size() - callbacks.size() + i]));
+    }
+
+    foundation::Result<void> answerTo(const std::vector<std::string>& records) const
+    {
+        for (const auto& record : records) {
+            if (rejectedSizes.count(record.size()))
+                return foundation::failure(Errc::Rejected, "log.append");
+        }
+        return {};
+    }
+
+    std::set<std::size_t> rejectedSizes;
+    std::vector<std::vector<std::string>> calls;
+    std::vector<StoreCallback> held;
+    bool isHeld = false;
+};
+
+struct SubmitterFixture {
+    void submit(JobId id, std::size_t payloadBytes)
+    {
+        jobs::JobSubmitted record { id, "calls", "desk", milliseconds(1), {} };
+        record.spec.payload.assign(payloadBytes, 'p');
+        submitter.submit(
+            record, clock.now() + milliseconds(3000), [] { return false; },
+            [this, id](AppendOutcome outcome) { outcomes[id] = outcome; });
+    }
+
+    static std::size_t sizeOf(JobId id, std::size_t payloadBytes)
+    {
+        jobs::JobSubmitted record { id, "calls", "desk", milliseconds(1), {} };
+        record.spec.payload.assign(payloadBytes, 'p');
+        return jobs::encode(record, 0).size();
+    }
+
+    RejectingPath path;
+    foundation::mocks::ManualClock clock;
+    foundation::TimerQueue timers;
+    JobSubmitter submitter { path, clock, timers };
+    std::map<JobId, AppendOutcome> outcomes;
+};
+
+} // namespace
+
+// A batch that the log rejects was sent again as a whole until the deadline of its callers.
+TEST_CASE("submitter: a record that the log rejects does not hold up the records beside it", "[eventlog]")
+{
+    SubmitterFixture fixture;
+    fixture.path.isHeld = true;
+    fixture.submit(1, 10);
+    for (const JobId id : { 2, 3, 4 })
+        fixture.submit(id, id == 3 ? 700 : 100);
+    fixture.path.rejectedSizes.insert(SubmitterFixture::sizeOf(3, 700));
+    fixture.path.answerHeld();
+    CHECK(fixture.outcomes.at(1) == AppendOutcome::Stored);
+    CHECK(fixture.outcomes.at(2) == AppendOutcome::Stored);
+    CHECK(fixture.outcomes.at(3) == AppendOutcome::Rejected);
+    CHECK(fixture.outcomes.at(4) == AppendOutcome::Stored);
+    CHECK(fixture.path.calls.size() == 5);
+}
+
+TEST_CASE("submitter: a record that is larger than the log accepts is rejected at once and not sent", "[eventlog]")
+{
+    SubmitterFixture fixture;
+    fixture.submit(1, 3000);
+    CHECK(fixture.outcomes.at(1) == AppendOutcome::Rejected);
+    CHECK(fixture.path.calls.empty());
+}
+
+TEST_CASE("submitter: no batch is larger than an append of the log", "[eventlog]")
+{
+    SubmitterFixture fixture;
+    fixture.path.isHeld = true;
+    for (JobId id = 1; id <= 30; ++id)
+        fixture.submit(id, 900);
+    fixture.path.answerHeld();
+    CHECK(fixture.outcomes.size() == 30);
+    const jobs::RecordLimits limits = fixture.path.recordLimits();
+    for (const auto& records : fixture.path.calls) {
+        std::size_t bytes = 0;
+        for (const auto& record : records)
+            bytes += limits.framedSize(record.size());
+        CHECK(bytes <= limits.appendBytes);
+    }
+}
--- a/src/foundation/errc.h
+++ b/src/foundation/errc.h
@@ -17,6 +17,7 @@
     RetentionPassed, ///< The log no longer retains the requested records.
     Fenced, ///< A later holder, with a higher fencing token or epoch, has taken over.
     WrongInstance, ///< Another instance, or another incarnation of it, answers at the address.
+    Rejected, ///< The peer did not carry out the request and would reject it again.
 };
 
 /// Error category "turmericsill", to which the values of Errc belong.
--- a/src/foundation/internal/errc.cpp
+++ b/src/foundation/internal/errc.cpp
@@ -35,6 +35,8 @@
                 return "fenced by a later holder";
             case Errc::WrongInstance:
                 return "another instance answers";
+            case Errc::Rejected:
+                return "rejected for good";
             }
             return "unknown error";
         }
--- a/src/jobs/internal/recordcodec.cpp
+++ b/src/jobs/internal/recordcodec.cpp
@@ -12,9 +12,6 @@
     using foundation::Result;
     using nlohmann::json;
 
-    /// Keeps a record below the 256 KB that the platform takes, with checkpoints of a few hundred bytes.
-    constexpr std::size_t maximumBatchedRuns = 400;
-
     json toJson(const TaskId& id) { return json::array({ id.job, id.occurrence, id.step, id.index }); }
 
     TaskId taskFromJson(const json& value)
@@ -115,36 +112,6 @@
     return bytes;
 }
 
-std::vector<std::string> encodeAppend(const std::vector<Record>& records, std::uint64_t epoch, bool batchesRuns)
-{
-    std::vector<std::string> payloads;
-    RunBatch batch;
-    JobsStarted started;
-    const auto closeBatch = [&] {
-        if (!batch.records.empty())
-            payloads.push_back(encode(batch, epoch));
-        batch.records.clear();
-    };
-    for (const auto& record : records) {
-        if (const auto* intended = std::get_if<RunIntended>(&record); intended && batchesRuns) {
-            batch.records.emplace_back(*intended);
-        } else if (const auto* ended = std::get_if<RunEnded>(&record); ended && batchesRuns) {
-            batch.records.emplace_back(*ended);
-        } else if (const auto* confirmed = std::get_if<JobsStarted>(&record); confirmed && batchesRuns) {
-            started.jobs.insert(started.jobs.end(), confirmed->jobs.begin(), confirmed->jobs.end());
-        } else {
-            closeBatch();
-            payloads.push_back(encode(record, epoch));
-        }
-        if (batch.records.size() == maximumBatchedRuns)
-            closeBatch();
-    }
-    closeBatch();
-    if (!started.jobs.empty())
-        payloads.push_back(encode(started, epoch));
-    return payloads;
-}
-
 Result<LoggedRecord> decode(std::string_view bytes)
 {
     try {
--- a/src/jobs/recordcodec.h
+++ b/src/jobs/recordcodec.h
@@ -5,7 +5,6 @@
 
 #include <string>
 #include <string_view>
-#include <vector>
 
 namespace turmericsill::jobs {
 
@@ -18,11 +17,6 @@
 /// Encodes a record as a CBOR array: index of the record type in Record, array of the record's fields, epoch.
 std::string encode(const Record& record, std::uint64_t epoch);
 
-/// Encodes the records of one append, in their order. If `batchesRuns`, consecutive RunIntended and RunEnded records
-/// are stored as RunBatch records, which versions of this program without RunBatch cannot read, and the JobsStarted
-/// records are merged at the end.
-std::vector<std::string> encodeAppend(const std::vector<Record>& records, std::uint64_t epoch, bool batchesRuns);
-
 /// Decodes a record. Errc::UnknownRecord: the bytes are damaged, or were written by another program or a later version.
 foundation::Result<LoggedRecord> decode(std::string_view bytes);
 
--- a/src/jobs/tests/jobtests.cpp
+++ b/src/jobs/tests/jobtests.cpp
@@ -1,3 +1,4 @@
+#include "jobs/appendbuilder.h"
 #include "jobs/jobtable.h"
 #include "jobs/recordcodec.h"
 #include "jobs/snapshotcodec.h"
@@ -521,7 +522,11 @@
         expected.apply(records[i]);
         singleBytes += i < firstRun ? 0 : encode(records[i], 3).size();
     }
-    const auto payloads = encodeAppend(records, 3, true);
+    const RecordLimits limits { 1 << 20, 1 << 24, 4 };
+    AppendBuilder builder(limits, 3);
+    for (const auto& record : records)
+        REQUIRE(builder.add(record));
+    const auto payloads = builder.build();
     JobTable table;
     std::size_t batchedBytes = 0;
     for (std::size_t i = 0; i < payloads.size(); ++i) {
@@ -534,5 +539,9 @@
     for (JobId id = 0x1000000000000001; id < 0x1000000000000011; ++id)
         CHECK(encodeJob(*table.find(id)) == encodeJob(*expected.find(id)));
     CHECK(batchedBytes * 2 < singleBytes);
-    CHECK(encodeAppend(records, 3, false).size() == records.size());
+    AppendBuilder singleRecordBuilder(limits, 3);
+    singleRecordBuilder.setBatchesRuns(false);
+    for (const auto& record : records)
+        REQUIRE(singleRecordBuilder.add(record));
+    CHECK(singleRecordBuilder.build().size() == records.size());
 }
--- a/src/settings/entrysettings.h
+++ b/src/settings/entrysettings.h
@@ -26,6 +26,8 @@
     /// Shortest time between orders of two lease holders for the same machine.
     foundation::milliseconds holderInterval { 3000 };
     foundation::milliseconds logRetention { 300000 }; ///< How long the platform's log keeps records.
+    std::size_t logRecordBytes = 256 << 10; ///< Largest record that the platform's log accepts.
+    std::size_t logAppendBytes = 2 << 20; ///< Largest sum of the records of one append.
     foundation::milliseconds statusRetention { 120000 }; ///< How long the final state of a job is reported.
     /// Whether runs are stored in a form that versions before it cannot read.
     bool batchesRunRecords = true;
--- a/src/settings/internal/entrysettings.cpp
+++ b/src/settings/internal/entrysettings.cpp
@@ -14,6 +14,8 @@
     using jsonsource::ObjectSchema;
 
     constexpr double maximumIntervalMs = 600000;
+    constexpr double minimumLogBytes = 8192; ///< Takes a job with the longest text that the platform allows.
+    constexpr double maximumLogBytes = 1 << 30;
 
     const std::string batchedRunRecords = "batched";
     const std::string singleRunRecords = "single";
@@ -43,6 +45,8 @@
             optionalInterval("longest_lease_ms", 1000),
             optionalInterval("holder_interval_ms", 0),
             optionalInterval("log_retention_ms", 1000),
+            { "log_record_bytes", FieldType::Integer, false, minimumLogBytes, maximumLogBytes, {} },
+            { "log_append_bytes", FieldType::Integer, false, minimumLogBytes, maximumLogBytes, {} },
             optionalInterval("status_retention_ms", 1000),
             optionalInterval("shutdown_grace_ms", 500),
             optionalInterval("configuration_bound_ms", 100),
@@ -72,6 +76,8 @@
         copier.copy("longest_lease_ms", result.maximumLease);
         copier.copy("holder_interval_ms", result.holderInterval);
         copier.copy("log_retention_ms", result.logRetention);
+        copier.copy("log_record_bytes", result.logRecordBytes);
+        copier.copy("log_append_bytes", result.logAppendBytes);
         copier.copy("status_retention_ms", result.statusRetention);
         copier.copy("shutdown_grace_ms", result.shutdownGrace);
         copier.copy("configuration_bound_ms", result.configurationBound);
--- a/src/settings/tests/entrysettingstests.cpp
+++ b/src/settings/tests/entrysettingstests.cpp
@@ -18,7 +18,7 @@
     turmericsill::jsonsource::Faults faults;
     const auto settings = parseEntrySettings("entry.json",
         requiredFields + R"(, "instance_control": "rpc", "advice_address": "10.0.0.9:3", "shutdown_grace_ms": 4000,
-    "configuration_bound_ms": 3000, "processor_share": 0.12, "processor_cores": 2})",
+    "configuration_bound_ms": 3000, "log_record_bytes": 100000, "processor_share": 0.12, "processor_cores": 2})",
         faults);
     REQUIRE(settings);
     CHECK(faults.empty());
@@ -26,6 +26,8 @@
     CHECK(settings->adviceAddress->toString() == "10.0.0.9:3");
     CHECK(settings->shutdownGrace == turmericsill::foundation::milliseconds(4000));
     CHECK(settings->configurationBound == turmericsill::foundation::milliseconds(3000));
+    CHECK(settings->logRecordBytes == 100000);
+    CHECK(settings->logAppendBytes == 2097152);
     CHECK(processorMillicores(*settings) == 240);
     CHECK(settings->logRetention == turmericsill::foundation::milliseconds(300000));
 }
--- a/src/telemetry/tests/mocks/nulleventsink.h
+++ b/src/telemetry/tests/mocks/nulleventsink.h
@@ -2,7 +2,7 @@
 
 #include "telemetry/ieventsink.h"
 
-namespace turmericsill::control::mocks {
+namespace turmericsill::telemetry::mocks {
 
 /// Drops all events.
 class NullEventSink : public telemetry::IEventSink {
@@ -10,4 +10,4 @@
     void write(std::string_view, std::initializer_list<telemetry::EventField>) override { }
 };
 
-} // namespace turmericsill::control::mocks
+} // namespace turmericsill::telemetry::mocks
