--- a/src/eventlog/internal/jobsubmitter.cpp
+++ b/src/eventlog/internal/jobsubmitter.cpp
@@ -3,7 +3,6 @@
 #include "jobs/recordcodec.h"
 
 #include <iterator>
-#include <limits>
 #include <utility>
 
 namespace turmericsill::eventlog {
@@ -24,8 +23,8 @@
     constexpr milliseconds slowStoreTimeout { 1200 }; ///< A slow store answers an append in 0.2 to 0.9 s.
     constexpr milliseconds unansweredAppendTimeout { 600 }; ///< For an unanswered append while the store is silent.
     constexpr milliseconds deadlineCheckInterval { 100 };
-    /// The controller encodes a record anew under its epoch. With the largest one a record has its largest size.
-    constexpr std::uint64_t largestEpoch = std::numeric_limits<std::uint64_t>::max();
+    /// The controller encodes a record anew under its epoch, which takes up to as many bytes more than the epoch 0.
+    constexpr std::size_t epochBytes = 8;
 
 } // namespace
 
@@ -39,9 +38,10 @@
 void JobSubmitter::submit(
     const jobs::Record& record, foundation::SteadyTime deadline, std::function<bool()> isStored, Callback done)
 {
-    if (jobs::encode(record, largestEpoch).size() > path_.recordLimits().recordBytes)
+    std::string payload = jobs::encode(record, 0);
+    if (payload.size() + epochBytes > path_.recordLimits().recordBytes)
         return done(AppendOutcome::Rejected);
-    waiting_.push_back({ jobs::encode(record, 0), clock_.now(), deadline, std::move(isStored), std::move(done) });
+    waiting_.push_back({ std::move(payload), clock_.now(), deadline, std::move(isStored), std::move(done) });
     scheduleDeadlineCheck();
     sendBatches();
 }
