--- a/src/control/internal/snapshotter.cpp
+++ b/src/control/internal/snapshotter.cpp
@@ -1,103 +1,151 @@
 #include "control/snapshotter.h"
 
+#include "eventlog/snapshotparts.h"
 #include "jobs/snapshotcodec.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace turmericsill::control {
 
+using eventlog::JobFollower;
 using eventlog::SnapshotEntry;
+using foundation::Errc;
+using foundation::milliseconds;
 using foundation::Result;
 
 namespace {
 
-    constexpr std::size_t targetBatchBytes = 512 << 10; ///< A quarter of what the platform accepts in one call.
+    constexpr milliseconds retryDelay { 50 };
+    constexpr milliseconds rejectedRetryDelay { 500 }; ///< Time in which the controller does its other work.
+    constexpr std::size_t minimumEntryBytes = 1024; ///< Smaller parts do not make a snapshot acceptable.
+
+    bool belongsToHeader(const std::string& key)
+    {
+        return key.compare(0, JobFollower::headerKey.size(), JobFollower::headerKey) == 0;
+    }
 
 } // namespace
 
 Snapshotter::Snapshotter(eventlog::ISnapshotStore& store, const eventlog::JobFollower& follower,
-    const foundation::IClock& clock, telemetry::IEventSink& events, std::uint64_t epoch,
-    foundation::milliseconds interval)
+    const foundation::IClock& clock, telemetry::IEventSink& events, std::uint64_t epoch, milliseconds interval)
     : store_(store)
     , follower_(follower)
     , clock_(clock)
     , events_(events)
     , epoch_(epoch)
     , interval_(interval)
+    , limits_(store.entryLimits())
     , lastWritten_(clock.now())
 {
+    for (const auto& key : follower.restoredKeys())
+        storedKeys_.insert(key);
 }
 
 bool Snapshotter::isDue() const
 {
-    return !isSaving_ && (!batches_.empty() || clock_.now() - lastWritten_ >= interval_);
+    if (isSaving_ || clock_.now() < retryAt_)
+        return false;
+    return !batches_.empty() || clock_.now() - lastWritten_ >= interval_;
 }
 
-void Snapshotter::addJob(const jobs::Job& job, std::set<jobs::JobId>& currentIds)
+// An unanswered batch may have been saved under its sequence number, so the same batch is sent again.
+void Snapshotter::write()
 {
-    currentIds.insert(job.id);
-    std::size_t bytes = 0;
-    if (!batches_.empty()) {
-        for (const auto& entry : batches_.back())
-            bytes += entry.value.size();
+    if (batches_.empty()) {
+        lastWritten_ = clock_.now();
+        collectEntries();
     }
-    if (batches_.empty() || bytes > targetBatchBytes)
-        batches_.emplace_back();
-    batches_.back().push_back({ jobs::toText(job.id), jobs::encodeJob(job) });
+    saveNext();
 }
 
-// An unanswered batch may have been saved under its sequence number, so the same batch is sent again.
-void Snapshotter::write()
+// A part is removed after the entry that told of it was replaced. Those of the header are the last ones.
+void Snapshotter::collectEntries()
 {
-    if (!batches_.empty())
-        return saveNext();
-    lastWritten_ = clock_.now();
-    std::set<jobs::JobId> currentIds;
-    for (const jobs::Job& job : follower_.table().openJobs())
-        addJob(job, currentIds);
-    for (const jobs::Job& job : follower_.table().finalJobs())
-        addJob(job, currentIds);
-    std::vector<SnapshotEntry> removed;
-    for (const auto id : follower_.restoredJobs()) {
-        if (!currentIds.count(id))
-            removed.push_back({ jobs::toText(id), {} });
-    }
-    for (const auto id : storedJobIds_) {
-        if (!currentIds.count(id))
-            removed.push_back({ jobs::toText(id), {} });
+    ++snapshotCount_;
+    lastBatchBytes_ = 0;
+    jobCount_ = 0;
+    currentKeys_.clear();
+    const jobs::JobTable& table = follower_.table();
+    for (const auto* list : { &table.openJobs(), &table.finalJobs() }) {
+        for (const jobs::Job& job : *list) {
+            add({ jobs::toText(job.id), jobs::encodeJob(job) });
+            ++jobCount_;
+        }
     }
-    storedJobIds_ = std::move(currentIds);
-    batches_.push_back(std::move(removed));
+    addRemovals(false);
     headerOffset_ = follower_.offset();
-    batches_.back().push_back(
-        { eventlog::JobFollower::headerKey, jobs::encodeHeader(follower_.table().snapshotHeader(headerOffset_)) });
-    std::reverse(batches_.begin(), batches_.end());
-    saveNext();
+    add({ JobFollower::headerKey, jobs::encodeHeader(table.snapshotHeader(headerOffset_)) });
+    addRemovals(true);
+    storedKeys_.insert(currentKeys_.begin(), currentKeys_.end());
+}
+
+void Snapshotter::add(SnapshotEntry entry)
+{
+    const std::string generation = std::to_string(epoch_) + "-" + std::to_string(snapshotCount_);
+    for (auto& part : eventlog::divideEntry(std::move(entry), generation, limits_)) {
+        currentKeys_.insert(part.key);
+        append(std::move(part));
+    }
+}
+
+// Adds the removal of what the store may hold besides the present snapshot.
+void Snapshotter::addRemovals(bool ofHeader)
+{
+    for (const auto& key : storedKeys_) {
+        if (!currentKeys_.count(key) && belongsToHeader(key) == ofHeader)
+            append({ key, {} });
+    }
+}
+
+void Snapshotter::append(SnapshotEntry entry)
+{
+    const std::size_t bytes = limits_.framedSize(entry.key.size() + entry.value.size());
+    if (batches_.empty() || lastBatchBytes_ + bytes > limits_.appendBytes) {
+        batches_.emplace_back();
+        lastBatchBytes_ = 0;
+    }
+    lastBatchBytes_ += bytes;
+    batches_.back().push_back(std::move(entry));
 }
 
 void Snapshotter::saveNext()
 {
     isSaving_ = true;
-    store_.save(batches_.back(), { epoch_, sequence_ }, [this, alive = alive_](const Result<void>& saved) {
-        if (!*alive)
-            return;
-        isSaving_ = false;
-        if (!saved) {
-            events_.write("snapshot.failed", { { "epoch", epoch_ }, { "reason", saved.error().message() } });
-            return;
-        }
-        ++sequence_;
-        batches_.pop_back();
-        if (!batches_.empty())
-            return saveNext();
-        reportWritten();
+    store_.save(batches_.front(), { epoch_, sequence_ }, [this, alive = alive_](const Result<void>& saved) {
+        if (*alive)
+            onSaved(saved);
     });
 }
 
+void Snapshotter::onSaved(const Result<void>& saved)
+{
+    isSaving_ = false;
+    if (saved) {
+        ++sequence_;
+        batches_.pop_front();
+        return batches_.empty() ? reportWritten() : saveNext();
+    }
+    events_.write("snapshot.failed",
+        { { "epoch", epoch_ }, { "entries", std::uint64_t(batches_.front().size()) },
+            { "reason", saved.error().message() } });
+    retryAt_ = clock_.now() + retryDelay;
+    if (saved.error().code != Errc::Rejected)
+        return;
+    // The store would reject the same batch again. A new snapshot with smaller entries and batches takes its place.
+    retryAt_ = clock_.now() + rejectedRetryDelay;
+    batches_.clear();
+    lastWritten_ = clock_.now() - interval_;
+    limits_.recordBytes = std::max(minimumEntryBytes, limits_.recordBytes / 2);
+    limits_.appendBytes = std::max(limits_.framedSize(minimumEntryBytes), limits_.appendBytes / 2);
+}
+
+// What was stored before and is not part of the present snapshot was removed by it.
 void Snapshotter::reportWritten()
 {
-    events_.write("snapshot.written",
-        { { "epoch", epoch_ }, { "offset", headerOffset_ }, { "jobs", std::uint64_t(storedJobIds_.size()) } });
+    storedKeys_ = std::exchange(currentKeys_, {});
+    events_.write(
+        "snapshot.written", { { "epoch", epoch_ }, { "offset", headerOffset_ }, { "jobs", std::uint64_t(jobCount_) } });
 }
 
 } // namespace turmericsill::control
--- a/src/emulator/emulatedlog.h
+++ b/src/emulator/emulatedlog.h
@@ -42,6 +42,9 @@
         const std::vector<eventlog::SnapshotEntry>& entries, const eventlog::ProducerPosition& position);
     std::vector<eventlog::SnapshotEntry> load() const;
 
+    /// Number of entries that were saved so far.
+    std::size_t savedEntries() const { return savedEntries_; }
+
     eventlog::GroupAssignment join(const eventlog::GroupMember& member, milliseconds timeToLive);
     std::vector<eventlog::GroupMember> members();
     void leave(const std::string& member);
@@ -66,6 +69,7 @@
     std::uint64_t firstOffset_ = 0;
     std::map<std::string, std::string> snapshot_;
     std::uint64_t snapshotEpoch_ = 0;
+    std::size_t savedEntries_ = 0;
     std::uint64_t epoch_ = 0;
     std::uint64_t nextSequence_ = 0;
     /// Receipts of the current epoch's appends, by sequence number.
--- a/src/emulator/internal/emulatedlog.cpp
+++ b/src/emulator/internal/emulatedlog.cpp
@@ -96,6 +96,7 @@
     if (const auto checked = checkSizes(sizes, limits_.appendBytes); !checked)
         return checked;
     snapshotEpoch_ = position.epoch;
+    savedEntries_ += entries.size();
     for (const auto& entry : entries) {
         if (entry.value.empty())
             snapshot_.erase(entry.key);
--- a/src/emulator/tests/cancellationtests.cpp
+++ b/src/emulator/tests/cancellationtests.cpp
@@ -38,12 +38,6 @@
     return runs;
 }
 
-std::size_t countEvents(const EmulationFixture& fixture, const std::string& start)
-{
-    return static_cast<std::size_t>(std::count_if(fixture.sink.lines.begin(), fixture.sink.lines.end(),
-        [&](const std::string& line) { return line.rfind(start, 0) == 0; }));
-}
-
 /// Ends the handler that writes the next event of a kind, as an unexpected exception does.
 class ThrowingSink : public telemetry::IEventSink {
 public:
@@ -160,7 +154,7 @@
     fixture.emulation.advanceTime(milliseconds(100));
     // An entry with a larger share ends the control, but does not live to take it.
     fixture.emulation.startEntry("e-9", 1000);
-    for (int waited = 0; waited < 1000 && countEvents(fixture, "control.ends") == 0; ++waited)
+    for (int waited = 0; waited < 1000 && fixture.countEvents("control.ends") == 0; ++waited)
         fixture.emulation.advanceTime(milliseconds(1));
     fixture.emulation.killEntry("e-9");
     for (int waited = 0; waited < 3000 && fixture.emulation.controller().empty(); ++waited)
@@ -197,7 +191,7 @@
     platform.faults() = InjectedFaults();
     fixture.emulation.advanceTime(milliseconds(3400));
     CHECK(countRuns(fixture, cancelledJob) == 0);
-    CHECK(countEvents(fixture, "run.ended") == 3);
+    CHECK(fixture.countEvents("run.ended") == 3);
     CHECK(fixture.violations().empty());
 }
 
@@ -283,10 +277,10 @@
     auto& platform = fixture.emulation.platform();
     const std::string controller = fixture.emulation.controller();
     fixture.emulation.submit(controller, cancelledJob, longRunningJob(4));
-    const auto snapshots = countEvents(fixture, "snapshot.written");
+    const auto snapshots = fixture.countEvents("snapshot.written");
     fixture.emulation.advanceTime(milliseconds(500));
     REQUIRE(countRuns(fixture, cancelledJob) == 4);
-    for (int waited = 0; waited < 5000 && countEvents(fixture, "snapshot.written") == snapshots; ++waited)
+    for (int waited = 0; waited < 5000 && fixture.countEvents("snapshot.written") == snapshots; ++waited)
         fixture.emulation.advanceTime(milliseconds(1));
     constexpr jobs::JobId otherJob = 0xc200;
     REQUIRE(platform.log().append({ { jobs::encode(jobs::JobCancelled { otherJob }, 0) }, std::nullopt }));
--- a/src/emulator/tests/fixtures.h
+++ b/src/emulator/tests/fixtures.h
@@ -3,6 +3,9 @@
 #include "emulator/emulation.h"
 #include "emulator/tests/mocks/recordingsink.h"
 
+#include <algorithm>
+#include <optional>
+
 namespace turmericsill::emulator::fixtures {
 
 inline fleet::FleetConfiguration configuration()
@@ -40,9 +43,13 @@
 
 /// Emulation of three entries and four instances of eight cores each.
 struct EmulationFixture {
-    explicit EmulationFixture(std::uint64_t seed, const fleet::FleetConfiguration& declared = configuration())
-        : emulation(seed, settings(), sink)
+    explicit EmulationFixture(std::uint64_t seed, const fleet::FleetConfiguration& declared = configuration(),
+        const control::ControlSettings& controlSettings = settings(),
+        const std::optional<jobs::RecordLimits>& limits = std::nullopt)
+        : emulation(seed, controlSettings, sink)
     {
+        if (limits)
+            emulation.platform().log().setLimits(*limits);
         emulation.platform().setConfiguration(declared);
         for (const char* name : { "i-1", "i-2", "i-3", "i-4" })
             emulation.platform().startInstance(name, "desk", { 8000, 16000, 0 });
@@ -60,6 +67,13 @@
 
     const std::vector<std::string>& violations() { return emulation.platform().invariants().violations(); }
 
+    /// Number of events of a kind that all entries have written.
+    std::size_t countEvents(const std::string& event) const
+    {
+        return static_cast<std::size_t>(std::count_if(sink.lines.begin(), sink.lines.end(),
+            [&](const std::string& line) { return line.compare(0, event.size(), event) == 0; }));
+    }
+
     /// Queries the status of every accepted job from every live entry.
     void queryAllStatuses()
     {
--- a/src/emulator/tests/recordsizetests.cpp
+++ b/src/emulator/tests/recordsizetests.cpp
@@ -14,6 +14,7 @@
 constexpr jobs::JobId wideJob = 0xd100;
 constexpr jobs::JobId firstOtherJob = 0xd200;
 constexpr jobs::JobId otherJobs = 6;
+constexpr jobs::RecordLimits smallLimits { 4000, 5000, 4 };
 
 jobs::JobSpec checkpointingJob(std::uint32_t taskCount)
 {
@@ -37,6 +38,21 @@
     fixture.emulation.advanceTime(milliseconds(12000));
 }
 
+/// Replaces all entries in turn, some seconds apart. The log drops what a snapshot covers meanwhile.
+void replaceAllEntries(EmulationFixture& fixture)
+{
+    for (const char* name : { "e-1", "e-2", "e-3" }) {
+        const auto written = fixture.countEvents("snapshot.written");
+        for (int waited = 0; waited < 5000 && fixture.countEvents("snapshot.written") == written; ++waited)
+            fixture.emulation.advanceTime(milliseconds(1));
+        fixture.emulation.platform().log().dropRecords();
+        fixture.emulation.shutDownEntry(name);
+        fixture.emulation.advanceTime(milliseconds(1000));
+        fixture.emulation.startEntry(name);
+        fixture.emulation.advanceTime(milliseconds(3000));
+    }
+}
+
 void checkThatAllJobsHaveEnded(EmulationFixture& fixture)
 {
     for (const auto& name : fixture.emulation.liveEntries()) {
@@ -73,3 +89,60 @@
     cancelWideJob(fixture, 400, 1000);
     checkThatAllJobsHaveEnded(fixture);
 }
+
+// A job was one record of the snapshot, whatever its size. With a job that no record holds no snapshot was stored, and
+// after the log's retention no entry that started knew any job.
+TEST_CASE("record sizes: jobs survive the replacement of all entries beside one that no record holds", "[emulation]")
+{
+    EmulationFixture fixture(84, fixtures::configuration(), EmulationFixture::settings(), smallLimits);
+    fixture.emulation.submit("e-1", wideJob, job({ step(900, 10) }));
+    fixture.emulation.submit("e-2", firstOtherJob, job({ step(2, 500) }));
+    auto lasting = step(2, 500);
+    lasting.isLongRunning = true;
+    fixture.emulation.submit("e-2", firstOtherJob + 1, job({ lasting }));
+    fixture.emulation.advanceTime(milliseconds(4000));
+    replaceAllEntries(fixture);
+    for (const auto& name : fixture.emulation.liveEntries()) {
+        CHECK(statusOf(fixture, name, wideJob).state == jobs::JobState::Completed);
+        CHECK(statusOf(fixture, name, firstOtherJob).state == jobs::JobState::Completed);
+        CHECK(statusOf(fixture, name, firstOtherJob + 1).state == jobs::JobState::Running);
+    }
+    CHECK(fixture.violations().empty());
+}
+
+// A controller that ends while it writes a snapshot leaves some of the new parts beside the former ones.
+TEST_CASE("record sizes: a snapshot that was not finished leaves the one before readable", "[emulation]")
+{
+    for (int delay = 0; delay < 60; delay += 4) {
+        EmulationFixture fixture(85, fixtures::configuration(), EmulationFixture::settings(), smallLimits);
+        auto& log = fixture.emulation.platform().log();
+        fixture.emulation.submit("e-1", wideJob, job({ step(900, 10), step(900, 10, { 0 }) }));
+        fixture.emulation.advanceTime(milliseconds(2500));
+        const auto saved = log.savedEntries();
+        for (int waited = 0; waited < 5000 && log.savedEntries() == saved; ++waited)
+            fixture.emulation.advanceTime(milliseconds(1));
+        REQUIRE(log.savedEntries() > saved);
+        fixture.emulation.advanceTime(milliseconds(delay));
+        for (const auto& name : fixture.emulation.liveEntries())
+            fixture.emulation.killEntry(name);
+        for (const char* name : { "e-1", "e-2", "e-3" })
+            fixture.emulation.startEntry(name);
+        fixture.emulation.advanceTime(milliseconds(15000));
+        for (const auto& name : fixture.emulation.liveEntries())
+            CHECK(statusOf(fixture, name, wideJob).state == jobs::JobState::Completed);
+        CHECK(fixture.violations().empty());
+    }
+}
+
+TEST_CASE("record sizes: the parts of a job leave the snapshot with the job", "[emulation]")
+{
+    control::ControlSettings settings = EmulationFixture::settings();
+    settings.statusRetention = milliseconds(3000);
+    EmulationFixture fixture(86, fixtures::configuration(), settings, smallLimits);
+    auto& log = fixture.emulation.platform().log();
+    fixture.emulation.submit("e-1", wideJob, job({ step(900, 10) }));
+    fixture.emulation.advanceTime(milliseconds(4000));
+    CHECK(log.load().size() > 2);
+    fixture.emulation.advanceTime(milliseconds(8000));
+    CHECK(log.load().size() == 1);
+}
--- a/src/eventlog/internal/jobfollower.cpp
+++ b/src/eventlog/internal/jobfollower.cpp
@@ -1,5 +1,6 @@
 #include "eventlog/jobfollower.h"
 
+#include "eventlog/snapshotparts.h"
 #include "jobs/recordcodec.h"
 
 #include <algorithm>
@@ -59,7 +60,10 @@
 {
     if (!entries || generation != generation_)
         return;
-    for (const auto& entry : *entries) {
+    JoinedSnapshot snapshot = joinEntries(*entries);
+    restoredKeys_ = std::move(snapshot.partKeys);
+    unknownRecords_ += snapshot.incompleteEntries;
+    for (const auto& entry : snapshot.entries) {
         if (entry.key == headerKey) {
             if (auto header = jobs::decodeHeader(entry.value)) {
                 table_->restore(*header);
@@ -74,7 +78,7 @@
             ++unknownRecords_;
             continue;
         }
-        restoredJobs_.push_back((*job)->id);
+        restoredKeys_.push_back(entry.key);
         table_->restore(std::move(*job));
     }
     isSnapshotLoaded_ = true;
@@ -241,7 +245,7 @@
     offset_ = 0;
     ownRanges_.clear();
     isSnapshotLoaded_ = false;
-    restoredJobs_.clear();
+    restoredKeys_.clear();
     hasCaughtUp_ = false;
     table_ = std::make_unique<jobs::JobTable>();
 }
--- a/src/eventlog/jobfollower.h
+++ b/src/eventlog/jobfollower.h
@@ -90,10 +90,10 @@
     /// Ends control and rebuilds the table from the log, since it may contain records that were never appended.
     void endControl();
 
-    /// Jobs in the snapshot from which the table was built.
-    const std::vector<jobs::JobId>& restoredJobs() const { return restoredJobs_; }
+    /// Keys that stand for a part of the snapshot from which the table was built, without that of the header.
+    const std::vector<std::string>& restoredKeys() const { return restoredKeys_; }
 
-    /// Key of the header in the snapshot store; all other keys are job ids.
+    /// Key of the header in the snapshot store; all other entries are jobs, or parts of entries.
     static const std::string headerKey;
 
     /// Number of records and snapshot entries that could not be decoded.
@@ -135,7 +135,7 @@
     bool hasLastReadFailed_ = false;
     bool hasCaughtUp_ = false;
     bool isReadToEndInFlight_ = false;
-    std::vector<jobs::JobId> restoredJobs_;
+    std::vector<std::string> restoredKeys_;
     std::vector<ReadToEndCallback> waitingReads_;
     std::function<void()> changeCallback_;
 };
