Jobs: a due occurrence starts whichever occurrences have started before it

Cause: the next occurrence to start was taken to be the one after the highest that has started. That holds while one controller starts them in order; a table built from the log knows occurrences by their recorded runs only, and with advice they may begin in any order.

Change: each table counts from the first occurrence which ones were due. A run of an occurrence that the job does not have has no effect.

Ruled out: advice that is not asked again (the table alone shows the fault); recording each due occurrence in the log (a record for what follows from the job and the clock).

--- a/src/emulator/emulatedplatform.h
+++ b/src/emulator/emulatedplatform.h
@@ -8,6 +8,7 @@
 #include "foundation/iclock.h"
 #include "foundation/timerqueue.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -92,6 +93,13 @@
     void setDeadly(const jobs::TaskId& task) { deadlyTasks_.insert(task); }
     bool isDeadly(jobs::JobId job) const;
 
+    /// Tells for each step and instance whether the instance may run the step.
+    using Advice = std::function<bool(const std::string& step, const std::string& instance)>;
+
+    /// Sets what the advice service answers. It allows every second instance of a call unless set.
+    void setAdvice(Advice advice) { advice_ = std::move(advice); }
+    const Advice& advice() const { return advice_; }
+
     /// Makes each run of a task that resumes from checkpoints leave one of this size when it is stopped.
     void setCheckpointBytes(std::size_t bytes) { checkpointBytes_ = bytes; }
 
@@ -155,6 +163,7 @@
     std::map<std::string, fleet::InstanceReport> listedInstances_; ///< Instances in the directory, by name.
     std::map<std::string, std::uint16_t> ports_; ///< Ports of instances, by name.
     std::set<jobs::TaskId> deadlyTasks_;
+    Advice advice_;
     std::size_t checkpointBytes_ = 0; ///< Size of the checkpoints of stopped runs.
     foundation::SteadyTime logFreeAt_ {}; ///< Time at which every queued append has taken effect.
     std::int64_t nextIncarnationStart_ = 1000;
--- a/src/emulator/internal/emulatedplatformclient.cpp
+++ b/src/emulator/internal/emulatedplatformclient.cpp
@@ -381,14 +381,17 @@
     answer(networkDelay, [done, result] { done(result); });
 }
 
-// Allows every second instance; the ticket contains the instance's name.
+// The ticket contains the instance's name.
 void EmulatedPlatformClient::ask(
-    const std::string&, const std::vector<std::string>& instances, fleet::IAdviceService::Callback done)
+    const std::string& step, const std::vector<std::string>& instances, fleet::IAdviceService::Callback done)
 {
     fleet::AdviceAnswer advice;
     advice.validity = milliseconds(2000);
-    for (std::size_t i = 0; i < instances.size(); i += 2)
-        advice.tickets[instances[i]] = "ticket-of-" + instances[i];
+    for (std::size_t i = 0; i < instances.size(); ++i) {
+        const bool isAllowed = platform_.advice() ? platform_.advice()(step, instances[i]) : i % 2 == 0;
+        if (isAllowed)
+            advice.tickets[instances[i]] = "ticket-of-" + instances[i];
+    }
     answer(networkDelay, [done, advice] { done(advice); });
 }
 
--- a/src/jobs/internal/jobtable.cpp
+++ b/src/jobs/internal/jobtable.cpp
@@ -59,10 +59,11 @@
         id = canStartOccurrences ? std::next(id) : scheduledJobs_.erase(id);
         if (!canStartOccurrences)
             continue;
-        // Occurrences start in ascending order, so the highest one that has started precedes the next one.
-        auto next = job->occurrences.empty() ? 0 : job->occurrences.rbegin()->first + 1;
-        while (next < job->occurrenceCount() && job->dueAt(next) <= wallTime) {
-            job->startOccurrence(next++);
+        while (job->nextDueOccurrence < job->occurrenceCount() && job->dueAt(job->nextDueOccurrence) <= wallTime) {
+            const std::uint32_t due = job->nextDueOccurrence++;
+            if (job->occurrences.count(due))
+                continue;
+            job->startOccurrence(due);
             markChanged(*job);
         }
     }
@@ -210,7 +211,7 @@
 void JobTable::applyRecord(const RunIntended& record)
 {
     Job* job = findMutableJob(record.task.job);
-    if (!job || record.task.step >= job->spec.steps.size()
+    if (!job || record.task.occurrence >= job->occurrenceCount() || record.task.step >= job->spec.steps.size()
         || record.task.index >= job->spec.steps[record.task.step].taskCount)
         return;
     StepState& step = job->startOccurrence(record.task.occurrence).steps[record.task.step];
--- a/src/jobs/tests/jobtests.cpp
+++ b/src/jobs/tests/jobtests.cpp
@@ -428,6 +428,45 @@
     CHECK(table.find(JobId(1))->state() == JobState::Completed);
 }
 
+// Occurrences of a queue with advice start in any order. A table that is built from the log took the highest one with a
+// recorded start for a sign that all those before it had started, and passed over the others for good.
+TEST_CASE("table: an occurrence that is due starts whatever later ones have done, from a log or a snapshot", "[jobs]")
+{
+    JobSubmitted record = submitted(1, { step(1) });
+    record.spec.schedule = { 4, milliseconds(5000), milliseconds(1000) };
+    JobTable table;
+    table.apply(record);
+    table.apply(RunIntended { { 1, 2, 0, 0 }, 1, { "i-1", 7 } });
+    table.apply(RunEnded { { 1, 2, 0, 0 }, 1, RunOutcome::Done, {} });
+    JobTable restored;
+    auto job = decodeJob(encodeJob(*table.find(JobId(1))));
+    REQUIRE(job);
+    restored.restore(std::move(*job));
+    for (JobTable* each : { &table, &restored }) {
+        each->takeChangedJobs();
+        each->startDueOccurrences(milliseconds(6000));
+        CHECK(each->takeChangedJobs() == std::vector<JobId> { 1 });
+        const auto& occurrences = each->find(JobId(1))->occurrences;
+        CHECK(occurrences.size() == 3);
+        CHECK(occurrences.count(0) == 1);
+        CHECK(occurrences.count(1) == 1);
+        CHECK(occurrences.at(2).isDone());
+        each->startDueOccurrences(milliseconds(6000));
+        CHECK(each->takeChangedJobs().empty());
+        each->startDueOccurrences(milliseconds(60000));
+        CHECK(each->find(JobId(1))->occurrences.size() == 4);
+    }
+}
+
+TEST_CASE("table: a run of an occurrence that the job does not have has no effect", "[jobs]")
+{
+    JobTable table;
+    table.apply(submitted(1, { step(1) }));
+    table.apply(RunIntended { { 1, 1, 0, 0 }, 1, { "i-1", 7 } });
+    CHECK(table.find(JobId(1))->occurrences.size() == 1);
+    CHECK(table.find(JobId(1))->activeRuns == 0);
+}
+
 TEST_CASE("snapshots: a job and the header round-trip, damaged bytes are rejected", "[jobs]")
 {
     JobTable table;
--- a/src/jobs/types/job.h
+++ b/src/jobs/types/job.h
@@ -95,6 +95,9 @@
     std::map<std::uint32_t, Occurrence> occurrences; ///< Occurrences that have started, by number.
     std::map<TaskId, CrashHistory> crashHistories; ///< Tasks under which an instance has crashed.
     std::uint32_t completedOccurrences = 0;
+    /// First occurrence that JobTable::startDueOccurrences() has not found due yet. Occurrences may start in any order,
+    /// so those before it need not be the ones that have started.
+    std::uint32_t nextDueOccurrence = 0;
     std::uint32_t activeRuns = 0;
     std::uint32_t failedRuns = 0; ///< Number of runs, of all tasks, that ended with RunOutcome::Failed.
     bool hasStarted = false; ///< Whether an instance is known to have started a run of any task.
