Controller: nothing is placed on an incarnation that has not reported itself

Cause: the answer to a renewal tells of the new incarnation by its start time alone. endIncarnation() copied the former report under that time, and the copy counted as listed. Labels, capacity, pool, machine, rack and draining were those of the incarnation before.

Change: a session without a report of its own incarnation renews its lease and looks after its runs, and is neither scheduled on nor moved. A machine's session is only one whose report names the machine.

Ruled out: treating the instance as not listed (its session would be dropped and opened again with the former entry each time the directory is read); X-Expect-Instance (it names the instance, not the incarnation).

--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -88,7 +88,7 @@
 
     const std::map<std::string, InstanceSessionPtr>& sessions() const { return sessions_; }
 
-    /// Session of the instance that runs on a machine according to the instances' reports; null if there is none.
+    /// Session of the instance that runs on a machine according to the latest report of each; null if there is none.
     InstanceSessionPtr sessionOnMachine(const std::string& machine) const;
 
     /// Cordons instances: they get no new work, because their machines are about to be moved or maintained.
@@ -154,7 +154,7 @@
     void observeSuspect(const jobs::TaskId& task, const std::string& instance);
     void failJobIfCrashing(const jobs::Job& job);
     InstanceSessionPtr openSession(const fleet::InstanceReport& report);
-    void replaceSession(InstanceSession& session, const fleet::InstanceReport& report);
+    void replaceSession(InstanceSession& session, const InstanceSessionPtr& successor);
     void inheritRuns();
     void inheritRun(const jobs::TaskId& id, const jobs::Task& task, const jobs::StepSpec& spec);
     void removeSession(const InstanceSessionPtr& session);
--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -144,6 +144,7 @@
         unlisted.incarnation = task.incarnation;
         session = new InstanceSession(unlisted, sessionContext_);
         session->setListed(false);
+        session->awaitReport();
     }
     session->track(id, task.lastRun, scheduling::resourceRequest(spec), spec.isLongRunning, true);
 }
@@ -185,7 +186,7 @@
         && session->incarnation().startedAt != 0) {
         session->setListed(true);
         recordCrash(*session);
-        return replaceSession(*session, *change.report);
+        return replaceSession(*session, new InstanceSession(*change.report, sessionContext_));
     }
     if (change.report->isDraining && !session->report().isDraining)
         context_.events.write("instance.drains", { { "instance", change.instance } });
@@ -208,7 +209,8 @@
     if (instance == instanceOnMachine_.end())
         return nullptr;
     const auto session = sessions_.find(instance->second);
-    return session == sessions_.end() ? nullptr : session->second;
+    const bool isOnMachine = session != sessions_.end() && session->second->report().machine == machine;
+    return isOnMachine ? session->second : nullptr;
 }
 
 void Controller::setCordoned(std::set<std::string> instances)
@@ -421,8 +423,8 @@
 bool Controller::isSchedulable(const InstanceSession& session) const
 {
     const std::string& instance = session.incarnation().instance;
-    return session.isListed() && session.isInContact() && !session.report().isDraining && !health_.isExcluded(instance)
-        && !cordoned_.count(instance);
+    return session.isListed() && session.hasReport() && session.isInContact() && !session.report().isDraining
+        && !health_.isExcluded(instance) && !cordoned_.count(instance);
 }
 
 // The runs are in the order of their tasks, so those of a step follow each other.
@@ -747,10 +749,13 @@
     context_.events.write(
         "instance.life-over", { { "instance", session.incarnation().instance }, { "born", startedAt } });
     if (startedAt != 0) {
-        // The report of the new incarnation is listed later; until then only its start time is known.
-        fleet::InstanceReport report = session.report();
-        report.incarnation.startedAt = startedAt;
-        return replaceSession(session, report);
+        // The next incarnation publishes its report later. It may differ in everything but its name and address.
+        fleet::InstanceReport report;
+        report.incarnation = { session.incarnation().instance, startedAt };
+        report.address = session.report().address;
+        InstanceSessionPtr successor(new InstanceSession(report, sessionContext_));
+        successor->awaitReport();
+        return replaceSession(session, successor);
     }
     session.close();
     session.endAll(RunOutcome::InstanceGone);
@@ -759,16 +764,16 @@
     schedulePlan();
 }
 
-void Controller::replaceSession(InstanceSession& session, const fleet::InstanceReport& report)
+void Controller::replaceSession(InstanceSession& session, const InstanceSessionPtr& successor)
 {
     const InstanceSessionPtr predecessor(&session);
-    const auto found = sessions_.find(session.incarnation().instance);
+    const std::string instance = session.incarnation().instance;
+    const auto found = sessions_.find(instance);
     if (found == sessions_.end() || found->second != predecessor)
         return;
     predecessor->close();
-    health_.reset(report.incarnation.instance);
-    adviceCache_.forgetInstance(report.incarnation.instance);
-    InstanceSessionPtr successor(new InstanceSession(report, sessionContext_));
+    health_.reset(instance);
+    adviceCache_.forgetInstance(instance);
     successor->setListed(predecessor->isListed());
     successor->adoptRuns(*predecessor);
     found->second = successor;
--- a/src/control/internal/instancesession.cpp
+++ b/src/control/internal/instancesession.cpp
@@ -51,6 +51,13 @@
 {
     report_ = std::move(report);
     isListed_ = true;
+    hasReport_ = true;
+    reportChange();
+}
+
+void InstanceSession::awaitReport()
+{
+    hasReport_ = false;
     reportChange();
 }
 
--- a/src/control/internal/instancesession.h
+++ b/src/control/internal/instancesession.h
@@ -86,10 +86,17 @@
     const jobs::InstanceIncarnation& incarnation() const { return report_.incarnation; }
     const Runs& runs() const { return runs_; }
 
-    /// Applies a newer report that the instance published.
+    /// Applies a newer report that this incarnation of the instance published.
     void update(fleet::InstanceReport report);
 
-    /// Whether the instance directory lists the instance.
+    /// Marks the report as missing: of this incarnation only its start and its address are known. Another incarnation
+    /// may have been of another kind.
+    void awaitReport();
+
+    /// Whether the report was published by this incarnation.
+    bool hasReport() const { return hasReport_; }
+
+    /// Whether the instance directory lists the instance, in this incarnation or another.
     void setListed(bool isListed);
     bool isListed() const { return isListed_; }
 
@@ -194,6 +201,7 @@
     bool isChangeReported_ = false;
     std::set<std::pair<jobs::TaskId, std::uint32_t>> unexpectedRuns_; ///< Listed by the instance, but not tracked.
     bool isListed_ = true;
+    bool hasReport_ = true;
     bool isSynced_ = false; ///< Whether a renewal under this controller's token was answered.
     bool isClosed_ = false;
     bool isRenewing_ = false;
--- a/src/control/internal/machinemanager.cpp
+++ b/src/control/internal/machinemanager.cpp
@@ -316,7 +316,7 @@
 bool MachineManager::hasRoomElsewhere(const InstanceSession& session, const TaskId& task) const
 {
     const jobs::Job* job = context_.follower.table().find(task.job);
-    if (!job)
+    if (!job || !session.hasReport())
         return false;
     const jobs::Resources need = scheduling::resourceRequest(job->spec.steps[task.step]);
     const auto& instances = controller_.instancesOf(session.report().pool).instances();
@@ -460,7 +460,9 @@
         const InstanceSessionPtr session = sessionOf(machine);
         const bool isStandbyPool = isStandby(machine.pool);
         const auto idleSince = session ? session->idleSince() : std::nullopt;
-        if (!isStandbyPool && (!idleSince || !session->isInContact() || session->report().isDraining))
+        const bool isIdle
+            = idleSince && session->hasReport() && session->isInContact() && !session->report().isDraining;
+        if (!isStandbyPool && !isIdle)
             continue;
         const auto idleTime
             = isStandbyPool ? milliseconds(0) : std::chrono::duration_cast<milliseconds>(now - *idleSince);
--- a/src/emulator/emulatedplatform.h
+++ b/src/emulator/emulatedplatform.h
@@ -47,6 +47,14 @@
     bool isInstanceDisturbed() const;
 };
 
+/// What an instance reports about itself besides its name and address.
+struct InstanceKind {
+    std::string pool;
+    jobs::Resources capacity;
+    std::vector<std::string> labels { "a", "r1" };
+    std::string machine; ///< A machine of its own if empty.
+};
+
 /// Platform of an emulation: log, instances and machines, with delays and injected faults. Time comes from the given
 /// clock and randomness from the seed, so that a run with a manual clock is reproducible.
 class EmulatedPlatform {
@@ -79,6 +87,14 @@
     void startInstance(const std::string& name, const std::string& pool, const jobs::Resources& capacity,
         const std::string& machine = {});
 
+    /// Starts an incarnation like startInstance(). Until it is listed, `listingDelay` after its start, the directory
+    /// holds what an earlier incarnation reported.
+    void startInstance(const std::string& name, const InstanceKind& kind, milliseconds listingDelay);
+
+    /// Ends an instance's incarnation without notice and, after the time of a process restart, starts another one under
+    /// its name, which may be of another kind.
+    void restartInstanceAs(const std::string& name, const InstanceKind& kind, milliseconds listingDelay);
+
     /// Restarts an instance: ends its incarnation and, after the time of a process restart, starts another under its
     /// name.
     void restartInstance(const std::string& name, const std::string& pool, const jobs::Resources& capacity);
--- a/src/emulator/internal/emulatedplatform.cpp
+++ b/src/emulator/internal/emulatedplatform.cpp
@@ -53,37 +53,62 @@
 
 void EmulatedPlatform::startInstance(
     const std::string& name, const std::string& pool, const jobs::Resources& capacity, const std::string& machine)
+{
+    InstanceKind kind;
+    kind.pool = pool;
+    kind.capacity = capacity;
+    kind.machine = machine;
+    startInstance(name, kind, milliseconds(0));
+}
+
+void EmulatedPlatform::startInstance(const std::string& name, const InstanceKind& kind, milliseconds listingDelay)
 {
     const auto port = static_cast<std::uint16_t>(firstInstancePort + ports_.size());
     fleet::InstanceReport report;
     report.incarnation = { name, nextIncarnationStart_++ };
-    report.pool = pool;
+    report.pool = kind.pool;
     report.address = { "10.0.0.1", ports_.emplace(name, port).first->second };
-    report.machine = machine.empty() ? "machine-of-" + name : machine;
-    report.labels = { "a", "r1" };
-    report.capacity = capacity;
+    report.machine = kind.machine.empty() ? "machine-of-" + name : kind.machine;
+    report.labels = kind.labels;
+    report.capacity = kind.capacity;
     const double rate = std::uniform_real_distribution<double>(slowestClockRate, 1)(random_);
     auto instance = std::make_unique<EmulatedInstance>(report, clock_, rate, maximumLease_);
     EmulatedInstance* started = instance.get();
     instance->onRunStarted = [this, started](const jobs::TaskId& task, std::uint32_t) { onRunStarted(*started, task); };
     instance->onEndAcknowledged = [this](const fleet::ObservedEnd& end) { invariants_.onEndAcknowledged(end); };
     instances_[name] = std::move(instance);
-    listedInstances_[name] = report;
+    if (listingDelay == milliseconds(0)) {
+        listedInstances_[name] = report;
+        return;
+    }
+    network_.schedule(clock_.now() + listingDelay, [this, report] {
+        const auto running = instances_.find(report.incarnation.instance);
+        if (running != instances_.end() && running->second->report().incarnation == report.incarnation)
+            listedInstances_[report.incarnation.instance] = report;
+    });
 }
 
-void EmulatedPlatform::restartInstance(
-    const std::string& name, const std::string& pool, const jobs::Resources& capacity)
+void EmulatedPlatform::restartInstanceAs(const std::string& name, const InstanceKind& kind, milliseconds listingDelay)
 {
     // The machine of an instance that has crashed starts the next one itself.
     if (!instances_.count(name))
         return;
     crash(name);
-    network_.schedule(clock_.now() + restartDuration, [this, name, pool, capacity] {
+    network_.schedule(clock_.now() + restartDuration, [this, name, kind, listingDelay] {
         if (!instances_.count(name))
-            startInstance(name, pool, capacity);
+            startInstance(name, kind, listingDelay);
     });
 }
 
+void EmulatedPlatform::restartInstance(
+    const std::string& name, const std::string& pool, const jobs::Resources& capacity)
+{
+    InstanceKind kind;
+    kind.pool = pool;
+    kind.capacity = capacity;
+    restartInstanceAs(name, kind, milliseconds(0));
+}
+
 void EmulatedPlatform::onRunStarted(const EmulatedInstance& instance, const jobs::TaskId& task)
 {
     invariants_.onRunStarted(instance, task);
--- a/src/emulator/internal/invariantchecker.cpp
+++ b/src/emulator/internal/invariantchecker.cpp
@@ -171,10 +171,26 @@
         addViolation("start of a task whose completion was acknowledged", name);
     if (completed_.count(task.job))
         addViolation("start of a task whose job was reported as completed", name);
+    checkRoute(instance, task, known->steps[task.step]);
     checkCapacity(instance, task);
     checkDependencies(task, *known);
 }
 
+void InvariantChecker::checkRoute(const EmulatedInstance& instance, const TaskId& task, const jobs::StepSpec& step)
+{
+    const fleet::InstanceReport& report = instance.report();
+    const std::string name = jobs::toText(task) + " on " + report.incarnation.instance;
+    if (!step.requiredLabel.empty() && !report.hasLabel(step.requiredLabel))
+        addViolation("start on an instance without the required label", name);
+    const bool isRouted = std::any_of(configurations_.begin(), configurations_.end(), [&](const auto& declared) {
+        const auto& queues = declared.second.queues;
+        return std::any_of(
+            queues.begin(), queues.end(), [&](const fleet::Queue& queue) { return queue.pool == report.pool; });
+    });
+    if (!isRouted && !configurations_.empty())
+        addViolation("start on an instance of a pool without a queue", name);
+}
+
 std::size_t InvariantChecker::startsOf(const TaskId& task) const
 {
     const auto found = starts_.find(task);
--- a/src/emulator/invariantchecker.h
+++ b/src/emulator/invariantchecker.h
@@ -91,6 +91,7 @@
 
 private:
     void addViolation(const std::string& invariant, const std::string& detail);
+    void checkRoute(const EmulatedInstance& instance, const jobs::TaskId& task, const jobs::StepSpec& step);
     void checkCapacity(const EmulatedInstance& instance, const jobs::TaskId& task);
     void checkDependencies(const jobs::TaskId& task, const jobs::JobSpec& spec);
 
