Session: an order to an idle instance waits until its incarnation has answered

Cause: an instance without runs is called every 8 s. One that ends and starts again within that time, as another kind, is still believed to be the former one, and the next order reaches it: an order names the instance, not the incarnation.

Change: when a run is tracked on an instance that has not answered for the time of a restart, a renewal is sent at once, beside the append of the intent, so that the order waits for it only if it takes longer than the append. Another incarnation ends the session and the run before anything is sent; without an answer the run ends as never started. With runs an instance has a renewal open, whose connection breaks with it.

Ruled out: calling idle instances more often (350 of them, every 0.3 s); relying on the connection that breaks when an instance ends (idle connections are closed by the client too).

Changed test: "a run whose order was carried out without an answer stays on a shrunk instance" lets the instance run something before, as an idle one now gets no order while its answers are lost. The order under test is sent and carried out without an answer as before.

--- a/src/control/internal/instancesession.cpp
+++ b/src/control/internal/instancesession.cpp
@@ -146,6 +146,18 @@
     tracked.state = isInherited ? OrderState::Inherited : OrderState::IntentPending;
     tracked.trackedAt = context_.clock.now();
     insertRun(task, std::move(tracked));
+    if (!isInherited)
+        confirmIncarnation();
+}
+
+// An instance without runs is rarely called. It may have ended unnoticed, and an incarnation of another kind may have
+// taken its place.
+void InstanceSession::confirmIncarnation()
+{
+    if (isRenewing_ || isClosed_ || !hasAddress() || context_.clock.now() - lastAnswerAt_ <= minimumRestartTime)
+        return;
+    isConfirming_ = true;
+    renew();
 }
 
 TrackedRun* InstanceSession::find(const TaskId& task, std::uint32_t number)
@@ -164,7 +176,41 @@
     if (run.isStopping || isOvercommitted())
         return end(task, RunOutcome::NeverStarted, {});
     run.order = { task, run.run, std::move(payload), std::move(checkpoint), std::move(ticket), InstanceTime(0) };
-    sendStart(task, run);
+    confirmIncarnation();
+    run.isOrderHeld = isConfirming_;
+    if (!run.isOrderHeld)
+        sendStart(task, run);
+}
+
+void InstanceSession::sendHeldOrders()
+{
+    std::vector<TaskId> held;
+    for (const auto& [task, run] : runs_) {
+        if (run.isOrderHeld)
+            held.push_back(task);
+    }
+    for (const auto& task : held) {
+        const auto found = runs_.find(task);
+        if (isClosed_ || found == runs_.end())
+            continue;
+        TrackedRun& run = found->second;
+        run.isOrderHeld = false;
+        if (run.isStopping || isOvercommitted())
+            end(task, RunOutcome::NeverStarted, {});
+        else
+            sendStart(task, run);
+    }
+}
+
+void InstanceSession::endHeldOrders()
+{
+    std::vector<TaskId> held;
+    for (const auto& [task, run] : runs_) {
+        if (run.isOrderHeld)
+            held.push_back(task);
+    }
+    for (const auto& task : held)
+        end(task, RunOutcome::NeverStarted, {});
 }
 
 void InstanceSession::sendStart(const TaskId& task, TrackedRun& run)
@@ -398,6 +444,7 @@
 void InstanceSession::onRenewed(const Result<RenewAnswer>& answer, SteadyTime sentAt)
 {
     isRenewing_ = false;
+    isConfirming_ = false;
     if (isClosed_)
         return;
     const Self keepAlive(this);
@@ -405,7 +452,8 @@
     if (!answer) {
         if (answer.error().code == Errc::WrongInstance)
             return context_.observer.onIncarnationEnded(*this, 0);
-        return recordFailure(answer.error(), sentAt);
+        recordFailure(answer.error(), sentAt);
+        return endHeldOrders();
     }
     if (answer->isFenced)
         return context_.observer.onFenced(*this);
@@ -423,6 +471,7 @@
         inheritedLeaseEnd_ = answer->clock + context_.leaseTerms.maximumLease;
     recordAnswer();
     reconcile(*answer, sentAt);
+    sendHeldOrders();
     if (isClosed_)
         return;
     std::uint64_t last = lastListedEnd_;
--- a/src/control/internal/instancesession.h
+++ b/src/control/internal/instancesession.h
@@ -52,6 +52,7 @@
     bool isStopAnswered = false; ///< The instance has answered a call to stop the run.
     bool isStopCallPending = false; ///< A call to stop the run awaits its answer.
     bool isPlannedStop = false; ///< Stopped to relocate the task.
+    bool isOrderHeld = false; ///< The start order waits until the incarnation has answered.
     /// From then on no order is in flight; a later listing without the run shows that it does not exist.
     std::optional<foundation::SteadyTime> settledAt;
     foundation::SteadyTime trackedAt {};
@@ -128,8 +129,8 @@
     void track(const jobs::TaskId& task, std::uint32_t run, const jobs::Resources& resources, bool isLongRunning,
         bool isInherited);
 
-    /// Sends the start order of a tracked run whose intent is in the log. Ends the run instead if its stop was
-    /// requested or the instance is overcommitted.
+    /// Sends the start order of a tracked run whose intent is in the log, once the instance has answered recently. Ends
+    /// the run instead if its stop was requested, the instance is overcommitted or it does not answer.
     void order(const jobs::TaskId& task, std::string payload, std::string checkpoint, std::string ticket);
 
     /// Stops a run, at once or as soon as its pending start order is answered.
@@ -176,6 +177,9 @@
     void onRenewed(const foundation::Result<fleet::RenewAnswer>& answer, foundation::SteadyTime sentAt);
     void reconcile(const fleet::RenewAnswer& answer, foundation::SteadyTime sentAt);
     void stopUnexpectedRuns();
+    void confirmIncarnation();
+    void sendHeldOrders();
+    void endHeldOrders();
     void sendStart(const jobs::TaskId& task, TrackedRun& run);
     void onStartAnswered(const jobs::TaskId& task, std::uint32_t number,
         const foundation::Result<fleet::StartAnswer>& answer, foundation::SteadyTime sentAt);
@@ -205,6 +209,7 @@
     bool isSynced_ = false; ///< Whether a renewal under this controller's token was answered.
     bool isClosed_ = false;
     bool isRenewing_ = false;
+    bool isConfirming_ = false; ///< Whether orders wait for the answer to the renewal in progress.
     bool isLastRenewalAnswered_ = true;
     int consecutiveFailures_ = 0; ///< Failed calls since the latest answer.
     foundation::SteadyTime lastAnswerAt_ {}; ///< Time of the latest answer to any call.
--- a/src/control/tests/instancesessiontests.cpp
+++ b/src/control/tests/instancesessiontests.cpp
@@ -17,15 +17,17 @@
 class StartCounter : public ISessionObserver {
 public:
     void onRunStarted(InstanceSession&, const TaskId&) override { ++startedRuns; }
-    void onRunEnded(InstanceSession&, const jobs::RunEnded&) override { }
+    void onRunEnded(InstanceSession&, const jobs::RunEnded&) override { ++endedRuns; }
     void onEndsListed(InstanceSession&, std::uint64_t) override { }
     void onStartRefused(InstanceSession&, const TaskId&, fleet::StartResult) override { }
-    void onIncarnationEnded(InstanceSession&, std::int64_t) override { }
+    void onIncarnationEnded(InstanceSession&, std::int64_t) override { ++endedIncarnations; }
     void onContactChanged(InstanceSession&, bool, const std::string&) override { }
     void onSessionChanged(InstanceSession&) override { }
     void onFenced(InstanceSession&) override { }
 
     int startedRuns = 0;
+    int endedRuns = 0;
+    int endedIncarnations = 0;
 };
 
 class NullPeers : public IPeerControl {
@@ -317,3 +319,50 @@
     fixture.session->tick(ControlStatus::Confirmed);
     CHECK(fixture.control.stops == 2);
 }
+
+// An instance without runs is called every few seconds only. It may have started again as another kind meanwhile, and
+// the order would reach that incarnation.
+TEST_CASE("session: an order to an instance that has not answered lately waits for its incarnation", "[control]")
+{
+    SessionFixture fixture;
+    const TaskId task { 1, 0, 0, 0 };
+    fixture.clock.time += milliseconds(4000);
+    const int renewals = fixture.control.renewals;
+    fixture.order(task);
+    CHECK(fixture.control.renewals == renewals + 1);
+    CHECK(fixture.control.starts.empty());
+    SECTION("the same incarnation answers")
+    {
+        fixture.control.renewal(fleet::RenewAnswer { 7, fleet::InstanceTime(4050), {}, {}, false });
+        CHECK(fixture.control.starts.count(task) == 1);
+    }
+    SECTION("another incarnation answers")
+    {
+        fixture.control.renewal(fleet::RenewAnswer { 8, fleet::InstanceTime(50), {}, {}, false });
+        CHECK(fixture.control.starts.empty());
+        CHECK(fixture.observer.endedIncarnations == 1);
+    }
+    SECTION("the instance does not answer")
+    {
+        fixture.control.renewal(failure(Errc::Timeout, "instance.renew"));
+        CHECK(fixture.control.starts.empty());
+        CHECK(fixture.session->runs().empty());
+        CHECK(fixture.observer.endedRuns == 1);
+    }
+    SECTION("the run is to be stopped meanwhile")
+    {
+        fixture.session->requestStop(task, false);
+        fixture.control.renewal(fleet::RenewAnswer { 7, fleet::InstanceTime(4050), {}, {}, false });
+        CHECK(fixture.control.starts.empty());
+        CHECK(fixture.session->runs().empty());
+    }
+}
+
+TEST_CASE("session: an order to an instance that has just answered is sent at once", "[control]")
+{
+    SessionFixture fixture;
+    const TaskId task { 1, 0, 0, 0 };
+    fixture.clock.time += milliseconds(100);
+    fixture.order(task);
+    CHECK(fixture.control.starts.count(task) == 1);
+}
--- a/src/emulator/tests/capacitytests.cpp
+++ b/src/emulator/tests/capacitytests.cpp
@@ -139,6 +139,10 @@
     EmulationFixture fixture(44);
     setCapacity(fixture, "i-1", 7000);
     fixture.emulation.advanceTime(milliseconds(1000));
+    // An instance without runs gets an order only after it has answered a renewal.
+    fixture.emulation.submit("e-1", 0xb7, longRunningJob(1, 500));
+    fixture.emulation.advanceTime(milliseconds(500));
+    REQUIRE(countRuns(fixture, "i-1", 0xb7) == 1);
     fixture.emulation.submit("e-1", 0xc7, longRunningJob(1, 6000));
     fixture.emulation.platform().faults().lostOrderAnswerRatio = 1;
     fixture.emulation.advanceTime(milliseconds(100));
--- a/src/emulator/tests/incarnationtests.cpp
+++ b/src/emulator/tests/incarnationtests.cpp
@@ -148,3 +148,15 @@
     fixture.submitFor(milliseconds(500), "kind-b", 500);
     CHECK(fixture.hasRunOn(changing));
 }
+
+// An idle instance is called every few seconds only, so it may end and start again between two calls.
+TEST_CASE("incarnations: an idle instance that starts again unnoticed gets no task of its former kind", "[emulation]")
+{
+    for (const auto delay : listingDelays) {
+        IncarnationFixture fixture(107);
+        fixture.emulation.platform().restartInstanceAs(changing, kind("kind-b"), delay);
+        fixture.emulation.advanceTime(milliseconds(550));
+        fixture.submitFor(milliseconds(2000), "kind-a", 500);
+        CHECK(fixture.violations().empty());
+    }
+}
