--- a/src/eventlog/internal/jobfollower.cpp
+++ b/src/eventlog/internal/jobfollower.cpp
@@ -1,6 +1,5 @@
 #include "eventlog/jobfollower.h"
 
-#include "eventlog/snapshotparts.h"
 #include "jobs/recordcodec.h"
 
 #include <algorithm>
@@ -39,11 +38,12 @@
 {
     if (std::exchange(isLoadingSnapshot_, true))
         return;
-    snapshots_.load([this, generation = generation_](const Result<std::vector<SnapshotEntry>>& entries) {
+    snapshots_.load([this, generation = generation_](Result<std::vector<SnapshotEntry>> entries) {
         isLoadingSnapshot_ = false;
-        onSnapshotLoaded(entries, generation);
         if (!entries)
             return completeReads(std::exchange(waitingReads_, {}), tl::unexpected(entries.error()));
+        if (generation == generation_)
+            restore(joinEntries(std::move(*entries)));
         if (!waitingReads_.empty() && !isReadToEndInFlight_)
             startReadToEnd();
     });
@@ -56,11 +56,8 @@
 }
 
 // A job in the snapshot may be newer than the header's offset; applying its records again has no effect.
-void JobFollower::onSnapshotLoaded(const Result<std::vector<SnapshotEntry>>& entries, std::uint64_t generation)
+void JobFollower::restore(JoinedSnapshot snapshot)
 {
-    if (!entries || generation != generation_)
-        return;
-    JoinedSnapshot snapshot = joinEntries(*entries);
     restoredKeys_ = std::move(snapshot.partKeys);
     unknownRecords_ += snapshot.incompleteEntries;
     for (const auto& entry : snapshot.entries) {
--- a/src/eventlog/internal/snapshotparts.cpp
+++ b/src/eventlog/internal/snapshotparts.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 
@@ -37,23 +38,24 @@
         return bytes;
     }
 
-    /// Appends the values of the parts to `value`. Returns whether all of them were there.
-    bool appendParts(const SnapshotEntry& reference, const std::unordered_map<std::string, const std::string*>& parts,
-        std::string& value)
+    /// The value that a reference tells of, or nothing if a part of it is missing.
+    std::optional<std::string> joinParts(
+        const SnapshotEntry& reference, const std::unordered_map<std::string, std::string>& parts)
     {
         const json fields = json::from_cbor(reference.value, true, false);
         if (!fields.is_object() || !fields.contains("generation") || !fields["generation"].is_string()
             || !fields.contains("parts") || !fields["parts"].is_number_unsigned())
-            return false;
+            return std::nullopt;
         const auto generation = fields["generation"].get<std::string>();
         const auto count = fields["parts"].get<std::size_t>();
+        std::string value;
         for (std::size_t number = 0; number < count; ++number) {
             const auto part = parts.find(partKey(reference.key, generation, number));
             if (part == parts.end())
-                return false;
-            value.append(*part->second, 1);
+                return std::nullopt;
+            value.append(part->second, 1);
         }
-        return true;
+        return value;
     }
 
 } // namespace
@@ -76,28 +78,27 @@
     return result;
 }
 
-JoinedSnapshot joinEntries(const std::vector<SnapshotEntry>& stored)
+JoinedSnapshot joinEntries(std::vector<SnapshotEntry> stored)
 {
     JoinedSnapshot joined;
-    std::unordered_map<std::string, const std::string*> parts;
-    for (const auto& entry : stored) {
-        if (!isPart(entry))
-            continue;
-        parts.emplace(entry.key, &entry.value);
-        joined.partKeys.push_back(entry.key);
+    std::unordered_map<std::string, std::string> parts;
+    const auto firstPart
+        = std::partition(stored.begin(), stored.end(), [](const SnapshotEntry& entry) { return !isPart(entry); });
+    for (auto part = firstPart; part != stored.end(); ++part) {
+        joined.partKeys.push_back(part->key);
+        parts.emplace(std::move(part->key), std::move(part->value));
     }
-    for (const auto& entry : stored) {
-        if (isPart(entry))
-            continue;
-        if (!isReference(entry)) {
-            joined.entries.push_back(entry);
-            continue;
+    stored.erase(firstPart, stored.end());
+    for (auto& entry : stored) {
+        if (isReference(entry)) {
+            auto value = joinParts(entry, parts);
+            if (!value) {
+                ++joined.incompleteEntries;
+                continue;
+            }
+            entry.value = std::move(*value);
         }
-        SnapshotEntry whole { entry.key, {} };
-        if (appendParts(entry, parts, whole.value))
-            joined.entries.push_back(std::move(whole));
-        else
-            ++joined.incompleteEntries;
+        joined.entries.push_back(std::move(entry));
     }
     return joined;
 }
--- a/src/eventlog/jobfollower.h
+++ b/src/eventlog/jobfollower.h
@@ -2,6 +2,7 @@
 
 #include "eventlog/ieventlog.h"
 #include "eventlog/isnapshotstore.h"
+#include "eventlog/snapshotparts.h"
 #include "foundation/iclock.h"
 #include "foundation/itimerqueue.h"
 #include "jobs/jobtable.h"
@@ -102,7 +103,7 @@
 private:
     void loadSnapshot();
     static void completeReads(std::vector<ReadToEndCallback> callers, const foundation::Result<void>& result);
-    void onSnapshotLoaded(const foundation::Result<std::vector<SnapshotEntry>>& entries, std::uint64_t generation);
+    void restore(JoinedSnapshot snapshot);
     void poll();
     void schedulePoll(foundation::milliseconds delay);
     void scheduleNextPoll(bool hasReadSucceeded);
--- a/src/eventlog/snapshotparts.h
+++ b/src/eventlog/snapshotparts.h
@@ -23,6 +23,6 @@
     std::size_t incompleteEntries = 0; ///< Number of entries that are left out, since a part of them is missing.
 };
 
-JoinedSnapshot joinEntries(const std::vector<SnapshotEntry>& stored);
+JoinedSnapshot joinEntries(std::vector<SnapshotEntry> stored);
 
 } // namespace turmericsill::eventlog
