Session, controller: held orders are taken in one place, and jobs without failures need no queue

Both found by reading the series: the same loop stood twice, and each changed job looked its queue up, which takes long with many queues. No change for callers; nothing to rule out.

--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -687,7 +687,9 @@
 // have been unknown then. So the failures in the table are what counts, not the end that was just recorded.
 void Controller::failJobIfAttemptsExhausted(const Job& job)
 {
-    const fleet::Queue* queue = job.isFinal() ? nullptr : configuration_.findQueue(job.queue);
+    if (job.failedRuns == 0 || job.isFinal())
+        return;
+    const fleet::Queue* queue = configuration_.findQueue(job.queue);
     const auto task = queue ? job.findTaskWithoutAttempts(queue->maximumAttempts) : std::nullopt;
     if (!task)
         return;
--- a/src/control/internal/instancesession.cpp
+++ b/src/control/internal/instancesession.cpp
@@ -182,34 +182,32 @@
         sendStart(task, run);
 }
 
-void InstanceSession::sendHeldOrders()
+std::vector<TaskId> InstanceSession::takeHeldOrders()
 {
     std::vector<TaskId> held;
-    for (const auto& [task, run] : runs_) {
-        if (run.isOrderHeld)
+    for (auto& [task, run] : runs_) {
+        if (std::exchange(run.isOrderHeld, false))
             held.push_back(task);
     }
-    for (const auto& task : held) {
+    return held;
+}
+
+void InstanceSession::sendHeldOrders()
+{
+    for (const auto& task : takeHeldOrders()) {
         const auto found = runs_.find(task);
         if (isClosed_ || found == runs_.end())
             continue;
-        TrackedRun& run = found->second;
-        run.isOrderHeld = false;
-        if (run.isStopping || isOvercommitted())
+        if (found->second.isStopping || isOvercommitted())
             end(task, RunOutcome::NeverStarted, {});
         else
-            sendStart(task, run);
+            sendStart(task, found->second);
     }
 }
 
 void InstanceSession::endHeldOrders()
 {
-    std::vector<TaskId> held;
-    for (const auto& [task, run] : runs_) {
-        if (run.isOrderHeld)
-            held.push_back(task);
-    }
-    for (const auto& task : held)
+    for (const auto& task : takeHeldOrders())
         end(task, RunOutcome::NeverStarted, {});
 }
 
--- a/src/control/internal/instancesession.h
+++ b/src/control/internal/instancesession.h
@@ -178,6 +178,7 @@
     void reconcile(const fleet::RenewAnswer& answer, foundation::SteadyTime sentAt);
     void stopUnexpectedRuns();
     void confirmIncarnation();
+    std::vector<jobs::TaskId> takeHeldOrders();
     void sendHeldOrders();
     void endHeldOrders();
     void sendStart(const jobs::TaskId& task, TrackedRun& run);
