Session: an order without an answer is not repeated before the instance has told its incarnation

Cause: the task was ordered some milliseconds after the crash, which the controller had not noticed. The order failed without an answer and was repeated every 150 ms; the next incarnation, which answers to the same name, carried it out before the next renewal told of it.

Change: a failed call puts the incarnation in doubt. Until a renewal is answered, which tells the incarnation, unanswered orders are not repeated and new ones wait; renewals are sent every 150 ms meanwhile, as before.

Ruled out: giving the run up at once (the order may have been carried out); taking the instance out of the plan until the renewal (with a lost answer its other runs' answers show that it is there).

--- a/src/control/internal/instancesession.cpp
+++ b/src/control/internal/instancesession.cpp
@@ -150,14 +150,16 @@
         confirmIncarnation();
 }
 
-// An instance without runs is rarely called. It may have ended unnoticed, and an incarnation of another kind may have
-// taken its place.
+// An instance without runs is rarely called, and one that has left a call unanswered may have ended. An incarnation of
+// another kind may have taken its place.
 void InstanceSession::confirmIncarnation()
 {
-    if (isRenewing_ || isClosed_ || !hasAddress() || context_.clock.now() - lastAnswerAt_ <= minimumRestartTime)
+    const bool isRecentlyCalled = isRenewing_ || context_.clock.now() - lastAnswerAt_ <= minimumRestartTime;
+    if (isClosed_ || !hasAddress() || (isRecentlyCalled && !isIncarnationInDoubt_))
         return;
     isConfirming_ = true;
-    renew();
+    if (!isRenewing_)
+        renew();
 }
 
 TrackedRun* InstanceSession::find(const TaskId& task, std::uint32_t number)
@@ -364,7 +366,7 @@
     if (isRenewing_ || isClosed_ || !hasAddress())
         return false;
     const auto sinceLast = context_.clock.now() - lastRenewalAt_;
-    if (!isSynced_ || consecutiveFailures_ > 0)
+    if (!isSynced_ || consecutiveFailures_ > 0 || isIncarnationInDoubt_)
         return sinceLast >= retryInterval;
     // While the ends are being appended to the log, the lease is still renewed.
     if (lastListedEnd_ > lastAcknowledgedEnd_)
@@ -395,12 +397,13 @@
             continue;
         TrackedRun& run = found->second;
         const bool isPossiblyRunning = !isStartInProgress(run.state);
+        const bool canRepeat = status == ControlStatus::Confirmed && !isIncarnationInDoubt_;
         const auto stopAttemptedAt = run.isStopAnswered ? run.lastAttemptAt : run.settledAt.value_or(SteadyTime {});
         const auto stopInterval = run.isStopAnswered ? 2 * stopEndAllowance : stopEndAllowance;
         const bool isStopSettled = stopAttemptedAt > now - stopInterval;
         if (run.isStopping && isPossiblyRunning && !isStopSettled)
             sendStop(task, run);
-        else if (!run.isStopping && run.state == OrderState::Unanswered && status == ControlStatus::Confirmed)
+        else if (!run.isStopping && run.state == OrderState::Unanswered && canRepeat)
             repeatStart(task, run);
     }
 }
@@ -458,6 +461,7 @@
     if (answer->startedAt != 0 && report_.incarnation.startedAt != 0
         && answer->startedAt != report_.incarnation.startedAt)
         return context_.observer.onIncarnationEnded(*this, answer->startedAt);
+    isIncarnationInDoubt_ = false;
     updateClock(answer->clock);
     lastRenewalAnswerAt_ = context_.clock.now();
     lastAnsweredRenewalSentAt_ = sentAt;
@@ -635,6 +639,7 @@
 // A connection that breaks shows a crash at once, a timeout long after it.
 void InstanceSession::recordFailure(const foundation::Error& error, SteadyTime sentAt)
 {
+    isIncarnationInDoubt_ = true;
     if (++consecutiveFailures_ != 1)
         return;
     unansweredSince_ = error.code == Errc::Timeout ? std::max(sentAt, lastAnswerAt_) : context_.clock.now();
--- a/src/control/internal/instancesession.h
+++ b/src/control/internal/instancesession.h
@@ -211,6 +211,8 @@
     bool isClosed_ = false;
     bool isRenewing_ = false;
     bool isConfirming_ = false; ///< Whether orders wait for the answer to the renewal in progress.
+    /// Whether a call has failed since the latest renewal. Only the answer to a renewal tells the incarnation.
+    bool isIncarnationInDoubt_ = false;
     bool isLastRenewalAnswered_ = true;
     int consecutiveFailures_ = 0; ///< Failed calls since the latest answer.
     foundation::SteadyTime lastAnswerAt_ {}; ///< Time of the latest answer to any call.
--- a/src/control/tests/instancesessiontests.cpp
+++ b/src/control/tests/instancesessiontests.cpp
@@ -366,3 +366,32 @@
     fixture.order(task);
     CHECK(fixture.control.starts.count(task) == 1);
 }
+
+// The order of a run that was not answered may be repeated after the instance has ended. The incarnation that answers
+// next would carry it out, whatever its kind.
+TEST_CASE("session: an unanswered order is repeated only to the incarnation that it was sent to", "[control]")
+{
+    SessionFixture fixture;
+    const TaskId task { 1, 0, 0, 0 };
+    fixture.order(task);
+    const auto firstAnswer = std::exchange(fixture.control.starts, {});
+    firstAnswer.at(task)(failure(Errc::ProtocolViolation, "instance.start"));
+    for (int i = 0; i < 10; ++i) {
+        fixture.clock.time += milliseconds(200);
+        fixture.session->tick(ControlStatus::Confirmed);
+        CHECK(fixture.control.starts.empty());
+    }
+    SECTION("the same incarnation answers")
+    {
+        fixture.control.renewal(fleet::RenewAnswer { 7, fleet::InstanceTime(2050), {}, {}, false });
+        fixture.clock.time += milliseconds(200);
+        fixture.session->tick(ControlStatus::Confirmed);
+        CHECK(fixture.control.starts.count(task) == 1);
+    }
+    SECTION("another incarnation answers")
+    {
+        fixture.control.renewal(fleet::RenewAnswer { 8, fleet::InstanceTime(50), {}, {}, false });
+        CHECK(fixture.observer.endedIncarnations == 1);
+        CHECK(fixture.control.starts.empty());
+    }
+}
--- a/src/emulator/tests/incarnationtests.cpp
+++ b/src/emulator/tests/incarnationtests.cpp
@@ -160,3 +160,26 @@
         CHECK(fixture.violations().empty());
     }
 }
+
+// Orders that are under way when the instance ends get no answer.
+TEST_CASE("incarnations: an order without an answer is not repeated to another kind of the instance", "[emulation]")
+{
+    for (const auto delay : listingDelays) {
+        for (int moment = 0; moment < 60; moment += 2) {
+            IncarnationFixture fixture(108);
+            fixture.submitFor(milliseconds(500), "kind-a", 500);
+            auto labelled = step(4, 500);
+            labelled.requiredLabel = "kind-a";
+            fixture.emulation.submit("e-2", fixture.nextJob++, job({ labelled }));
+            fixture.emulation.advanceTime(milliseconds(moment));
+            // The answers of the last moments of an instance are lost with it.
+            fixture.emulation.platform().faults().lostOrderAnswerRatio = 1;
+            fixture.emulation.advanceTime(milliseconds(4));
+            fixture.emulation.platform().restartInstanceAs(changing, kind("kind-b"), delay);
+            fixture.emulation.advanceTime(milliseconds(100));
+            fixture.emulation.platform().faults().lostOrderAnswerRatio = 0;
+            fixture.emulation.advanceTime(milliseconds(6000));
+            CHECK(fixture.violations().empty());
+        }
+    }
+}
