Events: a controller tells until when the leases of former ones may last

Callers saw long-running tasks without a run for 19 s after their instance and the controller were lost together (LOST). The event control.former names each former controller, what its bound follows from and the time left.

--- a/src/control/formercontrollers.h
+++ b/src/control/formercontrollers.h
@@ -42,6 +42,8 @@
         bool isStopConfirmed = false; ///< Whether it is known to have stopped.
     };
 
+    foundation::SteadyTime leasesExpiredAfter(foundation::SteadyTime stoppedBy) const;
+    void report(const FormerController& former) const;
     void queryAll();
 
     IPeerControl& peers_;
--- a/src/control/internal/formercontrollers.cpp
+++ b/src/control/internal/formercontrollers.cpp
@@ -43,23 +43,36 @@
             former.stoppedBy = clock_.now();
             former.isStopConfirmed = true;
         }
+        report(former);
         controllers_.push_back(former);
     }
     queryAll();
 }
 
-SteadyTime FormerControllers::leasesExpiredAt() const
+SteadyTime FormerControllers::leasesExpiredAfter(SteadyTime stoppedBy) const
 {
-    SteadyTime latest = SteadyTime::min();
-    for (const auto& former : controllers_)
-        latest = std::max(latest, former.stoppedBy);
-    if (controllers_.empty())
-        return latest;
     // The end of a lease is computed from the former controller's estimate of the instance clock, which may have run
     // ahead of that clock since the instance's last answer.
     const auto clockDrift = leaseTerms_.idleRenewInterval * (1 - leaseTerms_.slowestClockRate);
     const auto lease = (leaseTerms_.duration + clockDrift) / leaseTerms_.slowestClockRate + renewalTransitDelay;
-    return latest + std::chrono::duration_cast<SteadyTime::duration>(lease);
+    return stoppedBy + std::chrono::duration_cast<SteadyTime::duration>(lease);
+}
+
+void FormerControllers::report(const FormerController& former) const
+{
+    const auto left = leasesExpiredAfter(former.stoppedBy) - clock_.now();
+    events_.write("control.former",
+        { { "former", former.claim.entry }, { "epoch", former.claim.epoch },
+            { "evidence", former.isStopConfirmed ? "own-claim" : "outage-limit" },
+            { "leases_left_ms", std::int64_t(std::chrono::duration_cast<milliseconds>(left).count()) } });
+}
+
+SteadyTime FormerControllers::leasesExpiredAt() const
+{
+    SteadyTime latest = SteadyTime::min();
+    for (const auto& former : controllers_)
+        latest = std::max(latest, former.stoppedBy);
+    return controllers_.empty() ? latest : leasesExpiredAfter(latest);
 }
 
 void FormerControllers::queryAll()
