Control: leases are bounded by the confirmation of control, so that a successor knows when they have expired

Cause: a controller renewed leases for 12 s without the log, and a successor could only learn from that controller itself that it had stopped sooner. One that never answers again was waited for from the successor's own beginning, 17.45 s, and each later successor began anew. After a take-over an instance that had answered once was believed to hold a former lease of 10 s, so its loss in that time took as long. Class: a bound that rests on the memory of one process, and on an answer of one that is gone.

Change: every lease ends at most LeaseTerms::duration after the latest time as of which control is confirmed: a read of the end of the log, or an accepted append of the epoch. While the log does not answer, control is confirmed by all of three witnesses, the next candidates, which the log names (field of ControlClaimed, record WitnessesChanged). A witness does not confirm a controller once it has read, or tried to append, a later claim. So a successor that is a witness, or knows a claim of one, or gets the answer of one, bounds the leases by the time of the later claim, whoever is gone. The follower remembers when it first read each claim, so the wall clock of a claim is not used. If no witness is left, the limit of 12 s holds as before. After the first answer of an instance the former leases end at the earlier of that bound and the longest lease.

Why it holds: the successor's claim is in the log before it begins, and the log confirms nobody older from then on; the witnesses answer by what they know, not by whether they reach the store. A refused connection, a missing entry of the directory and the time of day prove nothing here.

--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -11,6 +11,7 @@
 #include "control/internal/poolscheduler.h"
 #include "control/internal/recordstore.h"
 #include "control/internal/startwindow.h"
+#include "control/leaseauthority.h"
 #include "control/snapshotter.h"
 #include "control/types/controlsettings.h"
 #include "eventlog/controllerwriter.h"
@@ -66,6 +67,9 @@
     /// Applies a newer configuration from the operators.
     void setConfiguration(const fleet::FleetConfiguration& configuration);
 
+    /// Names the entries that confirm this controller's control while the log does not answer.
+    void setWitnesses(const std::vector<jobs::ControlWitness>& witnesses);
+
     /// Called after the follower has applied new records to the table of jobs.
     void onTableChanged();
 
@@ -146,6 +150,7 @@
     void onSessionChanged(InstanceSession& session) override;
     void onFenced(InstanceSession& session) override;
 
+    void reportLost(const InstanceSession& session, const std::string& reason);
     void onInstancesLoaded(const std::set<std::string>& present);
     void onInstanceChange(const fleet::InstanceChange& change);
     void endIncarnation(InstanceSession& session, std::int64_t startedAt);
@@ -183,6 +188,7 @@
     ControllerContext context_;
     ControlSettings settings_;
     FormerControllers formerControllers_;
+    LeaseAuthority leaseAuthority_;
     MeteredInstanceControl instanceControl_;
     SessionContext sessionContext_;
     std::function<void(const std::string&)> onStepDown_;
--- a/src/control/controllerelection.h
+++ b/src/control/controllerelection.h
@@ -76,6 +76,7 @@
     void onJoined(const foundation::Result<eventlog::GroupAssignment>& assignment, foundation::SteadyTime sentAt);
     void fetchMembers();
     void onMembers(const std::vector<eventlog::GroupMember>& members);
+    std::vector<jobs::ControlWitness> chooseWitnesses() const;
     void claimUnlessHeld(const std::vector<eventlog::GroupMember>& members);
     void queryHolder(const jobs::ControlClaimed& holder);
     void beginClaim();
@@ -99,6 +100,8 @@
     std::unique_ptr<MachineManager> machineManager_; ///< Exists as long as `controller_` does.
     std::uint64_t generation_ = 0;
     std::uint64_t minimumEpoch_ = 0; ///< Lower epochs have been used or refused.
+    std::uint64_t latestTriedEpoch_ = 0; ///< Highest epoch under which this entry has tried to claim control.
+    std::vector<eventlog::GroupMember> members_; ///< The latest list of the group's members.
     foundation::SteadyTime membershipConfirmedAt_ {};
     foundation::milliseconds storeLatency_ { 0 };
     bool hasLastJoinFailed_ = false;
--- a/src/control/formercontrollers.h
+++ b/src/control/formercontrollers.h
@@ -2,24 +2,25 @@
 
 #include "control/ipeercontrol.h"
 #include "control/types/leaseterms.h"
+#include "eventlog/jobfollower.h"
 #include "foundation/iclock.h"
 #include "foundation/itimerqueue.h"
 #include "jobs/types/records.h"
 #include "telemetry/ieventsink.h"
 
-#include <deque>
+#include <cstddef>
 #include <memory>
-#include <optional>
 #include <string>
 #include <vector>
 
 namespace turmericsill::control {
 
-/// Determines when every former controller has stopped renewing leases.
+/// Determines when every lease granted by a former controller has expired, without having to reach these controllers.
 ///
-/// A former controller that cannot reach the log keeps renewing until LeaseTerms::logOutageLimit. It has stopped
-/// earlier if its process has ended or it answers that it is no longer the controller, so it is queried until it
-/// answers or the limit has passed.
+/// Each lease ends at most LeaseTerms::duration after the latest time as of which the control of the one that granted
+/// it was confirmed, see LeaseAuthority. The log does not confirm it once it holds a later claim. The witnesses do not
+/// confirm it either once one of them has read or made a later claim: this entry, another controller since, or one that
+/// answers so. If no witness is known to have, LeaseTerms::logOutageLimit bounds the time.
 class FormerControllers {
 public:
     FormerControllers(IPeerControl& peers, foundation::IClock& clock, foundation::ITimerQueue& timers,
@@ -29,8 +30,9 @@
     FormerControllers(const FormerControllers&) = delete;
     FormerControllers& operator=(const FormerControllers&) = delete;
 
-    /// Queries the entries of those claims that may still be renewing leases. The last claim is this entry's own.
-    void begin(const std::deque<jobs::ControlClaimed>& claims);
+    /// Evaluates the claims that `follower` has read, the last of which is this entry's own, and queries the entries of
+    /// those whose leases are not bounded by them.
+    void begin(const eventlog::JobFollower& follower);
 
     /// Time by which every lease granted by a former controller has expired.
     foundation::SteadyTime leasesExpiredAt() const;
@@ -38,13 +40,16 @@
 private:
     struct FormerController {
         jobs::ControlClaimed claim;
-        foundation::SteadyTime stoppedBy; ///< Latest time at which it stops renewing leases.
-        bool isStopConfirmed = false; ///< Whether it is known to have stopped.
+        foundation::SteadyTime confirmedUntil; ///< Latest time as of which its control may be confirmed.
+        bool isBounded = false; ///< Whether the time follows from a witness, or from the former controller itself.
+        std::string evidence; ///< What the time follows from.
     };
 
-    foundation::SteadyTime leasesExpiredAfter(foundation::SteadyTime stoppedBy) const;
-    void report(const FormerController& former) const;
+    FormerController evaluate(const eventlog::JobFollower& follower, std::size_t index) const;
     void queryAll();
+    void query(std::size_t index, const std::string& entry, const std::string& address);
+    void onAnswer(FormerController& former, const std::string& entry, const PeerControlState& state);
+    void report(const FormerController& former) const;
 
     IPeerControl& peers_;
     foundation::IClock& clock_;
--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -47,8 +47,10 @@
     : context_(context)
     , settings_(settings)
     , formerControllers_(context.peers, context.clock, context.timers, context.events, settings.lease)
+    , leaseAuthority_(context.peers, context.follower, context.clock, context.events, settings.lease, epoch)
     , instanceControl_(context.instances)
-    , sessionContext_ { instanceControl_, context.clock, *this, formerControllers_, epoch, settings.lease }
+    , sessionContext_ { instanceControl_, context.clock, *this, formerControllers_, leaseAuthority_, epoch,
+        settings.lease }
     , onStepDown_(std::move(onStepDown))
     , writer_(context.log, context.clock, context.timers, context.events, epoch, 1,
           [this](const foundation::Error& error) {
@@ -67,8 +69,10 @@
     , planDelay_(planBatchingDelay)
 {
     writer_.setBatchesRuns(settings.batchesRunRecords);
-    writer_.onAcknowledged(
-        [this](std::uint64_t offset, std::uint64_t count) { context_.follower.onOwnRecordsStored(offset, count); });
+    writer_.onAcknowledged([this](const eventlog::AcknowledgedAppend& append) {
+        leaseAuthority_.onAppendStored(append.sentAt);
+        context_.follower.onOwnRecordsStored(append.offset, append.count);
+    });
 }
 
 Controller::~Controller()
@@ -94,7 +98,7 @@
             { "unknown_records", context_.follower.unknownRecords() },
             { "open_jobs", static_cast<std::uint64_t>(context_.follower.table().openJobs().size()) } });
     load_.usageAtStart = foundation::currentUsage();
-    formerControllers_.begin(context_.follower.table().claims());
+    formerControllers_.begin(context_.follower);
     inheritRuns();
     directory_.start();
 }
@@ -113,6 +117,16 @@
     schedulePlan();
 }
 
+void Controller::setWitnesses(const std::vector<jobs::ControlWitness>& witnesses)
+{
+    if (hasSteppedDown_ || witnesses == leaseAuthority_.witnesses())
+        return;
+    leaseAuthority_.nameWitnesses(witnesses);
+    records_.write(jobs::WitnessesChanged { sessionContext_.epoch, witnesses });
+    writer_.whenStored([this, count = leaseAuthority_.namedSets()] { leaseAuthority_.onWitnessesStored(count); });
+    writer_.flush();
+}
+
 void Controller::stepDown(const std::string& reason)
 {
     if (std::exchange(hasSteppedDown_, true))
@@ -154,6 +168,8 @@
     for (auto& [name, session] : sessions_) {
         if (!present.count(name))
             session->setListed(false);
+        if (!session->hasAddress())
+            reportLost(*session, "not in the directory");
     }
     for (auto ended = endedIncarnations_.begin(); ended != endedIncarnations_.end();)
         ended = present.count(ended->first) ? std::next(ended) : endedIncarnations_.erase(ended);
@@ -244,6 +260,7 @@
     // Start orders rely on the capacities in the directory as well.
     controlStatus_ = directory_.isCurrent() ? status : std::min(status, ControlStatus::Unconfirmed);
     reportLoad(lag);
+    leaseAuthority_.tick();
     std::vector<InstanceSessionPtr> sessions;
     sessions.reserve(sessions_.size());
     for (const auto& [name, session] : sessions_)
@@ -787,11 +804,28 @@
 
 void Controller::onContactChanged(InstanceSession& session, bool isInContact, const std::string& reason)
 {
-    context_.events.write(isInContact ? "instance.regained" : "instance.lost",
-        { { "instance", session.incarnation().instance }, { "reason", reason } });
+    if (isInContact)
+        context_.events.write("instance.regained",
+            { { "instance", session.incarnation().instance }, { "runs", std::uint64_t(session.runs().size()) },
+                { "reason", reason } });
+    else
+        reportLost(session, reason);
     schedulePlan();
 }
 
+// The time until the runs of the instance start elsewhere, unless it answers again.
+void Controller::reportLost(const InstanceSession& session, const std::string& reason)
+{
+    const LeaseExpiry expiry = session.leaseExpiry();
+    const auto now = context_.clock.now();
+    const auto left = std::max(expiry.at, now) - now;
+    context_.events.write("instance.lost",
+        { { "instance", session.incarnation().instance }, { "reason", reason },
+            { "runs", std::uint64_t(session.runs().size()) },
+            { "lease_left_ms", std::int64_t(std::chrono::duration_cast<milliseconds>(left).count()) },
+            { "bound", toText(expiry.bound) } });
+}
+
 void Controller::onFenced(InstanceSession& session)
 {
     stepDown("instance " + session.incarnation().instance + " has seen a higher token");
--- a/src/control/internal/controllerelection.cpp
+++ b/src/control/internal/controllerelection.cpp
@@ -4,6 +4,7 @@
 
 #include <absl/cleanup/cleanup.h>
 #include <algorithm>
+#include <iterator>
 #include <tuple>
 #include <utility>
 
@@ -29,6 +30,9 @@
     constexpr milliseconds tickInterval { 50 };
     constexpr std::uint32_t takeoverShareRatio = 2; ///< A smaller gain does not justify a change of controller.
     constexpr milliseconds holderIntervalMargin { 300 }; ///< Added to ControlSettings::holderInterval.
+    /// Entries that confirm a controller's control while the log does not answer. A successor relies on any one of
+    /// them, while the controller depends on all.
+    constexpr std::size_t witnessCount = 3;
 
     bool isBetterCandidate(const GroupMember& one, const GroupMember& other)
     {
@@ -132,6 +136,9 @@
     const auto candidate = std::min_element(members.begin(), members.end(), isBetterCandidate);
     if (candidate == members.end())
         return;
+    members_ = members;
+    if (controller_)
+        controller_->setWitnesses(chooseWitnesses());
     isCandidate_ = candidate->entry == identity_.entry;
     if (!controller_ && isCandidate_) {
         // An entry that has just started does not know the latest claim yet.
@@ -144,6 +151,22 @@
         endControl("a member has a larger processor share: " + candidate->entry);
 }
 
+// The next candidates are the most likely successors.
+std::vector<jobs::ControlWitness> ControllerElection::chooseWitnesses() const
+{
+    std::vector<GroupMember> others;
+    std::copy_if(members_.begin(), members_.end(), std::back_inserter(others),
+        [&](const GroupMember& member) { return member.entry != identity_.entry && !member.address.empty(); });
+    const auto count = std::min(witnessCount, others.size());
+    const auto end = others.begin() + static_cast<std::ptrdiff_t>(count);
+    std::partial_sort(others.begin(), end, others.end(), isBetterCandidate);
+    std::vector<jobs::ControlWitness> witnesses;
+    std::transform(others.begin(), end, std::back_inserter(witnesses), [](const GroupMember& member) {
+        return jobs::ControlWitness { member.entry, member.address };
+    });
+    return witnesses;
+}
+
 void ControllerElection::claimUnlessHeld(const std::vector<GroupMember>& members)
 {
     const ControlClaimed holder = context_.follower.table().latestClaim();
@@ -188,7 +211,9 @@
             return retryClaim();
         const std::uint64_t epoch = std::max({ generation_, latest.epoch + 1, minimumEpoch_ });
         const auto timeOfDay = std::chrono::duration_cast<milliseconds>(context_.clock.wallNow().time_since_epoch());
-        const ControlClaimed claim { epoch, identity_.entry, identity_.incarnation, identity_.address, timeOfDay };
+        const ControlClaimed claim { epoch, identity_.entry, identity_.incarnation, identity_.address, timeOfDay,
+            chooseWitnesses() };
+        latestTriedEpoch_ = epoch;
         eventlog::AppendRequest request;
         request.payloads.push_back(jobs::encode(claim, epoch));
         request.position = eventlog::ProducerPosition { epoch, 0 };
@@ -283,7 +308,8 @@
 
 PeerControlState ControllerElection::state() const
 {
-    return { identity_.incarnation, controller_ ? controller_->epoch() : 0 };
+    return { identity_.incarnation, controller_ ? controller_->epoch() : 0,
+        std::max(context_.follower.latestKnownClaim(), latestTriedEpoch_) };
 }
 
 ControlStatus ControllerElection::controlStatus() const
--- a/src/control/internal/controltext.cpp
+++ b/src/control/internal/controltext.cpp
@@ -51,4 +51,17 @@
     return "unknown";
 }
 
+std::string toText(LeaseBound bound)
+{
+    switch (bound) {
+    case LeaseBound::OwnLease:
+        return "own-lease";
+    case LeaseBound::FormerControllers:
+        return "former-controllers";
+    case LeaseBound::EarlierIncarnation:
+        return "earlier-incarnation";
+    }
+    return "unknown";
+}
+
 } // namespace turmericsill::control
--- a/src/control/internal/formercontrollers.cpp
+++ b/src/control/internal/formercontrollers.cpp
@@ -1,18 +1,23 @@
 #include "control/formercontrollers.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace turmericsill::control {
 
 using foundation::Result;
 using foundation::SteadyTime;
+using jobs::ControlClaimed;
 
 namespace {
 
     constexpr milliseconds queryInterval { 500 };
-    /// Longest transit of a renewal sent just before its sender stopped.
-    constexpr milliseconds renewalTransitDelay { 200 };
-    constexpr milliseconds wallClockTolerance { 2500 }; ///< Greatest difference between the wall clocks of two entries.
+
+    bool isWitness(const ControlClaimed& claim, const std::string& entry)
+    {
+        return std::any_of(claim.witnesses.begin(), claim.witnesses.end(),
+            [&](const jobs::ControlWitness& witness) { return witness.entry == entry; });
+    }
 
 } // namespace
 
@@ -28,76 +33,69 @@
 
 FormerControllers::~FormerControllers() { *alive_ = false; }
 
-// Claims that were replaced so long ago that no renewal or lease can be left are not queried.
-void FormerControllers::begin(const std::deque<jobs::ControlClaimed>& claims)
+void FormerControllers::begin(const eventlog::JobFollower& follower)
 {
     controllers_.clear();
-    const jobs::ControlClaimed& own = claims.back();
-    for (std::size_t i = 0; i + 1 < claims.size(); ++i) {
-        const auto timeSinceReplaced = own.claimedAt - claims[i + 1].claimedAt;
-        if (timeSinceReplaced > leaseTerms_.logOutageLimit + leaseTerms_.duration + wallClockTolerance)
+    for (std::size_t i = 0; i + 1 < follower.table().claims().size(); ++i) {
+        FormerController former = evaluate(follower, i);
+        if (former.confirmedUntil + leaseTerms_.duration + leaseTerms_.expiryMargin < clock_.now())
             continue;
-        FormerController former { claims[i], clock_.now() + leaseTerms_.logOutageLimit, false };
-        // An earlier claim by this entry: its process has ended, or this process has stopped being the controller.
-        if (former.claim.entry == own.entry) {
-            former.stoppedBy = clock_.now();
-            former.isStopConfirmed = true;
-        }
         report(former);
-        controllers_.push_back(former);
+        controllers_.push_back(std::move(former));
     }
     queryAll();
 }
 
-SteadyTime FormerControllers::leasesExpiredAfter(SteadyTime stoppedBy) const
+// A witness that has claimed control was aware of it before its claim could be read. Whatever an earlier process of
+// this entry has confirmed, it did before this one started.
+FormerControllers::FormerController FormerControllers::evaluate(
+    const eventlog::JobFollower& follower, std::size_t index) const
 {
-    // The end of a lease is computed from the former controller's estimate of the instance clock, which may have run
-    // ahead of that clock since the instance's last answer.
-    const auto clockDrift = leaseTerms_.idleRenewInterval * (1 - leaseTerms_.slowestClockRate);
-    const auto lease = (leaseTerms_.duration + clockDrift) / leaseTerms_.slowestClockRate + renewalTransitDelay;
-    return stoppedBy + std::chrono::duration_cast<SteadyTime::duration>(lease);
-}
-
-void FormerControllers::report(const FormerController& former) const
-{
-    const auto left = leasesExpiredAfter(former.stoppedBy) - clock_.now();
-    events_.write("control.former",
-        { { "former", former.claim.entry }, { "epoch", former.claim.epoch },
-            { "evidence", former.isStopConfirmed ? "own-claim" : "outage-limit" },
-            { "leases_left_ms", std::int64_t(std::chrono::duration_cast<milliseconds>(left).count()) } });
+    const auto& claims = follower.table().claims();
+    const ControlClaimed& claim = claims[index];
+    const ControlClaimed& own = claims.back();
+    const auto replacedAt = follower.claimKnownSince(claims[index + 1].epoch);
+    FormerController former { claim, replacedAt + leaseTerms_.logOutageLimit, false, "outage-limit" };
+    const auto bound = [&former](SteadyTime time, const std::string& evidence) {
+        former.isBounded = true;
+        if (time >= former.confirmedUntil)
+            return;
+        former.confirmedUntil = time;
+        former.evidence = evidence;
+    };
+    if (claim.entry == own.entry)
+        bound(std::max(replacedAt, clock_.now()), "own-claim");
+    if (isWitness(claim, own.entry))
+        bound(replacedAt, "own-witness");
+    for (std::size_t later = index + 1; later < claims.size(); ++later) {
+        if (isWitness(claim, claims[later].entry))
+            bound(follower.claimKnownSince(claims[later].epoch), "claim-of-witness");
+    }
+    return former;
 }
 
 SteadyTime FormerControllers::leasesExpiredAt() const
 {
     SteadyTime latest = SteadyTime::min();
     for (const auto& former : controllers_)
-        latest = std::max(latest, former.stoppedBy);
-    return controllers_.empty() ? latest : leasesExpiredAfter(latest);
+        latest = std::max(latest, former.confirmedUntil + leaseTerms_.duration + leaseTerms_.expiryMargin);
+    return latest;
 }
 
 void FormerControllers::queryAll()
 {
-    bool hasUnconfirmed = false;
+    bool hasUnbounded = false;
     for (std::size_t i = 0; i < controllers_.size(); ++i) {
-        if (controllers_[i].isStopConfirmed || clock_.now() >= controllers_[i].stoppedBy)
-            continue;
-        const auto address = foundation::parseAddress(controllers_[i].claim.address);
-        if (!address)
+        const FormerController& former = controllers_[i];
+        if (former.isBounded || clock_.now() >= former.confirmedUntil)
             continue;
-        hasUnconfirmed = true;
-        peers_.queryState(*address, [this, i, alive = alive_](const Result<PeerControlState>& state) {
-            if (!*alive || !state || controllers_[i].isStopConfirmed)
-                return;
-            const jobs::ControlClaimed& claim = controllers_[i].claim;
-            if (state->incarnation == claim.incarnation && state->epoch == claim.epoch)
-                return; // It is still the controller, as far as it knows.
-            controllers_[i].isStopConfirmed = true;
-            controllers_[i].stoppedBy = clock_.now();
-            events_.write("control.former-stopped",
-                { { "former", claim.entry }, { "epoch", claim.epoch }, { "says_epoch", state->epoch } });
-        });
+        hasUnbounded = true;
+        const ControlClaimed claim = former.claim;
+        query(i, claim.entry, claim.address);
+        for (const auto& witness : claim.witnesses)
+            query(i, witness.entry, witness.address);
     }
-    if (!hasUnconfirmed)
+    if (!hasUnbounded)
         return;
     timers_.schedule(clock_.now() + queryInterval, [this, alive = alive_] {
         if (*alive)
@@ -105,4 +103,39 @@
     });
 }
 
+void FormerControllers::query(std::size_t index, const std::string& entry, const std::string& address)
+{
+    const auto parsed = foundation::parseAddress(address);
+    if (!parsed)
+        return;
+    peers_.queryState(*parsed, [this, index, entry, alive = alive_](const Result<PeerControlState>& state) {
+        if (*alive && state && !controllers_[index].isBounded)
+            onAnswer(controllers_[index], entry, *state);
+    });
+}
+
+void FormerControllers::onAnswer(FormerController& former, const std::string& entry, const PeerControlState& state)
+{
+    const ControlClaimed& claim = former.claim;
+    const bool hasStopped
+        = entry == claim.entry && (state.incarnation != claim.incarnation || state.epoch != claim.epoch);
+    const bool isObjecting = isWitness(claim, entry) && state.latestClaim > claim.epoch;
+    if (!hasStopped && !isObjecting)
+        return;
+    former.isBounded = true;
+    former.confirmedUntil = std::min(former.confirmedUntil, clock_.now());
+    former.evidence = hasStopped ? "stopped" : "answer-of-witness";
+    events_.write("control.former-stopped",
+        { { "former", claim.entry }, { "epoch", claim.epoch }, { "witness", entry }, { "says_epoch", state.epoch } });
+    report(former);
+}
+
+void FormerControllers::report(const FormerController& former) const
+{
+    const auto left = former.confirmedUntil + leaseTerms_.duration + leaseTerms_.expiryMargin - clock_.now();
+    events_.write("control.former",
+        { { "former", former.claim.entry }, { "epoch", former.claim.epoch }, { "evidence", former.evidence },
+            { "leases_left_ms", std::int64_t(std::chrono::duration_cast<milliseconds>(left).count()) } });
+}
+
 } // namespace turmericsill::control
--- a/src/control/internal/httppeercontrol.cpp
+++ b/src/control/internal/httppeercontrol.cpp
@@ -109,15 +109,17 @@
 
 std::string encodeControlState(const PeerControlState& state)
 {
-    return nlohmann::json { { "incarnation", state.incarnation }, { "epoch", state.epoch } }.dump();
+    return nlohmann::json {
+        { "incarnation", state.incarnation }, { "epoch", state.epoch }, { "latest_claim", state.latestClaim }
+    }.dump();
 }
 
 Result<PeerControlState> decodeControlState(const std::string& body)
 {
     try {
         const auto value = nlohmann::json::parse(body);
-        return PeerControlState { value.at("incarnation").get<std::uint64_t>(),
-            value.at("epoch").get<std::uint64_t>() };
+        return PeerControlState { value.at("incarnation").get<std::uint64_t>(), value.at("epoch").get<std::uint64_t>(),
+            value.value("latest_claim", std::uint64_t(0)) };
     } catch (const nlohmann::json::exception& error) {
         return failure(Errc::ProtocolViolation, "control.ask", {}, error.what());
     }
--- a/src/control/internal/instancesession.cpp
+++ b/src/control/internal/instancesession.cpp
@@ -20,7 +20,6 @@
 
     constexpr milliseconds retryInterval { 150 }; ///< Delay between retries of an unanswered call.
     constexpr milliseconds minimumRestartTime { 300 }; ///< A process takes at least this long to restart.
-    constexpr milliseconds leaseExpiryMargin { 60 }; ///< Time an instance takes to kill its runs after expiry.
     constexpr std::size_t maximumEndsPerAnswer = 500; ///< The platform lists at most this many ends per answer.
     /// Time after the answer to a stop within which the instance lists the end of the run.
     constexpr milliseconds stopEndAllowance { 700 };
@@ -118,22 +117,37 @@
     return clock_ ? *clock_ + elapsed : InstanceTime(0);
 }
 
-// Uses a lower bound of the instance clock: the clock was read before the answer arrived and has since advanced at
-// least at the slowest permitted rate.
-bool InstanceSession::hasLeaseExpired() const
+// The clock of the instance was read before the answer arrived and has since advanced at least at the slowest rate.
+InstanceTime InstanceSession::longestLease() const
 {
-    const auto now = context_.clock.now();
-    const bool hasInheritedRun = std::any_of(
-        runs_.begin(), runs_.end(), [](const auto& entry) { return entry.second.state == OrderState::Inherited; });
-    if (hasInheritedRun || !clock_)
-        return now > std::max(context_.former.leasesExpiredAt(), adoptedLeasesExpiredAt_);
+    const auto elapsed = std::max(context_.leaseLimit.leaseLimit(), clockReadAt_) - clockReadAt_;
+    const auto advance = std::chrono::duration<double, std::milli>(elapsed) * context_.leaseTerms.slowestClockRate;
+    return clock_.value_or(InstanceTime(0)) + std::chrono::floor<milliseconds>(advance);
+}
+
+// The latest time at which the clock of the instance shows `time`, and its runs have been killed if their lease ended
+// then.
+SteadyTime InstanceSession::latestTimeOf(InstanceTime time) const
+{
+    const std::chrono::duration<double, std::milli> remaining
+        = time + context_.leaseTerms.expiryMargin - clock_.value_or(InstanceTime(0));
+    return clockReadAt_ + std::chrono::ceil<SteadyTime::duration>(remaining / context_.leaseTerms.slowestClockRate);
+}
+
+LeaseExpiry InstanceSession::leaseExpiry() const
+{
+    LeaseExpiry inherited { context_.former.leasesExpiredAt(), LeaseBound::FormerControllers };
+    LeaseExpiry expiry { SteadyTime::min(), LeaseBound::OwnLease };
+    if (clock_) {
+        expiry.at = latestTimeOf(sentLeaseEnd_);
+        inherited.at = std::min(inherited.at, latestTimeOf(inheritedLeaseEnd_));
+    }
+    if (inherited.at > expiry.at)
+        expiry = inherited;
     // A renewal that was sent to the earlier incarnation may have reached this one.
-    if (now <= adoptedLeasesExpiredAt_)
-        return false;
-    const auto elapsed = std::chrono::duration_cast<std::chrono::duration<double, std::milli>>(now - clockReadAt_);
-    const double lowestClock
-        = static_cast<double>(clock_->count()) + elapsed.count() * context_.leaseTerms.slowestClockRate;
-    return lowestClock > static_cast<double>((std::max(sentLeaseEnd_, inheritedLeaseEnd_) + leaseExpiryMargin).count());
+    if (adoptedLeasesExpiredAt_ > expiry.at)
+        expiry = { adoptedLeasesExpiredAt_, LeaseBound::EarlierIncarnation };
+    return expiry;
 }
 
 void InstanceSession::track(
@@ -221,7 +235,8 @@
         run.orderedAt = context_.clock.now();
     // As in renew(), the lease of an instance that does not answer is not extended.
     if (consecutiveFailures_ == 0)
-        sentLeaseEnd_ = std::max(sentLeaseEnd_, clockEstimate() + context_.leaseTerms.startDuration);
+        sentLeaseEnd_
+            = std::max(sentLeaseEnd_, std::min(longestLease(), clockEstimate() + context_.leaseTerms.startDuration));
     run.order.leaseEnd = std::min(sentLeaseEnd_, clockEstimate() + context_.leaseTerms.startDuration);
     context_.control.start(handle(), run.order,
         [self = Self(this), task, number = run.run, sentAt = run.lastAttemptAt](
@@ -381,7 +396,7 @@
 void InstanceSession::tick(ControlStatus status)
 {
     const Self keepAlive(this);
-    if (!runs_.empty() && hasLeaseExpired())
+    if (!runs_.empty() && context_.clock.now() > leaseExpiry().at)
         endAll(RunOutcome::LeaseExpired);
     if (status != ControlStatus::Lost && isRenewalDue())
         renew();
@@ -431,7 +446,7 @@
     if (clock_ && !runs_.empty()) {
         // The lease of an instance that does not answer is not extended, so that its runs end at a known time.
         if (isLastRenewalAnswered_)
-            sentLeaseEnd_ = std::max(sentLeaseEnd_, clockEstimate() + context_.leaseTerms.duration);
+            sentLeaseEnd_ = std::max(sentLeaseEnd_, longestLease());
         request.leaseEnd = sentLeaseEnd_;
     }
     if (isSynced_ && hasRuns && isSameIncarnation && lastListedEnd_ == lastAcknowledgedEnd_)
--- a/src/control/internal/instancesession.h
+++ b/src/control/internal/instancesession.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "control/formercontrollers.h"
+#include "control/ileaselimit.h"
 #include "control/internal/isessionobserver.h"
 #include "control/types/leaseterms.h"
 #include "fleet/iinstancecontrol.h"
@@ -41,6 +42,19 @@
     return state == OrderState::IntentPending || state == OrderState::Sent;
 }
 
+/// What determines when the leases on an instance have expired.
+enum class LeaseBound {
+    OwnLease, ///< The latest lease that this controller granted.
+    FormerControllers, ///< The leases that former controllers may have granted.
+    EarlierIncarnation, ///< Orders for an earlier incarnation, whose leases count from their arrival.
+};
+
+/// Time by which every lease on an instance has expired.
+struct LeaseExpiry {
+    foundation::SteadyTime at;
+    LeaseBound bound = LeaseBound::OwnLease;
+};
+
 /// A run that may exist on an instance.
 struct TrackedRun {
     std::uint32_t run = 0;
@@ -70,6 +84,7 @@
     foundation::IClock& clock;
     ISessionObserver& observer;
     const FormerControllers& former;
+    const ILeaseLimit& leaseLimit;
     std::uint64_t epoch = 0;
     LeaseTerms leaseTerms;
     std::size_t startsInProgress = 0; ///< Number of runs in OrderState::IntentPending or Sent, of all sessions.
@@ -136,6 +151,9 @@
     /// Stops a run, at once or as soon as its pending start order is answered.
     void requestStop(const jobs::TaskId& task, bool isPlanned);
 
+    /// Time by which the tracked runs have ended if the instance does not answer any more.
+    LeaseExpiry leaseExpiry() const;
+
     /// Acknowledges the run ends up to `number` to the instance; the log holds them.
     void acknowledgeEnds(std::uint64_t number);
 
@@ -171,7 +189,8 @@
     void setState(TrackedRun& run, OrderState state);
     fleet::InstanceHandle handle() const;
     fleet::InstanceTime clockEstimate() const;
-    bool hasLeaseExpired() const;
+    fleet::InstanceTime longestLease() const;
+    foundation::SteadyTime latestTimeOf(fleet::InstanceTime time) const;
     bool isRenewalDue() const;
     void renew();
     void onRenewed(const foundation::Result<fleet::RenewAnswer>& answer, foundation::SteadyTime sentAt);
--- a/src/control/ipeercontrol.h
+++ b/src/control/ipeercontrol.h
@@ -15,6 +15,8 @@
 struct PeerControlState {
     std::uint64_t incarnation = 0; ///< Start time of the process, in milliseconds since 1970.
     std::uint64_t epoch = 0; ///< Epoch under which the entry controls the fleet; 0 if it is not the controller.
+    /// Epoch of the latest claim that the entry has read or tried to append; 0 if it has read none or does not tell.
+    std::uint64_t latestClaim = 0;
 };
 
 /// Calls from one entry to another.
--- a/src/control/tests/instancesessiontests.cpp
+++ b/src/control/tests/instancesessiontests.cpp
@@ -36,6 +36,22 @@
     void forward(const foundation::Address&, std::vector<std::string>, milliseconds, ForwardCallback) override { }
 };
 
+/// Limit of a controller whose control is confirmed all the time.
+class ConfirmedLeaseLimit : public ILeaseLimit {
+public:
+    ConfirmedLeaseLimit(foundation::IClock& clock, milliseconds duration)
+        : clock_(clock)
+        , duration_(duration)
+    {
+    }
+
+    foundation::SteadyTime leaseLimit() const override { return clock_.now() + duration_; }
+
+private:
+    foundation::IClock& clock_;
+    milliseconds duration_;
+};
+
 /// Keeps the callbacks of the calls, so that a test answers them.
 class HeldInstanceControl : public fleet::IInstanceControl {
 public:
@@ -96,7 +112,8 @@
     HeldInstanceControl control;
     LeaseTerms terms;
     FormerControllers former { peers, clock, timers, events, terms };
-    SessionContext context { control, clock, observer, former, 3, terms };
+    ConfirmedLeaseLimit leaseLimit { clock, terms.duration };
+    SessionContext context { control, clock, observer, former, leaseLimit, 3, terms };
     InstanceSessionPtr session;
 };
 
--- a/src/control/types/leaseterms.h
+++ b/src/control/types/leaseterms.h
@@ -8,8 +8,9 @@
 
 /// Durations of instance leases. An instance kills everything it runs when its lease expires.
 struct LeaseTerms {
-    /// Duration of a renewed lease. It must outlast a change of controller (about 2 s) and be short enough that the
-    /// tasks of a lost instance restart soon.
+    /// Time after the latest confirmation of a controller's control by which every lease that it has granted expires.
+    /// It must outlast a change of controller (about 2 s) and be short enough that the tasks of a lost instance restart
+    /// soon.
     milliseconds duration { 5000 };
     /// Duration of the lease that a start order grants; a renewal follows its answer.
     milliseconds startDuration { 3000 };
@@ -17,10 +18,10 @@
     milliseconds renewalWait { 1000 };
     milliseconds idleRenewInterval { 8000 }; ///< Keeps the clock estimate of an idle instance within 0.2 s.
     double slowestClockRate = 0.98; ///< Lowest rate of an instance clock that the platform allows.
-    /// A controller that has not reached the log for this long stops renewing leases, because another controller may
-    /// have taken over.
+    /// A controller that has not reached the log for this long extends no leases, whether or not its witnesses agree.
     milliseconds logOutageLimit { 12000 };
     milliseconds maximumLease { 10000 }; ///< The platform shortens leases that are longer.
+    milliseconds expiryMargin { 60 }; ///< Time an instance takes to kill its runs after the end of its lease.
 };
 
 } // namespace turmericsill::control
--- a/src/entryd/internal/entryprocess.cpp
+++ b/src/entryd/internal/entryprocess.cpp
@@ -95,7 +95,8 @@
     , storeReadClient_(context_, settings_.storeAddress, storeReadConnections)
     , storeWriteClient_(context_, settings_.storeAddress, storeWriteConnections)
     , machineControlClient_(context_, settings_.machineControlAddress, machineControlConnections)
-    , jobLog_(storeReadClient_, storeWriteClient_, { settings_.entry, settings::processorMillicores(settings_) },
+    , jobLog_(storeReadClient_, storeWriteClient_,
+          { settings_.entry, settings::processorMillicores(settings_), settings_.telemetryAddress.toString() },
           { settings_.logRecordBytes, settings_.logAppendBytes })
     , fleetSource_(declarationClient_, storeReadClient_,
           [this](const foundation::Error& error) {
--- a/src/eventlog/controllerwriter.h
+++ b/src/eventlog/controllerwriter.h
@@ -14,6 +14,13 @@
 
 namespace turmericsill::eventlog {
 
+/// An append that the log has accepted.
+struct AcknowledgedAppend {
+    std::uint64_t offset = 0; ///< Offset of the first payload.
+    std::uint64_t count = 0; ///< Number of payloads.
+    foundation::SteadyTime sentAt {}; ///< When it was first sent. The epoch was the latest one in the log at that time.
+};
+
 /// Appends the controller's records of one epoch, each exactly once and in order, in appends that the log accepts. An
 /// append without an answer is retried until the log answers or a later controller has fenced this one. One that the
 /// log rejects for good is divided.
@@ -24,8 +31,7 @@
     /// Errc::Fenced: a later controller has taken over. Errc::Rejected: the log does not accept a record.
     using EndCallback = std::function<void(const foundation::Error&)>;
 
-    /// Called with the offset of the first payload and the number of payloads of an acknowledged append.
-    using AcknowledgedCallback = std::function<void(std::uint64_t offset, std::uint64_t count)>;
+    using AcknowledgedCallback = std::function<void(const AcknowledgedAppend&)>;
 
     /// `ended` is called once, when no further record can be appended. Appends are numbered from `firstSequence` on.
     ControllerWriter(IEventLog& log, foundation::IClock& clock, foundation::ITimerQueue& timers,
--- a/src/eventlog/internal/controllerwriter.cpp
+++ b/src/eventlog/internal/controllerwriter.cpp
@@ -99,7 +99,7 @@
         return;
     }
     if (acknowledgedCallback_)
-        acknowledgedCallback_(answer->offset, payloads_.size());
+        acknowledgedCallback_({ answer->offset, payloads_.size(), appendStartedAt_ });
     completeAppend();
 }
 
--- a/src/eventlog/internal/jobfollower.cpp
+++ b/src/eventlog/internal/jobfollower.cpp
@@ -15,6 +15,7 @@
 
     /// A page of this size takes 0.1 s on a link of 10 Mbit/s, well within the timeout of a read.
     constexpr std::size_t pageBytes = 128 << 10;
+    constexpr std::size_t retainedClaimTimes = 64; ///< Exceeds the number of claims that a table retains.
 
 } // namespace
 
@@ -79,6 +80,24 @@
         table_->restore(std::move(*job));
     }
     isSnapshotLoaded_ = true;
+    recordClaimTimes();
+}
+
+void JobFollower::recordClaimTimes()
+{
+    const auto& claims = table_->claims();
+    for (auto claim = claims.rbegin(); claim != claims.rend(); ++claim) {
+        if (!claimsKnownSince_.emplace(claim->epoch, clock_.now()).second)
+            break;
+    }
+    while (claimsKnownSince_.size() > retainedClaimTimes)
+        claimsKnownSince_.erase(claimsKnownSince_.begin());
+}
+
+foundation::SteadyTime JobFollower::claimKnownSince(std::uint64_t epoch) const
+{
+    const auto known = claimsKnownSince_.find(epoch);
+    return known == claimsKnownSince_.end() ? clock_.now() : known->second;
 }
 
 void JobFollower::poll()
@@ -92,7 +111,8 @@
     if (!hasCaughtUp_)
         return readToEnd([this](const Result<void>& read) { scheduleNextPoll(read.has_value()); });
     // A long poll would return with each of the controller's own appends.
-    const ReadRequest request { offset_, isAppending() ? milliseconds(0) : options_.longPollTimeout, pageBytes };
+    const auto longPollTimeout = ownEpoch_ > 0 ? options_.controllerLongPollTimeout : options_.longPollTimeout;
+    const ReadRequest request { offset_, isAppending() ? milliseconds(0) : longPollTimeout, pageBytes };
     log_.read(request, [this, generation = generation_, sentAt = clock_.now()](const Result<LogPage>& page) {
         onPage(page, generation, sentAt);
         const bool isBehind = page && offset_ < page->end;
@@ -179,6 +199,7 @@
         else
             ++ownRecordsRead_;
     }
+    recordClaimTimes();
     skipOwnRecords();
 }
 
--- a/src/eventlog/jobfollower.h
+++ b/src/eventlog/jobfollower.h
@@ -18,6 +18,8 @@
 /// Timing of the follower's reads.
 struct FollowerOptions {
     foundation::milliseconds longPollTimeout { 1000 }; ///< How long a read waits for the first record.
+    /// The same for a controller, which extends leases only as long as its reads show no later claim.
+    foundation::milliseconds controllerLongPollTimeout { 500 };
     foundation::milliseconds followerPollDelay { 200 }; ///< Half of the staleness allowed without a fresh read.
     foundation::milliseconds controllerPollDelay { 4 }; ///< Adds to the start latency of a job, as do two appends.
     /// Delay between the reads of a controller that appends. Its own records need no read; callers' records that other
@@ -52,6 +54,12 @@
     /// once hasCaughtUp().
     foundation::SteadyTime coveredAsOf() const { return coveredAsOf_; }
 
+    /// Epoch of the latest claim of control that was ever read; 0 if there is none.
+    std::uint64_t latestKnownClaim() const { return claimsKnownSince_.empty() ? 0 : claimsKnownSince_.rbegin()->first; }
+
+    /// When the claim of an epoch was first read, which was after it was appended; the present if it was not read.
+    foundation::SteadyTime claimKnownSince(std::uint64_t epoch) const;
+
     /// When the log last answered a read.
     foundation::SteadyTime lastAnswerAt() const { return lastAnswerAt_; }
 
@@ -111,6 +119,7 @@
     void skipOwnRecords();
     void onPage(const foundation::Result<LogPage>& page, std::uint64_t generation, foundation::SteadyTime sentAt);
     void applyPage(const LogPage& page);
+    void recordClaimTimes();
     void onRetentionPassed();
     void rebuild();
     void startReadToEnd();
@@ -129,6 +138,7 @@
     foundation::SteadyTime lastOwnAppendAt_ {};
     std::uint64_t generation_ = 0; ///< Increases with each rebuild; answers of an earlier generation are ignored.
     std::uint64_t unknownRecords_ = 0;
+    std::map<std::uint64_t, foundation::SteadyTime> claimsKnownSince_; ///< Key: epoch. Outlives rebuilds of the table.
     bool isLoadingSnapshot_ = false;
     bool isSnapshotLoaded_ = false; ///< Whether the snapshot was loaded since the last rebuild.
     foundation::SteadyTime coveredAsOf_ {};
--- a/src/jobs/internal/jobtable.cpp
+++ b/src/jobs/internal/jobtable.cpp
@@ -163,6 +163,14 @@
         claims_.pop_front();
 }
 
+void JobTable::applyRecord(const WitnessesChanged& record)
+{
+    const auto claim = std::find_if(
+        claims_.begin(), claims_.end(), [&](const ControlClaimed& known) { return known.epoch == record.epoch; });
+    if (claim != claims_.end())
+        claim->witnesses = record.witnesses;
+}
+
 std::optional<milliseconds> JobTable::waveFirstSeenAt(std::uint64_t wave) const
 {
     const auto found = waveFirstSeenTimes_.find(wave);
--- a/src/jobs/internal/recordcodec.cpp
+++ b/src/jobs/internal/recordcodec.cpp
@@ -44,6 +44,10 @@
         }
         json operator()(const RunBatch& record) const { return toJson(record); }
         json operator()(const JobsStarted& record) const { return json::array({ record.jobs }); }
+        json operator()(const WitnessesChanged& record) const
+        {
+            return json::array({ record.epoch, toJson(record.witnesses) });
+        }
         json operator()(const InstanceCrashed& record) const
         {
             json runs = json::array();
@@ -97,6 +101,8 @@
             return JobsStarted { fields.at(0).get<std::vector<JobId>>() };
         case 11:
             return instanceCrashedFromJson(fields);
+        case 12:
+            return WitnessesChanged { fields.at(0).get<std::uint64_t>(), witnessesFromJson(fields.at(1)) };
         default:
             throw std::out_of_range("record type number is out of range");
         }
--- a/src/jobs/internal/recordjson.cpp
+++ b/src/jobs/internal/recordjson.cpp
@@ -62,13 +62,36 @@
 
 json toJson(const ControlClaimed& record)
 {
-    return json::array({ record.epoch, record.entry, record.incarnation, record.address, record.claimedAt.count() });
+    return json::array({ record.epoch, record.entry, record.incarnation, record.address, record.claimedAt.count(),
+        toJson(record.witnesses) });
 }
 
+// Earlier versions write no witnesses.
 ControlClaimed controlClaimedFromJson(const json& fields)
 {
-    return { fields.at(0).get<std::uint64_t>(), fields.at(1).get<std::string>(), fields.at(2).get<std::uint64_t>(),
-        fields.at(3).get<std::string>(), milliseconds(fields.at(4).get<std::int64_t>()) };
+    constexpr std::size_t witnessesField = 5;
+    ControlClaimed record { fields.at(0).get<std::uint64_t>(), fields.at(1).get<std::string>(),
+        fields.at(2).get<std::uint64_t>(), fields.at(3).get<std::string>(),
+        milliseconds(fields.at(4).get<std::int64_t>()) };
+    if (fields.size() > witnessesField)
+        record.witnesses = witnessesFromJson(fields.at(witnessesField));
+    return record;
+}
+
+json toJson(const std::vector<ControlWitness>& witnesses)
+{
+    json value = json::array();
+    for (const auto& witness : witnesses)
+        value.push_back(json::array({ witness.entry, witness.address }));
+    return value;
+}
+
+std::vector<ControlWitness> witnessesFromJson(const json& value)
+{
+    std::vector<ControlWitness> witnesses;
+    for (const auto& witness : value)
+        witnesses.push_back({ witness.at(0).get<std::string>(), witness.at(1).get<std::string>() });
+    return witnesses;
 }
 
 json toJson(const JobSubmitted& record)
--- a/src/jobs/internal/recordjson.h
+++ b/src/jobs/internal/recordjson.h
@@ -10,7 +10,9 @@
 /// The decoding functions throw the exceptions of nlohmann::json on malformed input.
 nlohmann::json toJson(const JobSubmitted& record);
 nlohmann::json toJson(const ControlClaimed& record);
+nlohmann::json toJson(const std::vector<ControlWitness>& witnesses);
 JobSubmitted jobSubmittedFromJson(const nlohmann::json& fields);
 ControlClaimed controlClaimedFromJson(const nlohmann::json& fields);
+std::vector<ControlWitness> witnessesFromJson(const nlohmann::json& value);
 
 } // namespace turmericsill::jobs
--- a/src/jobs/jobtable.h
+++ b/src/jobs/jobtable.h
@@ -93,6 +93,7 @@
     void applyRecord(const RunBatch& record);
     void applyRecord(const JobsStarted& record);
     void applyRecord(const InstanceCrashed& record);
+    void applyRecord(const WitnessesChanged& record);
     void applyRecord(const WaveFirstSeen& record) { waveFirstSeenTimes_.emplace(record.wave, record.seenAt); }
 
     using ChangedJobList = boost::intrusive::list<Job, boost::intrusive::base_hook<ChangedJobHook>,
--- a/src/jobs/types/records.h
+++ b/src/jobs/types/records.h
@@ -34,6 +34,14 @@
     InstanceGone, ///< The incarnation of the instance ended.
 };
 
+/// An entry that a controller asks whether it knows a later claim.
+struct ControlWitness {
+    std::string entry;
+    std::string address; ///< Address at which the entry answers.
+
+    bool operator==(const ControlWitness& other) const { return entry == other.entry && address == other.address; }
+};
+
 /// An entry became the controller. The log holds no controller records of lower epochs after this one.
 struct ControlClaimed {
     std::uint64_t epoch = 0;
@@ -41,6 +49,9 @@
     std::uint64_t incarnation = 0; ///< Start of the entry's process in milliseconds since the Unix epoch.
     std::string address; ///< Address at which the entry answers whether it is still the controller.
     milliseconds claimedAt { 0 }; ///< Wall-clock time of the entry.
+    /// Entries without whose agreement the controller extends no lease while the log does not answer it. A claim of a
+    /// version that asks none names none.
+    std::vector<ControlWitness> witnesses {};
 };
 
 /// An entry accepted a job from a caller.
@@ -122,7 +133,13 @@
     std::vector<CrashedRun> runs;
 };
 
+/// The controller of an epoch asks other witnesses from now on.
+struct WitnessesChanged {
+    std::uint64_t epoch = 0;
+    std::vector<ControlWitness> witnesses;
+};
+
 using Record = std::variant<ControlClaimed, JobSubmitted, JobCancelled, RunIntended, RunEnded, JobFailed, JobExpired,
-    MaintenanceStarted, WaveFirstSeen, RunBatch, JobsStarted, InstanceCrashed>;
+    MaintenanceStarted, WaveFirstSeen, RunBatch, JobsStarted, InstanceCrashed, WitnessesChanged>;
 
 } // namespace turmericsill::jobs
