--- a/src/jobs/tests/jobtests.cpp
+++ b/src/jobs/tests/jobtests.cpp
@@ -67,7 +67,9 @@
             ended(2, 7, 1, RunOutcome::InstanceGone), intended(1, 0, 4) } },
         JobsStarted { { 1, 0xffffffffffffffff } },
         InstanceCrashed { { "i-1", 7 }, "m-1",
-            { { { 1, 0, 0, 1 }, 3, true, true, false }, { { 2, 4, 1, 0 }, 1, false, false, true } } } };
+            { { { 1, 0, 0, 1 }, 3, true, true, false }, { { 2, 4, 1, 0 }, 1, false, false, true } } },
+        ControlClaimed { 8, "e-2", 13, "10.0.0.2:7000", milliseconds(98), { { "e-1", "10.0.0.1:7000" } } },
+        WitnessesChanged { 8, { { "e-1", "10.0.0.1:7000" }, { "e-3", "10.0.0.3:7000" } } } };
     for (const auto& record : records) {
         const std::string bytes = encode(record, 7);
         const auto decoded = decode(bytes);
@@ -467,6 +469,23 @@
     CHECK(table.find(JobId(1))->activeRuns == 0);
 }
 
+// A successor relies on the witnesses that a controller named last, also if it reads them from a snapshot.
+TEST_CASE("table: a claim keeps the witnesses that its controller named last", "[jobs]")
+{
+    const std::vector<ControlWitness> first { { "e-2", "10.0.0.2:7000" } };
+    const std::vector<ControlWitness> second { { "e-3", "10.0.0.3:7000" }, { "e-4", "10.0.0.4:7000" } };
+    JobTable table;
+    table.apply(ControlClaimed { 3, "e-1", 12, "10.0.0.1:7000", milliseconds(99), first });
+    table.apply(ControlClaimed { 4, "e-2", 13, "10.0.0.2:7000", milliseconds(98), first });
+    table.apply(WitnessesChanged { 3, second });
+    table.apply(WitnessesChanged { 9, second });
+    const auto header = decodeHeader(encodeHeader(table.snapshotHeader(42)));
+    REQUIRE(header);
+    REQUIRE(header->claims.size() == 2);
+    CHECK(header->claims.front().witnesses == second);
+    CHECK(header->claims.back().witnesses == first);
+}
+
 TEST_CASE("snapshots: a job and the header round-trip, damaged bytes are rejected", "[jobs]")
 {
     JobTable table;
