Witnesses: a restarted one does not agree before it has read the log, and they are spread over the data centres

Found by a review of the lease bounds, by reading:

It tells no claim before it has covered the whole log once. - A controller whose claim is stored and not read back answers like one that has stopped. Epoch 0 under the same incarnation counts as stopped only together with knowledge of a later claim. - Leases of versions without witnesses may end up to 0.4 s later than those of this one; the bound allows for it. - The first three candidates by name stand in one data centre where it has four entries. Witnesses are taken from all over the order of the candidates, so that a lost data centre leaves one that can answer. - A read of an idle log is counted from its sending, so a confirmation was up to 1 s old, the witnesses were asked about once a second, and leases were shorter for it. The controller's long poll takes 400 ms, and the witnesses are asked after 1 s without a confirmation, four times a second at most.

The lease tests pass; the emulation tests pass but for the known failure of the cancellations.

--- a/src/control/controllerelection.h
+++ b/src/control/controllerelection.h
@@ -58,7 +58,8 @@
     /// Whether the log holds everything that this entry knows of a job's submission, cancellation and end.
     bool isStored(jobs::JobId job) const { return !controller_ || controller_->isStored(job); }
 
-    /// Answer to another entry that queries whether this one is the controller.
+    /// Answer to another entry that queries whether this one is the controller. The latest claim in it never decreases,
+    /// as far as it is known, since controllers and their successors rely on it; see LeaseAuthority.
     PeerControlState state() const;
 
     /// Whether the platform's store currently responds to this entry, judged by joins and log reads.
--- a/src/control/formercontrollers.h
+++ b/src/control/formercontrollers.h
@@ -45,6 +45,7 @@
         std::string evidence; ///< What the time follows from.
     };
 
+    foundation::SteadyTime leasesExpiredAt(const FormerController& former) const;
     FormerController evaluate(const eventlog::JobFollower& follower, std::size_t index) const;
     void queryAll();
     void query(std::size_t index, const std::string& entry, const std::string& address);
--- a/src/control/internal/controllerelection.cpp
+++ b/src/control/internal/controllerelection.cpp
@@ -151,19 +151,20 @@
         endControl("a member has a larger processor share: " + candidate->entry);
 }
 
-// The next candidates are the most likely successors.
+// Spread over the order of the candidates, which follows their names and thereby their data centres, so that they are
+// rarely lost together. The first one is the most likely successor.
 std::vector<jobs::ControlWitness> ControllerElection::chooseWitnesses() const
 {
     std::vector<GroupMember> others;
     std::copy_if(members_.begin(), members_.end(), std::back_inserter(others),
         [&](const GroupMember& member) { return member.entry != identity_.entry && !member.address.empty(); });
+    std::sort(others.begin(), others.end(), isBetterCandidate);
     const auto count = std::min(witnessCount, others.size());
-    const auto end = others.begin() + static_cast<std::ptrdiff_t>(count);
-    std::partial_sort(others.begin(), end, others.end(), isBetterCandidate);
     std::vector<jobs::ControlWitness> witnesses;
-    std::transform(others.begin(), end, std::back_inserter(witnesses), [](const GroupMember& member) {
-        return jobs::ControlWitness { member.entry, member.address };
-    });
+    for (std::size_t i = 0; i < count; ++i) {
+        const GroupMember& member = others[i * others.size() / count];
+        witnesses.push_back({ member.entry, member.address });
+    }
     return witnesses;
 }
 
--- a/src/control/internal/formercontrollers.cpp
+++ b/src/control/internal/formercontrollers.cpp
@@ -12,6 +12,8 @@
 namespace {
 
     constexpr milliseconds queryInterval { 500 };
+    /// Versions that name no witnesses let a lease end by an estimate of the instance clock, which may be ahead of it.
+    constexpr milliseconds estimatedLeaseMargin { 500 };
 
     bool isWitness(const ControlClaimed& claim, const std::string& entry)
     {
@@ -38,7 +40,7 @@
     controllers_.clear();
     for (std::size_t i = 0; i + 1 < follower.table().claims().size(); ++i) {
         FormerController former = evaluate(follower, i);
-        if (former.confirmedUntil + leaseTerms_.duration + leaseTerms_.expiryMargin < clock_.now())
+        if (leasesExpiredAt(former) < clock_.now())
             continue;
         report(former);
         controllers_.push_back(std::move(former));
@@ -56,15 +58,17 @@
     const ControlClaimed& own = claims.back();
     const auto replacedAt = follower.claimKnownSince(claims[index + 1].epoch);
     FormerController former { claim, replacedAt + leaseTerms_.logOutageLimit, false, "outage-limit" };
+    if (claim.witnesses.empty())
+        former.confirmedUntil += estimatedLeaseMargin;
     const auto bound = [&former](SteadyTime time, const std::string& evidence) {
-        former.isBounded = true;
-        if (time >= former.confirmedUntil)
+        if (former.isBounded && time >= former.confirmedUntil)
             return;
-        former.confirmedUntil = time;
+        former.isBounded = true;
+        former.confirmedUntil = std::min(former.confirmedUntil, time);
         former.evidence = evidence;
     };
     if (claim.entry == own.entry)
-        bound(std::max(replacedAt, clock_.now()), "own-claim");
+        bound(clock_.now(), "own-claim");
     if (isWitness(claim, own.entry))
         bound(replacedAt, "own-witness");
     for (std::size_t later = index + 1; later < claims.size(); ++later) {
@@ -78,10 +82,15 @@
 {
     SteadyTime latest = SteadyTime::min();
     for (const auto& former : controllers_)
-        latest = std::max(latest, former.confirmedUntil + leaseTerms_.duration + leaseTerms_.expiryMargin);
+        latest = std::max(latest, leasesExpiredAt(former));
     return latest;
 }
 
+SteadyTime FormerControllers::leasesExpiredAt(const FormerController& former) const
+{
+    return former.confirmedUntil + leaseTerms_.duration + leaseTerms_.expiryMargin;
+}
+
 void FormerControllers::queryAll()
 {
     bool hasUnbounded = false;
@@ -117,22 +126,23 @@
 void FormerControllers::onAnswer(FormerController& former, const std::string& entry, const PeerControlState& state)
 {
     const ControlClaimed& claim = former.claim;
-    const bool hasStopped
-        = entry == claim.entry && (state.incarnation != claim.incarnation || state.epoch != claim.epoch);
-    const bool isObjecting = isWitness(claim, entry) && state.latestClaim > claim.epoch;
+    const bool knowsLaterClaim = state.latestClaim > claim.epoch;
+    // One that does not control yet, since it has not read its claim, answers like one that has stopped.
+    const bool hasStopped = entry == claim.entry
+        && (state.incarnation != claim.incarnation || (state.epoch != claim.epoch && knowsLaterClaim));
+    const bool isObjecting = isWitness(claim, entry) && knowsLaterClaim;
     if (!hasStopped && !isObjecting)
         return;
+    const auto margin = claim.witnesses.empty() ? estimatedLeaseMargin : milliseconds(0);
     former.isBounded = true;
-    former.confirmedUntil = std::min(former.confirmedUntil, clock_.now());
+    former.confirmedUntil = std::min(former.confirmedUntil, clock_.now() + margin);
     former.evidence = hasStopped ? "stopped" : "answer-of-witness";
-    events_.write("control.former-stopped",
-        { { "former", claim.entry }, { "epoch", claim.epoch }, { "witness", entry }, { "says_epoch", state.epoch } });
     report(former);
 }
 
 void FormerControllers::report(const FormerController& former) const
 {
-    const auto left = former.confirmedUntil + leaseTerms_.duration + leaseTerms_.expiryMargin - clock_.now();
+    const auto left = leasesExpiredAt(former) - clock_.now();
     events_.write("control.former",
         { { "former", former.claim.entry }, { "epoch", former.claim.epoch }, { "evidence", former.evidence },
             { "leases_left_ms", std::int64_t(std::chrono::duration_cast<milliseconds>(left).count()) } });
--- a/src/control/internal/leaseauthority.cpp
+++ b/src/control/internal/leaseauthority.cpp
@@ -11,8 +11,10 @@
 
 namespace {
 
-    /// Age of a confirmation from which on the witnesses are asked; a read of the log is answered within 500 ms.
-    constexpr milliseconds witnessQueryAge { 700 };
+    /// Age of a confirmation from which on the witnesses are asked. With a log that answers, it stays below twice the
+    /// long poll of a controller.
+    constexpr milliseconds witnessQueryAge { 1000 };
+    constexpr milliseconds witnessQueryInterval { 250 }; ///< Least time between two queries; each opens connections.
 
     SteadyTime later(SteadyTime time, milliseconds duration)
     {
@@ -58,13 +60,15 @@
         witnessSets_.pop_front();
 }
 
-// A later controller that none of the witnesses answers relies on the limit.
+// A successor that no witness answers relies on LeaseTerms::logOutageLimit.
 void LeaseAuthority::tick()
 {
     const auto now = clock_.now();
     const bool isOutageTooLong = now >= later(logConfirmedAt(), leaseTerms_.logOutageLimit);
-    if (isAsking_ || isOutageTooLong || now < later(confirmedAt(), witnessQueryAge))
+    const bool isAskedLately = now < later(askedAt_, witnessQueryInterval);
+    if (isAsking_ || isAskedLately || isOutageTooLong || now < later(confirmedAt(), witnessQueryAge))
         return;
+    askedAt_ = now;
     askWitnesses();
 }
 
--- a/src/control/leaseauthority.h
+++ b/src/control/leaseauthority.h
@@ -79,6 +79,7 @@
     std::deque<std::vector<jobs::ControlWitness>> witnessSets_; ///< The latest that the log holds, and later ones.
     std::size_t droppedSets_ = 0; ///< Sets of witnesses before these.
     bool isAsking_ = false;
+    foundation::SteadyTime askedAt_ = foundation::SteadyTime::min(); ///< When the witnesses were last asked.
     std::string reportedOutcome_; ///< Outcome of the latest round that was written as an event; empty if none was.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/eventlog/internal/jobfollower.cpp
+++ b/src/eventlog/internal/jobfollower.cpp
@@ -94,6 +94,11 @@
         claimsKnownSince_.erase(claimsKnownSince_.begin());
 }
 
+std::uint64_t JobFollower::latestKnownClaim() const
+{
+    return hasEverCaughtUp_ && !claimsKnownSince_.empty() ? claimsKnownSince_.rbegin()->first : 0;
+}
+
 foundation::SteadyTime JobFollower::claimKnownSince(std::uint64_t epoch) const
 {
     const auto known = claimsKnownSince_.find(epoch);
@@ -175,6 +180,7 @@
     applyPage(*page);
     if (offset_ >= page->end) {
         hasCaughtUp_ = true;
+        hasEverCaughtUp_ = true;
         coveredAsOf_ = std::max(coveredAsOf_, sentAt);
     }
     if (!page->payloads.empty() && changeCallback_)
--- a/src/eventlog/jobfollower.h
+++ b/src/eventlog/jobfollower.h
@@ -19,7 +19,7 @@
 struct FollowerOptions {
     foundation::milliseconds longPollTimeout { 1000 }; ///< How long a read waits for the first record.
     /// The same for a controller, which extends leases only as long as its reads show no later claim.
-    foundation::milliseconds controllerLongPollTimeout { 500 };
+    foundation::milliseconds controllerLongPollTimeout { 400 };
     foundation::milliseconds followerPollDelay { 200 }; ///< Half of the staleness allowed without a fresh read.
     foundation::milliseconds controllerPollDelay { 4 }; ///< Adds to the start latency of a job, as do two appends.
     /// Delay between the reads of a controller that appends. Its own records need no read; callers' records that other
@@ -54,8 +54,9 @@
     /// once hasCaughtUp().
     foundation::SteadyTime coveredAsOf() const { return coveredAsOf_; }
 
-    /// Epoch of the latest claim of control that was ever read; 0 if there is none.
-    std::uint64_t latestKnownClaim() const { return claimsKnownSince_.empty() ? 0 : claimsKnownSince_.rbegin()->first; }
+    /// Epoch of the latest claim of control that was ever read; 0 if there is none, or if this process has not covered
+    /// the whole log once, so that it may know less than an earlier process of this entry did.
+    std::uint64_t latestKnownClaim() const;
 
     /// When the claim of an epoch was first read, which was after it was appended; the present if it was not read.
     foundation::SteadyTime claimKnownSince(std::uint64_t epoch) const;
@@ -145,6 +146,7 @@
     foundation::SteadyTime lastAnswerAt_ {};
     bool hasLastReadFailed_ = false;
     bool hasCaughtUp_ = false;
+    bool hasEverCaughtUp_ = false; ///< Also before the latest rebuild.
     bool isReadToEndInFlight_ = false;
     std::vector<std::string> restoredKeys_;
     std::vector<ReadToEndCallback> waitingReads_;
