Emulator: a check that long-running tasks are at work again, and schedules with losses for good

InvariantChecker asked no time bound of long-running tasks, so no explored schedule could fail when a lost task was not restarted, and no schedule set isolatedSide. checkMissingRuns() reports a task of an accepted long-running job that has no run 6 s after its last one, if there were 7 s without a disturbance (an unstable store, and starts and shutdowns of entries included) and 3 s with capacity for it twice over on listed, running instances. ScheduleOptions::losesForGood draws lost instances, controllers lost one by one or in series, and cuts, each followed by a quiet stretch.

--- a/src/emulator/emulatedplatform.h
+++ b/src/emulator/emulatedplatform.h
@@ -137,6 +137,9 @@
     /// Ends an instance's incarnation without notice; the instance stays in the directory until it is removed there.
     void crash(const std::string& name);
     void removeFromDirectory(const std::string& name);
+
+    /// Lists an instance, if it runs, as it reports itself.
+    void returnToDirectory(const std::string& name);
     void setDraining(const std::string& name);
 
     /// Makes an instance drain and leave after the notice; seconds later its machine starts another one with a new name
--- a/src/emulator/internal/emulatedplatform.cpp
+++ b/src/emulator/internal/emulatedplatform.cpp
@@ -181,6 +181,12 @@
 
 void EmulatedPlatform::removeFromDirectory(const std::string& name) { listedInstances_.erase(name); }
 
+void EmulatedPlatform::returnToDirectory(const std::string& name)
+{
+    if (const auto running = instances_.find(name); running != instances_.end())
+        listedInstances_[name] = running->second->report();
+}
+
 void EmulatedPlatform::setDraining(const std::string& name) { listedInstances_[name].isDraining = true; }
 
 void EmulatedPlatform::setCapacity(const std::string& name, const jobs::Resources& capacity)
@@ -221,6 +227,7 @@
     if (faults_.isInstanceDisturbed())
         invariants_.onDisruption(Disruption::Peripheral);
     invariants_.checkCancelledRuns();
+    invariants_.checkMissingRuns(listedInstances_);
 }
 
 RunPlan EmulatedPlatform::runPlanFor(const jobs::TaskId& task) const
--- a/src/emulator/internal/emulation.cpp
+++ b/src/emulator/internal/emulation.cpp
@@ -62,6 +62,7 @@
 
 void Emulation::startEntry(const std::string& name, std::uint32_t processorShare)
 {
+    platform_.invariants().onEntryChanged();
     const auto port = ports_.emplace(name, static_cast<std::uint16_t>(firstPeerPort + ports_.size())).first->second;
     entries_[name] = std::make_unique<EmulatedEntry>(platform_, clock_,
         eventlog::GroupMember { name, processorShare, peerHost + std::to_string(port) }, nextIncarnation_++, events_,
@@ -83,10 +84,13 @@
     EmulatedEntry* stopping = entry(name);
     if (!stopping || pausedEntries_.count(name))
         return;
+    platform_.invariants().onEntryChanged();
     stopping->control().stop([] {});
     platform_.network().schedule(clock_.now() + shutdownDuration, [this, name, stopping] {
-        if (entry(name) == stopping)
-            entries_.erase(name);
+        if (entry(name) != stopping)
+            return;
+        platform_.invariants().onEntryChanged();
+        entries_.erase(name);
     });
 }
 
@@ -208,7 +212,8 @@
                 next = std::min(next, *deadline);
         }
         clock_.time = std::max(clock_.time, next);
-        if (!pausedEntries_.empty())
+        // Without any entry, nobody can act.
+        if (!pausedEntries_.empty() || entries_.empty())
             platform_.invariants().onDisruption(Disruption::Peripheral);
         platform_.advance();
         platform_.network().runDue(clock_.time);
--- a/src/emulator/internal/invariantchecker.cpp
+++ b/src/emulator/internal/invariantchecker.cpp
@@ -33,6 +33,17 @@
     /// and one heartbeat.
     constexpr milliseconds shrunkCapacityGrace { 4500 };
 
+    /// Time after its last run from which on a task that lasts must be at work again.
+    constexpr milliseconds missingRunGrace { 6000 };
+
+    /// Time for which a task that lasts must be without a run, beside capacity for it, to count as missing.
+    constexpr milliseconds missingRunSpan { 3000 };
+
+    /// Time without a disturbance after which no task may be missing: that span and the calm before it.
+    constexpr milliseconds missingRunCalm { 7000 };
+
+    constexpr std::int64_t sufficientPlaces = 2; ///< Places for a task that are capacity for it twice over.
+
 } // namespace
 
 InvariantChecker::InvariantChecker(const Instances& instances, const foundation::IClock& clock)
@@ -52,7 +63,12 @@
     return found == specs_.end() ? nullptr : &found->second;
 }
 
-void InvariantChecker::onSubmitted(JobId job, const JobSpec& spec) { specs_.emplace(job, spec); }
+void InvariantChecker::onSubmitted(JobId job, const JobSpec& spec)
+{
+    specs_.emplace(job, spec);
+    if (!configurations_.empty())
+        pools_.emplace(job, configurations_.back().second.queues.front().pool);
+}
 
 void InvariantChecker::onCancelled(JobId job) { cancelledAt_.emplace(job, clock_.now()); }
 
@@ -142,6 +158,98 @@
     }
 }
 
+// A job whose cancellation was asked for may be cancelled without an answer. The due times of the occurrences of
+// scheduled jobs are not known here.
+void InvariantChecker::checkMissingRuns(const std::map<std::string, fleet::InstanceReport>& listed)
+{
+    for (const auto& [job, acceptedAt] : acceptedAt_) {
+        const JobSpec& spec = specs_.at(job);
+        if (cancelRequested_.count(job) || spec.schedule.occurrences > 0)
+            continue;
+        for (std::uint32_t step = 0; step < spec.steps.size(); ++step) {
+            if (!spec.steps[step].isLongRunning)
+                continue;
+            for (std::uint32_t index = 0; index < spec.steps[step].taskCount; ++index) {
+                const TaskId task { job, 0, step, index };
+                lastingTasks_.emplace(task, LastingTask { acceptedAt, acceptedAt });
+                if (isDue(task, spec))
+                    checkMissingRun(task, spec.steps[step], listed);
+                else
+                    lastingTasks_[task] = { clock_.now(), clock_.now() };
+            }
+        }
+    }
+}
+
+void InvariantChecker::checkMissingRun(
+    const TaskId& task, const jobs::StepSpec& step, const std::map<std::string, fleet::InstanceReport>& listed)
+{
+    LastingTask& state = lastingTasks_.at(task);
+    const auto now = clock_.now();
+    const bool isAtWork = std::any_of(
+        instances_.begin(), instances_.end(), [&](const auto& entry) { return entry.second->isRunning(task); });
+    if (isAtWork) {
+        state = { now, now };
+        return;
+    }
+    if (!hasRoomTwice(task, step, listed))
+        state.roomSince = now;
+    const auto calmSince = std::max(undisturbedSince_, entriesSteadySince_);
+    if (state.isReported || now <= state.lastAtWork + missingRunGrace || now <= state.roomSince + missingRunSpan
+        || now <= calmSince + missingRunCalm)
+        return;
+    state.isReported = true;
+    addViolation("task of a long-running job without a run",
+        jobs::toText(task) + " for "
+            + std::to_string(std::chrono::duration_cast<milliseconds>(now - state.lastAtWork).count()) + " ms");
+}
+
+// A task that has crashed an instance may be given up.
+bool InvariantChecker::isDue(const TaskId& task, const JobSpec& spec) const
+{
+    const bool hasCrashes = std::any_of(
+        crashes_.begin(), crashes_.end(), [&](const auto& crashes) { return crashes.first.job == task.job; });
+    if (hasCrashes)
+        return false;
+    for (const auto step : spec.steps[task.step].dependsOn) {
+        for (std::uint32_t index = 0; index < spec.steps[step].taskCount; ++index) {
+            if (!doneTasks_.count({ task.job, task.occurrence, step, index }))
+                return false;
+        }
+    }
+    return true;
+}
+
+// The tasks of a gang need their places together.
+bool InvariantChecker::hasRoomTwice(
+    const TaskId& task, const jobs::StepSpec& step, const std::map<std::string, fleet::InstanceReport>& listed) const
+{
+    const auto pool = pools_.find(task.job);
+    const auto need = scheduling::resourceRequest(step);
+    const std::int64_t wanted = sufficientPlaces * (step.isGang ? std::int64_t(step.taskCount) : 1);
+    std::int64_t places = 0;
+    for (const auto& [name, report] : listed) {
+        const auto running = instances_.find(name);
+        if (running == instances_.end() || running->second->report().incarnation != report.incarnation
+            || report.isDraining || pool == pools_.end() || report.pool != pool->second
+            || (!step.requiredLabel.empty() && !report.hasLabel(step.requiredLabel)))
+            continue;
+        jobs::Resources reserved;
+        std::uint32_t ofStep = 0;
+        for (const auto& other : running->second->runningTasks()) {
+            reserved += scheduling::resourceRequest(findSpec(other.job)->steps[other.step]);
+            ofStep += other.job == task.job && other.step == task.step;
+        }
+        for (reserved += need; places < wanted && reserved.fitsInto(running->second->report().capacity);
+             reserved += need) {
+            if (step.maximumPerInstance > 0 && ofStep++ >= step.maximumPerInstance)
+                break;
+            ++places;
+        }
+    }
+    return places >= wanted;
+}
+
 void InvariantChecker::onRunStarted(const EmulatedInstance& instance, const TaskId& task)
 {
     lateStarts_.erase(task);
--- a/src/emulator/invariantchecker.h
+++ b/src/emulator/invariantchecker.h
@@ -64,9 +64,16 @@
     /// cancellations and new workers are no disruption.
     void onDisruption(Disruption kind);
 
+    /// An entry's process is started or told to end at this moment.
+    void onEntryChanged() { entriesSteadySince_ = clock_.now(); }
+
     /// Checks at this moment that no task of a cancelled job is at work longer than the platform allows.
     void checkCancelledRuns();
 
+    /// Checks at this moment that no task of a long-running job is without a run longer than the platform allows.
+    /// `listed` are the instances in the directory.
+    void checkMissingRuns(const std::map<std::string, fleet::InstanceReport>& listed);
+
     /// Suspends the invariants with a time bound while an instance executes an order that arrived late.
     void setExecutingLateOrder(bool isLate) { isExecutingLateOrder_ = isLate; }
 
@@ -90,6 +97,18 @@
     const jobs::JobSpec* findSpec(jobs::JobId job) const;
 
 private:
+    /// Since when a task that lasts has been without a run.
+    struct LastingTask {
+        foundation::SteadyTime lastAtWork; ///< Time of its last run, or of the acceptance of its job.
+        foundation::SteadyTime roomSince; ///< Time from which on there has been capacity for it twice over.
+        bool isReported = false;
+    };
+
+    void checkMissingRun(const jobs::TaskId& task, const jobs::StepSpec& step,
+        const std::map<std::string, fleet::InstanceReport>& listed);
+    bool hasRoomTwice(const jobs::TaskId& task, const jobs::StepSpec& step,
+        const std::map<std::string, fleet::InstanceReport>& listed) const;
+    bool isDue(const jobs::TaskId& task, const jobs::JobSpec& spec) const;
     void addViolation(const std::string& invariant, const std::string& detail);
     void checkRoute(const EmulatedInstance& instance, const jobs::TaskId& task, const jobs::StepSpec& step);
     void checkCapacity(const EmulatedInstance& instance, const jobs::TaskId& task);
@@ -98,6 +117,7 @@
     const Instances& instances_;
     const foundation::IClock& clock_;
     std::map<jobs::JobId, jobs::JobSpec> specs_;
+    std::map<jobs::JobId, std::string> pools_; ///< Pools of the queues that jobs were submitted to.
     std::set<jobs::JobId> accepted_;
     std::map<jobs::JobId, foundation::SteadyTime> acceptedAt_; ///< Time of the first acceptance.
     std::set<jobs::JobId> started_; ///< Jobs of which an instance has started a task.
@@ -114,6 +134,9 @@
     foundation::SteadyTime undisturbedSince_ {};
     /// Time from which on the entries count as in touch with the platform.
     foundation::SteadyTime inTouchSince_ {};
+    /// Time of the latest start or shutdown of an entry.
+    foundation::SteadyTime entriesSteadySince_ {};
+    std::map<jobs::TaskId, LastingTask> lastingTasks_; ///< Tasks of accepted long-running jobs.
     std::map<jobs::TaskId, foundation::SteadyTime> lateStarts_; ///< Tasks whose latest start was by a late order.
     std::set<jobs::TaskId> overdueTasks_; ///< Tasks of cancelled jobs that were found at work too late.
     std::vector<std::pair<foundation::SteadyTime, fleet::FleetConfiguration>> configurations_; ///< With their times.
--- a/src/emulator/tests/explorationtests.cpp
+++ b/src/emulator/tests/explorationtests.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <cstdlib>
+#include <functional>
 #include <iterator>
 #include <random>
 
@@ -28,6 +29,10 @@
 const std::uint64_t cancellationSeedMask = 0x5bd1e995; ///< Makes the seed of the random cancellations.
 const std::uint64_t configurationSeedMask = 0x2545f491; ///< Makes the seed of the random configurations.
 constexpr std::int64_t stepsPerConfiguration = 6; ///< Mean number of a schedule's steps for each configuration.
+const std::uint64_t lossSeedMask = 0x9e3779b9; ///< Makes the seed of the random losses of entries and instances.
+constexpr int lossRounds = 3; ///< Number of times that a schedule alternates between losses and a quiet stretch.
+constexpr milliseconds directoryDelay { 4500 }; ///< Three heartbeats, after which a silent instance is not listed.
+constexpr milliseconds longestSeries { 5000 }; ///< Time within which successive controllers are lost.
 constexpr std::int64_t stepsPerLossChange = 25; ///< Mean number of steps until answers get lost or no more.
 const std::vector<std::string> instanceNames { "i-1", "i-2", "i-3", "i-4" };
 
@@ -47,6 +52,10 @@
     bool cancelsPromptly = false;
     /// Queues are added and removed, and answers to reads of the declarations get lost.
     bool changesConfigurations = false;
+    /// Instead of the usual faults, instances and controllers are lost for good, some of them in series, and cuts lie
+    /// around entries and instances. Others under new names replace what is lost. Quiet stretches follow, in which the
+    /// tasks of long-running jobs must be at work.
+    bool losesForGood = false;
 };
 
 /// Random schedule of submissions, cancellations and faults, followed by a recovery phase without faults in which every
@@ -61,11 +70,26 @@
         , capacityRandom_(~seed)
         , cancellationRandom_(seed ^ cancellationSeedMask)
         , configurationRandom_(seed ^ configurationSeedMask)
+        , lossRandom_(seed ^ lossSeedMask)
     {
     }
 
     /// Returns the first violation, or an empty text.
     std::string run()
+    {
+        if (options_.losesForGood)
+            playLosses();
+        else
+            playFaults();
+        if (!fixture_.violations().empty())
+            return fixture_.violations().front();
+        return finish();
+    }
+
+    const std::vector<std::string>& eventLines() const { return fixture_.sink.lines; }
+
+private:
+    void playFaults()
     {
         const auto end = fixture_.emulation.clock().time + faultPhase;
         while (fixture_.emulation.clock().time < end) {
@@ -80,8 +104,13 @@
             queryAllQueues();
             fixture_.emulation.advanceTime(milliseconds(randomNumber(5, 250)));
             if (!fixture_.violations().empty())
-                return fixture_.violations().front();
+                return;
         }
+    }
+
+    /// Ends the faults and returns the first violation from there on, or an empty text.
+    std::string finish()
+    {
         endFaults();
         if (options_.cancelsPromptly)
             playCalmPhase();
@@ -94,9 +123,6 @@
         return findUnfinishedJob();
     }
 
-    const std::vector<std::string>& eventLines() const { return fixture_.sink.lines; }
-
-private:
     std::int64_t randomNumber(std::int64_t minimum, std::int64_t maximum)
     {
         return std::uniform_int_distribution<std::int64_t>(minimum, maximum)(random_);
@@ -309,6 +335,174 @@
         }
     }
 
+    std::int64_t drawForLosses(std::int64_t minimum, std::int64_t maximum)
+    {
+        return std::uniform_int_distribution<std::int64_t>(minimum, maximum)(lossRandom_);
+    }
+
+    milliseconds drawDelay(std::int64_t minimumMs, std::int64_t maximumMs)
+    {
+        return milliseconds(drawForLosses(minimumMs, maximumMs));
+    }
+
+    bool isLossDrawn(std::int64_t percent) { return drawForLosses(1, 100) <= percent; }
+
+    void schedule(milliseconds delay, std::function<void()> action)
+    {
+        const auto at = fixture_.emulation.clock().now() + delay;
+        lossesEndAt_ = std::max(lossesEndAt_, at);
+        fixture_.emulation.platform().network().schedule(at, std::move(action));
+    }
+
+    /// Writes an action of this schedule among the events.
+    void note(const std::string& action)
+    {
+        const auto at = fixture_.emulation.clock().now().time_since_epoch();
+        fixture_.sink.lines.push_back(
+            "schedule." + action + " at_ms=" + std::to_string(std::chrono::duration_cast<milliseconds>(at).count()));
+    }
+
+    void submitForLosses(bool isLongRunning)
+    {
+        auto work = step(static_cast<std::uint32_t>(drawForLosses(1, 6)), drawForLosses(500, 2000));
+        work.isLongRunning = isLongRunning;
+        const jobs::JobId id = nextJob_++;
+        submitted_.push_back({ id, job({ work }) });
+        const auto entries = fixture_.emulation.liveEntries();
+        if (entries.empty())
+            return;
+        fixture_.emulation.submit(
+            entries[std::size_t(drawForLosses(0, std::int64_t(entries.size()) - 1))], id, job({ work }));
+    }
+
+    // The directory drops the instance some time later, and another one starts under a new name.
+    void loseInstance()
+    {
+        auto& platform = fixture_.emulation.platform();
+        if (platform.instances().size() <= 2)
+            return;
+        const std::string name
+            = std::next(platform.instances().begin(), drawForLosses(0, std::int64_t(platform.instances().size()) - 1))
+                  ->first;
+        note("instance-lost instance=" + name);
+        platform.crash(name);
+        schedule(directoryDelay, [&platform, name] { platform.removeFromDirectory(name); });
+        schedule(drawDelay(500, 5000), [&platform, successor = "i-" + std::to_string(nextInstance_++)] {
+            platform.startInstance(successor, "desk", fullCapacity);
+        });
+    }
+
+    // An entry under a new name takes the place of the controller.
+    void loseController()
+    {
+        const std::string controller = fixture_.emulation.controller();
+        if (controller.empty() || fixture_.emulation.liveEntries().size() < 2)
+            return;
+        const bool isKilled = isLossDrawn(60);
+        note((isKilled ? "controller-killed entry=" : "controller-shut-down entry=") + controller);
+        if (isKilled)
+            fixture_.emulation.killEntry(controller);
+        else
+            fixture_.emulation.shutDownEntry(controller);
+        schedule(drawDelay(100, 2000), [this, name = "e-" + std::to_string(nextEntry_++)] {
+            note("entry-started entry=" + name);
+            fixture_.emulation.startEntry(name);
+        });
+    }
+
+    void loseControllersInSeries()
+    {
+        const auto count = drawForLosses(2, 3);
+        for (std::int64_t i = 0; i < count; ++i)
+            schedule(drawDelay(0, longestSeries.count()), [this] { loseController(); });
+    }
+
+    // Instances that no heartbeat leaves are not listed for that time.
+    void isolateRandomSide()
+    {
+        auto& platform = fixture_.emulation.platform();
+        auto& side = platform.faults().isolatedSide;
+        if (!side.empty())
+            return;
+        const std::string controller = fixture_.emulation.controller();
+        for (const auto& name : fixture_.emulation.liveEntries()) {
+            if (isLossDrawn(name == controller ? 60 : 30))
+                side.insert(name);
+        }
+        const auto duration = drawDelay(1000, 9000);
+        for (const auto& [name, instance] : platform.instances()) {
+            if (!isLossDrawn(35))
+                continue;
+            side.insert(name);
+            if (directoryDelay < duration)
+                schedule(directoryDelay, [&platform, name = name] { platform.removeFromDirectory(name); });
+        }
+        std::string names;
+        for (const auto& name : side)
+            names += " " + name;
+        note("isolated duration_ms=" + std::to_string(duration.count()) + " side=" + names);
+        schedule(duration, [this] { endIsolation(); });
+    }
+
+    void endIsolation()
+    {
+        auto& platform = fixture_.emulation.platform();
+        for (const auto& name : platform.faults().isolatedSide)
+            platform.returnToDirectory(name);
+        platform.faults().isolatedSide.clear();
+        note("isolation-ended");
+    }
+
+    void performRandomLoss()
+    {
+        switch (drawForLosses(0, 7)) {
+        case 0:
+        case 1:
+            return loseInstance();
+        case 2:
+            return loseController();
+        case 3:
+            return loseControllersInSeries();
+        case 4:
+            loseInstance();
+            return schedule(drawDelay(0, 2000), [this] { loseController(); });
+        case 5:
+            loseController();
+            return schedule(drawDelay(0, longestSeries.count()), [this] { loseInstance(); });
+        case 6:
+            return isolateRandomSide();
+        default:
+            return submitForLosses(false);
+        }
+    }
+
+    void playLosses()
+    {
+        auto& clock = fixture_.emulation.clock();
+        submitForLosses(true);
+        submitForLosses(true);
+        for (int round = 0; round < lossRounds; ++round) {
+            fixture_.emulation.advanceTime(drawDelay(1500, 4000));
+            const auto count = drawForLosses(1, 4);
+            for (std::int64_t i = 0; i < count; ++i) {
+                performRandomLoss();
+                advanceUnlessViolated(clock.now() + drawDelay(100, 3000));
+            }
+            while (clock.now() < lossesEndAt_ && fixture_.violations().empty())
+                advanceUnlessViolated(lossesEndAt_);
+            advanceUnlessViolated(clock.now() + drawDelay(11000, 14000));
+            if (!fixture_.violations().empty())
+                return;
+        }
+    }
+
+    void advanceUnlessViolated(foundation::SteadyTime end)
+    {
+        constexpr milliseconds interval { 100 };
+        while (fixture_.emulation.clock().now() < end && fixture_.violations().empty())
+            fixture_.emulation.advanceTime(interval);
+    }
+
     void setCapacity(const std::string& instance, std::int64_t milliCores)
     {
         fixture_.emulation.platform().setCapacity(
@@ -437,6 +631,9 @@
     jobs::JobId nextJob_ = 0x1000;
     jobs::JobId nextCancelledJob_ = 0x9000;
     std::mt19937_64 configurationRandom_;
+    std::mt19937_64 lossRandom_;
+    foundation::SteadyTime lossesEndAt_ {}; ///< Time of the latest loss, replacement or end of a cut that is scheduled.
+    int nextInstance_ = 5;
     int nextQueue_ = 1;
     int nextEntry_ = 4;
     std::uint64_t nextWave_ = 1;
@@ -509,6 +706,15 @@
     CHECK(countFailedSchedules(options) == 0);
 }
 
+// What a controller or an instance knew may be lost with it, and a controller that is cut off may go on renewing
+// leases. Tasks that nobody restarts, or that run twice, are the consequences.
+TEST_CASE("exploration: tasks that last are at work, once, after controllers and instances are lost", "[exploration]")
+{
+    ScheduleOptions options;
+    options.losesForGood = true;
+    CHECK(countFailedSchedules(options) == 0);
+}
+
 TEST_CASE("exploration: schedules that once violated an invariant pass", "[exploration]")
 {
     // Seeds by the subject of the fault that they found: claims under the same epoch (22, 122), successive incarnations
