Control: a controller that knows no other entry is bounded by the next claim

Cause: an empty set of witnesses counted as agreement, for up to 12 s without the log, so nothing could bound it.

Change: without witnesses only the log confirms control, and a successor bounds the leases by the next claim. A claim of a version that names no witnesses has no such field and keeps the limit of 12 s. Once a later claim was read, answers of witnesses confirm nothing. Former controllers without evidence are asked about every 100 ms: a witness that had not read the successor's claim at the first question cost half a second or more (seen in plays with connections to the store that go silent).

--- a/src/control/internal/formercontrollers.cpp
+++ b/src/control/internal/formercontrollers.cpp
@@ -11,14 +11,15 @@
 
 namespace {
 
-    constexpr milliseconds queryInterval { 500 };
+    constexpr milliseconds queryInterval { 100 }; ///< A witness reads the claim of this entry a little later.
     /// Versions that name no witnesses let a lease end by an estimate of the instance clock, which may be ahead of it.
     constexpr milliseconds estimatedLeaseMargin { 500 };
 
     bool isWitness(const ControlClaimed& claim, const std::string& entry)
     {
-        return std::any_of(claim.witnesses.begin(), claim.witnesses.end(),
-            [&](const jobs::ControlWitness& witness) { return witness.entry == entry; });
+        return claim.witnesses
+            && std::any_of(claim.witnesses->begin(), claim.witnesses->end(),
+                [&](const jobs::ControlWitness& witness) { return witness.entry == entry; });
     }
 
 } // namespace
@@ -58,7 +59,7 @@
     const ControlClaimed& own = claims.back();
     const auto replacedAt = follower.claimKnownSince(claims[index + 1].epoch);
     FormerController former { claim, replacedAt + leaseTerms_.logOutageLimit, false, "outage-limit" };
-    if (claim.witnesses.empty())
+    if (!claim.witnesses)
         former.confirmedUntil += estimatedLeaseMargin;
     const auto bound = [&former](SteadyTime time, const std::string& evidence) {
         if (former.isBounded && time >= former.confirmedUntil)
@@ -69,6 +70,8 @@
     };
     if (claim.entry == own.entry)
         bound(clock_.now(), "own-claim");
+    if (claim.witnesses && claim.witnesses->empty())
+        bound(replacedAt, "no-witness");
     if (isWitness(claim, own.entry))
         bound(replacedAt, "own-witness");
     for (std::size_t later = index + 1; later < claims.size(); ++later) {
@@ -101,7 +104,7 @@
         hasUnbounded = true;
         const ControlClaimed claim = former.claim;
         query(i, claim.entry, claim.address);
-        for (const auto& witness : claim.witnesses)
+        for (const auto& witness : claim.witnesses.value_or(std::vector<jobs::ControlWitness> {}))
             query(i, witness.entry, witness.address);
     }
     if (!hasUnbounded)
@@ -133,7 +136,7 @@
     const bool isObjecting = isWitness(claim, entry) && knowsLaterClaim;
     if (!hasStopped && !isObjecting)
         return;
-    const auto margin = claim.witnesses.empty() ? estimatedLeaseMargin : milliseconds(0);
+    const auto margin = !claim.witnesses ? estimatedLeaseMargin : milliseconds(0);
     former.isBounded = true;
     former.confirmedUntil = std::min(former.confirmedUntil, clock_.now() + margin);
     former.evidence = hasStopped ? "stopped" : "answer-of-witness";
--- a/src/control/internal/leaseauthority.cpp
+++ b/src/control/internal/leaseauthority.cpp
@@ -31,7 +31,7 @@
     , events_(events)
     , leaseTerms_(leaseTerms)
     , epoch_(epoch)
-    , witnessSets_ { follower.table().latestClaim().witnesses }
+    , witnessSets_ { follower.table().latestClaim().witnesses.value_or(std::vector<ControlWitness> {}) }
 {
 }
 
@@ -39,10 +39,11 @@
 
 SteadyTime LeaseAuthority::logConfirmedAt() const
 {
-    const bool isLatestClaim = follower_.table().latestClaim().epoch == epoch_;
-    return std::max(appendConfirmedAt_, isLatestClaim ? follower_.coveredAsOf() : SteadyTime::min());
+    return std::max(appendConfirmedAt_, isLatestClaim() ? follower_.coveredAsOf() : SteadyTime::min());
 }
 
+bool LeaseAuthority::isLatestClaim() const { return follower_.table().latestClaim().epoch == epoch_; }
+
 SteadyTime LeaseAuthority::confirmedAt() const { return std::max(logConfirmedAt(), witnessesConfirmedAt_); }
 
 SteadyTime LeaseAuthority::leaseLimit() const { return later(confirmedAt(), leaseTerms_.duration); }
@@ -63,6 +64,8 @@
 // A successor that no witness answers relies on LeaseTerms::logOutageLimit.
 void LeaseAuthority::tick()
 {
+    if (!isLatestClaim())
+        return;
     const auto now = clock_.now();
     const bool isOutageTooLong = now >= later(logConfirmedAt(), leaseTerms_.logOutageLimit);
     const bool isAskedLately = now < later(askedAt_, witnessQueryInterval);
@@ -72,10 +75,13 @@
     askWitnesses();
 }
 
+// A successor that reads an empty set relies on no witness having agreed.
 void LeaseAuthority::askWitnesses()
 {
     std::vector<ControlWitness> asked;
     for (const auto& set : witnessSets_) {
+        if (set.empty())
+            return;
         for (const auto& witness : set) {
             if (std::find(asked.begin(), asked.end(), witness) == asked.end())
                 asked.push_back(witness);
@@ -84,8 +90,6 @@
     auto round = std::make_shared<Round>();
     round->sentAt = clock_.now();
     round->pendingAnswers = asked.size();
-    if (asked.empty())
-        return completeRound(*round);
     isAsking_ = true;
     for (const auto& witness : asked) {
         const auto address = foundation::parseAddress(witness.address);
@@ -117,7 +121,7 @@
 
 void LeaseAuthority::completeRound(const Round& round)
 {
-    if (round.objection.empty())
+    if (round.objection.empty() && isLatestClaim())
         witnessesConfirmedAt_ = std::max(witnessesConfirmedAt_, round.sentAt);
     const std::string outcome = round.objection.empty() ? "agreed" : round.objection;
     if (std::exchange(reportedOutcome_, outcome) == outcome)
--- a/src/control/leaseauthority.h
+++ b/src/control/leaseauthority.h
@@ -61,6 +61,7 @@
         std::string objection; ///< The first entry that does not agree, and why.
     };
 
+    bool isLatestClaim() const;
     foundation::SteadyTime logConfirmedAt() const;
     foundation::SteadyTime confirmedAt() const;
     void askWitnesses();
--- a/src/jobs/internal/recordjson.cpp
+++ b/src/jobs/internal/recordjson.cpp
@@ -62,11 +62,13 @@
 
 json toJson(const ControlClaimed& record)
 {
-    return json::array({ record.epoch, record.entry, record.incarnation, record.address, record.claimedAt.count(),
-        toJson(record.witnesses) });
+    json fields
+        = json::array({ record.epoch, record.entry, record.incarnation, record.address, record.claimedAt.count() });
+    if (record.witnesses)
+        fields.push_back(toJson(*record.witnesses));
+    return fields;
 }
 
-// Earlier versions write no witnesses.
 ControlClaimed controlClaimedFromJson(const json& fields)
 {
     constexpr std::size_t witnessesField = 5;
--- a/src/jobs/tests/jobtests.cpp
+++ b/src/jobs/tests/jobtests.cpp
@@ -68,7 +68,9 @@
         JobsStarted { { 1, 0xffffffffffffffff } },
         InstanceCrashed { { "i-1", 7 }, "m-1",
             { { { 1, 0, 0, 1 }, 3, true, true, false }, { { 2, 4, 1, 0 }, 1, false, false, true } } },
-        ControlClaimed { 8, "e-2", 13, "10.0.0.2:7000", milliseconds(98), { { "e-1", "10.0.0.1:7000" } } },
+        ControlClaimed { 8, "e-2", 13, "10.0.0.2:7000", milliseconds(98),
+            std::vector<ControlWitness> { { "e-1", "10.0.0.1:7000" } } },
+        ControlClaimed { 9, "e-2", 13, "10.0.0.2:7000", milliseconds(98), std::vector<ControlWitness> {} },
         WitnessesChanged { 8, { { "e-1", "10.0.0.1:7000" }, { "e-3", "10.0.0.3:7000" } } } };
     for (const auto& record : records) {
         const std::string bytes = encode(record, 7);
--- a/src/jobs/types/records.h
+++ b/src/jobs/types/records.h
@@ -4,6 +4,7 @@
 #include "jobs/types/taskid.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -49,9 +50,9 @@
     std::uint64_t incarnation = 0; ///< Start of the entry's process in milliseconds since the Unix epoch.
     std::string address; ///< Address at which the entry answers whether it is still the controller.
     milliseconds claimedAt { 0 }; ///< Wall-clock time of the entry.
-    /// Entries without whose agreement the controller extends no lease while the log does not answer it. A claim of a
-    /// version that asks none names none.
-    std::vector<ControlWitness> witnesses {};
+    /// Entries without whose agreement the controller extends no lease while the log does not answer it; if there are
+    /// none, it extends none. Empty for a version that asks no witnesses.
+    std::optional<std::vector<ControlWitness>> witnesses {};
 };
 
 /// An entry accepted a job from a caller.
