Lease authority tests: no extension by witnesses once a later claim was read (fails)

What: after an accepted append and the read of a later claim, the witnesses that agree must not extend the limit.

Evidence: the test fails. LeaseAuthority::tick() asks the witnesses, since the append counts as a confirmation by the log, and the answers of all extend the limit beyond the append's. Without an append before, nothing is asked and the test of that case passes. The table's latest claim is not considered by askWitnesses() and completeRound().

--- a/src/control/tests/leaseauthoritytests.cpp
+++ b/src/control/tests/leaseauthoritytests.cpp
@@ -265,6 +265,20 @@
     CHECK(fixture.authority->leaseLimit() <= fixture.begin + fixture.terms.duration);
 }
 
+// An append that the log accepted before the later claim still counts as its latest confirmation, so the witnesses are
+// asked. Those that have not read the log as far as this controller agree.
+TEST_CASE("lease authority: witnesses extend no lease once a later claim was read after an append", "[control]")
+{
+    AuthorityFixture fixture;
+    fixture.authority->onAppendStored(fixture.begin);
+    fixture.clock.time += milliseconds(100);
+    fixture.log.add(jobs::ControlClaimed { ownEpoch + 1, "edge-4", 1, fourth, milliseconds(0) }, ownEpoch + 1);
+    fixture.read();
+    fixture.tickAfter(milliseconds(1000));
+    fixture.answerAll(fixture.peers.takeAsked(), knows(ownEpoch));
+    CHECK(fixture.authority->leaseLimit() <= fixture.begin + fixture.terms.duration);
+}
+
 // The answers of the witnesses arrive after the controller has stepped down.
 TEST_CASE("lease authority: answers after its destruction are ignored", "[control]")
 {
