--- a/src/control/tests/mocks/heldpeers.h
+++ b/src/control/tests/mocks/heldpeers.h
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <map>
+#include <stdexcept>
 #include <string>
 #include <utility>
 #include <vector>
@@ -28,6 +29,8 @@
     void answer(const std::string& address, const foundation::Result<PeerControlState>& state)
     {
         const auto query = pending.find(address);
+        if (query == pending.end())
+            throw std::out_of_range("no pending query of " + address);
         const StateCallback done = std::move(query->second);
         pending.erase(query);
         done(state);
