--- a/src/emulator/internal/emulatedplatform.cpp
+++ b/src/emulator/internal/emulatedplatform.cpp
@@ -19,8 +19,8 @@
 bool InjectedFaults::isStoreDisturbed() const
 {
     constexpr milliseconds usualLatency { 4 };
-    return isStoreDown || isStoreUnresponsive || !entriesPartitionedFromStore.empty() || !isolatedSide.empty() || isDirectoryDown
-        || !linkBytesPerSecond.empty() || lostAppendAnswerRatio > 0 || lateAppendRatio > 0
+    return isStoreDown || isStoreUnresponsive || !entriesPartitionedFromStore.empty() || !isolatedSide.empty()
+        || isDirectoryDown || !linkBytesPerSecond.empty() || lostAppendAnswerRatio > 0 || lateAppendRatio > 0
         || lostDeclarationAnswerRatio > 0 || storeLatency > usualLatency || appendDuration > milliseconds(0);
 }
 
