--- a/src/entry/internal/jobservice.cpp
+++ b/src/entry/internal/jobservice.cpp
@@ -1,5 +1,6 @@
 #include "entry/jobservice.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace turmericsill::entry {
@@ -141,17 +142,38 @@
 // controller that changes it.
 void JobService::status(JobId id, std::function<void(JobStatus)> done)
 {
+    const auto receivedAt = clock_.now();
     const jobs::Job* job = follower_.table().find(id);
-    if (job && (job->isFinal() || isController_()))
-        return done(statusFromTable(id));
-    follower_.readToEnd([this, id, done = std::move(done)](const Result<void>& read) {
+    if (job && (job->isFinal() || isController_())) {
         const JobStatus status = statusFromTable(id);
+        reportStatus(id, status, receivedAt);
+        return done(status);
+    }
+    follower_.readToEnd([this, id, receivedAt, done = std::move(done)](const Result<void>& read) {
+        JobStatus status = statusFromTable(id);
         if (!read && status.lookup == JobLookup::NotFound)
-            return done({ JobLookup::Unavailable, jobs::JobState::Queued });
+            status.lookup = JobLookup::Unavailable;
+        ++statusLoad_.reads;
+        reportStatus(id, status, receivedAt);
         done(status);
     });
 }
 
+// The time of the final answer, beside that of the end, tells how late a caller learned of it.
+void JobService::reportStatus(JobId id, const JobStatus& status, foundation::SteadyTime receivedAt)
+{
+    const auto waited = std::chrono::duration_cast<milliseconds>(clock_.now() - receivedAt);
+    ++statusLoad_.answers;
+    statusLoad_.totalWait += waited;
+    statusLoad_.longestWait = std::max(statusLoad_.longestWait, waited);
+    const bool isFinal = status.lookup == JobLookup::Found
+        && (status.state == jobs::JobState::Completed || status.state == jobs::JobState::Failed);
+    if (isFinal)
+        events_.write("job.shown",
+            { { "job", jobs::toText(id) }, { "waited_ms", std::int64_t(waited.count()) },
+                { "offset", follower_.offset() } });
+}
+
 // An entry with a slow link or little processor time may follow the log seconds behind its end.
 void JobService::pendingJobs(const fleet::Queue& queue, std::function<void(std::optional<std::size_t>)> done)
 {
--- a/src/entry/jobservice.h
+++ b/src/entry/jobservice.h
@@ -6,9 +6,18 @@
 #include "telemetry/ieventsink.h"
 
 #include <functional>
+#include <utility>
 
 namespace turmericsill::entry {
 
+/// Answers to callers about the states of jobs in a period of time.
+struct StatusLoad {
+    std::uint64_t answers = 0;
+    std::uint64_t reads = 0; ///< Answers for which the log was read.
+    foundation::milliseconds longestWait { 0 }; ///< From the request to the answer.
+    foundation::milliseconds totalWait { 0 };
+};
+
 /// Accepts, cancels and looks up jobs by way of the log, whichever entry controls the fleet.
 class JobService : public IJobService {
 public:
@@ -30,12 +39,18 @@
         std::function<void(RequestResult)> done) override;
     void cancel(jobs::JobId id, foundation::SteadyTime deadline, std::function<void(RequestResult)> done) override;
     void status(jobs::JobId id, std::function<void(JobStatus)> done) override;
+
+    /// Returns the answers of status() since the previous call.
+    StatusLoad takeStatusLoad() { return std::exchange(statusLoad_, {}); }
+
     void pendingJobs(const fleet::Queue& queue, std::function<void(std::optional<std::size_t>)> done) override;
 
 private:
     /// Status of a job by the table as it is, without another read of the log.
     JobStatus statusFromTable(jobs::JobId id) const;
 
+    void reportStatus(jobs::JobId id, const JobStatus& status, foundation::SteadyTime receivedAt);
+
     /// Submits a record to the log and writes its outcome as `event`.
     void append(const char* event, const jobs::Record& record, jobs::JobId id, foundation::SteadyTime deadline,
         std::function<bool()> isStored, std::function<void(RequestResult)> done);
@@ -47,6 +62,7 @@
     fleet::FleetConfiguration configuration_;
     std::function<milliseconds()> configurationAge_ = [] { return milliseconds::max(); };
     milliseconds maximumConfigurationAge_ { 0 };
+    StatusLoad statusLoad_;
     std::function<bool()> isController_ = [] { return false; };
     std::function<bool(jobs::JobId)> isJobStored_ = [](jobs::JobId) { return true; };
 };
--- a/src/entryd/entryprocess.h
+++ b/src/entryd/entryprocess.h
@@ -69,6 +69,7 @@
     void stopWhenIdle();
     void updateReadiness();
     void flushEvents();
+    void reportLoad(foundation::SteadyTime dueAt);
 
     settings::EntrySettings settings_;
     std::string settingsPath_;
--- a/src/entryd/internal/entryprocess.cpp
+++ b/src/entryd/internal/entryprocess.cpp
@@ -27,6 +27,7 @@
     constexpr milliseconds stopCheckInterval { 50 };
     constexpr milliseconds readinessCheckInterval { 100 };
     constexpr milliseconds eventFlushInterval { 200 };
+    constexpr milliseconds loadReportInterval { 1000 };
     constexpr milliseconds maximumUnconfirmedTime { 1800 }; ///< Enough for four attempts to join the group.
 
     std::uint64_t processStartMs()
@@ -179,6 +180,7 @@
     control_.start();
     updateReadiness();
     flushEvents();
+    reportLoad(clock_.now());
     runEventLoop();
     events_.write("process.stop", { { "offset", jobFollower_.offset() } });
     return {};
@@ -215,6 +217,25 @@
     timers_.schedule(clock_.now() + eventFlushInterval, [this] { flushEvents(); });
 }
 
+// An entry that answers late has read late, waited for the store, or was late itself.
+void EntryProcess::reportLoad(foundation::SteadyTime dueAt)
+{
+    const auto now = clock_.now();
+    const auto toMs
+        = [](auto duration) { return std::int64_t(std::chrono::duration_cast<milliseconds>(duration).count()); };
+    const eventlog::ReadingLoad reading = jobFollower_.takeLoad();
+    const entry::StatusLoad status = jobService_.takeStatusLoad();
+    events_.write("entry.load",
+        { { "reads", reading.reads }, { "records", reading.records }, { "bytes", reading.bytes },
+            { "read_ms", toMs(reading.longestRead) }, { "apply_ms", toMs(reading.applyTime) },
+            { "age_ms", jobFollower_.hasCaughtUp() ? toMs(now - jobFollower_.coveredAsOf()) : -1 },
+            { "offset", jobFollower_.offset() }, { "states", status.answers }, { "states_read", status.reads },
+            { "state_ms", toMs(status.longestWait) }, { "state_sum_ms", toMs(status.totalWait) },
+            { "lag_ms", toMs(now - dueAt) } });
+    const auto next = now + loadReportInterval;
+    timers_.schedule(next, [this, next] { reportLoad(next); });
+}
+
 void EntryProcess::watchSignals()
 {
     signals_.async_wait([this](boost::system::error_code error, int signal) {
--- a/src/eventlog/internal/jobfollower.cpp
+++ b/src/eventlog/internal/jobfollower.cpp
@@ -177,7 +177,9 @@
             onRetentionPassed();
         return;
     }
+    const auto receivedAt = clock_.now();
     applyPage(*page);
+    countPage(*page, sentAt, receivedAt);
     if (offset_ >= page->end) {
         hasCaughtUp_ = true;
         hasEverCaughtUp_ = true;
@@ -187,6 +189,18 @@
         changeCallback_();
 }
 
+// A long poll that brings records may have waited for them, so its duration does not count.
+void JobFollower::countPage(const LogPage& page, foundation::SteadyTime sentAt, foundation::SteadyTime receivedAt)
+{
+    ++load_.reads;
+    load_.records += page.payloads.size();
+    for (const auto& payload : page.payloads)
+        load_.bytes += payload.size();
+    load_.applyTime += std::chrono::duration_cast<milliseconds>(clock_.now() - receivedAt);
+    if (isReadToEndInFlight_)
+        load_.longestRead = std::max(load_.longestRead, std::chrono::duration_cast<milliseconds>(receivedAt - sentAt));
+}
+
 // Two reads may be in flight, so a page may begin with records that were already applied.
 void JobFollower::applyPage(const LogPage& page)
 {
--- a/src/eventlog/jobfollower.h
+++ b/src/eventlog/jobfollower.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <utility>
 #include <vector>
 
 namespace turmericsill::eventlog {
@@ -29,6 +30,15 @@
     foundation::milliseconds retryDelay { 100 };
 };
 
+/// Reads of the log that were answered in a period of time.
+struct ReadingLoad {
+    std::uint64_t reads = 0;
+    std::uint64_t records = 0;
+    std::uint64_t bytes = 0; ///< Of the records.
+    foundation::milliseconds longestRead { 0 }; ///< From the request to the answer, without the wait of a long poll.
+    foundation::milliseconds applyTime { 0 }; ///< Time for decoding and applying the records, in all.
+};
+
 /// Follows the log and maintains the job table that its records result in.
 class JobFollower {
 public:
@@ -67,6 +77,9 @@
     /// Whether the latest read failed.
     bool hasLastReadFailed() const { return hasLastReadFailed_; }
 
+    /// Returns the reads since the previous call.
+    ReadingLoad takeLoad() { return std::exchange(load_, {}); }
+
     /// Reads to the current end of the log, then calls `done`. Calls during such a read share the next one.
     void readToEnd(ReadToEndCallback done);
 
@@ -120,6 +133,7 @@
     void skipOwnRecords();
     void onPage(const foundation::Result<LogPage>& page, std::uint64_t generation, foundation::SteadyTime sentAt);
     void applyPage(const LogPage& page);
+    void countPage(const LogPage& page, foundation::SteadyTime sentAt, foundation::SteadyTime receivedAt);
     void recordClaimTimes();
     void onRetentionPassed();
     void rebuild();
@@ -148,6 +162,7 @@
     bool hasCaughtUp_ = false;
     bool hasEverCaughtUp_ = false; ///< Also before the latest rebuild.
     bool isReadToEndInFlight_ = false;
+    ReadingLoad load_;
     std::vector<std::string> restoredKeys_;
     std::vector<ReadToEndCallback> waitingReads_;
     std::function<void()> changeCallback_;
