--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -57,7 +57,8 @@
               stepDown(error.code == Errc::Fenced ? "fenced by the log" : "the log rejects a record");
           })
     , records_(context.follower, writer_)
-    , snapshotter_(context.snapshots, context.follower, context.clock, context.events, epoch, settings.snapshotInterval)
+    , snapshotter_(context.snapshots, context.follower, context.clock, context.events, epoch,
+          { settings.snapshotInterval, settings.snapshotGrowth })
     , directory_(
           context.fleetSource, context.clock, context.timers, context.events,
           [this](const fleet::InstanceChange& change) { onInstanceChange(change); },
@@ -71,7 +72,7 @@
     writer_.setBatchesRuns(settings.batchesRunRecords);
     writer_.onAcknowledged([this](const eventlog::AcknowledgedAppend& append) {
         leaseAuthority_.onAppendStored(append.sentAt);
-        context_.follower.onOwnRecordsStored(append.offset, append.count);
+        context_.follower.onOwnRecordsStored(append.offset, append.count, append.bytes);
     });
 }
 
@@ -276,8 +277,8 @@
     }
     repeatStops();
     removeExpiredJobs();
-    if (snapshotter_.isDue() && writer_.isIdle() && context_.follower.hasCaughtUp())
-        snapshotter_.write();
+    if (snapshotter_.isDue() && context_.follower.hasCaughtUp())
+        snapshotter_.write(writer_.unstoredChanges());
     schedulePlan();
     writer_.flush();
 }
--- a/src/control/internal/snapshotter.cpp
+++ b/src/control/internal/snapshotter.cpp
@@ -10,6 +10,7 @@
 
 using eventlog::JobFollower;
 using eventlog::SnapshotEntry;
+using eventlog::UnstoredChanges;
 using foundation::Errc;
 using foundation::milliseconds;
 using foundation::Result;
@@ -18,6 +19,9 @@
 
     constexpr milliseconds retryDelay { 50 };
     constexpr milliseconds rejectedRetryDelay { 500 }; ///< Time in which the controller does its other work.
+    constexpr milliseconds completeLogTimeout { 500 }; ///< Time to wait for the log to hold what the table holds.
+    constexpr std::size_t bytesPerStep = 64 << 10; ///< Encoding this takes some milliseconds.
+    constexpr std::size_t jobKeyLength = 16; ///< Parts of an entry have a longer key.
     constexpr std::size_t minimumEntryBytes = 1024; ///< Smaller parts do not make a snapshot acceptable.
 
     bool belongsToHeader(const std::string& key)
@@ -28,13 +32,13 @@
 } // namespace
 
 Snapshotter::Snapshotter(eventlog::ISnapshotStore& store, const eventlog::JobFollower& follower,
-    const foundation::IClock& clock, telemetry::IEventSink& events, std::uint64_t epoch, milliseconds interval)
+    const foundation::IClock& clock, telemetry::IEventSink& events, std::uint64_t epoch, const SnapshotTerms& terms)
     : store_(store)
     , follower_(follower)
     , clock_(clock)
     , events_(events)
     , epoch_(epoch)
-    , interval_(interval)
+    , terms_(terms)
     , limits_(store.entryLimits())
     , lastWritten_(clock.now())
 {
@@ -46,38 +50,100 @@
 {
     if (isSaving_ || clock_.now() < retryAt_)
         return false;
-    return !batches_.empty() || clock_.now() - lastWritten_ >= interval_;
+    return isCollecting_ || !batches_.empty() || clock_.now() - lastWritten_ >= terms_.interval || hasLogGrown();
+}
+
+bool Snapshotter::hasLogGrown() const
+{
+    return follower_.bytesSinceSnapshot() - logBytesAtBegin_ >= std::max(terms_.growth, lastSnapshotBytes_);
 }
 
 // An unanswered batch may have been saved under its sequence number, so the same batch is sent again.
-void Snapshotter::write()
+void Snapshotter::write(const UnstoredChanges& unstored)
 {
-    if (batches_.empty()) {
-        lastWritten_ = clock_.now();
-        collectEntries();
-    }
-    saveNext();
+    if (batches_.empty() && !isCollecting_ && !begin(unstored))
+        return;
+    if (isCollecting_)
+        collectJobs(unstored);
+    if (!isCollecting_)
+        saveNext();
 }
 
-// A part is removed after the entry that told of it was replaced. Those of the header are the last ones.
-void Snapshotter::collectEntries()
+// While the log holds everything, a snapshot covers all of it; a controller under load has no such moment.
+bool Snapshotter::begin(const UnstoredChanges& unstored)
 {
+    const auto now = clock_.now();
+    if (!dueSince_)
+        dueSince_ = now;
+    const bool isLogComplete = unstored.jobs.empty() && unstored.areWithinJobs;
+    if (!isLogComplete && now - *dueSince_ < completeLogTimeout)
+        return false;
+    dueSince_.reset();
     ++snapshotCount_;
+    isCollecting_ = true;
+    lastWritten_ = clock_.now();
+    headerOffset_ = follower_.offset();
+    logBytesAtBegin_ = follower_.bytesSinceSnapshot();
     lastBatchBytes_ = 0;
+    snapshotBytes_ = 0;
     jobCount_ = 0;
     currentKeys_.clear();
-    const jobs::JobTable& table = follower_.table();
-    for (const auto* list : { &table.openJobs(), &table.finalJobs() }) {
-        for (const jobs::Job& job : *list) {
-            add({ jobs::toText(job.id), jobs::encodeJob(job) });
-            ++jobCount_;
-        }
+    currentFinalJobs_.clear();
+    uncollectedJobs_.clear();
+    for (const auto* list : { &follower_.table().openJobs(), &follower_.table().finalJobs() }) {
+        for (const jobs::Job& job : *list)
+            uncollectedJobs_.push_back(job.id);
     }
-    addRemovals(false);
-    headerOffset_ = follower_.offset();
-    add({ JobFollower::headerKey, jobs::encodeHeader(table.snapshotHeader(headerOffset_)) });
-    addRemovals(true);
+    return true;
+}
+
+// A job with records that are not in the log yet is left for a later step.
+void Snapshotter::collectJobs(const UnstoredChanges& unstored)
+{
+    if (!unstored.areWithinJobs)
+        return;
+    const std::size_t bytesBefore = snapshotBytes_;
+    std::deque<jobs::JobId> postponed;
+    while (!uncollectedJobs_.empty() && snapshotBytes_ - bytesBefore < bytesPerStep) {
+        const jobs::JobId id = uncollectedJobs_.front();
+        uncollectedJobs_.pop_front();
+        if (unstored.jobs.count(id))
+            postponed.push_back(id);
+        else if (const jobs::Job* job = follower_.table().find(id))
+            collectJob(*job);
+    }
+    uncollectedJobs_.insert(uncollectedJobs_.end(), postponed.begin(), postponed.end());
+    if (uncollectedJobs_.empty())
+        collectHeader(unstored);
+}
+
+void Snapshotter::collectJob(const jobs::Job& job)
+{
+    ++jobCount_;
+    const std::string key = jobs::toText(job.id);
+    if (!job.isFinal() || job.activeRuns > 0)
+        return add({ key, jobs::encodeJob(job) });
+    currentFinalJobs_.push_back(job.id);
+    if (storedFinalJobs_.count(job.id))
+        currentKeys_.insert(key);
+    else
+        add({ key, jobs::encodeFinalJob(job) });
+}
+
+// A part is removed after the entry that told of it was replaced. Those of the header are the last ones.
+void Snapshotter::collectHeader(const UnstoredChanges& unstored)
+{
+    const jobs::SnapshotHeader header = follower_.table().snapshotHeader(headerOffset_);
+    const auto& cancelled = header.unknownCancellations;
+    const bool isHeaderStored
+        = std::none_of(cancelled.begin(), cancelled.end(), [&](jobs::JobId id) { return unstored.jobs.count(id) > 0; });
+    if (!isHeaderStored)
+        return;
+    addRemovals(false, unstored.jobs);
+    add({ JobFollower::headerKey, jobs::encodeHeader(header) });
+    addRemovals(true, unstored.jobs);
     storedKeys_.insert(currentKeys_.begin(), currentKeys_.end());
+    isCollecting_ = false;
 }
 
 void Snapshotter::add(SnapshotEntry entry)
@@ -89,11 +155,17 @@
     }
 }
 
-// Adds the removal of what the store may hold besides the present snapshot.
-void Snapshotter::addRemovals(bool ofHeader)
+// Adds the removal of what the store may hold besides the present snapshot. The removal of a job that is not in the log
+// yet is left to the next snapshot.
+void Snapshotter::addRemovals(bool ofHeader, const std::set<jobs::JobId>& unstoredJobs)
 {
     for (const auto& key : storedKeys_) {
-        if (!currentKeys_.count(key) && belongsToHeader(key) == ofHeader)
+        if (currentKeys_.count(key) || belongsToHeader(key) != ofHeader)
+            continue;
+        const auto job = jobs::parseJobId(std::string_view(key).substr(0, jobKeyLength));
+        if (job && unstoredJobs.count(*job))
+            currentKeys_.insert(key);
+        else
             append({ key, {} });
     }
 }
@@ -106,6 +178,7 @@
         lastBatchBytes_ = 0;
     }
     lastBatchBytes_ += bytes;
+    snapshotBytes_ += bytes;
     batches_.back().push_back(std::move(entry));
 }
 
@@ -135,7 +208,7 @@
     // The store would reject the same batch again. A new snapshot with smaller entries and batches takes its place.
     retryAt_ = clock_.now() + rejectedRetryDelay;
     batches_.clear();
-    lastWritten_ = clock_.now() - interval_;
+    lastWritten_ = clock_.now() - terms_.interval;
     limits_.recordBytes = std::max(minimumEntryBytes, limits_.recordBytes / 2);
     limits_.appendBytes = std::max(limits_.framedSize(minimumEntryBytes), limits_.appendBytes / 2);
 }
@@ -144,8 +217,11 @@
 void Snapshotter::reportWritten()
 {
     storedKeys_ = std::exchange(currentKeys_, {});
-    events_.write(
-        "snapshot.written", { { "epoch", epoch_ }, { "offset", headerOffset_ }, { "jobs", std::uint64_t(jobCount_) } });
+    storedFinalJobs_ = { currentFinalJobs_.begin(), currentFinalJobs_.end() };
+    lastSnapshotBytes_ = snapshotBytes_;
+    events_.write("snapshot.written",
+        { { "epoch", epoch_ }, { "offset", headerOffset_ }, { "jobs", std::uint64_t(jobCount_) },
+            { "bytes", std::uint64_t(snapshotBytes_) } });
 }
 
 } // namespace turmericsill::control
--- a/src/control/snapshotter.h
+++ b/src/control/snapshotter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "eventlog/controllerwriter.h"
 #include "eventlog/isnapshotstore.h"
 #include "eventlog/jobfollower.h"
 #include "foundation/iclock.h"
@@ -9,34 +10,49 @@
 #include <cstdint>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 namespace turmericsill::control {
 
-/// Writes the table of jobs to the snapshot store, often enough that the log may drop old records.
-/// The jobs are saved first and the header after them, so that an incomplete snapshot is read with the header of the
-/// one before. An entry that is larger than the store accepts is divided.
+/// When a snapshot is due.
+struct SnapshotTerms {
+    foundation::milliseconds interval { 0 }; ///< At the latest this long after the one before.
+    std::size_t growth = 0; ///< Or once the log has grown by this many bytes, and by the size of the one before.
+};
+
+/// Writes the table of jobs to the snapshot store, often enough that the log may drop old records and that an entry
+/// that starts has little to read. The jobs are collected in steps while records are written: the header tells the
+/// offset from before the first step, and a job is collected as of a time at which all its records are in the log. So
+/// it may be newer than the header, and records that follow have their effect once. The jobs are saved first and the
+/// header after them, so that an incomplete snapshot is read with the header of the one before. An entry that is larger
+/// than the store accepts is divided.
 class Snapshotter {
 public:
     Snapshotter(eventlog::ISnapshotStore& store, const eventlog::JobFollower& follower, const foundation::IClock& clock,
-        telemetry::IEventSink& events, std::uint64_t epoch, foundation::milliseconds interval);
+        telemetry::IEventSink& events, std::uint64_t epoch, const SnapshotTerms& terms);
     ~Snapshotter() { *alive_ = false; }
 
     Snapshotter(const Snapshotter&) = delete;
     Snapshotter& operator=(const Snapshotter&) = delete;
 
-    /// Whether a snapshot is due, or a batch of the present one has to be sent.
+    /// Whether a snapshot is due, or the present one has to be continued.
     bool isDue() const;
 
-    /// Writes a snapshot or continues an incomplete one. Every record applied to the table must be in the log.
-    void write();
+    /// Begins a snapshot or continues an incomplete one. `unstored` tells what the table has ahead of the log.
+    void write(const eventlog::UnstoredChanges& unstored);
 
 private:
-    void collectEntries();
+    bool hasLogGrown() const;
+    bool begin(const eventlog::UnstoredChanges& unstored);
+    void collectJobs(const eventlog::UnstoredChanges& unstored);
+    void collectJob(const jobs::Job& job);
+    void collectHeader(const eventlog::UnstoredChanges& unstored);
     void add(eventlog::SnapshotEntry entry);
-    void addRemovals(bool ofHeader);
+    void addRemovals(bool ofHeader, const std::set<jobs::JobId>& unstoredJobs);
     void append(eventlog::SnapshotEntry entry);
     void saveNext();
     void onSaved(const foundation::Result<void>& saved);
@@ -47,14 +63,22 @@
     const foundation::IClock& clock_;
     telemetry::IEventSink& events_;
     std::uint64_t epoch_;
-    foundation::milliseconds interval_;
+    SnapshotTerms terms_;
     jobs::RecordLimits limits_; ///< Lower than those of the store after it has rejected a batch.
     std::uint64_t sequence_ = 0;
     std::uint64_t snapshotCount_ = 0;
     foundation::SteadyTime lastWritten_;
     foundation::SteadyTime retryAt_ {}; ///< Time before which nothing is sent after a failure.
+    std::optional<foundation::SteadyTime> dueSince_; ///< Empty unless a snapshot is due and was not begun.
+    bool isCollecting_ = false;
+    std::deque<jobs::JobId> uncollectedJobs_; ///< Jobs that the snapshot being written lacks.
     std::deque<std::vector<eventlog::SnapshotEntry>> batches_; ///< Batches still to be saved.
     std::size_t lastBatchBytes_ = 0; ///< Size of the last batch.
+    std::size_t snapshotBytes_ = 0; ///< Size of what the snapshot being written has saved anew.
+    std::size_t lastSnapshotBytes_ = 0; ///< The same of the one before.
+    std::uint64_t logBytesAtBegin_ = 0; ///< JobFollower::bytesSinceSnapshot() as of the header.
+    std::vector<jobs::JobId> currentFinalJobs_; ///< Final jobs of the snapshot being written.
+    std::unordered_set<jobs::JobId> storedFinalJobs_; ///< Final jobs that the store holds in their last state.
     std::set<std::string> currentKeys_; ///< Keys of the snapshot being written.
     std::set<std::string> storedKeys_; ///< Keys that the store may hold besides those.
     std::uint64_t headerOffset_ = 0; ///< Log offset of the snapshot being written.
--- a/src/control/types/controlsettings.h
+++ b/src/control/types/controlsettings.h
@@ -9,6 +9,9 @@
     LeaseTerms lease;
     milliseconds statusRetention { 130000 }; ///< How long a final job can be queried; the platform requires 120 s.
     milliseconds snapshotInterval { 60000 }; ///< Time between snapshots; a fifth of the log's retention.
+    /// Size of the log behind the latest snapshot that makes another one due, unless that snapshot was larger: an entry
+    /// that starts reads both.
+    std::size_t snapshotGrowth = 1 << 20;
     /// Whether runs are stored as jobs::RunBatch records, which earlier versions of this program cannot read.
     bool batchesRunRecords = true;
     milliseconds holderInterval { 3000 }; ///< Minimum time between the orders of two controllers for one machine.
--- /dev/null
+++ b/src/emulator/tests/snapshottests.cpp
@@ -0,0 +1,111 @@
+#include "emulator/tests/fixtures.h"
+
+#include <catch2/catch.hpp>
+
+using namespace turmericsill;
+using namespace turmericsill::emulator;
+using fixtures::EmulationFixture;
+using fixtures::job;
+using fixtures::statusOf;
+using fixtures::step;
+
+namespace {
+
+constexpr jobs::JobId firstJob = 0xa100;
+constexpr milliseconds submissionInterval { 10 };
+
+/// Snapshots come by the size of the log alone.
+control::ControlSettings growthSettings()
+{
+    control::ControlSettings result;
+    result.snapshotInterval = std::chrono::minutes(10);
+    result.snapshotGrowth = 8 << 10;
+    return result;
+}
+
+/// Submits short jobs for a time, so that the controller always has records that are not in the log yet.
+struct LoadFixture : EmulationFixture {
+    explicit LoadFixture(std::uint64_t seed)
+        : EmulationFixture(seed, fixtures::configuration(), growthSettings())
+    {
+        emulation.platform().faults().appendDuration = milliseconds(30);
+    }
+
+    void load(milliseconds duration)
+    {
+        for (milliseconds elapsed { 0 }; elapsed < duration; elapsed += submissionInterval) {
+            if (const auto entries = emulation.liveEntries(); !entries.empty())
+                emulation.submit(entries.front(), nextJob++, job({ step(2, 100), step(1, 100, { 0 }) }));
+            emulation.advanceTime(submissionInterval);
+        }
+    }
+
+    jobs::JobId nextJob = firstJob;
+};
+
+} // namespace
+
+// All entries lose power after a surge. What they read before one of them may control was as long as the day: a
+// controller with records that are not in the log wrote no snapshot.
+TEST_CASE("snapshots: a controller under load writes them as the log grows", "[emulation]")
+{
+    LoadFixture fixture(131);
+    fixture.load(milliseconds(6000));
+    CHECK(fixture.countEvents("snapshot.written") >= 2);
+    CHECK(fixture.violations().empty());
+}
+
+// A snapshot under load is collected in steps, while jobs go on. What an entry builds from it and from the log must be
+// what the log says, at whichever moment all entries are lost.
+TEST_CASE("snapshots: jobs are finished once when all entries are lost while one is written", "[emulation]")
+{
+    for (int delay = 0; delay < 400; delay += 23) {
+        LoadFixture fixture(132);
+        fixture.load(milliseconds(1500 + delay));
+        for (const auto& name : fixture.emulation.liveEntries())
+            fixture.emulation.killEntry(name);
+        for (const char* name : { "e-1", "e-2", "e-3" })
+            fixture.emulation.startEntry(name);
+        fixture.load(milliseconds(500));
+        fixture.emulation.advanceTime(milliseconds(20000));
+        std::size_t unfinished = 0;
+        for (const auto id : fixture.emulation.platform().invariants().acceptedJobs())
+            unfinished += statusOf(fixture, "e-2", id).state != jobs::JobState::Completed;
+        CHECK(unfinished == 0);
+        CHECK(fixture.violations().empty());
+    }
+}
+
+// A final job stands in the snapshot without its steps. The log may still hold its records, or those of its
+// cancellation.
+TEST_CASE("snapshots: final jobs are reported after all entries have started again", "[emulation]")
+{
+    LoadFixture fixture(133);
+    auto lasting = step(2, 100);
+    lasting.isLongRunning = true;
+    fixture.emulation.submit("e-1", 0xb1, job({ lasting }));
+    fixture.emulation.submit("e-1", 0xb2, job({ step(2, 100) }));
+    auto scheduled = job({ step(1, 100) });
+    scheduled.schedule
+        = { 2, std::chrono::duration_cast<milliseconds>(fixture.emulation.clock().wallNow().time_since_epoch()),
+              milliseconds(500) };
+    fixture.emulation.submit("e-1", 0xb3, scheduled);
+    fixture.load(milliseconds(1000));
+    fixture.emulation.cancel("e-2", 0xb1);
+    fixture.load(milliseconds(4000));
+    const auto written = fixture.countEvents("snapshot.written");
+    for (int round = 0; round < 20 && fixture.countEvents("snapshot.written") == written; ++round)
+        fixture.load(milliseconds(500));
+    REQUIRE(fixture.countEvents("snapshot.written") > written);
+    for (const auto& name : fixture.emulation.liveEntries())
+        fixture.emulation.killEntry(name);
+    for (const char* name : { "e-1", "e-2", "e-3" })
+        fixture.emulation.startEntry(name);
+    fixture.emulation.advanceTime(milliseconds(6000));
+    for (const auto& name : fixture.emulation.liveEntries()) {
+        CHECK(statusOf(fixture, name, 0xb1).state == jobs::JobState::Cancelled);
+        CHECK(statusOf(fixture, name, 0xb2).state == jobs::JobState::Completed);
+        CHECK(statusOf(fixture, name, 0xb3).state == jobs::JobState::Completed);
+    }
+    CHECK(fixture.violations().empty());
+}
--- a/src/eventlog/controllerwriter.h
+++ b/src/eventlog/controllerwriter.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -18,9 +19,16 @@
 struct AcknowledgedAppend {
     std::uint64_t offset = 0; ///< Offset of the first payload.
     std::uint64_t count = 0; ///< Number of payloads.
+    std::uint64_t bytes = 0; ///< Size of the payloads.
     foundation::SteadyTime sentAt {}; ///< When it was first sent. The epoch was the latest one in the log at that time.
 };
 
+/// What the records that are not in the log yet have changed.
+struct UnstoredChanges {
+    std::set<jobs::JobId> jobs;
+    bool areWithinJobs = true; ///< Whether nothing else has changed, and no other job because of one of these.
+};
+
 /// Appends the controller's records of one epoch, each exactly once and in order, in appends that the log accepts. An
 /// append without an answer is retried until the log answers or a later controller has fenced this one. One that the
 /// log rejects for good is divided.
@@ -67,6 +75,9 @@
     /// Whether every record written so far is in the log.
     bool isIdle() const { return queuedRecords_.empty(); }
 
+    /// What the records have changed that were written and are not in the log yet.
+    UnstoredChanges unstoredChanges() const;
+
     /// Drops all callbacks; to be called before the writer is destroyed.
     void stop();
 
--- a/src/eventlog/internal/controllerwriter.cpp
+++ b/src/eventlog/internal/controllerwriter.cpp
@@ -3,6 +3,7 @@
 #include "jobs/appendbuilder.h"
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 #include <variant>
 
@@ -20,6 +21,29 @@
     constexpr milliseconds retryDelay { 50 };
     constexpr milliseconds stallThreshold { 1500 }; ///< A slow store answers an append in 0.2 to 0.9 s.
 
+    std::uint64_t payloadBytes(const std::vector<std::string>& payloads)
+    {
+        return std::accumulate(payloads.begin(), payloads.end(), std::uint64_t(0),
+            [](std::uint64_t sum, const std::string& payload) { return sum + payload.size(); });
+    }
+
+    /// Collects what records have changed.
+    struct ChangeCollector {
+        UnstoredChanges changes;
+
+        void operator()(const jobs::JobSubmitted& record) { changes.jobs.insert(record.job); }
+        void operator()(const jobs::JobCancelled& record) { changes.jobs.insert(record.job); }
+        void operator()(const jobs::JobFailed& record) { changes.jobs.insert(record.job); }
+        void operator()(const jobs::JobExpired& record) { changes.jobs.insert(record.job); }
+        void operator()(const jobs::RunIntended& record) { changes.jobs.insert(record.task.job); }
+        void operator()(const jobs::RunEnded& record) { changes.jobs.insert(record.task.job); }
+        void operator()(const jobs::JobsStarted& record)
+        {
+            changes.jobs.insert(record.jobs.begin(), record.jobs.end());
+        }
+        template <typename OtherRecord> void operator()(const OtherRecord&) { changes.areWithinJobs = false; }
+    };
+
 } // namespace
 
 ControllerWriter::ControllerWriter(IEventLog& log, foundation::IClock& clock, foundation::ITimerQueue& timers,
@@ -48,6 +72,14 @@
     callbacks_.push_back({ writtenRecords_, std::move(done) });
 }
 
+UnstoredChanges ControllerWriter::unstoredChanges() const
+{
+    ChangeCollector collector;
+    for (const auto& record : queuedRecords_)
+        std::visit(collector, record);
+    return std::move(collector.changes);
+}
+
 void ControllerWriter::flush()
 {
     if (isAppendInFlight_ || queuedRecords_.empty() || !*alive_)
@@ -99,7 +131,7 @@
         return;
     }
     if (acknowledgedCallback_)
-        acknowledgedCallback_({ answer->offset, payloads_.size(), appendStartedAt_ });
+        acknowledgedCallback_({ answer->offset, payloads_.size(), payloadBytes(payloads_), appendStartedAt_ });
     completeAppend();
 }
 
--- a/src/eventlog/internal/jobfollower.cpp
+++ b/src/eventlog/internal/jobfollower.cpp
@@ -143,8 +143,9 @@
     return ownEpoch_ > 0 && clock_.now() - lastOwnAppendAt_ < options_.appendingTimeout;
 }
 
-void JobFollower::onOwnRecordsStored(std::uint64_t offset, std::uint64_t count)
+void JobFollower::onOwnRecordsStored(std::uint64_t offset, std::uint64_t count, std::uint64_t bytes)
 {
+    bytesSinceSnapshot_ += bytes;
     lastOwnAppendAt_ = clock_.now();
     ownRanges_.emplace(offset, offset + count);
     skipOwnRecords();
@@ -226,6 +227,7 @@
         if (offset++ != offset_)
             continue;
         ++offset_;
+        bytesSinceSnapshot_ += payload.size();
         auto logged = jobs::decode(payload);
         if (!logged) {
             ++unknownRecords_;
@@ -298,6 +300,7 @@
 {
     ++generation_;
     offset_ = 0;
+    bytesSinceSnapshot_ = 0;
     ownRanges_.clear();
     isSnapshotLoaded_ = false;
     restoredKeys_.clear();
--- a/src/eventlog/jobfollower.h
+++ b/src/eventlog/jobfollower.h
@@ -105,9 +105,13 @@
     /// holds a record that was not read; the table is rebuilt then, and the change callback is called.
     bool isInControl(std::uint64_t epoch) const { return ownEpoch_ == epoch; }
 
+    /// Number of bytes of the records that the table covers and that were read or stored after the snapshot from which
+    /// it was built, or from the beginning of the log.
+    std::uint64_t bytesSinceSnapshot() const { return bytesSinceSnapshot_; }
+
     /// Skips the records of an append of this controller that the log has acknowledged, instead of reading them back:
     /// under load, reading them takes longer than writing them.
-    void onOwnRecordsStored(std::uint64_t offset, std::uint64_t count);
+    void onOwnRecordsStored(std::uint64_t offset, std::uint64_t count, std::uint64_t bytes);
 
     /// Number of this controller's records that were read back from the log or skipped.
     std::uint64_t ownRecordsRead() const { return ownRecordsRead_; }
@@ -156,6 +160,7 @@
     std::uint64_t offset_ = 0;
     std::uint64_t ownEpoch_ = 0; ///< Epoch of this controller; 0 while this entry is not the controller.
     std::uint64_t ownRecordsRead_ = 0;
+    std::uint64_t bytesSinceSnapshot_ = 0;
     std::map<std::uint64_t, std::uint64_t>
         ownRanges_; ///< Offsets of acknowledged own records: first, and past the last.
     foundation::SteadyTime lastOwnAppendAt_ {};
--- a/src/jobs/internal/snapshotcodec.cpp
+++ b/src/jobs/internal/snapshotcodec.cpp
@@ -96,6 +96,22 @@
 
 } // namespace
 
+// Without its steps, an occurrence counts as done. Crash histories of a failed job tell what has caused the crashes
+// under tasks of other jobs.
+std::string encodeFinalJob(const Job& job)
+{
+    if (!job.crashHistories.empty())
+        return encodeJob(job);
+    Job final;
+    final.id = job.id;
+    if (job.state() == JobState::Completed)
+        final.startOccurrence(0);
+    final.hasStarted = job.hasStarted;
+    final.isCancelled = job.isCancelled;
+    final.hasFailed = job.hasFailed;
+    return encodeJob(final);
+}
+
 std::string encodeJob(const Job& job)
 {
     json occurrences = json::array();
--- a/src/jobs/snapshotcodec.h
+++ b/src/jobs/snapshotcodec.h
@@ -26,6 +26,10 @@
 /// Encodes a job with the state of its tasks.
 std::string encodeJob(const Job& job);
 
+/// Encodes a final job without active runs with no more than what is reported about it. Its records have no further
+/// effect on what decodeJob() restores from that.
+std::string encodeFinalJob(const Job& job);
+
 /// Errc::UnknownRecord: the bytes are damaged or were written by a later version.
 foundation::Result<std::unique_ptr<Job>> decodeJob(std::string_view bytes);
 
