Entry: the answer about a job does not wait for a log that is far ahead

Cause: the entry answered once it had reached the end of the log, however far that was. Change: after 0.5 s of reading it tells what it knows about a known job; about an unknown one that it cannot tell, with 503 and Retry-After, never that there is none. Test: an entry on a slow link did not answer within the limit before.

--- a/src/emulator/tests/statustests.cpp
+++ b/src/emulator/tests/statustests.cpp
@@ -145,3 +145,25 @@
         CHECK(answer->status.state == jobs::JobState::Running);
     }
 }
+
+// An entry on a slow link may read the log seconds behind its end. Callers got no answer until it had read everything.
+TEST_CASE("status: an entry that is behind the log answers all the same", "[emulation]")
+{
+    EmulationFixture fixture(127);
+    auto lasting = step(1, 500);
+    lasting.isLongRunning = true;
+    fixture.emulation.submit("e-1", firstJob, job({ lasting }));
+    fixture.emulation.advanceTime(milliseconds(1000));
+    const std::string behind = fixture.emulation.controller() == "e-3" ? "e-2" : "e-3";
+    fixture.emulation.platform().faults().linkBytesPerSecond[behind] = 1000;
+    for (jobs::JobId id = firstJob + 1; id < firstJob + 100; ++id)
+        fixture.emulation.submit("e-1", id, job({ step(1, 500) }));
+    fixture.emulation.advanceTime(milliseconds(500));
+    const auto known = ask(fixture, behind, firstJob, milliseconds(1100));
+    REQUIRE(known);
+    CHECK(known->status.lookup == entry::JobLookup::Found);
+    CHECK(known->status.state == jobs::JobState::Running);
+    const auto unread = ask(fixture, behind, firstJob + 99, milliseconds(1100));
+    REQUIRE(unread);
+    CHECK(unread->status.lookup == entry::JobLookup::Unavailable);
+}
--- a/src/entry/internal/jobservice.cpp
+++ b/src/entry/internal/jobservice.cpp
@@ -14,6 +14,8 @@
     /// The store rejects records while it is down or its rate limit is exceeded; both pass within seconds.
     constexpr milliseconds storeRetryAfter { 1000 };
 
+    constexpr milliseconds statusReadTimeout { 500 }; ///< A read of the log takes 10 ms unless the entry is behind.
+
     /// A count that is older is read anew; the platform allows 2 s.
     constexpr milliseconds maximumPendingCountAge { 1700 };
 
@@ -151,36 +153,43 @@
 void JobService::status(JobId id, milliseconds wait, std::function<void(JobStatus)> done)
 {
     const auto now = clock_.now();
-    StatusRequest request { id, now, now + wait, std::move(done) };
+    const auto request = std::make_shared<StatusRequest>(StatusRequest { id, now, now + wait, std::move(done) });
     const JobStatus known = statusFromTable(id);
     if (isSettled(known))
-        return answer(request, known);
+        return answer(*request, known);
     if (known.lookup == JobLookup::Found && wait.count() > 0)
-        return awaitEnd(std::move(request));
+        return awaitEnd(request);
     const jobs::Job* job = follower_.table().find(id);
     if (job && (job->isFinal() || isController_()))
-        return answer(request, known);
-    readStatus(std::move(request));
+        return answer(*request, known);
+    readStatus(request);
 }
 
-void JobService::readStatus(StatusRequest request)
+// An entry that is far behind the end of the log does not keep the caller waiting until it has read everything.
+void JobService::readStatus(const StatusRequestPtr& request)
 {
     ++statusLoad_.reads;
-    follower_.readToEnd([this, request = std::move(request)](const Result<void>& read) {
-        JobStatus status = statusFromTable(request.job);
-        if (!read && status.lookup == JobLookup::NotFound)
-            status.lookup = JobLookup::Unavailable;
-        const bool mayWait = status.lookup == JobLookup::Found && !isSettled(status);
-        if (mayWait && clock_.now() < request.waitsUntil)
-            return awaitEnd(request);
-        answer(request, status);
-    });
+    follower_.readToEnd([this, request](const Result<void>& read) { onStatusRead(request, read.has_value()); });
+    timers_.schedule(clock_.now() + statusReadTimeout, [this, request] { onStatusRead(request, false); });
+}
+
+void JobService::onStatusRead(const StatusRequestPtr& request, bool hasReachedEnd)
+{
+    if (!request->done)
+        return;
+    JobStatus status = statusFromTable(request->job);
+    if (!hasReachedEnd && status.lookup == JobLookup::NotFound)
+        status.lookup = JobLookup::Unavailable;
+    const bool mayWait = status.lookup == JobLookup::Found && !isSettled(status);
+    if (mayWait && clock_.now() < request->waitsUntil)
+        return awaitEnd(request);
+    answer(*request, status);
 }
 
-void JobService::awaitEnd(StatusRequest request)
+void JobService::awaitEnd(const StatusRequestPtr& request)
 {
-    timers_.schedule(request.waitsUntil, [this] { answerWaiting(); });
-    waitingRequests_.push_back(std::move(request));
+    timers_.schedule(request->waitsUntil, [this] { answerWaiting(); });
+    waitingRequests_.push_back(request);
     follower_.setFollowsClosely(true);
 }
 
@@ -194,17 +203,19 @@
 void JobService::answerWaiting()
 {
     const auto now = clock_.now();
-    std::vector<StatusRequest> requests = std::exchange(waitingRequests_, {});
-    for (StatusRequest& request : requests) {
-        const JobStatus status = statusFromTable(request.job);
+    const std::vector<StatusRequestPtr> requests = std::exchange(waitingRequests_, {});
+    for (const auto& request : requests) {
+        if (!request->done)
+            continue;
+        const JobStatus status = statusFromTable(request->job);
         if (isSettled(status))
-            answer(request, status);
-        else if (now < request.waitsUntil)
-            waitingRequests_.push_back(std::move(request));
-        else if (status.lookup == JobLookup::Found && isKnownSince(request.receivedAt))
-            answer(request, status);
+            answer(*request, status);
+        else if (now < request->waitsUntil)
+            waitingRequests_.push_back(request);
+        else if (status.lookup == JobLookup::Found && isKnownSince(request->receivedAt))
+            answer(*request, status);
         else
-            readStatus(std::move(request));
+            readStatus(request);
     }
     follower_.setFollowsClosely(!waitingRequests_.empty());
 }
@@ -215,7 +226,7 @@
 }
 
 // The time of the final answer, beside that of the end, tells how late a caller learned of it.
-void JobService::answer(const StatusRequest& request, const JobStatus& status)
+void JobService::answer(StatusRequest& request, const JobStatus& status)
 {
     const auto waited = std::chrono::duration_cast<milliseconds>(clock_.now() - request.receivedAt);
     ++statusLoad_.answers;
@@ -227,7 +238,7 @@
         events_.write("job.shown",
             { { "job", jobs::toText(request.job) }, { "waited_ms", std::int64_t(waited.count()) },
                 { "offset", follower_.offset() } });
-    request.done(status);
+    std::exchange(request.done, nullptr)(status);
 }
 
 // An entry with a slow link or little processor time may follow the log seconds behind its end.
--- a/src/entry/jobservice.h
+++ b/src/entry/jobservice.h
@@ -6,6 +6,7 @@
 #include "telemetry/ieventsink.h"
 
 #include <functional>
+#include <memory>
 #include <utility>
 #include <vector>
 
@@ -55,18 +56,21 @@
         jobs::JobId job = 0;
         foundation::SteadyTime receivedAt {};
         foundation::SteadyTime waitsUntil {}; ///< When it is answered although the job is in progress.
-        std::function<void(JobStatus)> done;
+        std::function<void(JobStatus)> done; ///< Empty once it was answered.
     };
 
     /// Status of a job by the table as it is, without another read of the log.
     JobStatus statusFromTable(jobs::JobId id) const;
 
+    using StatusRequestPtr = std::shared_ptr<StatusRequest>;
+
     /// Whether the table covers what the log held at this time.
     bool isKnownSince(foundation::SteadyTime time) const;
 
-    void readStatus(StatusRequest request);
-    void awaitEnd(StatusRequest request);
-    void answer(const StatusRequest& request, const JobStatus& status);
+    void readStatus(const StatusRequestPtr& request);
+    void onStatusRead(const StatusRequestPtr& request, bool hasReachedEnd);
+    void awaitEnd(const StatusRequestPtr& request);
+    void answer(StatusRequest& request, const JobStatus& status);
     void answerWaiting();
 
     /// Submits a record to the log and writes its outcome as `event`.
@@ -82,7 +86,7 @@
     std::function<milliseconds()> configurationAge_ = [] { return milliseconds::max(); };
     milliseconds maximumConfigurationAge_ { 0 };
     StatusLoad statusLoad_;
-    std::vector<StatusRequest> waitingRequests_; ///< Requests for jobs that are in progress.
+    std::vector<StatusRequestPtr> waitingRequests_; ///< Requests for jobs that are in progress.
     std::function<bool()> isController_ = [] { return false; };
     std::function<bool(jobs::JobId)> isJobStored_ = [](jobs::JobId) { return true; };
 };
