Observability: control.load tells how many plans were not allowed to start anything, and why

Callers saw: seconds in which nothing starts although instances have room. A plan that is not allowed to start anything counted like any other, so that a stale directory, a stalled log, control that is not confirmed and a full window of starts looked alike. Change: the fields blocked and blocked_by. No change of behaviour.

--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -136,6 +136,8 @@
         foundation::SteadyTime since {};
         std::uint64_t plans = 0;
         std::uint64_t placements = 0;
+        std::uint64_t blockedPlans = 0; ///< Plans that were not allowed to start anything.
+        std::string blockedBy; ///< Why, for the latest of these.
         foundation::SteadyTime::duration planTime {};
         milliseconds maximumLag { 0 };
         foundation::ProcessUsage usageAtStart; ///< At the time `since`.
@@ -166,6 +168,9 @@
     void schedulePlan();
     void plan();
     void planPools();
+
+    /// Why a plan must not start anything; empty if it may.
+    std::string startObstacle() const;
     void reportLoad(milliseconds lag);
     void applyJobChanges();
     void applySessionChanges();
--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -326,10 +326,12 @@
     context_.follower.startDueOccurrences(timeOfDay(context_.clock));
     applyJobChanges();
     applySessionChanges();
-    // Plans nothing while intents could not be appended; a later plan is made with newer information.
-    if (directory_.isCurrent() && controlStatus_ == ControlStatus::Confirmed && !writer_.isStalled()
-        && configuration_.version > 0)
+    const std::string obstacle = startObstacle();
+    if (obstacle.empty())
         planPools();
+    else
+        load_.blockedBy = obstacle;
+    load_.blockedPlans += !obstacle.empty();
     writer_.flush();
     const auto planTime = context_.clock.now() - begunAt;
     const auto took = std::chrono::ceil<milliseconds>(planTime);
@@ -338,11 +340,23 @@
     planDelay_ = std::clamp(took * planPauseFactor, planBatchingDelay, maximumPlanDelay);
 }
 
+// Plans nothing while intents could not be appended; a later plan is made with newer information.
+std::string Controller::startObstacle() const
+{
+    if (configuration_.version == 0)
+        return "no configuration";
+    if (!directory_.isCurrent())
+        return "directory";
+    if (writer_.isStalled())
+        return "log";
+    if (controlStatus_ != ControlStatus::Confirmed)
+        return "control";
+    return sessionContext_.startsInProgress >= startWindow_.size() ? "starts in progress" : "";
+}
+
 void Controller::planPools()
 {
     const std::size_t startsInProgress = sessionContext_.startsInProgress;
-    if (startsInProgress >= startWindow_.size())
-        return; // The next confirmation schedules a plan, as does every tick.
     const scheduling::StepTickets tickets = adviceCache_.validTickets();
     std::set<jobs::JobId> observedJobs;
     for (const auto& [task, until] : observedUntil_)
@@ -364,6 +378,7 @@
     const InstanceCallCounts calls = instanceControl_.takeCounts();
     context_.events.write("control.load",
         { { "plans", load_.plans }, { "plan_ms", std::int64_t(planTime.count()) }, { "placements", load_.placements },
+            { "blocked", load_.blockedPlans }, { "blocked_by", load_.blockedBy },
             { "lag_ms", std::int64_t(load_.maximumLag.count()) },
             { "open_jobs", std::uint64_t(context_.follower.table().openJobs().size()) },
             { "instances", std::uint64_t(sessions_.size()) }, { "starts", calls.starts }, { "stops", calls.stops },
