--- a/src/control/internal/snapshotter.cpp
+++ b/src/control/internal/snapshotter.cpp
@@ -88,10 +88,17 @@
     snapshotBytes_ = 0;
     jobCount_ = 0;
     currentKeys_.clear();
-    currentFinalJobs_.clear();
+    newFinalJobs_.clear();
+    removedFinalJobs_.clear();
     uncollectedJobs_.clear();
-    for (const auto* list : { &follower_.table().openJobs(), &follower_.table().finalJobs() }) {
-        for (const jobs::Job& job : *list)
+    for (const jobs::Job& job : follower_.table().openJobs()) {
+        // A run of a final job may have been intended before its cancellation was read.
+        if (storedFinalJobs_.erase(job.id) > 0)
+            storedKeys_.insert(jobs::toText(job.id));
+        uncollectedJobs_.push_back(job.id);
+    }
+    for (const jobs::Job& job : follower_.table().finalJobs()) {
+        if (!storedFinalJobs_.count(job.id))
             uncollectedJobs_.push_back(job.id);
     }
     return true;
@@ -117,17 +124,15 @@
         collectHeader(unstored);
 }
 
+// A final job is written once. It has no parts.
 void Snapshotter::collectJob(const jobs::Job& job)
 {
     ++jobCount_;
     const std::string key = jobs::toText(job.id);
-    if (!job.isFinal() || job.activeRuns > 0)
+    if (!job.isFinal() || job.activeRuns > 0 || !job.crashHistories.empty())
         return add({ key, jobs::encodeJob(job) });
-    currentFinalJobs_.push_back(job.id);
-    if (storedFinalJobs_.count(job.id))
-        currentKeys_.insert(key);
-    else
-        add({ key, jobs::encodeFinalJob(job) });
+    newFinalJobs_.insert(job.id);
+    append({ key, jobs::encodeFinalJob(job) });
 }
 
 // A part is removed after the entry that told of it was replaced. Those of the header are the last ones.
@@ -140,6 +145,7 @@
     if (!isHeaderStored)
         return;
     addRemovals(false, unstored.jobs);
+    addFinalJobRemovals(unstored.jobs);
     add({ JobFollower::headerKey, jobs::encodeHeader(header) });
     addRemovals(true, unstored.jobs);
     storedKeys_.insert(currentKeys_.begin(), currentKeys_.end());
@@ -165,11 +171,26 @@
         const auto job = jobs::parseJobId(std::string_view(key).substr(0, jobKeyLength));
         if (job && unstoredJobs.count(*job))
             currentKeys_.insert(key);
-        else
+        else if (!job || key.size() > jobKeyLength || !isFinalJobStored(*job))
             append({ key, {} });
     }
 }
 
+bool Snapshotter::isFinalJobStored(jobs::JobId job) const
+{
+    return newFinalJobs_.count(job) > 0 || storedFinalJobs_.count(job) > 0;
+}
+
+void Snapshotter::addFinalJobRemovals(const std::set<jobs::JobId>& unstoredJobs)
+{
+    for (const jobs::JobId job : storedFinalJobs_) {
+        if (follower_.table().find(job) || unstoredJobs.count(job))
+            continue;
+        append({ jobs::toText(job), {} });
+        removedFinalJobs_.push_back(job);
+    }
+}
+
 void Snapshotter::append(SnapshotEntry entry)
 {
     const std::size_t bytes = limits_.framedSize(entry.key.size() + entry.value.size());
@@ -208,6 +229,8 @@
     // The store would reject the same batch again. A new snapshot with smaller entries and batches takes its place.
     retryAt_ = clock_.now() + rejectedRetryDelay;
     batches_.clear();
+    for (const jobs::JobId job : newFinalJobs_)
+        storedKeys_.insert(jobs::toText(job));
     lastWritten_ = clock_.now() - terms_.interval;
     limits_.recordBytes = std::max(minimumEntryBytes, limits_.recordBytes / 2);
     limits_.appendBytes = std::max(limits_.framedSize(minimumEntryBytes), limits_.appendBytes / 2);
@@ -217,7 +240,9 @@
 void Snapshotter::reportWritten()
 {
     storedKeys_ = std::exchange(currentKeys_, {});
-    storedFinalJobs_ = { currentFinalJobs_.begin(), currentFinalJobs_.end() };
+    storedFinalJobs_.insert(newFinalJobs_.begin(), newFinalJobs_.end());
+    for (const jobs::JobId job : removedFinalJobs_)
+        storedFinalJobs_.erase(job);
     lastSnapshotBytes_ = snapshotBytes_;
     events_.write("snapshot.written",
         { { "epoch", epoch_ }, { "offset", headerOffset_ }, { "jobs", std::uint64_t(jobCount_) },
--- a/src/control/snapshotter.h
+++ b/src/control/snapshotter.h
@@ -53,6 +53,8 @@
     void collectHeader(const eventlog::UnstoredChanges& unstored);
     void add(eventlog::SnapshotEntry entry);
     void addRemovals(bool ofHeader, const std::set<jobs::JobId>& unstoredJobs);
+    void addFinalJobRemovals(const std::set<jobs::JobId>& unstoredJobs);
+    bool isFinalJobStored(jobs::JobId job) const;
     void append(eventlog::SnapshotEntry entry);
     void saveNext();
     void onSaved(const foundation::Result<void>& saved);
@@ -77,10 +79,11 @@
     std::size_t snapshotBytes_ = 0; ///< Size of what the snapshot being written has saved anew.
     std::size_t lastSnapshotBytes_ = 0; ///< The same of the one before.
     std::uint64_t logBytesAtBegin_ = 0; ///< JobFollower::bytesSinceSnapshot() as of the header.
-    std::vector<jobs::JobId> currentFinalJobs_; ///< Final jobs of the snapshot being written.
     std::unordered_set<jobs::JobId> storedFinalJobs_; ///< Final jobs that the store holds in their last state.
-    std::set<std::string> currentKeys_; ///< Keys of the snapshot being written.
-    std::set<std::string> storedKeys_; ///< Keys that the store may hold besides those.
+    std::unordered_set<jobs::JobId> newFinalJobs_; ///< Those that the snapshot being written adds.
+    std::vector<jobs::JobId> removedFinalJobs_; ///< Those that it removes.
+    std::set<std::string> currentKeys_; ///< Keys of the snapshot being written, without those of final jobs.
+    std::set<std::string> storedKeys_; ///< Keys that the store may hold besides those and `storedFinalJobs_`.
     std::uint64_t headerOffset_ = 0; ///< Log offset of the snapshot being written.
     std::size_t jobCount_ = 0; ///< Number of jobs of the snapshot being written.
     bool isSaving_ = false;
--- a/src/emulator/tests/snapshottests.cpp
+++ b/src/emulator/tests/snapshottests.cpp
@@ -109,3 +109,24 @@
     }
     CHECK(fixture.violations().empty());
 }
+
+// Final jobs are kept for minutes. Written with each snapshot, they would make it larger than what has changed.
+TEST_CASE("snapshots: a final job is written once and removed when it expires", "[emulation]")
+{
+    control::ControlSettings settings = EmulationFixture::settings();
+    settings.statusRetention = milliseconds(12000);
+    EmulationFixture fixture(134, fixtures::configuration(), settings);
+    const auto& log = fixture.emulation.platform().log();
+    constexpr std::size_t jobs = 20;
+    for (jobs::JobId id = firstJob; id < firstJob + jobs; ++id)
+        fixture.emulation.submit("e-1", id, job({ step(1, 100) }));
+    fixture.emulation.advanceTime(milliseconds(5500));
+    CHECK(log.load().size() == jobs + 1);
+    const auto saved = log.savedEntries();
+    const auto written = fixture.countEvents("snapshot.written");
+    fixture.emulation.advanceTime(milliseconds(4500));
+    CHECK(fixture.countEvents("snapshot.written") >= written + 2);
+    CHECK(log.savedEntries() - saved == fixture.countEvents("snapshot.written") - written); // Headers.
+    fixture.emulation.advanceTime(milliseconds(10000));
+    CHECK(log.load().size() == 1);
+}
