--- a/src/entry/internal/jobservice.cpp
+++ b/src/entry/internal/jobservice.cpp
@@ -208,12 +208,12 @@
         if (!request->done)
             continue;
         const JobStatus status = statusFromTable(request->job);
-        if (isSettled(status))
+        const bool isWaitOver = now >= request->waitsUntil;
+        const bool isCurrent = status.lookup == JobLookup::Found && isKnownSince(request->receivedAt);
+        if (isSettled(status) || (isWaitOver && isCurrent))
             answer(*request, status);
-        else if (now < request->waitsUntil)
+        else if (!isWaitOver)
             waitingRequests_.push_back(request);
-        else if (status.lookup == JobLookup::Found && isKnownSince(request->receivedAt))
-            answer(*request, status);
         else
             readStatus(request);
     }
