Read-through: obstacles of plans without a copy, times of reads where they are measured

Cause: found in a reading of the change. A long poll that was answered beside a read to the end counted its wait as the longest read, and the time for applying pages was cut to whole milliseconds a page, so entry.load told too much of one and too little of the other. plan() counted a blocked plan beside the branch that knows it and built a text for each plan. Change: each in one place. No change of behaviour but the two fields.

--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -30,6 +30,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -170,7 +171,7 @@
     void planPools();
 
     /// Why a plan must not start anything; empty if it may.
-    std::string startObstacle() const;
+    std::string_view startObstacle() const;
     void reportLoad(milliseconds lag);
     void applyJobChanges();
     void applySessionChanges();
--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -326,12 +326,13 @@
     context_.follower.startDueOccurrences(timeOfDay(context_.clock));
     applyJobChanges();
     applySessionChanges();
-    const std::string obstacle = startObstacle();
-    if (obstacle.empty())
+    const std::string_view obstacle = startObstacle();
+    if (obstacle.empty()) {
         planPools();
-    else
+    } else {
+        ++load_.blockedPlans;
         load_.blockedBy = obstacle;
-    load_.blockedPlans += !obstacle.empty();
+    }
     writer_.flush();
     const auto planTime = context_.clock.now() - begunAt;
     const auto took = std::chrono::ceil<milliseconds>(planTime);
@@ -340,8 +341,9 @@
     planDelay_ = std::clamp(took * planPauseFactor, planBatchingDelay, maximumPlanDelay);
 }
 
-// Plans nothing while intents could not be appended; a later plan is made with newer information.
-std::string Controller::startObstacle() const
+// Plans nothing while intents could not be appended; a later plan is made with newer information. Starts in progress
+// are no obstacle for long: the next confirmation schedules a plan, as does every tick.
+std::string_view Controller::startObstacle() const
 {
     if (configuration_.version == 0)
         return "no configuration";
--- a/src/control/internal/snapshotter.cpp
+++ b/src/control/internal/snapshotter.cpp
@@ -81,7 +81,7 @@
     dueSince_.reset();
     ++snapshotCount_;
     isCollecting_ = true;
-    lastWritten_ = clock_.now();
+    lastWritten_ = now;
     headerOffset_ = follower_.offset();
     logBytesAtBegin_ = follower_.bytesSinceSnapshot();
     lastBatchBytes_ = 0;
--- a/src/eventlog/internal/jobfollower.cpp
+++ b/src/eventlog/internal/jobfollower.cpp
@@ -202,7 +202,7 @@
     }
     const auto receivedAt = clock_.now();
     applyPage(*page);
-    countPage(*page, sentAt, receivedAt);
+    countPage(*page, clock_.now() - receivedAt);
     if (offset_ >= page->end) {
         hasCaughtUp_ = true;
         hasEverCaughtUp_ = true;
@@ -212,16 +212,13 @@
         changeCallback_();
 }
 
-// A long poll that brings records may have waited for them, so its duration does not count.
-void JobFollower::countPage(const LogPage& page, foundation::SteadyTime sentAt, foundation::SteadyTime receivedAt)
+void JobFollower::countPage(const LogPage& page, foundation::SteadyTime::duration applyTime)
 {
     ++load_.reads;
     load_.records += page.payloads.size();
     for (const auto& payload : page.payloads)
         load_.bytes += payload.size();
-    load_.applyTime += std::chrono::duration_cast<milliseconds>(clock_.now() - receivedAt);
-    if (isReadToEndInFlight_)
-        load_.longestRead = std::max(load_.longestRead, std::chrono::duration_cast<milliseconds>(receivedAt - sentAt));
+    load_.applyTime += applyTime;
 }
 
 // Two reads may be in flight, so a page may begin with records that were already applied.
@@ -263,6 +260,8 @@
     waitingReads_.clear();
     const ReadRequest request { offset_, milliseconds(0), pageBytes };
     log_.read(request, [this, callers, generation = generation_, sentAt = clock_.now()](const Result<LogPage>& page) {
+        if (page)
+            load_.longestRead = std::max(load_.longestRead, clock_.now() - sentAt);
         onPage(page, generation, sentAt);
         isReadToEndInFlight_ = false;
         const bool hasReachedEnd = page && generation == generation_ && offset_ >= page->end;
--- a/src/eventlog/jobfollower.h
+++ b/src/eventlog/jobfollower.h
@@ -36,8 +36,8 @@
     std::uint64_t reads = 0;
     std::uint64_t records = 0;
     std::uint64_t bytes = 0; ///< Of the records.
-    foundation::milliseconds longestRead { 0 }; ///< From the request to the answer, without the wait of a long poll.
-    foundation::milliseconds applyTime { 0 }; ///< Time for decoding and applying the records, in all.
+    foundation::SteadyTime::duration longestRead {}; ///< From the request to the answer; long polls do not count.
+    foundation::SteadyTime::duration applyTime {}; ///< Time for decoding and applying the records, in all.
 };
 
 /// Follows the log and maintains the job table that its records result in.
@@ -146,7 +146,7 @@
     void skipOwnRecords();
     void onPage(const foundation::Result<LogPage>& page, std::uint64_t generation, foundation::SteadyTime sentAt);
     void applyPage(const LogPage& page);
-    void countPage(const LogPage& page, foundation::SteadyTime sentAt, foundation::SteadyTime receivedAt);
+    void countPage(const LogPage& page, foundation::SteadyTime::duration applyTime);
     void recordClaimTimes();
     void onRetentionPassed();
     void rebuild();
--- a/src/jobs/appendbuilder.h
+++ b/src/jobs/appendbuilder.h
@@ -11,7 +11,7 @@
 namespace turmericsill::jobs {
 
 /// Builds the payloads of one append from records in their order, as many as the log takes at once.
-/// Consecutive RunIntended and RunEnded records are stored as RunBatch records, those of one step together, and the
+/// Consecutive RunIntended and RunEnded records are stored as RunBatch records, those of one job together, and the
 /// JobsStarted records are merged at the end.
 class AppendBuilder {
 public:
