Emulation tests: one fixture call each to end and to start all entries, and one maker of long-running steps

Change: EmulationFixture::killAllEntries() and startAllEntries(), fixtures::longRunningStep(); the identical places call them. No assertion, bound or case is changed (no line with CHECK, REQUIRE or TEST_CASE is in the difference).

--- a/src/emulator/tests/cancellationtests.cpp
+++ b/src/emulator/tests/cancellationtests.cpp
@@ -11,6 +11,7 @@
 using namespace turmericsill::emulator;
 using fixtures::EmulationFixture;
 using fixtures::job;
+using fixtures::longRunningStep;
 using fixtures::statusOf;
 using fixtures::step;
 
@@ -23,8 +24,7 @@
 
 jobs::JobSpec longRunningJob(std::uint32_t tasks)
 {
-    auto longRunning = step(tasks, 1000);
-    longRunning.isLongRunning = true;
+    auto longRunning = longRunningStep(tasks, 1000);
     return job({ longRunning });
 }
 
@@ -175,8 +175,7 @@
     EmulationFixture fixture(62);
     auto& platform = fixture.emulation.platform();
     const std::string controller = fixture.emulation.controller();
-    auto second = step(2, 1000, { 0 });
-    second.isLongRunning = true;
+    auto second = longRunningStep(2, 1000, { 0 });
     fixture.emulation.submit(controller, cancelledJob, job({ step(1, 1000), second }));
     fixture.emulation.advanceTime(milliseconds(100));
     REQUIRE(countRuns(fixture, cancelledJob) == 1);
--- a/src/emulator/tests/capacitytests.cpp
+++ b/src/emulator/tests/capacitytests.cpp
@@ -7,6 +7,7 @@
 using namespace turmericsill::emulator;
 using fixtures::EmulationFixture;
 using fixtures::job;
+using fixtures::longRunningStep;
 using fixtures::step;
 
 namespace {
@@ -15,8 +16,7 @@
 
 jobs::JobSpec longRunningJob(std::uint32_t tasks, std::int64_t milliCores)
 {
-    auto longRunning = step(tasks, milliCores);
-    longRunning.isLongRunning = true;
+    auto longRunning = longRunningStep(tasks, milliCores);
     return job({ longRunning });
 }
 
--- a/src/emulator/tests/controltests.cpp
+++ b/src/emulator/tests/controltests.cpp
@@ -9,6 +9,7 @@
 using namespace turmericsill::emulator;
 using fixtures::EmulationFixture;
 using fixtures::job;
+using fixtures::longRunningStep;
 using fixtures::statusOf;
 using fixtures::step;
 
@@ -89,8 +90,7 @@
 TEST_CASE("control: runs on responsive instances do not expire when a new controller takes over", "[emulation]")
 {
     EmulationFixture fixture(3);
-    auto longRunning = step(4, 2000);
-    longRunning.isLongRunning = true;
+    auto longRunning = longRunningStep(4, 2000);
     fixture.emulation.submit("e-1", 0xa3, job({ longRunning }));
     // Short tasks end during the takeover, so that renewals have to wait for appends to the log.
     for (jobs::JobId id = 0x100; id < 0x110; ++id)
@@ -132,11 +132,9 @@
     for (jobs::JobId id = 0x200; id < 0x208; ++id)
         fixture.emulation.submit("e-1", id, job({ step(4, 1000), step(2, 1000, { 0 }) }));
     fixture.emulation.advanceTime(milliseconds(300));
-    for (const auto& name : fixture.emulation.liveEntries())
-        fixture.emulation.killEntry(name);
+    fixture.killAllEntries();
     fixture.emulation.advanceTime(milliseconds(1500));
-    for (const char* name : { "e-1", "e-2", "e-3" })
-        fixture.emulation.startEntry(name);
+    fixture.startAllEntries();
     fixture.emulation.advanceTime(milliseconds(12000));
     for (const auto id : fixture.emulation.platform().invariants().acceptedJobs())
         CHECK(statusOf(fixture, "e-1", id).state == jobs::JobState::Completed);
@@ -182,8 +180,7 @@
 TEST_CASE("control: a run on a removed instance is restarted after the former controller was queried", "[emulation]")
 {
     EmulationFixture fixture(6);
-    auto longRunning = step(1, 2000);
-    longRunning.isLongRunning = true;
+    auto longRunning = longRunningStep(1, 2000);
     fixture.emulation.submit("e-1", 0xa6, job({ longRunning }));
     fixture.emulation.advanceTime(milliseconds(300));
     std::string busyInstance;
@@ -192,12 +189,10 @@
             busyInstance = name;
     }
     REQUIRE(!busyInstance.empty());
-    for (const auto& name : fixture.emulation.liveEntries())
-        fixture.emulation.killEntry(name);
+    fixture.killAllEntries();
     fixture.emulation.platform().crash(busyInstance);
     fixture.emulation.platform().removeFromDirectory(busyInstance);
-    for (const char* name : { "e-1", "e-2", "e-3" })
-        fixture.emulation.startEntry(name);
+    fixture.startAllEntries();
     // Lease of 5 s by the slowest clock, and the time until a new controller starts.
     fixture.emulation.advanceTime(milliseconds(9000));
     CHECK(countRuns(fixture, 0xa6) == 1);
@@ -207,8 +202,7 @@
 TEST_CASE("control: the long-running tasks of a draining instance move to others", "[emulation]")
 {
     EmulationFixture fixture(7);
-    auto longRunning = step(2, 2000);
-    longRunning.isLongRunning = true;
+    auto longRunning = longRunningStep(2, 2000);
     longRunning.hasDisruptionBudget = true;
     longRunning.disruptionBudget = 1;
     fixture.emulation.submit("e-1", 0xa7, job({ longRunning }));
@@ -248,8 +242,7 @@
 TEST_CASE("control: the runs of an unreachable instance are restarted after its lease has expired", "[emulation]")
 {
     EmulationFixture fixture(9);
-    auto longRunning = step(1, 6000);
-    longRunning.isLongRunning = true;
+    auto longRunning = longRunningStep(1, 6000);
     fixture.emulation.submit("e-1", 0xb1, job({ longRunning }));
     fixture.emulation.advanceTime(milliseconds(300));
     std::string busyInstance;
@@ -274,17 +267,14 @@
 TEST_CASE("control: jobs survive the removal of the log's records", "[emulation]")
 {
     EmulationFixture fixture(10);
-    auto longRunning = step(2, 2000);
-    longRunning.isLongRunning = true;
+    auto longRunning = longRunningStep(2, 2000);
     fixture.emulation.submit("e-1", 0xc1, job({ longRunning }));
     fixture.emulation.submit("e-2", 0xc2, job({ step(2, 1000) }));
     fixture.emulation.advanceTime(milliseconds(6000));
     REQUIRE(countRuns(fixture, 0xc1) == 2);
     fixture.emulation.platform().log().dropRecords();
-    for (const auto& name : fixture.emulation.liveEntries())
-        fixture.emulation.killEntry(name);
-    for (const char* name : { "e-1", "e-2", "e-3" })
-        fixture.emulation.startEntry(name);
+    fixture.killAllEntries();
+    fixture.startAllEntries();
     fixture.emulation.advanceTime(milliseconds(4000));
     CHECK(countRuns(fixture, 0xc1) == 2);
     for (const char* name : { "e-1", "e-2", "e-3" }) {
@@ -483,8 +473,7 @@
     platform.reuseAddress("i-1", "i-9");
     platform.startInstance("i-9", "desk", { 8000, 16000, 0 });
     fixture.emulation.advanceTime(milliseconds(1000));
-    auto longRunning = step(4, 5000);
-    longRunning.isLongRunning = true;
+    auto longRunning = longRunningStep(4, 5000);
     fixture.emulation.submit("e-1", 0xab1, job({ longRunning }));
     fixture.emulation.advanceTime(milliseconds(500));
     REQUIRE(countRuns(fixture, 0xab1) == 4);
@@ -513,8 +502,7 @@
         fixture.emulation.platform().faults().linkBytesPerSecond[name] = tenMegabitsPerSecond;
     }
     fixture.emulation.advanceTime(milliseconds(2000));
-    for (const char* name : { "e-1", "e-2", "e-3" })
-        fixture.emulation.startEntry(name);
+    fixture.startAllEntries();
     fixture.emulation.advanceTime(milliseconds(6000)); // Reading the log takes 3.4 s on such a link.
     CHECK(!fixture.emulation.controller().empty());
     for (const char* name : { "e-1", "e-2", "e-3" })
@@ -637,8 +625,7 @@
 TEST_CASE("status: a job that runs while control changes does not count as pending", "[emulation]")
 {
     EmulationFixture fixture(38);
-    auto longRunning = step(2, 2000);
-    longRunning.isLongRunning = true;
+    auto longRunning = longRunningStep(2, 2000);
     fixture.emulation.submit("e-1", 0xa10, job({ longRunning }));
     while (countRuns(fixture, 0xa10) < 2)
         fixture.emulation.advanceTime(milliseconds(1));
@@ -736,8 +723,7 @@
 {
     EmulationFixture fixture(35);
     const std::string controller = fixture.emulation.controller();
-    auto longRunning = step(4, 2000);
-    longRunning.isLongRunning = true;
+    auto longRunning = longRunningStep(4, 2000);
     fixture.emulation.submit(controller, 0xf1, job({ longRunning }));
     fixture.emulation.advanceTime(milliseconds(1500));
     for (const char* name : { "e-1", "e-2", "e-3" }) {
--- a/src/emulator/tests/crashtests.cpp
+++ b/src/emulator/tests/crashtests.cpp
@@ -7,6 +7,7 @@
 using namespace turmericsill::emulator;
 using fixtures::EmulationFixture;
 using fixtures::job;
+using fixtures::longRunningStep;
 using fixtures::statusOf;
 using fixtures::step;
 
@@ -66,8 +67,7 @@
         for (const char* name : { "e-1", "e-2", "e-3" })
             fixture.emulation.killEntry(name);
         fixture.emulation.advanceTime(milliseconds(500));
-        for (const char* name : { "e-1", "e-2", "e-3" })
-            fixture.emulation.startEntry(name);
+        fixture.startAllEntries();
         fixture.emulation.advanceTime(milliseconds(2000));
     }
     fixture.emulation.advanceTime(milliseconds(25000));
@@ -104,8 +104,7 @@
 {
     EmulationFixture fixture(53);
     fixture.emulation.platform().setDeadly(deadlyTask);
-    auto longRunning = step(2, 2000);
-    longRunning.isLongRunning = true;
+    auto longRunning = longRunningStep(2, 2000);
     fixture.emulation.submit("e-1", 0x2300, job({ longRunning }));
     fixture.emulation.submit("e-1", deadlyTask.job, job({ longRunning }));
     fixture.emulation.advanceTime(milliseconds(25000));
--- a/src/emulator/tests/fixtures.h
+++ b/src/emulator/tests/fixtures.h
@@ -33,6 +33,14 @@
     return result;
 }
 
+inline jobs::StepSpec longRunningStep(
+    std::uint32_t count, std::int64_t milliCores, std::vector<std::uint32_t> dependsOn = {})
+{
+    jobs::StepSpec result = step(count, milliCores, std::move(dependsOn));
+    result.isLongRunning = true;
+    return result;
+}
+
 inline jobs::JobSpec job(std::vector<jobs::StepSpec> steps)
 {
     jobs::JobSpec result;
@@ -53,8 +61,7 @@
         emulation.platform().setConfiguration(declared);
         for (const char* name : { "i-1", "i-2", "i-3", "i-4" })
             emulation.platform().startInstance(name, "desk", { 8000, 16000, 0 });
-        for (const char* name : { "e-1", "e-2", "e-3" })
-            emulation.startEntry(name);
+        startAllEntries();
         emulation.advanceTime(milliseconds(1000));
     }
 
@@ -65,6 +72,19 @@
         return result;
     }
 
+    void startAllEntries()
+    {
+        for (const char* name : { "e-1", "e-2", "e-3" })
+            emulation.startEntry(name);
+    }
+
+    /// Ends the processes of all live entries without notice.
+    void killAllEntries()
+    {
+        for (const auto& name : emulation.liveEntries())
+            emulation.killEntry(name);
+    }
+
     const std::vector<std::string>& violations() { return emulation.platform().invariants().violations(); }
 
     /// Number of events of a kind that all entries have written.
--- a/src/emulator/tests/leasetests.cpp
+++ b/src/emulator/tests/leasetests.cpp
@@ -6,6 +6,7 @@
 using namespace turmericsill::emulator;
 using fixtures::EmulationFixture;
 using fixtures::job;
+using fixtures::longRunningStep;
 using fixtures::step;
 
 namespace {
@@ -24,8 +25,7 @@
         for (const char* name : { "e-4", "e-5", "e-6" })
             emulation.startEntry(name);
         emulation.advanceTime(milliseconds(1500));
-        auto longRunning = step(taskCount, 2000);
-        longRunning.isLongRunning = true;
+        auto longRunning = longRunningStep(taskCount, 2000);
         emulation.submit("e-2", longRunningJob, job({ longRunning }));
         emulation.advanceTime(milliseconds(1000));
     }
--- a/src/emulator/tests/occurrencetests.cpp
+++ b/src/emulator/tests/occurrencetests.cpp
@@ -117,10 +117,8 @@
         fixture.emulation.advanceTime(milliseconds(1));
     REQUIRE(fixture.countEvents("snapshot.written") > written);
     fixture.emulation.platform().log().dropRecords();
-    for (const auto& name : fixture.emulation.liveEntries())
-        fixture.emulation.killEntry(name);
-    for (const char* name : { "e-1", "e-2", "e-3" })
-        fixture.emulation.startEntry(name);
+    fixture.killAllEntries();
+    fixture.startAllEntries();
     fixture.emulation.advanceTime(milliseconds(4000));
     fixture.releaseAndCheck(occurrences);
 }
--- a/src/emulator/tests/recordsizetests.cpp
+++ b/src/emulator/tests/recordsizetests.cpp
@@ -6,6 +6,7 @@
 using namespace turmericsill::emulator;
 using fixtures::EmulationFixture;
 using fixtures::job;
+using fixtures::longRunningStep;
 using fixtures::statusOf;
 using fixtures::step;
 
@@ -97,8 +98,7 @@
     EmulationFixture fixture(84, fixtures::configuration(), EmulationFixture::settings(), smallLimits);
     fixture.emulation.submit("e-1", wideJob, job({ step(900, 10) }));
     fixture.emulation.submit("e-2", firstOtherJob, job({ step(2, 500) }));
-    auto lasting = step(2, 500);
-    lasting.isLongRunning = true;
+    auto lasting = longRunningStep(2, 500);
     fixture.emulation.submit("e-2", firstOtherJob + 1, job({ lasting }));
     fixture.emulation.advanceTime(milliseconds(4000));
     replaceAllEntries(fixture);
@@ -123,10 +123,8 @@
             fixture.emulation.advanceTime(milliseconds(1));
         REQUIRE(log.savedEntries() > saved);
         fixture.emulation.advanceTime(milliseconds(delay));
-        for (const auto& name : fixture.emulation.liveEntries())
-            fixture.emulation.killEntry(name);
-        for (const char* name : { "e-1", "e-2", "e-3" })
-            fixture.emulation.startEntry(name);
+        fixture.killAllEntries();
+        fixture.startAllEntries();
         fixture.emulation.advanceTime(milliseconds(15000));
         for (const auto& name : fixture.emulation.liveEntries())
             CHECK(statusOf(fixture, name, wideJob).state == jobs::JobState::Completed);
@@ -140,8 +138,7 @@
     settings.statusRetention = milliseconds(3000);
     EmulationFixture fixture(86, fixtures::configuration(), settings, smallLimits);
     auto& log = fixture.emulation.platform().log();
-    auto lasting = step(900, 10);
-    lasting.isLongRunning = true;
+    auto lasting = longRunningStep(900, 10);
     fixture.emulation.submit("e-1", wideJob, job({ lasting }));
     fixture.emulation.advanceTime(milliseconds(4000));
     CHECK(log.load().size() > 2);
--- a/src/emulator/tests/snapshottests.cpp
+++ b/src/emulator/tests/snapshottests.cpp
@@ -6,6 +6,7 @@
 using namespace turmericsill::emulator;
 using fixtures::EmulationFixture;
 using fixtures::job;
+using fixtures::longRunningStep;
 using fixtures::statusOf;
 using fixtures::step;
 
@@ -62,10 +63,8 @@
     for (int delay = 0; delay < 400; delay += 23) {
         LoadFixture fixture(132);
         fixture.load(milliseconds(1500 + delay));
-        for (const auto& name : fixture.emulation.liveEntries())
-            fixture.emulation.killEntry(name);
-        for (const char* name : { "e-1", "e-2", "e-3" })
-            fixture.emulation.startEntry(name);
+        fixture.killAllEntries();
+        fixture.startAllEntries();
         fixture.load(milliseconds(500));
         fixture.emulation.advanceTime(milliseconds(20000));
         std::size_t unfinished = 0;
@@ -81,8 +80,7 @@
 TEST_CASE("snapshots: final jobs are reported after all entries have started again", "[emulation]")
 {
     LoadFixture fixture(133);
-    auto lasting = step(2, 100);
-    lasting.isLongRunning = true;
+    auto lasting = longRunningStep(2, 100);
     fixture.emulation.submit("e-1", 0xb1, job({ lasting }));
     fixture.emulation.submit("e-1", 0xb2, job({ step(2, 100) }));
     auto scheduled = job({ step(1, 100) });
@@ -97,10 +95,8 @@
     for (int round = 0; round < 20 && fixture.countEvents("snapshot.written") == written; ++round)
         fixture.load(milliseconds(500));
     REQUIRE(fixture.countEvents("snapshot.written") > written);
-    for (const auto& name : fixture.emulation.liveEntries())
-        fixture.emulation.killEntry(name);
-    for (const char* name : { "e-1", "e-2", "e-3" })
-        fixture.emulation.startEntry(name);
+    fixture.killAllEntries();
+    fixture.startAllEntries();
     fixture.emulation.advanceTime(milliseconds(6000));
     for (const auto& name : fixture.emulation.liveEntries()) {
         CHECK(statusOf(fixture, name, 0xb1).state == jobs::JobState::Cancelled);
--- a/src/emulator/tests/statustests.cpp
+++ b/src/emulator/tests/statustests.cpp
@@ -7,6 +7,7 @@
 using namespace turmericsill::emulator;
 using fixtures::EmulationFixture;
 using fixtures::job;
+using fixtures::longRunningStep;
 using fixtures::step;
 
 namespace {
@@ -38,6 +39,12 @@
     return answer;
 }
 
+void startLongRunningJob(EmulationFixture& fixture)
+{
+    fixture.emulation.submit("e-1", firstJob, job({ longRunningStep(1, 500) }));
+    fixture.emulation.advanceTime(milliseconds(1000));
+}
+
 /// Submits a job of one task and runs it until its controller has learned of the end, which is not stored yet.
 void runToUnstoredEnd(EmulationFixture& fixture, jobs::JobId id)
 {
@@ -69,10 +76,7 @@
 TEST_CASE("status: the answer about a job that remains in progress comes when the wait is over", "[emulation]")
 {
     EmulationFixture fixture(122);
-    auto lasting = step(1, 500);
-    lasting.isLongRunning = true;
-    fixture.emulation.submit("e-1", firstJob, job({ lasting }));
-    fixture.emulation.advanceTime(milliseconds(1000));
+    startLongRunningJob(fixture);
     for (const char* name : { "e-1", "e-2", "e-3" }) {
         const auto answer = ask(fixture, name, firstJob, wait + milliseconds(100));
         REQUIRE(answer);
@@ -133,10 +137,7 @@
 TEST_CASE("status: a caller is answered about a known job while the store does not respond", "[emulation]")
 {
     EmulationFixture fixture(126);
-    auto lasting = step(1, 500);
-    lasting.isLongRunning = true;
-    fixture.emulation.submit("e-1", firstJob, job({ lasting }));
-    fixture.emulation.advanceTime(milliseconds(1000));
+    startLongRunningJob(fixture);
     fixture.emulation.platform().faults().isStoreDown = true;
     for (const char* name : { "e-1", "e-2", "e-3" }) {
         const auto answer = ask(fixture, name, firstJob, wait + milliseconds(500));
@@ -150,10 +151,7 @@
 TEST_CASE("status: an entry that is behind the log answers all the same", "[emulation]")
 {
     EmulationFixture fixture(127);
-    auto lasting = step(1, 500);
-    lasting.isLongRunning = true;
-    fixture.emulation.submit("e-1", firstJob, job({ lasting }));
-    fixture.emulation.advanceTime(milliseconds(1000));
+    startLongRunningJob(fixture);
     const std::string behind = fixture.emulation.controller() == "e-3" ? "e-2" : "e-3";
     fixture.emulation.platform().faults().linkBytesPerSecond[behind] = 1000;
     for (jobs::JobId id = firstJob + 1; id < firstJob + 100; ++id)
