Leases: an instance that has left a call unanswered gets no lease end until it answers

What callers saw: a task ran twice at once (TWICE), for over a second.

Cause: while a worker did not answer, it was called every 150 ms with the end of the lease granted before, a time on the clock of its incarnation. The next incarnation, whose clock starts anew, cuts such an end to the longest lease, 10 s. The controller that sent it allows for that in its own memory; its successor counts with 5 s after the confirmation of control.

Evidence: "leases: a task does not start twice when its instance starts again and is cut off under a new controller" and "session: an instance that has left a call unanswered is called without a lease end until it answers" failed before (violation "two concurrent runs of a task"; a renewal with a lease end) and pass.

Change: a renewal carries the end of a lease only while no call has failed since the latest answered renewal. Such a renewal does not wait for a run to end either, since the lease is renewed with the next one. The lease of an instance that does not answer was not extended before; it is now not even repeated, so nothing that the controller counts with changes.

--- a/src/control/internal/instancesession.cpp
+++ b/src/control/internal/instancesession.cpp
@@ -443,13 +443,14 @@
         = consecutiveFailures_ == 0 && lastRenewalAt_ - lastRenewalAnswerAt_ < minimumRestartTime;
     request.acknowledgedEnds = isSameIncarnation ? lastAcknowledgedEnd_ : 0;
     const bool hasRuns = !runs_.empty() || !unexpectedRuns_.empty();
-    if (clock_ && !runs_.empty()) {
-        // The lease of an instance that does not answer is not extended, so that its runs end at a known time.
-        if (isLastRenewalAnswered_)
-            sentLeaseEnd_ = std::max(sentLeaseEnd_, longestLease());
+    // The lease of an instance that does not answer is not extended, so that its runs end at a known time. On the clock
+    // of the next incarnation, the end of a lease of this one would mean the longest lease.
+    if (clock_ && !runs_.empty() && !isIncarnationInDoubt_) {
+        sentLeaseEnd_ = std::max(sentLeaseEnd_, longestLease());
         request.leaseEnd = sentLeaseEnd_;
     }
-    if (isSynced_ && hasRuns && isSameIncarnation && lastListedEnd_ == lastAcknowledgedEnd_)
+    const bool canWait = isSynced_ && hasRuns && isSameIncarnation && !isIncarnationInDoubt_;
+    if (canWait && lastListedEnd_ == lastAcknowledgedEnd_)
         request.wait = context_.leaseTerms.renewalWait;
     context_.control.renew(
         handle(), request, [self = Self(this), sentAt = lastRenewalAt_](const Result<RenewAnswer>& answer) {
@@ -464,7 +465,6 @@
     if (isClosed_)
         return;
     const Self keepAlive(this);
-    isLastRenewalAnswered_ = answer.has_value();
     if (!answer) {
         if (answer.error().code == Errc::WrongInstance)
             return context_.observer.onIncarnationEnded(*this, 0);
--- a/src/control/internal/instancesession.h
+++ b/src/control/internal/instancesession.h
@@ -232,7 +232,6 @@
     bool isConfirming_ = false; ///< Whether orders wait for the answer to the renewal in progress.
     /// Whether a call has failed since the latest renewal. Only the answer to a renewal tells the incarnation.
     bool isIncarnationInDoubt_ = false;
-    bool isLastRenewalAnswered_ = true;
     int consecutiveFailures_ = 0; ///< Failed calls since the latest answer.
     foundation::SteadyTime lastAnswerAt_ {}; ///< Time of the latest answer to any call.
     /// Time from which on the instance may have been silent before the first of these failures.
--- a/src/control/tests/instancesessiontests.cpp
+++ b/src/control/tests/instancesessiontests.cpp
@@ -412,3 +412,24 @@
         CHECK(fixture.control.starts.empty());
     }
 }
+
+// The next incarnation of an instance would take the end of a lease on the clock of the earlier one for the longest
+// lease, for which a later controller does not allow.
+TEST_CASE(
+    "session: an instance that has left a call unanswered is called without a lease end until it answers", "[control]")
+{
+    SessionFixture fixture;
+    const TaskId task { 1, 0, 0, 0 };
+    fixture.order(task);
+    fixture.confirmStart(task);
+    REQUIRE(fixture.control.lastRequest.leaseEnd);
+    fixture.control.renewal(failure(Errc::Timeout, "instance.renew"));
+    fixture.clock.time += milliseconds(200);
+    fixture.session->tick(ControlStatus::Confirmed);
+    CHECK_FALSE(fixture.control.lastRequest.leaseEnd);
+    CHECK(fixture.control.lastRequest.wait == milliseconds(0));
+    fixture.control.renewal(fleet::RenewAnswer { 7, fleet::InstanceTime(300), { { task, 1, {}, 100, 0 } }, {}, false });
+    fixture.clock.time += milliseconds(200);
+    fixture.session->tick(ControlStatus::Confirmed);
+    CHECK(fixture.control.lastRequest.leaseEnd);
+}
--- a/src/emulator/tests/leasetests.cpp
+++ b/src/emulator/tests/leasetests.cpp
@@ -70,6 +70,43 @@
     static constexpr std::uint32_t taskCount = 8;
 };
 
+/// A long-running job that fills all instances together with another one, so that a task can start again on its own
+/// instance only.
+struct FullFleetFixture : LongRunningFixture {
+    explicit FullFleetFixture(std::uint64_t seed)
+        : LongRunningFixture(seed)
+    {
+        emulation.submit("e-2", otherJob, job({ longRunningStep(taskCount, 2000) }));
+        emulation.advanceTime(milliseconds(4000));
+    }
+
+    /// Starts the process of an instance again under its name. It answers calls before the directory lists it.
+    void restart(const std::string& name)
+    {
+        InstanceKind kind;
+        kind.pool = "desk";
+        kind.capacity = { 8000, 16000, 0 };
+        platform().restartInstanceAs(name, kind, milliseconds(500));
+    }
+
+    std::size_t countRunsOn(const std::string& name)
+    {
+        const auto found = platform().instances().find(name);
+        return found == platform().instances().end() ? 0 : found->second->runningTasks().size();
+    }
+
+    /// Waits until the tasks of an instance that has started again run there, and makes room for them elsewhere.
+    void awaitRunsOn(const std::string& name)
+    {
+        for (int waited = 0; waited < 3000 && countRunsOn(name) < taskCount / 2; ++waited)
+            emulation.advanceTime(milliseconds(1));
+        emulation.cancel("e-2", otherJob);
+        emulation.advanceTime(milliseconds(300));
+    }
+
+    static constexpr jobs::JobId otherJob = 0xe2;
+};
+
 } // namespace
 
 // The successor of a controller that never answers again waited for the end of its longest outage of the log before it
@@ -163,3 +200,22 @@
         CHECK(line.find("lease-expired") == std::string::npos);
     CHECK(fixture.violations().empty());
 }
+
+// A controller that called an instance with the end of a lease on the clock of its earlier incarnation gave the next
+// one the longest lease, which its successor did not know.
+TEST_CASE("leases: a task does not start twice when its instance starts again and is cut off under a new controller",
+    "[emulation]")
+{
+    FullFleetFixture fixture(46);
+    const std::string instance = fixture.busyInstance();
+    fixture.restart(instance);
+    fixture.awaitRunsOn(instance);
+    REQUIRE(fixture.countRunsOn(instance) > 0);
+    const std::string former = fixture.emulation.controller();
+    fixture.emulation.killEntry(former);
+    REQUIRE(!fixture.awaitSuccessor(former).empty());
+    fixture.emulation.advanceTime(milliseconds(200));
+    fixture.platform().faults().unreachableInstances = { instance };
+    fixture.emulation.advanceTime(milliseconds(12000));
+    CHECK(fixture.violations().empty());
+}
