--- a/src/control/internal/snapshotter.cpp
+++ b/src/control/internal/snapshotter.cpp
@@ -40,7 +40,7 @@
     , epoch_(epoch)
     , terms_(terms)
     , limits_(store.entryLimits())
-    , lastWritten_(clock.now())
+    , lastWritten_(clock.now() - terms.interval)
 {
     for (const auto& key : follower.restoredKeys())
         storedKeys_.insert(key);
--- a/src/control/snapshotter.h
+++ b/src/control/snapshotter.h
@@ -25,11 +25,12 @@
 };
 
 /// Writes the table of jobs to the snapshot store, often enough that the log may drop old records and that an entry
-/// that starts has little to read. The jobs are collected in steps while records are written: the header tells the
-/// offset from before the first step, and a job is collected as of a time at which all its records are in the log. So
-/// it may be newer than the header, and records that follow have their effect once. The jobs are saved first and the
-/// header after them, so that an incomplete snapshot is read with the header of the one before. An entry that is larger
-/// than the store accepts is divided.
+/// that starts has little to read. The first snapshot is due at once, since the one before may be older than the term
+/// of the controller that should have replaced it. The jobs are collected in steps while records are written: the
+/// header tells the offset from before the first step, and a job is collected as of a time at which all its records are
+/// in the log. So it may be newer than the header, and records that follow have their effect once. The jobs are saved
+/// first and the header after them, so that an incomplete snapshot is read with the header of the one before. An entry
+/// that is larger than the store accepts is divided.
 class Snapshotter {
 public:
     Snapshotter(eventlog::ISnapshotStore& store, const eventlog::JobFollower& follower, const foundation::IClock& clock,
--- a/src/emulator/tests/snapshottests.cpp
+++ b/src/emulator/tests/snapshottests.cpp
@@ -126,3 +126,24 @@
     fixture.emulation.advanceTime(milliseconds(10000));
     CHECK(log.load().size() == 1);
 }
+
+// Each controller waited for the interval before its first snapshot. When none lasts that long, the log outlives its
+// retention without one, and no entry can build the table any more.
+TEST_CASE("snapshots: controllers that each last for less than the interval write them", "[emulation]")
+{
+    control::ControlSettings settings = EmulationFixture::settings();
+    settings.snapshotInterval = milliseconds(4000);
+    EmulationFixture fixture(135, fixtures::configuration(), settings);
+    for (int reign = 0; reign < 3; ++reign) {
+        fixture.emulation.advanceTime(milliseconds(2500));
+        const auto written = fixture.countEvents("snapshot.written");
+        const std::string controller = fixture.emulation.controller();
+        REQUIRE(!controller.empty());
+        fixture.emulation.killEntry(controller);
+        fixture.emulation.advanceTime(milliseconds(1000));
+        fixture.emulation.startEntry(controller);
+        fixture.emulation.advanceTime(milliseconds(2500));
+        CHECK(fixture.countEvents("snapshot.written") > written);
+    }
+    CHECK(fixture.violations().empty());
+}
