Election: an entry joins the group once it has read the log to its end

Second cause: one entry that can never claim control keeps all others from it.

Cause: the candidate is the member with the largest processor share, the first by name among equals, whether or not it has read the log.

Change: an entry that has not covered the log since its table was last built does not join, so the members are the entries that can claim. It is no candidate either until it knows the members again.

--- a/src/control/controllerelection.h
+++ b/src/control/controllerelection.h
@@ -20,7 +20,7 @@
 
 /// Leader election of the entries. Keeps this entry in the group of entries and runs the Controller while this entry is
 /// the leader. The candidate for leadership is the member with the largest processor share; ties go to the first by
-/// name.
+/// name. An entry that has not read the whole log is no member, since it could not claim control as the candidate.
 ///
 /// A candidate becomes the controller, if no other entry is, by appending a claim to the log under an epoch (its
 /// fencing token) above every earlier one and reading all records before the claim. It stops being the controller when
--- a/src/control/internal/controllerelection.cpp
+++ b/src/control/internal/controllerelection.cpp
@@ -22,6 +22,7 @@
 
     constexpr milliseconds membershipTimeToLive { 1300 }; ///< Allows for three joins; the platform's minimum is 1 s.
     constexpr milliseconds joinInterval { 400 };
+    constexpr milliseconds readinessCheckInterval { 50 }; ///< While the log is read to its end.
     /// The store counts as unresponsive after this long without an answer to a join or a read.
     constexpr milliseconds silenceLimitAfterFailedJoin { 900 }; ///< One unanswered join; reads are answered within 1 s.
     constexpr milliseconds silenceLimit { 1600 }; ///< Two joins, each answered just within its timeout of 0.8 s.
@@ -84,6 +85,11 @@
 {
     if (isStopping_)
         return;
+    if (!context_.follower.hasCaughtUp()) {
+        isCandidate_ = false;
+        isMemberListStale_ = true;
+        return scheduleJoin(context_.clock.now() + readinessCheckInterval);
+    }
     group_.join(generation_, membershipTimeToLive,
         [this, sentAt = context_.clock.now()](
             const Result<GroupAssignment>& assignment) { onJoined(assignment, sentAt); });
--- a/src/emulator/tests/snapshottests.cpp
+++ b/src/emulator/tests/snapshottests.cpp
@@ -147,3 +147,33 @@
     }
     CHECK(fixture.violations().empty());
 }
+// An entry whose snapshot is older than the log cannot claim control. As the candidate it kept the entries that hold
+// the whole state from claiming it.
+TEST_CASE("snapshots: an entry that cannot build the table leaves control to the others", "[emulation]")
+{
+    control::ControlSettings settings = EmulationFixture::settings();
+    settings.snapshotInterval = std::chrono::minutes(10);
+    EmulationFixture fixture(136, fixtures::configuration(), settings);
+    auto& platform = fixture.emulation.platform();
+    fixture.emulation.submit("e-2", firstJob, job({ longRunningStep(4, 500) }));
+    fixture.emulation.advanceTime(milliseconds(3000));
+    REQUIRE(fixture.emulation.controller() == "e-1");
+    fixture.emulation.killEntry("e-1");
+    fixture.emulation.advanceTime(milliseconds(4000));
+    REQUIRE(fixture.emulation.controller() == "e-2");
+    fixture.emulation.submit("e-3", firstJob + 1, job({ longRunningStep(4, 500) }));
+    fixture.emulation.advanceTime(milliseconds(1000));
+    platform.log().dropRecords();
+    fixture.emulation.startEntry("e-1");
+    fixture.emulation.advanceTime(milliseconds(2000));
+    fixture.emulation.killEntry("e-2");
+    fixture.emulation.advanceTime(milliseconds(8000));
+    CHECK(!fixture.emulation.controller().empty());
+    fixture.emulation.submit("e-3", firstJob + 2, job({ step(1, 500) }));
+    fixture.emulation.advanceTime(milliseconds(4000));
+    for (const char* name : { "e-1", "e-3" }) {
+        CHECK(statusOf(fixture, name, firstJob + 1).state == jobs::JobState::Running);
+        CHECK(statusOf(fixture, name, firstJob + 2).state == jobs::JobState::Completed);
+    }
+    CHECK(fixture.violations().empty());
+}
