Log: records that no entry knows are skipped instead of awaited for ever

By then the runs that only the lost records tell of have ended, since nobody has renewed their leases. The event log.records-lost says so.

--- a/src/control/controllerelection.h
+++ b/src/control/controllerelection.h
@@ -6,6 +6,7 @@
 #include "fleet/imachinecontrol.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace turmericsill::control {
@@ -75,6 +76,7 @@
     void join();
     void scheduleJoin(foundation::SteadyTime earliest);
     void onJoined(const foundation::Result<eventlog::GroupAssignment>& assignment, foundation::SteadyTime sentAt);
+    void skipDroppedRecordsUnlessHeld();
     void fetchMembers();
     void onMembers(const std::vector<eventlog::GroupMember>& members);
     std::vector<jobs::ControlWitness> chooseWitnesses() const;
@@ -106,6 +108,8 @@
     foundation::SteadyTime membershipConfirmedAt_ {};
     foundation::milliseconds storeLatency_ { 0 };
     bool hasLastJoinFailed_ = false;
+    /// Since when the group has had no member, as far as an entry that cannot build the table knows.
+    std::optional<foundation::SteadyTime> groupEmptySince_;
     bool isCandidate_ = false;
     bool isMemberListStale_ = true; ///< The members of the present generation are not known yet.
     bool isFetchingMembers_ = false;
--- a/src/control/internal/controllerelection.cpp
+++ b/src/control/internal/controllerelection.cpp
@@ -88,13 +88,38 @@
     if (!context_.follower.hasCaughtUp()) {
         isCandidate_ = false;
         isMemberListStale_ = true;
-        return scheduleJoin(context_.clock.now() + readinessCheckInterval);
+        if (!context_.follower.isSnapshotOutdated())
+            return scheduleJoin(context_.clock.now() + readinessCheckInterval);
+        skipDroppedRecordsUnlessHeld();
+        return scheduleJoin(context_.clock.now() + joinInterval);
     }
+    groupEmptySince_.reset();
     group_.join(generation_, membershipTimeToLive,
         [this, sentAt = context_.clock.now()](
             const Result<GroupAssignment>& assignment) { onJoined(assignment, sentAt); });
 }
 
+// A member has read what the log has dropped, and writes a snapshot once it controls. Without any member, no entry
+// would ever control again.
+void ControllerElection::skipDroppedRecordsUnlessHeld()
+{
+    if (std::exchange(isFetchingMembers_, true))
+        return;
+    group_.members([this](const Result<std::vector<GroupMember>>& members) {
+        isFetchingMembers_ = false;
+        if (!members || !members->empty() || !context_.follower.isSnapshotOutdated())
+            return groupEmptySince_.reset();
+        const auto now = context_.clock.now();
+        if (!groupEmptySince_)
+            groupEmptySince_ = now;
+        // Nobody has renewed the leases of the runs that the lost records may tell of.
+        if (now - *groupEmptySince_ < settings_.lease.duration + settings_.lease.expiryMargin)
+            return;
+        context_.events.write("log.records-lost", { { "entry", identity_.entry } });
+        context_.follower.skipDroppedRecords();
+    });
+}
+
 void ControllerElection::scheduleJoin(SteadyTime earliest)
 {
     context_.timers.schedule(std::max(context_.clock.now(), earliest), [this] { join(); });
--- a/src/emulator/internal/emulatedlog.cpp
+++ b/src/emulator/internal/emulatedlog.cpp
@@ -64,12 +64,13 @@
 Result<LogPage> EmulatedLog::read(const eventlog::ReadRequest& request) const
 {
     constexpr std::size_t defaultMaximumBytes = 1024 << 10;
-    if (request.from < firstOffset_)
+    if (request.from < firstOffset_ && !request.skipsDropped)
         return failure(Errc::RetentionPassed, "emulator.read");
-    LogPage page { request.from, firstOffset_ + records_.size(), {} };
+    const std::uint64_t from = std::max(request.from, firstOffset_);
+    LogPage page { from, firstOffset_ + records_.size(), {} };
     const std::size_t maximum = request.maximumBytes > 0 ? request.maximumBytes : defaultMaximumBytes;
     std::size_t bytes = 0;
-    for (std::uint64_t offset = request.from; offset < page.end; ++offset) {
+    for (std::uint64_t offset = from; offset < page.end; ++offset) {
         const std::string& record = records_[offset - firstOffset_];
         if (!page.payloads.empty() && bytes + record.size() > maximum)
             break;
--- a/src/eventlog/ieventlog.h
+++ b/src/eventlog/ieventlog.h
@@ -34,6 +34,7 @@
     std::uint64_t from = 0; ///< First offset to read.
     foundation::milliseconds wait { 0 }; ///< Long poll: how long to wait for the first record.
     std::size_t maximumBytes = 0; ///< Limit of a page, which always takes the first record; 0 for the log's own limit.
+    bool skipsDropped = false; ///< Whether to begin at the first retained record if that at `from` was dropped.
 };
 
 /// Consecutive records of the log.
--- a/src/eventlog/internal/jobfollower.cpp
+++ b/src/eventlog/internal/jobfollower.cpp
@@ -224,6 +224,10 @@
 // Two reads may be in flight, so a page may begin with records that were already applied.
 void JobFollower::applyPage(const LogPage& page)
 {
+    hasAppliedPage_ = true;
+    isSnapshotOutdated_ = false;
+    if (std::exchange(skipsDropped_, false))
+        offset_ = std::max(offset_, page.from);
     std::uint64_t offset = page.from;
     for (const auto& payload : page.payloads) {
         if (offset++ != offset_)
@@ -258,7 +262,8 @@
     isReadToEndInFlight_ = true;
     auto callers = std::make_shared<std::vector<ReadToEndCallback>>(std::move(waitingReads_));
     waitingReads_.clear();
-    const ReadRequest request { offset_, milliseconds(0), pageBytes };
+    ReadRequest request { offset_, milliseconds(0), pageBytes };
+    request.skipsDropped = skipsDropped_;
     log_.read(request, [this, callers, generation = generation_, sentAt = clock_.now()](const Result<LogPage>& page) {
         if (page)
             load_.longestRead = std::max(load_.longestRead, clock_.now() - sentAt);
@@ -295,6 +300,7 @@
 void JobFollower::onRetentionPassed()
 {
     const bool wasInControl = ownEpoch_ > 0;
+    isSnapshotOutdated_ = isSnapshotLoaded_ && !hasAppliedPage_;
     endControl();
     if (wasInControl && changeCallback_)
         changeCallback_();
@@ -308,6 +314,7 @@
     ownRanges_.clear();
     isSnapshotLoaded_ = false;
     restoredKeys_.clear();
+    hasAppliedPage_ = false;
     hasCaughtUp_ = false;
     table_ = std::make_unique<jobs::JobTable>();
 }
--- a/src/eventlog/jobfollower.h
+++ b/src/eventlog/jobfollower.h
@@ -65,6 +65,13 @@
     /// once hasCaughtUp().
     foundation::SteadyTime coveredAsOf() const { return coveredAsOf_; }
 
+    /// Whether the log has dropped records that follow the snapshot, so that the table cannot be built from both. A
+    /// later snapshot ends that.
+    bool isSnapshotOutdated() const { return isSnapshotOutdated_; }
+
+    /// Builds the table without the records that the log has dropped after the snapshot. What only they tell is lost.
+    void skipDroppedRecords() { skipsDropped_ = true; }
+
     /// Epoch of the latest claim of control that was ever read; 0 if there is none, or if this process has not covered
     /// the whole log once, so that it may know less than an earlier process of this entry did.
     std::uint64_t latestKnownClaim() const;
@@ -170,6 +177,9 @@
     std::map<std::uint64_t, foundation::SteadyTime> claimsKnownSince_; ///< Key: epoch. Outlives rebuilds of the table.
     bool isLoadingSnapshot_ = false;
     bool isSnapshotLoaded_ = false; ///< Whether the snapshot was loaded since the last rebuild.
+    bool hasAppliedPage_ = false; ///< Whether a page was applied since the last rebuild.
+    bool isSnapshotOutdated_ = false;
+    bool skipsDropped_ = false; ///< Whether the next read skips records that the log has dropped.
     foundation::SteadyTime coveredAsOf_ {};
     foundation::SteadyTime lastAnswerAt_ {};
     bool hasLastReadFailed_ = false;
