Jobs: a job keeps the attempts that its queue allowed when it was accepted

Cause: the controller looked up the allowed attempts in the present configuration only and did nothing if the queue was not there.

A queue that is there decides as before, also one that came back with another value. Records of earlier versions lack the field and are read as before; their jobs have no bound while their queue is missing. Related lookups of a queue were read: pool (the job's own), objective in job.ended (0), latest start in the backlog (never late).

--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -720,18 +720,21 @@
 }
 
 // The end of a run may be in the log without the failure of its job that follows from it, and the queue of the job may
-// have been unknown then. So the failures in the table are what counts, not the end that was just recorded.
+// have been unknown then. So the failures in the table are what counts, not the end that was just recorded. A queue
+// that was removed from the configuration leaves its jobs the attempts that they were accepted with.
 void Controller::failJobIfAttemptsExhausted(const Job& job)
 {
     if (job.failedRuns == 0 || job.isFinal())
         return;
     const fleet::Queue* queue = configuration_.findQueue(job.queue);
-    const auto task = queue ? job.findTaskWithoutAttempts(queue->maximumAttempts) : std::nullopt;
+    const std::uint32_t allowed = queue ? queue->maximumAttempts : job.maximumAttempts;
+    const bool isBounded = queue || allowed > 0;
+    const auto task = isBounded ? job.findTaskWithoutAttempts(allowed) : std::nullopt;
     if (!task)
         return;
     context_.events.write("job.failed",
         { { "job", jobs::toText(job.id) }, { "task", jobs::toText(*task) },
-            { "failures", std::uint64_t(job.failuresOf(*task)) }, { "allowed", std::uint64_t(queue->maximumAttempts) },
+            { "failures", std::uint64_t(job.failuresOf(*task)) }, { "allowed", std::uint64_t(allowed) },
             { "configuration", configuration_.version } });
     records_.writeDecidingRecord(jobs::JobFailed { job.id }, job.id);
 }
--- a/src/emulator/emulatedplatform.h
+++ b/src/emulator/emulatedplatform.h
@@ -118,6 +118,9 @@
     void setDeadly(const jobs::TaskId& task) { deadlyTasks_.insert(task); }
     bool isDeadly(jobs::JobId job) const;
 
+    /// Makes every run of a job's tasks fail.
+    void setFailing(jobs::JobId job) { failingJobs_.insert(job); }
+
     /// Tells for each step and instance whether the instance may run the step.
     using Advice = std::function<bool(const std::string& step, const std::string& instance)>;
 
@@ -191,6 +194,7 @@
     std::map<std::string, fleet::InstanceReport> listedInstances_; ///< Instances in the directory, by name.
     std::map<std::string, std::uint16_t> ports_; ///< Ports of instances, by name.
     std::set<jobs::TaskId> deadlyTasks_;
+    std::set<jobs::JobId> failingJobs_;
     Advice advice_;
     std::size_t checkpointBytes_ = 0; ///< Size of the checkpoints of stopped runs.
     foundation::SteadyTime logFreeAt_ {}; ///< Time at which every queued append has taken effect.
--- a/src/emulator/internal/emulatedplatform.cpp
+++ b/src/emulator/internal/emulatedplatform.cpp
@@ -239,6 +239,8 @@
     plan.isLongRunning = spec && spec->steps[task.step].isLongRunning;
     constexpr std::uint64_t durationRangeMs = 1500;
     const std::uint64_t hash = foundation::hashBytes(jobs::toText(task));
+    if (failingJobs_.count(task.job))
+        plan.outcome = jobs::RunOutcome::Failed;
     plan.duration = milliseconds(200 + static_cast<std::int64_t>(hash % durationRangeMs));
     return plan;
 }
--- a/src/emulator/tests/controltests.cpp
+++ b/src/emulator/tests/controltests.cpp
@@ -175,6 +175,42 @@
     }
 }
 
+// A job is accepted under a queue and stays when operators remove it. Its attempts are bounded all the same, under each
+// later controller.
+TEST_CASE("control: a job whose queue was removed fails when its attempts are used up", "[emulation]")
+{
+    EmulationFixture fixture(8);
+    constexpr jobs::JobId failing = 0xb0;
+    const jobs::TaskId task { failing, 0, 0, 0 };
+    auto& platform = fixture.emulation.platform();
+    platform.setFailing(failing);
+    fixture.emulation.submit("e-2", failing, job({ step(1, 500) }));
+    fixture.emulation.advanceTime(milliseconds(100));
+    REQUIRE(platform.invariants().startsOf(task) == 1);
+    fleet::FleetConfiguration withoutQueue = fixtures::configuration();
+    withoutQueue.version = 2;
+    withoutQueue.queues.front().name = "other";
+    withoutQueue.queues.front().host = "other.example";
+    platform.setConfiguration(withoutQueue);
+    const auto restart = GENERATE(0, 1, 2);
+    if (restart == 1) {
+        fixture.emulation.advanceTime(milliseconds(500));
+        fixture.emulation.killEntry(fixture.emulation.controller());
+    } else if (restart == 2) { // The entries that start know the job from a snapshot.
+        const auto written = fixture.countEvents("snapshot.written");
+        for (int waited = 0; waited < 3000 && fixture.countEvents("snapshot.written") == written; ++waited)
+            fixture.emulation.advanceTime(milliseconds(1));
+        fixture.killAllEntries();
+        platform.log().dropRecords();
+        fixture.startAllEntries();
+    }
+    fixture.emulation.advanceTime(milliseconds(30000));
+    CHECK(platform.invariants().startsOf(task) == fixtures::configuration().queues.front().maximumAttempts);
+    for (const auto& name : fixture.emulation.liveEntries())
+        CHECK(fixture.emulation.entry(name)->follower().table().find(failing)->state() == jobs::JobState::Failed);
+    CHECK(fixture.violations().empty());
+}
+
 // New controllers have no address of the instance, which has left the directory. They must still treat its run as
 // possibly active until its lease has expired.
 TEST_CASE("control: a run on a removed instance is restarted after the former controller was queried", "[emulation]")
--- a/src/entry/internal/jobservice.cpp
+++ b/src/entry/internal/jobservice.cpp
@@ -104,8 +104,9 @@
     }
     const auto receivedAt = std::chrono::duration_cast<milliseconds>(clock_.wallNow().time_since_epoch());
     append(
-        "job.submitted", jobs::JobSubmitted { id, queue.name, queue.pool, receivedAt, std::move(spec) }, id, deadline,
-        [this, id] { return follower_.table().find(id) && isJobStored_(id); }, std::move(done));
+        "job.submitted",
+        jobs::JobSubmitted { id, queue.name, queue.pool, receivedAt, std::move(spec), queue.maximumAttempts }, id,
+        deadline, [this, id] { return follower_.table().find(id) && isJobStored_(id); }, std::move(done));
 }
 
 // The cancellation of an unknown job is written as well, since another entry may just have accepted that job.
--- a/src/jobs/internal/jobtable.cpp
+++ b/src/jobs/internal/jobtable.cpp
@@ -187,6 +187,7 @@
     job->pool = record.pool;
     job->receivedAt = record.receivedAt;
     job->spec = record.spec;
+    job->maximumAttempts = record.maximumAttempts;
     job->isCancelled = unknownCancellations_.count(record.job) > 0;
     if (!job->isScheduled())
         job->startOccurrence(0);
--- a/src/jobs/internal/recordjson.cpp
+++ b/src/jobs/internal/recordjson.cpp
@@ -102,8 +102,9 @@
     for (const auto& step : record.spec.steps)
         steps.push_back(toJson(step));
     const Schedule& schedule = record.spec.schedule;
-    return json::array({ record.job, record.queue, record.pool, record.receivedAt.count(), record.spec.payload,
-        std::move(steps), schedule.occurrences, schedule.firstDueAt.count(), schedule.interval.count() });
+    return json::array(
+        { record.job, record.queue, record.pool, record.receivedAt.count(), record.spec.payload, std::move(steps),
+            schedule.occurrences, schedule.firstDueAt.count(), schedule.interval.count(), record.maximumAttempts });
 }
 
 JobSubmitted jobSubmittedFromJson(const json& fields)
@@ -119,6 +120,9 @@
     record.spec.schedule.occurrences = fields.at(6).get<std::uint32_t>();
     record.spec.schedule.firstDueAt = milliseconds(fields.at(7).get<std::int64_t>());
     record.spec.schedule.interval = milliseconds(fields.at(8).get<std::int64_t>());
+    constexpr std::size_t maximumAttemptsField = 9; // Absent in records of earlier versions.
+    if (fields.size() > maximumAttemptsField)
+        record.maximumAttempts = fields.at(maximumAttemptsField).get<std::uint32_t>();
     return record;
 }
 
--- a/src/jobs/internal/snapshotcodec.cpp
+++ b/src/jobs/internal/snapshotcodec.cpp
@@ -117,7 +117,7 @@
     json occurrences = json::array();
     for (const auto& [number, occurrence] : job.occurrences)
         occurrences.push_back(json::array({ number, toJson(occurrence) }));
-    const JobSubmitted submitted { job.id, job.queue, job.pool, job.receivedAt, job.spec };
+    const JobSubmitted submitted { job.id, job.queue, job.pool, job.receivedAt, job.spec, job.maximumAttempts };
     json fields = json::array(
         { jobs::toJson(submitted), std::move(occurrences), job.hasStarted, job.isCancelled, job.hasFailed });
     if (!job.crashHistories.empty())
@@ -137,6 +137,7 @@
         job->pool = submitted.pool;
         job->receivedAt = submitted.receivedAt;
         job->spec = submitted.spec;
+        job->maximumAttempts = submitted.maximumAttempts;
         for (const auto& occurrence : value.at(1))
             restoreOccurrence(*job, occurrence.at(0).get<std::uint32_t>(), occurrence.at(1));
         job->hasStarted = value.at(2).get<bool>();
--- a/src/jobs/types/records.h
+++ b/src/jobs/types/records.h
@@ -62,6 +62,9 @@
     std::string pool;
     milliseconds receivedAt { 0 }; ///< Wall-clock time of the entry that accepted the job.
     JobSpec spec;
+    /// Number of failed runs that the queue allowed a task when the job was accepted; 0 if an earlier version wrote the
+    /// record.
+    std::uint32_t maximumAttempts = 0;
 };
 
 /// A caller cancelled a job; its submission may follow later in the log.
