Leases: a successor knows of instances that have started again

Cause: a call that is under way when an incarnation ends may reach the next one, and the end of the lease that it names is a time on a clock that is no more: it grants the longest lease. The controller that learns of the later incarnation allows for that, but only in its own memory. A successor counted the leases of that instance as over 5 s after the confirmation of the former control, 10 s being possible.

Change: the controller writes a record, InstanceRestarted, when it begins a session with a later incarnation, before any intent to start a run there. Each entry counts the leases from the time at which it has read the record, by its own clock, and a later controller's sessions allow for them. The bound has 0.3 s more than before, for calls that are under way when the restart is noticed.

--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -161,6 +161,7 @@
     bool isObserved(const jobs::TaskId& task) const;
     void observeSuspect(const jobs::TaskId& task, const std::string& instance);
     void failJobIfCrashing(const jobs::Job& job);
+    InstanceSessionPtr makeSession(const fleet::InstanceReport& report);
     InstanceSessionPtr openSession(const fleet::InstanceReport& report);
     void replaceSession(InstanceSession& session, const InstanceSessionPtr& successor);
     void inheritRuns();
--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -158,7 +158,7 @@
     if (!session) {
         fleet::InstanceReport unlisted;
         unlisted.incarnation = task.incarnation;
-        session = new InstanceSession(unlisted, sessionContext_);
+        session = makeSession(unlisted);
         session->setListed(false);
         session->awaitReport();
     }
@@ -204,7 +204,7 @@
         && session->incarnation().startedAt != 0) {
         session->setListed(true);
         recordCrash(*session);
-        return replaceSession(*session, new InstanceSession(*change.report, sessionContext_));
+        return replaceSession(*session, makeSession(*change.report));
     }
     if (change.report->isDraining && !session->report().isDraining)
         context_.events.write("instance.drains", { { "instance", change.instance } });
@@ -212,9 +212,16 @@
     schedulePlan();
 }
 
-InstanceSessionPtr Controller::openSession(const fleet::InstanceReport& report)
+InstanceSessionPtr Controller::makeSession(const fleet::InstanceReport& report)
 {
     InstanceSessionPtr session(new InstanceSession(report, sessionContext_));
+    session->allowForEarlierLeases(context_.follower.earlierLeasesExpiredAt(report.incarnation.instance));
+    return session;
+}
+
+InstanceSessionPtr Controller::openSession(const fleet::InstanceReport& report)
+{
+    InstanceSessionPtr session = makeSession(report);
     sessions_[report.incarnation.instance] = session;
     onSessionChanged(*session);
     session->tick(controlStatus_);
@@ -794,7 +801,7 @@
         fleet::InstanceReport report;
         report.incarnation = { session.incarnation().instance, startedAt };
         report.address = session.report().address;
-        InstanceSessionPtr successor(new InstanceSession(report, sessionContext_));
+        const InstanceSessionPtr successor = makeSession(report);
         successor->awaitReport();
         return replaceSession(session, successor);
     }
@@ -817,6 +824,7 @@
     adviceCache_.forgetInstance(instance);
     successor->setListed(predecessor->isListed());
     successor->adoptRuns(*predecessor);
+    records_.write(jobs::InstanceRestarted { successor->incarnation(), settings_.lease.longestRunTime() });
     found->second = successor;
     onSessionChanged(*successor);
     predecessor->endAll(RunOutcome::InstanceGone); // Ends the runs whose start order was not sent.
--- a/src/control/internal/instancesession.cpp
+++ b/src/control/internal/instancesession.cpp
@@ -145,8 +145,8 @@
     if (inherited.at > expiry.at)
         expiry = inherited;
     // A renewal that was sent to the earlier incarnation may have reached this one.
-    if (adoptedLeasesExpiredAt_ > expiry.at)
-        expiry = { adoptedLeasesExpiredAt_, LeaseBound::EarlierIncarnation };
+    if (earlierLeasesExpiredAt_ > expiry.at)
+        expiry = { earlierLeasesExpiredAt_, LeaseBound::EarlierIncarnation };
     return expiry;
 }
 
@@ -387,7 +387,7 @@
     if (lastListedEnd_ > lastAcknowledgedEnd_)
         return sinceLast >= context_.leaseTerms.renewalWait;
     // An order for the earlier incarnation may still arrive.
-    const bool mayStartUnexpectedly = context_.clock.now() <= adoptedLeasesExpiredAt_;
+    const bool mayStartUnexpectedly = context_.clock.now() <= earlierLeasesExpiredAt_;
     const auto idleInterval
         = mayStartUnexpectedly ? context_.leaseTerms.renewalWait : context_.leaseTerms.idleRenewInterval;
     return !runs_.empty() || !unexpectedRuns_.empty() || sinceLast >= idleInterval;
@@ -580,8 +580,7 @@
     }
     // Lease ends by the clock of the earlier incarnation mean nothing to this one, which cuts them to the longest
     // lease.
-    const auto longest = context_.leaseTerms.maximumLease / context_.leaseTerms.slowestClockRate;
-    adoptedLeasesExpiredAt_ = context_.clock.now() + std::chrono::duration_cast<SteadyTime::duration>(longest);
+    allowForEarlierLeases(context_.clock.now() + context_.leaseTerms.longestRunTime());
 }
 
 bool InstanceSession::hasUnexpectedRuns() const
--- a/src/control/internal/instancesession.h
+++ b/src/control/internal/instancesession.h
@@ -8,6 +8,7 @@
 #include "foundation/iclock.h"
 #include "jobs/types/jobspec.h"
 
+#include <algorithm>
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 #include <functional>
@@ -165,6 +166,12 @@
     /// unanswered are stopped first.
     void adoptRuns(InstanceSession& earlier);
 
+    /// Allows for leases that orders for an earlier incarnation may have granted to this one.
+    void allowForEarlierLeases(foundation::SteadyTime expiredAt)
+    {
+        earlierLeasesExpiredAt_ = std::max(earlierLeasesExpiredAt_, expiredAt);
+    }
+
     /// Whether the instance listed runs that are not tracked, and their lease may not be over yet.
     bool hasUnexpectedRuns() const;
 
@@ -240,8 +247,8 @@
     foundation::SteadyTime clockReadAt_ {}; ///< Time at which that answer arrived.
     fleet::InstanceTime sentLeaseEnd_ { 0 }; ///< Latest lease end sent in any order or renewal.
     fleet::InstanceTime inheritedLeaseEnd_ { 0 }; ///< Latest end of a lease granted by a former controller.
-    /// Time by which the lease of adopted runs has expired.
-    foundation::SteadyTime adoptedLeasesExpiredAt_ = foundation::SteadyTime::min();
+    /// Time by which leases granted by orders for an earlier incarnation have expired.
+    foundation::SteadyTime earlierLeasesExpiredAt_ = foundation::SteadyTime::min();
     std::uint64_t lastListedEnd_ = 0; ///< Number of the latest run end that was reported.
     std::uint64_t lastAcknowledgedEnd_ = 0; ///< Number of the latest run end that is in the log.
     foundation::SteadyTime lastRenewalAt_ {}; ///< Time at which the latest renewal was sent.
--- a/src/control/types/leaseterms.h
+++ b/src/control/types/leaseterms.h
@@ -2,6 +2,8 @@
 
 #include "foundation/iclock.h"
 
+#include <chrono>
+
 namespace turmericsill::control {
 
 using foundation::milliseconds;
@@ -22,6 +24,15 @@
     milliseconds logOutageLimit { 12000 };
     milliseconds maximumLease { 10000 }; ///< The platform shortens leases that are longer.
     milliseconds expiryMargin { 60 }; ///< Time an instance takes to kill its runs after the end of its lease.
+
+    milliseconds callTimeout { 300 }; ///< A call that is under way reaches its instance within this time or not at all.
+
+    /// Time by which every run on an instance has ended, whatever lease end the calls name that are under way.
+    milliseconds longestRunTime() const
+    {
+        const std::chrono::duration<double, std::milli> lease = maximumLease;
+        return callTimeout + std::chrono::ceil<milliseconds>(lease / slowestClockRate) + expiryMargin;
+    }
 };
 
 } // namespace turmericsill::control
--- a/src/emulator/tests/leasetests.cpp
+++ b/src/emulator/tests/leasetests.cpp
@@ -219,3 +219,34 @@
     fixture.emulation.advanceTime(milliseconds(12000));
     CHECK(fixture.violations().empty());
 }
+
+// A renewal that is under way when its instance ends may reach the next incarnation and grant the longest lease there.
+// A successor that does not reach the instance has to allow for it.
+TEST_CASE(
+    "leases: a task does not start twice when a call for an earlier incarnation has extended the lease of its run",
+    "[emulation]")
+{
+    FullFleetFixture fixture(47);
+    const std::string instance = fixture.busyInstance();
+    fixture.restart(instance);
+    while (!fixture.platform().instances().count(instance))
+        fixture.emulation.advanceTime(milliseconds(1));
+    const std::string former = fixture.emulation.controller();
+    const std::uint64_t token = fixture.emulation.entry(former)->control().state().epoch;
+    fixture.platform().instances().at(instance)->renew({ 0, fleet::InstanceTime(std::chrono::hours(1)), {} }, token);
+    fixture.awaitRunsOn(instance);
+    REQUIRE(fixture.countRunsOn(instance) > 0);
+    fixture.platform().faults().unreachableInstances = { instance };
+    fixture.emulation.killEntry(former);
+    const auto restart = GENERATE(0, 1, 2);
+    if (restart == 1) {
+        const std::string second = fixture.awaitSuccessor(former);
+        fixture.emulation.advanceTime(milliseconds(200));
+        fixture.emulation.killEntry(second);
+    } else if (restart == 2) {
+        fixture.killAllEntries();
+        fixture.startAllEntries();
+    }
+    fixture.emulation.advanceTime(milliseconds(16000));
+    CHECK(fixture.violations().empty());
+}
--- a/src/eventlog/internal/jobfollower.cpp
+++ b/src/eventlog/internal/jobfollower.cpp
@@ -3,6 +3,7 @@
 #include "jobs/recordcodec.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace turmericsill::eventlog {
@@ -15,6 +16,8 @@
 
     /// A page of this size takes 0.1 s on a link of 10 Mbit/s, well within the timeout of a read.
     constexpr std::size_t pageBytes = 128 << 10;
+    /// Time after the end of its leases for which a restart is not new if the log is read once more.
+    constexpr milliseconds retainedRestartTime { 60000 };
     constexpr std::size_t retainedClaimTimes = 64; ///< Exceeds the number of claims that a table retains.
 
 } // namespace
@@ -81,6 +84,7 @@
     }
     isSnapshotLoaded_ = true;
     recordClaimTimes();
+    recordRestartTimes();
 }
 
 void JobFollower::recordClaimTimes()
@@ -94,6 +98,34 @@
         claimsKnownSince_.erase(claimsKnownSince_.begin());
 }
 
+// A restart is first read after its record was written.
+void JobFollower::recordRestartTimes()
+{
+    if (std::exchange(recordedRestarts_, table_->restartCount()) == table_->restartCount())
+        return;
+    const auto now = clock_.now();
+    std::vector<std::string> outdated;
+    for (const auto& [instance, restart] : table_->restarts()) {
+        KnownRestart& known = knownRestarts_[instance];
+        if (known.startedAt != restart.incarnation.startedAt)
+            known = { restart.incarnation.startedAt, now + restart.leasesLeft };
+        if (known.leasesExpiredAt < now)
+            outdated.push_back(instance);
+    }
+    for (const auto& instance : outdated)
+        table_->forgetRestart(instance);
+    for (auto known = knownRestarts_.begin(); known != knownRestarts_.end();) {
+        const bool isForgotten = known->second.leasesExpiredAt + retainedRestartTime < now;
+        known = isForgotten ? knownRestarts_.erase(known) : std::next(known);
+    }
+}
+
+foundation::SteadyTime JobFollower::earlierLeasesExpiredAt(const std::string& instance) const
+{
+    const auto known = knownRestarts_.find(instance);
+    return known == knownRestarts_.end() ? foundation::SteadyTime::min() : known->second.leasesExpiredAt;
+}
+
 std::uint64_t JobFollower::latestKnownClaim() const
 {
     return hasEverCaughtUp_ && !claimsKnownSince_.empty() ? claimsKnownSince_.rbegin()->first : 0;
@@ -245,6 +277,7 @@
             ++ownRecordsRead_;
     }
     recordClaimTimes();
+    recordRestartTimes();
     skipOwnRecords();
 }
 
@@ -317,6 +350,7 @@
     hasAppliedPage_ = false;
     hasCaughtUp_ = false;
     table_ = std::make_unique<jobs::JobTable>();
+    recordedRestarts_ = 0;
 }
 
 } // namespace turmericsill::eventlog
--- a/src/eventlog/jobfollower.h
+++ b/src/eventlog/jobfollower.h
@@ -79,6 +79,9 @@
     /// When the claim of an epoch was first read, which was after it was appended; the present if it was not read.
     foundation::SteadyTime claimKnownSince(std::uint64_t epoch) const;
 
+    /// Time by which leases that orders for an earlier incarnation may have granted to an instance have expired.
+    foundation::SteadyTime earlierLeasesExpiredAt(const std::string& instance) const;
+
     /// When the log last answered a read.
     foundation::SteadyTime lastAnswerAt() const { return lastAnswerAt_; }
 
@@ -155,6 +158,7 @@
     void applyPage(const LogPage& page);
     void countPage(const LogPage& page, foundation::SteadyTime::duration applyTime);
     void recordClaimTimes();
+    void recordRestartTimes();
     void onRetentionPassed();
     void rebuild();
     void startReadToEnd();
@@ -175,6 +179,13 @@
     std::uint64_t generation_ = 0; ///< Increases with each rebuild; answers of an earlier generation are ignored.
     std::uint64_t unknownRecords_ = 0;
     std::map<std::uint64_t, foundation::SteadyTime> claimsKnownSince_; ///< Key: epoch. Outlives rebuilds of the table.
+    /// The restart of an instance and when leases of orders for the incarnation before have expired.
+    struct KnownRestart {
+        std::int64_t startedAt = 0;
+        foundation::SteadyTime leasesExpiredAt;
+    };
+    std::map<std::string, KnownRestart> knownRestarts_; ///< Key: name of the instance. Outlives rebuilds of the table.
+    std::uint64_t recordedRestarts_ = 0; ///< JobTable::restartCount() as of the latest recordRestartTimes().
     bool isLoadingSnapshot_ = false;
     bool isSnapshotLoaded_ = false; ///< Whether the snapshot was loaded since the last rebuild.
     bool hasAppliedPage_ = false; ///< Whether a page was applied since the last rebuild.
--- a/src/jobs/internal/jobtable.cpp
+++ b/src/jobs/internal/jobtable.cpp
@@ -102,6 +102,8 @@
     claims_ = header.claims;
     startedMaintenance_ = header.startedMaintenance;
     waveFirstSeenTimes_ = header.waveFirstSeenTimes;
+    restarts_ = header.restarts;
+    restartCount_ += restarts_.size();
     for (const auto id : header.unknownCancellations)
         addUnknownCancellation(id);
 }
@@ -171,6 +173,15 @@
         claim->witnesses = record.witnesses;
 }
 
+void JobTable::applyRecord(const InstanceRestarted& record)
+{
+    InstanceRestarted& latest = restarts_[record.incarnation.instance];
+    if (record.incarnation.startedAt < latest.incarnation.startedAt)
+        return;
+    latest = record;
+    ++restartCount_;
+}
+
 std::optional<milliseconds> JobTable::waveFirstSeenAt(std::uint64_t wave) const
 {
     const auto found = waveFirstSeenTimes_.find(wave);
--- a/src/jobs/internal/recordcodec.cpp
+++ b/src/jobs/internal/recordcodec.cpp
@@ -49,6 +49,7 @@
         {
             return json::array({ record.epoch, toJson(record.witnesses) });
         }
+        json operator()(const InstanceRestarted& record) const { return toJson(record); }
         json operator()(const InstanceCrashed& record) const
         {
             json runs = json::array();
@@ -104,6 +105,8 @@
             return instanceCrashedFromJson(fields);
         case 12:
             return WitnessesChanged { fields.at(0).get<std::uint64_t>(), witnessesFromJson(fields.at(1)) };
+        case 13:
+            return instanceRestartedFromJson(fields);
         default:
             throw std::out_of_range("record type number is out of range");
         }
--- a/src/jobs/internal/recordjson.cpp
+++ b/src/jobs/internal/recordjson.cpp
@@ -96,6 +96,17 @@
     return witnesses;
 }
 
+json toJson(const InstanceRestarted& record)
+{
+    return json::array({ record.incarnation.instance, record.incarnation.startedAt, record.leasesLeft.count() });
+}
+
+InstanceRestarted instanceRestartedFromJson(const json& fields)
+{
+    return { { fields.at(0).get<std::string>(), fields.at(1).get<std::int64_t>() },
+        milliseconds(fields.at(2).get<std::int64_t>()) };
+}
+
 json toJson(const JobSubmitted& record)
 {
     json steps = json::array();
--- a/src/jobs/internal/recordjson.h
+++ b/src/jobs/internal/recordjson.h
@@ -15,4 +15,7 @@
 ControlClaimed controlClaimedFromJson(const nlohmann::json& fields);
 std::vector<ControlWitness> witnessesFromJson(const nlohmann::json& value);
 
+nlohmann::json toJson(const InstanceRestarted& record);
+InstanceRestarted instanceRestartedFromJson(const nlohmann::json& fields);
+
 } // namespace turmericsill::jobs
--- a/src/jobs/internal/snapshotcodec.cpp
+++ b/src/jobs/internal/snapshotcodec.cpp
@@ -163,9 +163,12 @@
     json waves = json::array();
     for (const auto& [wave, seenAt] : header.waveFirstSeenTimes)
         waves.push_back(json::array({ wave, seenAt.count() }));
+    json restarts = json::array();
+    for (const auto& [instance, restart] : header.restarts)
+        restarts.push_back(jobs::toJson(restart));
     std::string bytes;
     json::to_cbor(json::array({ header.offset, std::move(claims), std::move(maintenanceStarts),
-                      header.unknownCancellations, std::move(waves) }),
+                      header.unknownCancellations, std::move(waves), std::move(restarts) }),
         bytes);
     return bytes;
 }
@@ -182,6 +185,13 @@
         for (const auto& wave : value.at(4))
             header.waveFirstSeenTimes[wave.at(0).get<std::uint64_t>()] = milliseconds(wave.at(1).get<std::int64_t>());
         header.unknownCancellations = value.at(3).get<std::deque<JobId>>();
+        constexpr std::size_t restartsField = 5; // Absent in snapshots of earlier versions.
+        if (value.size() > restartsField) {
+            for (const auto& fields : value.at(restartsField)) {
+                InstanceRestarted restart = instanceRestartedFromJson(fields);
+                header.restarts[restart.incarnation.instance] = std::move(restart);
+            }
+        }
         return header;
     });
 }
--- a/src/jobs/jobtable.h
+++ b/src/jobs/jobtable.h
@@ -43,7 +43,7 @@
     /// Header of a snapshot that covers the log up to, but not including, `offset`.
     SnapshotHeader snapshotHeader(std::uint64_t offset) const
     {
-        return { offset, claims_, startedMaintenance_, waveFirstSeenTimes_, unknownCancellationOrder_ };
+        return { offset, claims_, startedMaintenance_, waveFirstSeenTimes_, unknownCancellationOrder_, restarts_ };
     }
 
     /// The job, or null when it is unknown or was removed after its retention.
@@ -75,6 +75,15 @@
     /// The retained claims of control, oldest first.
     const std::deque<ControlClaimed>& claims() const { return claims_; }
 
+    /// The latest restart of each instance, by its name, unless it was forgotten.
+    const std::map<std::string, InstanceRestarted>& restarts() const { return restarts_; }
+
+    /// Number of records of restarts that were applied or restored.
+    std::uint64_t restartCount() const { return restartCount_; }
+
+    /// Forgets the restart of an instance, to whose later incarnation no lease of an earlier one applies any more.
+    void forgetRestart(const std::string& instance) { restarts_.erase(instance); }
+
     /// Whether the maintenance of a machine as part of a wave has started.
     bool hasStartedMaintenance(std::uint64_t wave, const std::string& machine) const;
 
@@ -94,6 +103,7 @@
     void applyRecord(const JobsStarted& record);
     void applyRecord(const InstanceCrashed& record);
     void applyRecord(const WitnessesChanged& record);
+    void applyRecord(const InstanceRestarted& record);
     void applyRecord(const WaveFirstSeen& record) { waveFirstSeenTimes_.emplace(record.wave, record.seenAt); }
 
     using ChangedJobList = boost::intrusive::list<Job, boost::intrusive::base_hook<ChangedJobHook>,
@@ -126,6 +136,8 @@
     std::set<std::pair<std::uint64_t, std::string>> startedMaintenance_; ///< Wave and machine.
     std::map<std::uint64_t, milliseconds> waveFirstSeenTimes_;
     std::deque<ControlClaimed> claims_; ///< Oldest first.
+    std::map<std::string, InstanceRestarted> restarts_; ///< Key: name of the instance.
+    std::uint64_t restartCount_ = 0;
 };
 
 } // namespace turmericsill::jobs
--- a/src/jobs/snapshotcodec.h
+++ b/src/jobs/snapshotcodec.h
@@ -21,6 +21,7 @@
     std::set<std::pair<std::uint64_t, std::string>> startedMaintenance;
     std::map<std::uint64_t, milliseconds> waveFirstSeenTimes; ///< Wall-clock time when each wave was first seen.
     std::deque<JobId> unknownCancellations; ///< Jobs cancelled before their submission was read, oldest first.
+    std::map<std::string, InstanceRestarted> restarts; ///< Latest restart of each instance. Key: its name.
 };
 
 /// Encodes a job with the state of its tasks.
--- a/src/jobs/tests/jobtests.cpp
+++ b/src/jobs/tests/jobtests.cpp
@@ -71,7 +71,8 @@
         ControlClaimed { 8, "e-2", 13, "10.0.0.2:7000", milliseconds(98),
             std::vector<ControlWitness> { { "e-1", "10.0.0.1:7000" } } },
         ControlClaimed { 9, "e-2", 13, "10.0.0.2:7000", milliseconds(98), std::vector<ControlWitness> {} },
-        WitnessesChanged { 8, { { "e-1", "10.0.0.1:7000" }, { "e-3", "10.0.0.3:7000" } } } };
+        WitnessesChanged { 8, { { "e-1", "10.0.0.1:7000" }, { "e-3", "10.0.0.3:7000" } } },
+        InstanceRestarted { { "i-1", 7 }, milliseconds(10300) } };
     for (const auto& record : records) {
         const std::string bytes = encode(record, 7);
         const auto decoded = decode(bytes);
@@ -499,6 +500,7 @@
     table.apply(JobCancelled { 9 });
     table.apply(MaintenanceStarted { 4, "m-1" });
     table.apply(WaveFirstSeen { 4, milliseconds(55) });
+    table.apply(InstanceRestarted { { "i-1", 7 }, milliseconds(10300) });
     const auto header = decodeHeader(encodeHeader(table.snapshotHeader(42)));
     auto job = decodeJob(encodeJob(*table.find(JobId(1))));
     REQUIRE(header);
@@ -510,6 +512,10 @@
     CHECK(restored.latestClaim().entry == "e-1");
     CHECK(restored.hasStartedMaintenance(4, "m-1"));
     CHECK(restored.waveFirstSeenAt(4) == milliseconds(55));
+    REQUIRE(restored.restarts().count("i-1") == 1);
+    CHECK(restored.restarts().at("i-1").incarnation == InstanceIncarnation { "i-1", 7 });
+    CHECK(restored.restarts().at("i-1").leasesLeft == milliseconds(10300));
+    CHECK(restored.restartCount() == 1);
     CHECK(encodeJob(*restored.find(JobId(1))) == encodeJob(*table.find(JobId(1))));
     restored.apply(submitted(9, { step(1) }));
     CHECK(restored.find(JobId(9))->state() == JobState::Cancelled);
--- a/src/jobs/types/records.h
+++ b/src/jobs/types/records.h
@@ -143,7 +143,14 @@
     std::vector<ControlWitness> witnesses;
 };
 
+/// The controller learned that an instance runs in a later incarnation. Orders for the earlier one may have reached it;
+/// it takes the end of their lease, a time on the clock of the earlier one, for the longest lease.
+struct InstanceRestarted {
+    InstanceIncarnation incarnation; ///< The later one.
+    milliseconds leasesLeft { 0 }; ///< Time from the record on by which leases granted by such orders have expired.
+};
+
 using Record = std::variant<ControlClaimed, JobSubmitted, JobCancelled, RunIntended, RunEnded, JobFailed, JobExpired,
-    MaintenanceStarted, WaveFirstSeen, RunBatch, JobsStarted, InstanceCrashed, WitnessesChanged>;
+    MaintenanceStarted, WaveFirstSeen, RunBatch, JobsStarted, InstanceCrashed, WitnessesChanged, InstanceRestarted>;
 
 } // namespace turmericsill::jobs
