Leases: the lease of a former controller counts for later runs as well

What callers may see: a task runs twice at once (TWICE).

Cause: a new controller counted the leases of its predecessors only for instances on which it had inherited runs. One whose last run had just ended may still hold a lease of up to 5 s. A run that the new controller starts there lasts as long as that lease, also if its own start, which names 3 s, had no answer and the instance is cut off then.

Evidence: "session: the lease of a former controller counts for a run that starts after it" failed before (the run counted as ended before the former lease was over) and passes.

Change: the bound by the clock of the instance is set at its first answer, with or without runs.

--- a/src/control/internal/instancesession.cpp
+++ b/src/control/internal/instancesession.cpp
@@ -483,8 +483,9 @@
     const bool wasSynced = std::exchange(isSynced_, true);
     if (!wasSynced)
         reportChange();
-    // The answer does not tell when the former controller's lease ends; this is the latest possible time.
-    if (!wasSynced && !runs_.empty())
+    // The answer does not tell when the former controller's lease ends; this is the latest possible time. It may last
+    // although the runs that it was granted for have ended.
+    if (!wasSynced)
         inheritedLeaseEnd_ = answer->clock + context_.leaseTerms.maximumLease;
     recordAnswer();
     reconcile(*answer, sentAt);
--- a/src/control/tests/instancesessiontests.cpp
+++ b/src/control/tests/instancesessiontests.cpp
@@ -1,4 +1,5 @@
 #include "control/internal/instancesession.h"
+#include "control/tests/mocks/heldlog.h"
 #include "foundation/tests/mocks/manualclock.h"
 #include "foundation/timerqueue.h"
 #include "telemetry/tests/mocks/nulleventsink.h"
@@ -433,3 +434,26 @@
     fixture.session->tick(ControlStatus::Confirmed);
     CHECK(fixture.control.lastRequest.leaseEnd);
 }
+
+// An instance may still hold the lease that a former controller granted for runs that have ended. A run that a new
+// controller starts there lasts at least as long, whatever lease its start names.
+TEST_CASE("session: the lease of a former controller counts for a run that starts after it", "[control]")
+{
+    SessionFixture fixture;
+    mocks::HeldLog log;
+    eventlog::JobFollower follower(log, log, fixture.clock, fixture.timers, {});
+    for (const std::uint64_t epoch : { 1, 2 }) {
+        const std::vector<jobs::ControlWitness> witnesses;
+        log.add(jobs::ControlClaimed { epoch, "edge-" + std::to_string(epoch), 7, {}, {}, witnesses }, epoch);
+    }
+    follower.readToEnd([](const foundation::Result<void>&) {});
+    log.answerReads(log.payloads.size());
+    fixture.former.begin(follower);
+    const auto formerLeases = fixture.former.leasesExpiredAt();
+    REQUIRE(formerLeases == fixture.clock.now() + fixture.terms.duration + fixture.terms.expiryMargin);
+    const TaskId task { 1, 0, 0, 0 };
+    fixture.order(task);
+    fixture.control.starts.at(task)(failure(Errc::Timeout, "instance.start"));
+    CHECK(fixture.session->leaseExpiry().at >= formerLeases);
+    CHECK(fixture.session->leaseExpiry().bound == LeaseBound::FormerControllers);
+}
