Jobs: all members of a gang resume from the same checkpoint

Cause: each task kept the checkpoint of its own latest run. After a crash some members had different ones and the lost ones had none, and each start carried them.

Evidence: "control: all members of a gang resume from the same checkpoint after a crash" failed before (members with different checkpoints) and passes. The emulation now checks each start order of a gang for that, in the explorations as well.

Change: the checkpoint with which a member's run ends becomes that of all members, so the latest one counts. It follows from the records alone, so every controller sends the same one.

--- a/src/emulator/internal/emulatedplatformclient.cpp
+++ b/src/emulator/internal/emulatedplatformclient.cpp
@@ -292,6 +292,7 @@
     sendOrder(
         handle,
         [&platform = platform_, startOrder, token = handle.token, done](EmulatedInstance& instance) {
+            platform.invariants().onStartOrdered(startOrder);
             const auto result = instance.start(
                 startOrder, token, [&platform](const jobs::TaskId& task) { return platform.runPlanFor(task); });
             return std::function<void()>([done, result] { done(result); });
--- a/src/emulator/internal/invariantchecker.cpp
+++ b/src/emulator/internal/invariantchecker.cpp
@@ -250,6 +250,17 @@
     return places >= wanted;
 }
 
+void InvariantChecker::onStartOrdered(const fleet::StartOrder& order)
+{
+    const JobSpec* known = findSpec(order.task.job);
+    if (!known || !known->steps[order.task.step].isGang)
+        return;
+    const TaskId first { order.task.job, order.task.occurrence, order.task.step, 0 };
+    const auto carried = gangCheckpoints_.emplace(std::pair(first, order.run), order.checkpoint).first;
+    if (carried->second != order.checkpoint)
+        addViolation("members of a gang with different checkpoints", jobs::toText(order.task));
+}
+
 void InvariantChecker::onRunStarted(const EmulatedInstance& instance, const TaskId& task)
 {
     lateStarts_.erase(task);
--- a/src/emulator/invariantchecker.h
+++ b/src/emulator/invariantchecker.h
@@ -77,6 +77,9 @@
     /// Suspends the invariants with a time bound while an instance executes an order that arrived late.
     void setExecutingLateOrder(bool isLate) { isExecutingLateOrder_ = isLate; }
 
+    /// An instance got an order to start a run.
+    void onStartOrdered(const fleet::StartOrder& order);
+
     /// An instance started a run, which its list of runs already contains.
     void onRunStarted(const EmulatedInstance& instance, const jobs::TaskId& task);
 
@@ -129,6 +132,8 @@
     std::map<jobs::TaskId, std::size_t> starts_;
     std::map<jobs::TaskId, std::size_t> crashes_; ///< Number of instances that a task has crashed.
     std::map<jobs::TaskId, std::size_t> startsAfterCrashes_; ///< Starts after the bound of crashes was reached.
+    /// Checkpoint that the members of a gang carry, by their run and the first task of their step.
+    std::map<std::pair<jobs::TaskId, std::uint32_t>, std::string> gangCheckpoints_;
     std::set<jobs::TaskId> doneTasks_; ///< Tasks of which an end with RunOutcome::Done was acknowledged.
     /// Time from which on no disruption is near: of the latest one, and for the store of the end of its instability.
     foundation::SteadyTime undisturbedSince_ {};
--- a/src/emulator/tests/controltests.cpp
+++ b/src/emulator/tests/controltests.cpp
@@ -211,6 +211,36 @@
     CHECK(fixture.violations().empty());
 }
 
+// The members of a gang work together only if all of them resume from the same checkpoint. After the crash of an
+// instance, those that go on elsewhere have saved different ones, and those that were lost with it none.
+TEST_CASE("control: all members of a gang resume from the same checkpoint after a crash", "[emulation]")
+{
+    EmulationFixture fixture(9);
+    constexpr jobs::JobId gangJob = 0xb1;
+    constexpr std::uint32_t members = 4;
+    auto gang = step(members, 500);
+    gang.isGang = true;
+    gang.resumesFromCheckpoint = true;
+    auto& platform = fixture.emulation.platform();
+    platform.invariants().onSubmitted(gangJob, job({ gang }));
+    std::vector<std::string> records { jobs::encode(
+        jobs::JobSubmitted { gangJob, "calls", "desk", milliseconds(1), job({ gang }) }, 0) };
+    for (std::uint32_t index = 0; index < members; ++index)
+        records.push_back(jobs::encode(jobs::RunIntended { { gangJob, 0, 0, index }, 1, { "i-0", 7 } }, 0));
+    const std::vector<std::string> checkpoints { "", "00ff", "01ff", "" };
+    for (std::uint32_t index = 0; index < members; ++index) {
+        const auto outcome = checkpoints[index].empty() ? jobs::RunOutcome::InstanceGone : jobs::RunOutcome::PeerEnded;
+        records.push_back(jobs::encode(jobs::RunEnded { { gangJob, 0, 0, index }, 1, outcome, checkpoints[index] }, 0));
+    }
+    REQUIRE(platform.log().append({ records, std::nullopt }));
+    fixture.emulation.advanceTime(milliseconds(1000));
+    CHECK(platform.invariants().startsOf({ gangJob, 0, 0, 0 }) == 1);
+    const auto* started = fixture.emulation.entry("e-1")->follower().table().find(jobs::TaskId { gangJob, 0, 0, 0 });
+    REQUIRE(started);
+    CHECK(started->checkpoint == "01ff"); // The latest one that was saved.
+    CHECK(fixture.violations().empty());
+}
+
 // New controllers have no address of the instance, which has left the directory. They must still treat its run as
 // possibly active until its lease has expired.
 TEST_CASE("control: a run on a removed instance is restarted after the former controller was queried", "[emulation]")
--- a/src/jobs/internal/jobtable.cpp
+++ b/src/jobs/internal/jobtable.cpp
@@ -263,7 +263,7 @@
     --job->activeRuns;
     job->hasStarted |= provesStart(record.outcome);
     if (!record.checkpoint.empty())
-        task.checkpoint = record.checkpoint;
+        keepCheckpoint(*job, record);
     if (record.outcome == RunOutcome::Failed) {
         ++task.failures;
         ++job->failedRuns;
@@ -274,6 +274,18 @@
     moveToFinalIfEnded(*job);
 }
 
+// The members of a gang work together only if all of them resume from the same checkpoint. That of any member will do.
+void JobTable::keepCheckpoint(Job& job, const RunEnded& record)
+{
+    auto& tasks = job.occurrences.at(record.task.occurrence).steps[record.task.step].tasks;
+    if (!job.spec.steps[record.task.step].isGang) {
+        tasks[record.task.index].checkpoint = record.checkpoint;
+        return;
+    }
+    for (Task& member : tasks)
+        member.checkpoint = record.checkpoint;
+}
+
 // A run that ends as done completes its whole gang: one record marks every member of the gang as done.
 void JobTable::finishTask(Job& job, const TaskId& id, Task& task)
 {
--- a/src/jobs/jobtable.h
+++ b/src/jobs/jobtable.h
@@ -117,6 +117,7 @@
     /// Adds a job to the table and to the list that its state belongs to.
     void insert(std::unique_ptr<Job> job);
     void markChanged(Job& job);
+    void keepCheckpoint(Job& job, const RunEnded& record);
     void finishTask(Job& job, const TaskId& id, Task& task);
 
     /// Moves an open job to the final ones once it is final and its last run has ended.
