Jobs: crashes long after its start do not end a long-running task

Cause: five crashes of instances under a long-running task, whatever their cause, ended its job.

Not changed: short tasks are given up after four crashes of any kind, and any task that is convicted.

--- a/src/jobs/internal/job.cpp
+++ b/src/jobs/internal/job.cpp
@@ -17,8 +17,6 @@
     /// Bounds the crashes under a task that crashes its instances long after its start. An instance that crashes by
     /// itself counts for all its tasks, so the bound is higher than for suspicions.
     constexpr std::ptrdiff_t maximumCrashes = 4;
-    /// A job that is cancelled by its caller only loses more by being given up than one that would be done soon.
-    constexpr std::ptrdiff_t maximumCrashesLongRunning = 5;
     constexpr std::ptrdiff_t minimumConfirmedCrashes = 2;
 
 } // namespace
@@ -66,8 +64,8 @@
         = std::count_if(crashes.begin(), crashes.end(), [](const auto& crash) { return !crash.isExplained; });
     const auto confirmed = std::count_if(
         crashes.begin(), crashes.end(), [](const auto& crash) { return crash.isConfirmed && !crash.isExplained; });
-    const auto maximum = isLongRunning ? maximumCrashesLongRunning : maximumCrashes;
-    return isConvicted() || (counting >= maximum && confirmed >= minimumConfirmedCrashes);
+    const bool hasTooManyCrashes = counting >= maximumCrashes && confirmed >= minimumConfirmedCrashes;
+    return isConvicted() || (hasTooManyCrashes && !isLongRunning);
 }
 
 bool Occurrence::isDone() const
--- a/src/jobs/types/job.h
+++ b/src/jobs/types/job.h
@@ -44,7 +44,8 @@
     /// Whether the starts of the task cause the crashes.
     bool isConvicted() const;
 
-    /// Whether the task must not start again: it is convicted, or too many instances crashed under it.
+    /// Whether the task must not start again: it is convicted, or too many instances crashed under it. A long-running
+    /// task lasts until it is cancelled, and many instances may crash under it by themselves.
     bool isExhausted(bool isLongRunning) const;
 };
 
