--- a/src/control/internal/controllerelection.cpp
+++ b/src/control/internal/controllerelection.cpp
@@ -115,7 +115,8 @@
         // Nobody has renewed the leases of the runs that the lost records may tell of.
         if (now - *groupEmptySince_ < settings_.lease.duration + settings_.lease.expiryMargin)
             return;
-        context_.events.write("log.records-lost", { { "entry", identity_.entry } });
+        const auto waited = std::chrono::duration_cast<milliseconds>(now - *groupEmptySince_);
+        context_.events.write("log.records-lost", { { "waited_ms", std::int64_t(waited.count()) } });
         context_.follower.skipDroppedRecords();
     });
 }
