Election: a candidate withdraws if it cannot reach the end of the log, and others join as before

What callers may see: no controller for good (LOST).

Cause: readiness was asked at the start only, and asked of all entries. An entry that had read the log once stayed a member when its reads failed later. And with each of many weak entries joining when it was ready, the group changed as often, for as long as the slowest needed, after a loss of all entries.

Change: entries join from the start again. The event group.withdrawn tells which.

--- a/src/control/controllerelection.h
+++ b/src/control/controllerelection.h
@@ -21,7 +21,8 @@
 
 /// Leader election of the entries. Keeps this entry in the group of entries and runs the Controller while this entry is
 /// the leader. The candidate for leadership is the member with the largest processor share; ties go to the first by
-/// name. An entry that has not read the whole log is no member, since it could not claim control as the candidate.
+/// name. An entry that cannot read the log to its end withdraws from the group, since it could not claim control as the
+/// candidate.
 ///
 /// A candidate becomes the controller, if no other entry is, by appending a claim to the log under an epoch (its
 /// fencing token) above every earlier one and reading all records before the claim. It stops being the controller when
@@ -76,6 +77,7 @@
     void join();
     void scheduleJoin(foundation::SteadyTime earliest);
     void onJoined(const foundation::Result<eventlog::GroupAssignment>& assignment, foundation::SteadyTime sentAt);
+    void withdrawIfUnableToClaim();
     void skipDroppedRecordsUnlessHeld();
     void fetchMembers();
     void onMembers(const std::vector<eventlog::GroupMember>& members);
@@ -111,6 +113,8 @@
     /// Since when the group has had no member, as far as an entry that cannot build the table knows.
     std::optional<foundation::SteadyTime> groupEmptySince_;
     bool isCandidate_ = false;
+    foundation::SteadyTime candidateSince_ {}; ///< Meaningful while `isCandidate_`.
+    bool isWithdrawn_ = false; ///< Whether this entry does not join until it has reached the end of the log.
     bool isMemberListStale_ = true; ///< The members of the present generation are not known yet.
     bool isFetchingMembers_ = false;
     bool isClaiming_ = false;
--- a/src/control/internal/controllerelection.cpp
+++ b/src/control/internal/controllerelection.cpp
@@ -22,7 +22,8 @@
 
     constexpr milliseconds membershipTimeToLive { 1300 }; ///< Allows for three joins; the platform's minimum is 1 s.
     constexpr milliseconds joinInterval { 400 };
-    constexpr milliseconds readinessCheckInterval { 50 }; ///< While the log is read to its end.
+    /// Time in which a candidate has to reach the end of the log. A long log takes it several seconds.
+    constexpr milliseconds catchUpTimeout { 15000 };
     /// The store counts as unresponsive after this long without an answer to a join or a read.
     constexpr milliseconds silenceLimitAfterFailedJoin { 900 }; ///< One unanswered join; reads are answered within 1 s.
     constexpr milliseconds silenceLimit { 1600 }; ///< Two joins, each answered just within its timeout of 0.8 s.
@@ -85,20 +86,35 @@
 {
     if (isStopping_)
         return;
-    if (!context_.follower.hasCaughtUp()) {
-        isCandidate_ = false;
-        isMemberListStale_ = true;
-        if (!context_.follower.isSnapshotOutdated())
-            return scheduleJoin(context_.clock.now() + readinessCheckInterval);
-        skipDroppedRecordsUnlessHeld();
+    withdrawIfUnableToClaim();
+    if (isWithdrawn_)
         return scheduleJoin(context_.clock.now() + joinInterval);
-    }
-    groupEmptySince_.reset();
     group_.join(generation_, membershipTimeToLive,
         [this, sentAt = context_.clock.now()](
             const Result<GroupAssignment>& assignment) { onJoined(assignment, sentAt); });
 }
 
+// As the candidate, an entry that does not reach the end of the log would keep all others from claiming control.
+void ControllerElection::withdrawIfUnableToClaim()
+{
+    const auto& follower = context_.follower;
+    const auto now = context_.clock.now();
+    const bool isCurrent = follower.hasCaughtUp() && now - follower.coveredAsOf() < catchUpTimeout;
+    if (controller_ || isCurrent) {
+        isWithdrawn_ = false;
+        return groupEmptySince_.reset();
+    }
+    const bool isBlocking = isCandidate_ && now - candidateSince_ >= catchUpTimeout;
+    if (!isWithdrawn_ && !isBlocking && !follower.isSnapshotOutdated())
+        return;
+    if (!std::exchange(isWithdrawn_, true))
+        context_.events.write("group.withdrawn", { { "snapshot_outdated", follower.isSnapshotOutdated() } });
+    isCandidate_ = false;
+    isMemberListStale_ = true;
+    if (follower.isSnapshotOutdated())
+        skipDroppedRecordsUnlessHeld();
+}
+
 // A member has read what the log has dropped, and writes a snapshot once it controls. Without any member, no entry
 // would ever control again.
 void ControllerElection::skipDroppedRecordsUnlessHeld()
@@ -171,7 +187,8 @@
     members_ = members;
     if (controller_)
         controller_->setWitnesses(chooseWitnesses());
-    isCandidate_ = candidate->entry == identity_.entry;
+    if (!std::exchange(isCandidate_, candidate->entry == identity_.entry))
+        candidateSince_ = context_.clock.now();
     if (!controller_ && isCandidate_) {
         // An entry that has just started does not know the latest claim yet.
         return context_.follower.readToEnd([this, members](const Result<void>& read) {
--- a/src/emulator/tests/snapshottests.cpp
+++ b/src/emulator/tests/snapshottests.cpp
@@ -177,3 +177,26 @@
     }
     CHECK(fixture.violations().empty());
 }
+
+// A candidate joins the group although its reads of the log fail. It must not keep the others from control either.
+TEST_CASE("snapshots: a candidate that does not reach the end of the log leaves control to the others", "[emulation]")
+{
+    EmulationFixture fixture(137);
+    auto& faults = fixture.emulation.platform().faults();
+    fixture.emulation.submit("e-2", firstJob, job({ longRunningStep(4, 500) }));
+    fixture.emulation.advanceTime(milliseconds(3000));
+    REQUIRE(fixture.emulation.controller() == "e-1");
+    fixture.emulation.killEntry("e-1");
+    fixture.emulation.advanceTime(milliseconds(4000));
+    REQUIRE(fixture.emulation.controller() == "e-2");
+    faults.linkBytesPerSecond["e-1"] = 1;
+    fixture.emulation.startEntry("e-1");
+    fixture.emulation.advanceTime(milliseconds(1000));
+    fixture.emulation.killEntry("e-2");
+    fixture.emulation.advanceTime(milliseconds(20000));
+    CHECK(fixture.emulation.controller() == "e-3");
+    faults.linkBytesPerSecond.clear();
+    fixture.emulation.advanceTime(milliseconds(3000));
+    for (const char* name : { "e-1", "e-3" })
+        CHECK(statusOf(fixture, name, firstJob).state == jobs::JobState::Running);
+}
