--- a/src/emulator/tests/snapshottests.cpp
+++ b/src/emulator/tests/snapshottests.cpp
@@ -44,6 +44,17 @@
     jobs::JobId nextJob = firstJob;
 };
 
+/// Submits a long-running job and ends the first entry, so that the second one controls.
+void passControlToSecondEntry(EmulationFixture& fixture)
+{
+    fixture.emulation.submit("e-2", firstJob, job({ longRunningStep(4, 500) }));
+    fixture.emulation.advanceTime(milliseconds(3000));
+    REQUIRE(fixture.emulation.controller() == "e-1");
+    fixture.emulation.killEntry("e-1");
+    fixture.emulation.advanceTime(milliseconds(4000));
+    REQUIRE(fixture.emulation.controller() == "e-2");
+}
+
 } // namespace
 
 // All entries lose power after a surge. What they read before one of them may control was as long as the day: a
@@ -155,12 +166,7 @@
     settings.snapshotInterval = std::chrono::minutes(10);
     EmulationFixture fixture(136, fixtures::configuration(), settings);
     auto& platform = fixture.emulation.platform();
-    fixture.emulation.submit("e-2", firstJob, job({ longRunningStep(4, 500) }));
-    fixture.emulation.advanceTime(milliseconds(3000));
-    REQUIRE(fixture.emulation.controller() == "e-1");
-    fixture.emulation.killEntry("e-1");
-    fixture.emulation.advanceTime(milliseconds(4000));
-    REQUIRE(fixture.emulation.controller() == "e-2");
+    passControlToSecondEntry(fixture);
     fixture.emulation.submit("e-3", firstJob + 1, job({ longRunningStep(4, 500) }));
     fixture.emulation.advanceTime(milliseconds(1000));
     platform.log().dropRecords();
@@ -183,12 +189,7 @@
 {
     EmulationFixture fixture(137);
     auto& faults = fixture.emulation.platform().faults();
-    fixture.emulation.submit("e-2", firstJob, job({ longRunningStep(4, 500) }));
-    fixture.emulation.advanceTime(milliseconds(3000));
-    REQUIRE(fixture.emulation.controller() == "e-1");
-    fixture.emulation.killEntry("e-1");
-    fixture.emulation.advanceTime(milliseconds(4000));
-    REQUIRE(fixture.emulation.controller() == "e-2");
+    passControlToSecondEntry(fixture);
     faults.linkBytesPerSecond["e-1"] = 1;
     fixture.emulation.startEntry("e-1");
     fixture.emulation.advanceTime(milliseconds(1000));
