Sessions: an order that a later incarnation has carried out is reported

What was missing: a task that ran twice because an order for one incarnation of its instance took effect in the next left no line that told so; a successor's log shows ordinary inherited runs.

Test: "session: an order that a later incarnation has carried out is reported once".

--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -148,6 +148,7 @@
     void onRunEnded(InstanceSession& session, const jobs::RunEnded& record) override;
     void onEndsListed(InstanceSession& session, std::uint64_t number) override;
     void onStartRefused(InstanceSession& session, const jobs::TaskId& task, fleet::StartResult result) override;
+    void onEarlierOrderFound(InstanceSession& session, const jobs::TaskId& task) override;
     void onIncarnationEnded(InstanceSession& session, std::int64_t startedAt) override;
     void onContactChanged(InstanceSession& session, bool isInContact, const std::string& reason) override;
     void onSessionChanged(InstanceSession& session) override;
--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -785,6 +785,13 @@
     });
 }
 
+void Controller::onEarlierOrderFound(InstanceSession& session, const TaskId& task)
+{
+    context_.events.write("run.crossed-restart",
+        { { "task", jobs::toText(task) }, { "instance", session.incarnation().instance },
+            { "born", session.incarnation().startedAt }, { "epoch", sessionContext_.epoch } });
+}
+
 void Controller::onIncarnationEnded(InstanceSession& session, std::int64_t startedAt)
 {
     recordCrash(session);
--- a/src/control/internal/instancesession.cpp
+++ b/src/control/internal/instancesession.cpp
@@ -518,6 +518,8 @@
         }
         present.insert(observed.task);
         run->percent = observed.percent;
+        if (std::exchange(run->isAdopted, false))
+            context_.observer.onEarlierOrderFound(*this, observed.task);
         if (run->state == OrderState::Inherited || run->state == OrderState::Unanswered)
             confirmStart(observed.task, *run);
     }
@@ -569,6 +571,7 @@
         TrackedRun adopted = run;
         adopted.state = isUnsettled ? OrderState::Unanswered : OrderState::Inherited;
         adopted.isStopping = run.isStopping || isUnsettled;
+        adopted.isAdopted = true;
         adopted.isStopCallPending = false;
         adopted.isStopAnswered = false;
         adopted.settledAt.reset();
--- a/src/control/internal/instancesession.h
+++ b/src/control/internal/instancesession.h
@@ -67,6 +67,7 @@
     bool isStopAnswered = false; ///< The instance has answered a call to stop the run.
     bool isStopCallPending = false; ///< A call to stop the run awaits its answer.
     bool isPlannedStop = false; ///< Stopped to relocate the task.
+    bool isAdopted = false; ///< Ordered from an earlier incarnation.
     bool isOrderHeld = false; ///< The start order waits until the incarnation has answered.
     /// From then on no order is in flight; a later listing without the run shows that it does not exist.
     std::optional<foundation::SteadyTime> settledAt;
--- a/src/control/internal/isessionobserver.h
+++ b/src/control/internal/isessionobserver.h
@@ -30,6 +30,9 @@
     /// since 1970; 0 if it is not known.
     virtual void onIncarnationEnded(InstanceSession& session, std::int64_t startedAt) = 0;
 
+    /// The instance lists a run whose order was meant for an earlier incarnation.
+    virtual void onEarlierOrderFound(InstanceSession& session, const jobs::TaskId& task) = 0;
+
     /// The instance has begun or stopped answering calls.
     virtual void onContactChanged(InstanceSession& session, bool isInContact, const std::string& reason) = 0;
 
--- a/src/control/tests/instancesessiontests.cpp
+++ b/src/control/tests/instancesessiontests.cpp
@@ -21,6 +21,7 @@
     void onRunEnded(InstanceSession&, const jobs::RunEnded&) override { ++endedRuns; }
     void onEndsListed(InstanceSession&, std::uint64_t) override { }
     void onStartRefused(InstanceSession&, const TaskId&, fleet::StartResult) override { }
+    void onEarlierOrderFound(InstanceSession&, const TaskId&) override { ++earlierOrders; }
     void onIncarnationEnded(InstanceSession&, std::int64_t) override { ++endedIncarnations; }
     void onContactChanged(InstanceSession&, bool, const std::string&) override { }
     void onSessionChanged(InstanceSession&) override { }
@@ -29,6 +30,7 @@
     int startedRuns = 0;
     int endedRuns = 0;
     int endedIncarnations = 0;
+    int earlierOrders = 0;
 };
 
 class NullPeers : public IPeerControl {
@@ -457,3 +459,24 @@
     CHECK(fixture.session->leaseExpiry().at >= formerLeases);
     CHECK(fixture.session->leaseExpiry().bound == LeaseBound::FormerControllers);
 }
+
+// An order that takes effect after a restart of its instance holds a lease that nobody counts. No event told of one.
+TEST_CASE("session: an order that a later incarnation has carried out is reported once", "[control]")
+{
+    SessionFixture fixture;
+    const TaskId task { 1, 0, 0, 0 };
+    fixture.order(task);
+    fixture.confirmStart(task);
+    fleet::InstanceReport later = fixture.session->report();
+    later.incarnation.startedAt = 8;
+    InstanceSessionPtr successor(new InstanceSession(later, fixture.context));
+    successor->adoptRuns(*fixture.session);
+    fleet::RenewAnswer answer { 8, fleet::InstanceTime(50), {}, {}, false };
+    answer.running.push_back({ task, 1, {}, 0, 0 });
+    for (int renewal = 0; renewal < 2; ++renewal) {
+        fixture.clock.time += fixture.terms.renewalWait;
+        successor->tick(ControlStatus::Confirmed);
+        fixture.control.renewal(answer);
+    }
+    CHECK(fixture.observer.earlierOrders == 1);
+}
