Instances: orders for one incarnation reach that incarnation or none

Cause: the header names the instance, not its incarnation. A call that finds no idle connection opens one, and if the instance has started again meanwhile, unnoticed since a long renewal still waits on a connection of the earlier incarnation, the order is carried out. The end of its lease, a time on the clock of the earlier incarnation, grants the longest lease there, and a successor of the controller counts half of that.

Evidence: "instance control: a start order reaches the incarnation that it is meant for or none" and "... a lease end and acknowledged ends reach no later incarnation" failed without the change: the second process under the name carried out the start order of the first one, with and without an earlier connection.

Change: a connection ends with the process that accepted it, so it can stand for the incarnation. Start orders, and renewals with a lease end or acknowledged ends, are sent only on a connection that has been identified: its first such call is preceded by a renewal that changes nothing and whose answer tells the start of the incarnation. If that is another one, the call fails as not sent, and the session learns of the restart by its next renewal.

--- a/src/control/internal/instancesession.cpp
+++ b/src/control/internal/instancesession.cpp
@@ -108,7 +108,7 @@
 
 fleet::InstanceHandle InstanceSession::handle() const
 {
-    return { report_.incarnation.instance, report_.address, context_.epoch };
+    return { report_.incarnation.instance, report_.address, context_.epoch, report_.incarnation.startedAt };
 }
 
 InstanceTime InstanceSession::clockEstimate() const
--- a/src/emulator/emulatedplatformclient.h
+++ b/src/emulator/emulatedplatformclient.h
@@ -96,7 +96,7 @@
     /// answer, or executed and answered. `execute` runs on the instance and returns the delivery of its answer;
     /// `reject` takes the error code of an order without one.
     template <typename Execute, typename Reject>
-    void sendOrder(const fleet::InstanceHandle& instance, Execute execute, Reject reject);
+    void sendOrder(const fleet::InstanceHandle& instance, bool isForOneIncarnation, Execute execute, Reject reject);
 
     EmulatedPlatform& platform_;
     foundation::IClock& clock_;
--- a/src/emulator/internal/emulatedplatformclient.cpp
+++ b/src/emulator/internal/emulatedplatformclient.cpp
@@ -238,7 +238,8 @@
 }
 
 template <typename Execute, typename Reject>
-void EmulatedPlatformClient::sendOrder(const InstanceHandle& handle, Execute execute, Reject reject)
+void EmulatedPlatformClient::sendOrder(
+    const InstanceHandle& handle, bool isForOneIncarnation, Execute execute, Reject reject)
 {
     auto& faults = platform_.faults();
     if (faults.unreachableInstances.count(handle.instance) || faults.areSeparated(self_.entry, handle.instance))
@@ -267,10 +268,13 @@
     const int connection = connectionGenerations_[handle.address];
     scheduleAfter(
         networkDelay,
-        [this, &platform = platform_, isAlive = isAlive_, handle, execute, reject, isAnswerLost, connection] {
+        [this, &platform = platform_, isAlive = isAlive_, handle, isForOneIncarnation, execute, reject, isAnswerLost,
+            connection] {
             EmulatedInstance* instance = platform.instanceAt(handle.address);
             const bool isOther = instance && instance->report().incarnation.instance != handle.instance;
-            if (!instance || isOther) {
+            const bool isOtherIncarnation = isForOneIncarnation && handle.startedAt != 0 && instance
+                && instance->report().incarnation.startedAt != handle.startedAt;
+            if (!instance || isOther || isOtherIncarnation) {
                 const Errc code = isOther ? Errc::WrongInstance : Errc::Unavailable;
                 if (*isAlive)
                     answer(networkDelay, [reject, code] { reject(code); });
@@ -290,7 +294,7 @@
     const InstanceHandle& handle, const fleet::StartOrder& startOrder, StartCallback done)
 {
     sendOrder(
-        handle,
+        handle, true,
         [&platform = platform_, startOrder, token = handle.token, done](EmulatedInstance& instance) {
             platform.invariants().onStartOrdered(startOrder);
             const auto result = instance.start(
@@ -304,7 +308,7 @@
     const InstanceHandle& handle, const jobs::TaskId& task, std::uint32_t run, StopCallback done)
 {
     sendOrder(
-        handle,
+        handle, false,
         [task, run, token = handle.token, done](EmulatedInstance& instance) {
             const auto result = instance.stop(task, run, token);
             return std::function<void()>([done, result] { done(result); });
@@ -318,7 +322,7 @@
     constexpr milliseconds shortWait { 100 };
     const milliseconds answerDelay = request.wait.count() > 0 ? shortWait : milliseconds(0);
     sendOrder(
-        handle,
+        handle, request.isForOneIncarnation(),
         [this, isAlive = isAlive_, request, token = handle.token, done, answerDelay, address = handle.address,
             connection = connectionGenerations_[handle.address]](EmulatedInstance& instance) {
             const auto result = instance.renew(request, token);
--- a/src/fleet/iinstancecontrol.h
+++ b/src/fleet/iinstancecontrol.h
@@ -64,6 +64,10 @@
     std::uint64_t acknowledgedEnds = 0; ///< Ends up to this number are in the log and need not be listed again.
     std::optional<InstanceTime> leaseEnd; ///< New end of the lease, which never moves back; empty to keep the old one.
     milliseconds wait { 0 }; ///< Long poll: how long the instance may hold the answer until a run ends.
+
+    /// Whether the request has a meaning for one incarnation only. Any other renewal reaches each of them, and its
+    /// answer tells which one.
+    bool isForOneIncarnation() const { return leaseEnd.has_value() || acknowledgedEnds > 0; }
 };
 
 /// All runs on an instance and the ends that were not acknowledged yet.
@@ -80,9 +84,13 @@
     std::string instance; ///< Expected name; any other instance at the address answers Errc::WrongInstance.
     foundation::Address address;
     std::uint64_t token = 0; ///< Fencing token: the epoch of the controller.
+    /// Start of the expected incarnation in milliseconds since the Unix epoch; 0 if it is not known.
+    std::int64_t startedAt = 0;
 };
 
-/// Sends orders to instances. Errc::Unavailable: the order was not sent. Errc::WrongInstance: it had no effect.
+/// Sends orders to instances. What has a meaning for one incarnation only, a lease end on its clock or the numbers of
+/// its ends, reaches no other one: such an order fails with Errc::Unavailable if another incarnation has taken its
+/// place. So do all start orders. Errc::Unavailable: the order was not sent. Errc::WrongInstance: it had no effect.
 /// After any other error the order may have taken effect or may do so seconds later.
 class IInstanceControl {
 public:
--- a/src/httpclient/internal/clientconnection.cpp
+++ b/src/httpclient/internal/clientconnection.cpp
@@ -40,17 +40,29 @@
 
 } // namespace
 
-ClientConnection::ClientConnection(asio::io_context& context, PooledHttpClient& client)
+ClientConnection::ClientConnection(
+    asio::io_context& context, PooledHttpClient& client, const IServerIdentification* identification)
     : socket_(context)
     , deadlines_(asio::use_service<CallDeadlines>(context))
     , client_(&client)
+    , identification_(identification)
 {
 }
 
 void ClientConnection::send(HttpCall call, HttpCallback done, foundation::SteadyTime deadline)
 {
-    operation_ = std::move(call.step);
     done_ = std::move(done);
+    if (serverIncarnation_ == call.serverIncarnation || call.serverIncarnation == 0)
+        return begin(std::move(call), deadline);
+    HttpCall identificationCall = identification_->identificationCall();
+    const auto identificationDeadline = std::chrono::steady_clock::now() + identificationCall.timeout;
+    identifiedCall_ = std::move(call);
+    begin(std::move(identificationCall), identificationDeadline);
+}
+
+void ClientConnection::begin(HttpCall call, foundation::SteadyTime deadline)
+{
+    operation_ = std::move(call.step);
     onProgress_ = std::move(call.onProgress);
     closesConnection_ = call.closesConnection;
     writeHeader(call);
@@ -234,14 +246,36 @@
     const bool canReuseConnection = isComplete && (!isReadFull_ || isUsable());
     if (canReuseConnection)
         read();
+    if (identifiedCall_)
+        return onIdentified({ parser_->status(), parser_->takeBody() }, canReuseConnection);
     finish(HttpResponse { parser_->status(), parser_->takeBody() }, canReuseConnection);
 }
 
+void ClientConnection::onIdentified(const HttpResponse& response, bool canReuseConnection)
+{
+    HttpCall call = std::move(*identifiedCall_);
+    identifiedCall_.reset();
+    serverIncarnation_ = identification_->incarnationFrom(response);
+    const bool isExpected = serverIncarnation_ == call.serverIncarnation;
+    const bool isWanted = !call.isStillWanted || call.isStillWanted();
+    if (canReuseConnection && isExpected && isWanted) {
+        CallDeadlines::cancel(*this);
+        const auto deadline = std::chrono::steady_clock::now() + call.timeout;
+        return begin(std::move(call), deadline);
+    }
+    const std::string address = client_ ? client_->address().toString() : std::string();
+    const std::string reason = isExpected ? "no longer permitted" : "the server runs in another incarnation";
+    finish(failure(Errc::Unavailable, call.step, address, reason), canReuseConnection && serverIncarnation_ != 0);
+}
+
+// A call that waits for the identification was not sent.
 void ClientConnection::fail(Errc code, const beast::error_code& error)
 {
     const std::string address = client_ ? client_->address().toString() : std::string();
+    const Errc reported = identifiedCall_ ? Errc::Unavailable : code;
+    identifiedCall_.reset();
     abort();
-    finish(failure(code, operation_, address, error.message()), false);
+    finish(failure(reported, operation_, address, error.message()), false);
 }
 
 void ClientConnection::finish(foundation::Result<HttpResponse> result, bool canReuseConnection)
--- a/src/httpclient/internal/clientconnection.h
+++ b/src/httpclient/internal/clientconnection.h
@@ -3,6 +3,7 @@
 #include "foundation/tcpstream.h"
 #include "httpclient/internal/calldeadlines.h"
 #include "httpclient/internal/responseparser.h"
+#include "httpclient/iserveridentification.h"
 #include "httpclient/pooledhttpclient.h"
 
 #include <boost/beast/core/error.hpp>
@@ -22,20 +23,32 @@
 class ClientConnection : public boost::intrusive_ref_counter<ClientConnection, boost::thread_unsafe_counter>,
                          private TimedCall {
 public:
-    ClientConnection(boost::asio::io_context& context, PooledHttpClient& client);
+    ClientConnection(
+        boost::asio::io_context& context, PooledHttpClient& client, const IServerIdentification* identification);
 
+    /// Sends a call, after the identification of the server if the call is for one incarnation of it.
     void send(HttpCall call, HttpCallback done, foundation::SteadyTime deadline);
 
     /// Closes the connection and drops the call in progress without its callback, because the PooledHttpClient is being
     /// destroyed or discards the connection.
     void detach();
 
+    /// Incarnation of the server that the connection leads to; 0 until it has been identified.
+    std::int64_t serverIncarnation() const { return serverIncarnation_; }
+
+    /// Whether the connection may lead to an incarnation of the server; 0 stands for any.
+    bool canReach(std::int64_t incarnation) const
+    {
+        return incarnation == 0 || serverIncarnation_ == 0 || serverIncarnation_ == incarnation;
+    }
+
     /// Whether an idle connection can carry a call: the server has neither closed it nor sent unsolicited data.
     bool isUsable();
 
 private:
     void onDeadline() override;
     bool hasUnhandledEvent();
+    void begin(HttpCall call, foundation::SteadyTime deadline);
     void writeHeader(const HttpCall& call);
     void connect();
     void write();
@@ -45,6 +58,7 @@
     void parseResponse();
     void onDisconnected(const boost::beast::error_code& error);
     void onResponse();
+    void onIdentified(const HttpResponse& response, bool canReuseConnection);
     void fail(foundation::Errc code, const boost::beast::error_code& error);
     void finish(foundation::Result<HttpResponse> result, bool canReuseConnection);
     void abort();
@@ -53,6 +67,9 @@
     foundation::TcpSocket socket_;
     CallDeadlines& deadlines_;
     PooledHttpClient* client_;
+    const IServerIdentification* identification_;
+    std::int64_t serverIncarnation_ = 0;
+    std::optional<HttpCall> identifiedCall_; ///< Call that follows the identification in progress.
     boost::beast::flat_buffer buffer_;
     std::string header_; ///< Of the request, up to the empty line.
     std::string body_; ///< Of the request.
--- a/src/httpclient/internal/pooledhttpclient.cpp
+++ b/src/httpclient/internal/pooledhttpclient.cpp
@@ -10,11 +10,12 @@
 using foundation::Errc;
 using foundation::failure;
 
-PooledHttpClient::PooledHttpClient(
-    boost::asio::io_context& context, foundation::Address server, std::size_t maximumConnections)
+PooledHttpClient::PooledHttpClient(boost::asio::io_context& context, foundation::Address server,
+    std::size_t maximumConnections, const IServerIdentification* identification)
     : context_(context)
     , server_(std::move(server))
     , maximumConnections_(maximumConnections)
+    , identification_(identification)
     , queueTimer_(context)
 {
 }
@@ -41,20 +42,12 @@
             dropped.done(failure(Errc::Unavailable, dropped.call.step, server_.toString(), "no longer permitted"));
             continue;
         }
-        boost::intrusive_ptr<ClientConnection> connection;
-        if (!idleConnections_.empty()) {
-            connection = std::move(idleConnections_.back());
-            idleConnections_.pop_back();
-            if (!connection->isUsable()) {
-                connection->detach();
-                eraseConnection(*connection);
-                continue;
-            }
-        } else if (connections_.size() < maximumConnections_) {
-            connection = new ClientConnection(context_, *this);
+        auto connection = takeIdleConnection(queuedCalls_.front().call.serverIncarnation);
+        if (!connection) {
+            if (connections_.size() >= maximumConnections_)
+                return scheduleQueueTimeout(queuedCalls_.front().deadline);
+            connection = new ClientConnection(context_, *this, identification_);
             connections_.push_back(connection);
-        } else {
-            return scheduleQueueTimeout(queuedCalls_.front().deadline);
         }
         QueuedCall next = std::move(queuedCalls_.front());
         queuedCalls_.pop_front();
@@ -64,6 +57,25 @@
     queueTimer_.cancel();
 }
 
+// Connections that need no identification come first. Those that cannot carry the call are closed: the server has
+// closed them, or they lead to another incarnation.
+boost::intrusive_ptr<ClientConnection> PooledHttpClient::takeIdleConnection(std::int64_t incarnation)
+{
+    while (!idleConnections_.empty()) {
+        auto chosen = std::find_if(idleConnections_.rbegin(), idleConnections_.rend(),
+            [&](const auto& connection) { return connection->serverIncarnation() == incarnation; });
+        if (chosen == idleConnections_.rend())
+            chosen = idleConnections_.rbegin();
+        boost::intrusive_ptr<ClientConnection> connection = std::move(*chosen);
+        idleConnections_.erase(std::next(chosen).base());
+        if (connection->canReach(incarnation) && connection->isUsable())
+            return connection;
+        connection->detach();
+        eraseConnection(*connection);
+    }
+    return nullptr;
+}
+
 void PooledHttpClient::scheduleQueueTimeout(foundation::SteadyTime when)
 {
     queueTimeoutDueAt_ = when;
--- a/src/httpclient/pooledhttpclient.h
+++ b/src/httpclient/pooledhttpclient.h
@@ -4,6 +4,7 @@
 #include "foundation/iclock.h"
 #include "foundation/oneshottimer.h"
 #include "foundation/result.h"
+#include "httpclient/iserveridentification.h"
 #include "httpclient/types/httpcall.h"
 
 #include <boost/asio/io_context.hpp>
@@ -21,11 +22,14 @@
 /// Calls beyond the connection limit wait in a queue, at most for their timeout, which starts anew when they are sent.
 /// A late thread does not take its own lateness for the server's: a call whose response has arrived when its timeout
 /// expires does not fail, and a queued call may wait for up to twice its timeout.
+/// A call for one incarnation of the server is sent on connections that have been identified as leading to it.
 /// Errors: Errc::Unavailable: no byte of the call was sent. Errc::Timeout and Errc::ProtocolViolation: it is unknown
 /// whether the server has carried out the call; the connection is closed, since a late response may still arrive on it.
 class PooledHttpClient {
 public:
-    PooledHttpClient(boost::asio::io_context& context, foundation::Address server, std::size_t maximumConnections);
+    /// `identification` is needed for calls with HttpCall::serverIncarnation and outlives the client.
+    PooledHttpClient(boost::asio::io_context& context, foundation::Address server, std::size_t maximumConnections,
+        const IServerIdentification* identification = nullptr);
     ~PooledHttpClient();
 
     PooledHttpClient(const PooledHttpClient&) = delete;
@@ -45,6 +49,7 @@
         foundation::SteadyTime deadline;
     };
 
+    boost::intrusive_ptr<ClientConnection> takeIdleConnection(std::int64_t incarnation);
     void onConnectionIdle(ClientConnection& connection);
     void eraseConnection(const ClientConnection& connection);
     void onConnectionClosed(ClientConnection& connection);
@@ -55,6 +60,7 @@
     boost::asio::io_context& context_;
     foundation::Address server_;
     std::size_t maximumConnections_;
+    const IServerIdentification* identification_;
     std::vector<boost::intrusive_ptr<ClientConnection>> connections_;
     std::vector<boost::intrusive_ptr<ClientConnection>> idleConnections_;
     std::deque<QueuedCall> queuedCalls_;
--- a/src/httpclient/types/httpcall.h
+++ b/src/httpclient/types/httpcall.h
@@ -5,6 +5,7 @@
 
 #include <boost/beast/http/verb.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <utility>
@@ -28,6 +29,8 @@
     /// Largest part of the response that is received at a time, if more than the least. A busy thread receives one part
     /// in each turn of its loop.
     std::size_t readBufferBytes = 0;
+    /// If not 0, the call is only sent on a connection to this incarnation of the server; see IServerIdentification.
+    std::int64_t serverIncarnation = 0;
     /// If set, called each time a part of the response has arrived.
     std::function<void()> onProgress;
 };
