--- a/src/control/tests/instancesessiontests.cpp
+++ b/src/control/tests/instancesessiontests.cpp
@@ -58,8 +58,9 @@
 /// Keeps the callbacks of the calls, so that a test answers them.
 class HeldInstanceControl : public fleet::IInstanceControl {
 public:
-    void start(const fleet::InstanceHandle&, const fleet::StartOrder& order, StartCallback done) override
+    void start(const fleet::InstanceHandle& handle, const fleet::StartOrder& order, StartCallback done) override
     {
+        lastStartHandle = handle;
         starts[order.task] = std::move(done);
     }
     void stop(const fleet::InstanceHandle&, const TaskId&, std::uint32_t, StopCallback done) override
@@ -77,6 +78,7 @@
     void dropConnections(const foundation::Address&) override { }
 
     std::map<TaskId, StartCallback> starts;
+    fleet::InstanceHandle lastStartHandle;
     StopCallback pendingStop;
     int stops = 0;
     RenewCallback renewal;
@@ -480,3 +482,25 @@
     }
     CHECK(fixture.observer.earlierOrders == 1);
 }
+
+// A renewal that is meant for one incarnation as well would never reach the later one, and the session would not learn
+// of it.
+TEST_CASE("session: an order that found another incarnation is followed by a renewal that reaches any", "[control]")
+{
+    SessionFixture fixture;
+    const TaskId atWork { 1, 0, 0, 0 };
+    const TaskId task { 1, 0, 0, 1 };
+    fixture.order(atWork);
+    fixture.confirmStart(atWork);
+    fixture.control.renewal(fleet::RenewAnswer { 7, fleet::InstanceTime(60), { { atWork, 1, {}, 0, 0 } }, {}, false });
+    fixture.order(task);
+    CHECK(fixture.control.lastStartHandle.startedAt == 7);
+    fixture.control.starts.at(task)(failure(Errc::Unavailable, "instance.start"));
+    CHECK(fixture.observer.endedRuns == 1);
+    fixture.control.renewal(failure(Errc::Unavailable, "instance.renew"));
+    fixture.clock.time += milliseconds(200);
+    fixture.session->tick(ControlStatus::Confirmed);
+    CHECK_FALSE(fixture.control.lastRequest.isForOneIncarnation());
+    fixture.control.renewal(fleet::RenewAnswer { 8, fleet::InstanceTime(50), {}, {}, false });
+    CHECK(fixture.observer.endedIncarnations == 1);
+}
--- a/src/httpclient/internal/clientconnection.cpp
+++ b/src/httpclient/internal/clientconnection.cpp
@@ -264,7 +264,11 @@
         return begin(std::move(call), deadline);
     }
     const std::string address = client_ ? client_->address().toString() : std::string();
-    const std::string reason = isExpected ? "no longer permitted" : "the server runs in another incarnation";
+    std::string reason = "the server does not tell its incarnation";
+    if (isExpected)
+        reason = "no longer permitted";
+    else if (serverIncarnation_ != 0)
+        reason = "the server runs in another incarnation";
     finish(failure(Errc::Unavailable, call.step, address, reason), canReuseConnection && serverIncarnation_ != 0);
 }
 
