HTTP client: each reason why an identified call was not sent, and no memory for it while none waits

Found by reading the change afresh: a server that closes the connection after the identification was reported as a call that is no longer permitted, and each connection held room for a call that few of them ever need. No behaviour besides.

--- a/src/fleet/iinstancecontrol.h
+++ b/src/fleet/iinstancecontrol.h
@@ -88,9 +88,9 @@
     std::int64_t startedAt = 0;
 };
 
-/// Sends orders to instances. What has a meaning for one incarnation only, a lease end on its clock or the numbers of
-/// its ends, reaches no other one: such an order fails with Errc::Unavailable if another incarnation has taken its
-/// place. So do all start orders. Errc::Unavailable: the order was not sent. Errc::WrongInstance: it had no effect.
+/// Sends orders to instances. Start orders, and renewals with a meaning for one incarnation only (a lease end on its
+/// clock, the numbers of its ends), reach that incarnation or none: they fail with Errc::Unavailable if another one has
+/// taken its place. Errc::Unavailable: the order was not sent. Errc::WrongInstance: it had no effect.
 /// After any other error the order may have taken effect or may do so seconds later.
 class IInstanceControl {
 public:
--- a/src/httpclient/internal/clientconnection.cpp
+++ b/src/httpclient/internal/clientconnection.cpp
@@ -56,7 +56,7 @@
         return begin(std::move(call), deadline);
     HttpCall identificationCall = identification_->identificationCall();
     const auto identificationDeadline = std::chrono::steady_clock::now() + identificationCall.timeout;
-    identifiedCall_ = std::move(call);
+    identifiedCall_ = std::make_unique<HttpCall>(std::move(call));
     begin(std::move(identificationCall), identificationDeadline);
 }
 
@@ -253,23 +253,25 @@
 
 void ClientConnection::onIdentified(const HttpResponse& response, bool canReuseConnection)
 {
-    HttpCall call = std::move(*identifiedCall_);
-    identifiedCall_.reset();
+    const std::unique_ptr<HttpCall> call = std::move(identifiedCall_);
     serverIncarnation_ = identification_->incarnationFrom(response);
-    const bool isExpected = serverIncarnation_ == call.serverIncarnation;
-    const bool isWanted = !call.isStillWanted || call.isStillWanted();
-    if (canReuseConnection && isExpected && isWanted) {
-        CallDeadlines::cancel(*this);
-        const auto deadline = std::chrono::steady_clock::now() + call.timeout;
-        return begin(std::move(call), deadline);
-    }
-    const std::string address = client_ ? client_->address().toString() : std::string();
-    std::string reason = "the server does not tell its incarnation";
-    if (isExpected)
-        reason = "no longer permitted";
-    else if (serverIncarnation_ != 0)
+    std::string reason;
+    if (serverIncarnation_ == 0)
+        reason = "the server does not tell its incarnation";
+    else if (serverIncarnation_ != call->serverIncarnation)
         reason = "the server runs in another incarnation";
-    finish(failure(Errc::Unavailable, call.step, address, reason), canReuseConnection && serverIncarnation_ != 0);
+    else if (!canReuseConnection)
+        reason = "the server closes the connection";
+    else if (call->isStillWanted && !call->isStillWanted())
+        reason = "no longer permitted";
+    if (!reason.empty()) {
+        const std::string address = client_ ? client_->address().toString() : std::string();
+        return finish(
+            failure(Errc::Unavailable, call->step, address, reason), canReuseConnection && serverIncarnation_ != 0);
+    }
+    CallDeadlines::cancel(*this);
+    const auto deadline = std::chrono::steady_clock::now() + call->timeout;
+    begin(std::move(*call), deadline);
 }
 
 // A call that waits for the identification was not sent.
--- a/src/httpclient/internal/clientconnection.h
+++ b/src/httpclient/internal/clientconnection.h
@@ -9,6 +9,7 @@
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -69,7 +70,7 @@
     PooledHttpClient* client_;
     const IServerIdentification* identification_;
     std::int64_t serverIncarnation_ = 0;
-    std::optional<HttpCall> identifiedCall_; ///< Call that follows the identification in progress.
+    std::unique_ptr<HttpCall> identifiedCall_; ///< Call that follows the identification in progress.
     boost::beast::flat_buffer buffer_;
     std::string header_; ///< Of the request, up to the empty line.
     std::string body_; ///< Of the request.
