--- a/src/control/internal/instancesession.cpp
+++ b/src/control/internal/instancesession.cpp
@@ -144,7 +144,7 @@
     }
     if (inherited.at > expiry.at)
         expiry = inherited;
-    // A renewal that was sent to the earlier incarnation may have reached this one.
+    // A call of an earlier version, or one that was carried out late, may have reached this incarnation.
     if (earlierLeasesExpiredAt_ > expiry.at)
         expiry = { earlierLeasesExpiredAt_, LeaseBound::EarlierIncarnation };
     return expiry;
@@ -386,7 +386,7 @@
     // While the ends are being appended to the log, the lease is still renewed.
     if (lastListedEnd_ > lastAcknowledgedEnd_)
         return sinceLast >= context_.leaseTerms.renewalWait;
-    // An order for the earlier incarnation may still arrive.
+    // An order for the earlier incarnation may still be carried out late.
     const bool mayStartUnexpectedly = context_.clock.now() <= earlierLeasesExpiredAt_;
     const auto idleInterval
         = mayStartUnexpectedly ? context_.leaseTerms.renewalWait : context_.leaseTerms.idleRenewInterval;
@@ -438,13 +438,13 @@
     isRenewing_ = true;
     lastRenewalAt_ = context_.clock.now();
     fleet::RenewRequest request;
-    // After a longer silence a new incarnation may answer, which numbers its run ends from 1 again.
+    // After a longer silence the renewal has to reach a new incarnation as well, so it acknowledges no ends.
     const bool isSameIncarnation
         = consecutiveFailures_ == 0 && lastRenewalAt_ - lastRenewalAnswerAt_ < minimumRestartTime;
     request.acknowledgedEnds = isSameIncarnation ? lastAcknowledgedEnd_ : 0;
     const bool hasRuns = !runs_.empty() || !unexpectedRuns_.empty();
-    // The lease of an instance that does not answer is not extended, so that its runs end at a known time. On the clock
-    // of the next incarnation, the end of a lease of this one would mean the longest lease.
+    // The lease of an instance that does not answer is not extended, so that its runs end at a known time. A renewal
+    // with a lease end would not reach the next incarnation either, and so not tell of it.
     if (clock_ && !runs_.empty() && !isIncarnationInDoubt_) {
         sentLeaseEnd_ = std::max(sentLeaseEnd_, longestLease());
         request.leaseEnd = sentLeaseEnd_;
