Teams: callers are identified by API keys, and jobs carry their team

Change: FleetConfiguration holds teams and public queues; module identity finds the team of a request's key. Unknown and missing keys are answered 401, repeated headers 400. An entry whose configuration is older than configuration_bound_ms answers 503 instead of 401, and one whose configuration is older than 3/5 of key_revocation_bound_ms accepts no key. Nothing changes without declared teams.

--- a/src/emulator/internal/emulation.cpp
+++ b/src/emulator/internal/emulation.cpp
@@ -141,7 +141,7 @@
         return platform_.invariants().onOutcomeUnknown(id);
     // Without an answer, for example because the process ends, the job may or may not be stored.
     platform_.invariants().onOutcomeUnknown(id);
-    target->service().submit(platform_.configuration().queues.front(), id, spec, clock_.now() + callerTimeout,
+    target->service().submit(platform_.configuration().queues.front(), {}, id, spec, clock_.now() + callerTimeout,
         [this, id, onAnswer](RequestResult result) {
             if (onAnswer)
                 onAnswer(result);
@@ -158,7 +158,7 @@
     if (!target || pausedEntries_.count(entryName))
         return;
     platform_.invariants().onCancelRequested(id);
-    target->service().cancel(id, clock_.now() + callerTimeout, [this, id](RequestResult result) {
+    target->service().cancel({}, id, clock_.now() + callerTimeout, [this, id](RequestResult result) {
         if (result.outcome == RequestOutcome::Stored)
             platform_.invariants().onCancelled(id);
     });
@@ -170,7 +170,7 @@
     EmulatedEntry* target = entry(entryName);
     if (!target || pausedEntries_.count(entryName))
         return;
-    target->service().status(id, wait, [this, id, onStatus](JobStatus status) {
+    target->service().status({}, id, wait, [this, id, onStatus](JobStatus status) {
         if (status.lookup == JobLookup::Found && status.state == jobs::JobState::Completed)
             platform_.invariants().onReportedCompleted(id);
         if (onStatus)
--- a/src/entry/ijobservice.h
+++ b/src/entry/ijobservice.h
@@ -19,6 +19,7 @@
     NotStored, ///< The request surely has no effect, now or later.
     Unknown, ///< The request may or may not take effect.
     Rejected, ///< The request has no effect, nor would it if it was repeated: it is too large for the log.
+    Forbidden, ///< The request has no effect: the job belongs to another team.
 };
 
 struct RequestResult {
@@ -26,6 +27,12 @@
     milliseconds retryAfter { 0 }; ///< Delay before the caller retries a request that was not stored.
 };
 
+/// Who sends a request, and for which queue.
+struct Caller {
+    std::string queue;
+    std::string team; ///< Empty if the caller was not identified.
+};
+
 /// Queue that a request is routed to.
 struct QueueLookup {
     const fleet::Queue* queue = nullptr; ///< Null if the configuration that this entry knows has none.
@@ -38,6 +45,7 @@
     Found,
     NotFound, ///< The log was read to its end and holds no such job.
     Unavailable, ///< The log could not be read, so the job may or may not exist.
+    Forbidden, ///< The job belongs to another team.
 };
 
 struct JobStatus {
@@ -53,17 +61,20 @@
     /// Finds the queue of a request to a host and path.
     virtual QueueLookup findQueue(const std::string& host, const std::string& path) = 0;
 
-    /// Accepts a job. A submission with a known id counts as a repetition and is answered as stored without a further
-    /// effect.
-    virtual void submit(const fleet::Queue& queue, jobs::JobId id, jobs::JobSpec spec, foundation::SteadyTime deadline,
-        std::function<void(RequestResult)> done)
+    /// Accepts a job of a team; `team` is empty if the caller was not identified. A submission with a known id counts
+    /// as a repetition and is answered as stored without a further effect.
+    virtual void submit(const fleet::Queue& queue, const std::string& team, jobs::JobId id, jobs::JobSpec spec,
+        foundation::SteadyTime deadline, std::function<void(RequestResult)> done)
         = 0;
 
-    virtual void cancel(jobs::JobId id, foundation::SteadyTime deadline, std::function<void(RequestResult)> done) = 0;
+    virtual void cancel(
+        const Caller& caller, jobs::JobId id, foundation::SteadyTime deadline, std::function<void(RequestResult)> done)
+        = 0;
 
     /// Reports the state of a job. While the job is in progress, the answer waits up to `wait` for its end: a caller
     /// that asks while the end is being stored is told of it, and not of the state before.
-    virtual void status(jobs::JobId id, milliseconds wait, std::function<void(JobStatus)> done) = 0;
+    virtual void status(const Caller& caller, jobs::JobId id, milliseconds wait, std::function<void(JobStatus)> done)
+        = 0;
 
     /// Reports the number of open jobs of the queue none of whose tasks has started, or nothing if this entry has not
     /// read the log recently enough to know it.
--- a/src/entry/internal/jobservice.cpp
+++ b/src/entry/internal/jobservice.cpp
@@ -46,12 +46,21 @@
             return "not-stored";
         case RequestOutcome::Rejected:
             return "rejected";
+        case RequestOutcome::Forbidden:
+            return "forbidden";
         case RequestOutcome::Unknown:
             break;
         }
         return "unknown";
     }
 
+    /// Whether a caller may learn of a job and cancel it. A queue may have become public after the job was accepted.
+    bool hasAccess(const Caller& caller, const jobs::Job& job)
+    {
+        const bool isQueuePublic = caller.team.empty() && job.queue == caller.queue;
+        return job.team.empty() || job.team == caller.team || isQueuePublic;
+    }
+
     /// Whether no later answer about the job can differ.
     bool isSettled(const JobStatus& status)
     {
@@ -95,9 +104,17 @@
     return lookup;
 }
 
-void JobService::submit(const fleet::Queue& queue, JobId id, jobs::JobSpec spec, foundation::SteadyTime deadline,
-    std::function<void(RequestResult)> done)
+bool JobService::isForbidden(const Caller& caller, JobId id) const
+{
+    const jobs::Job* job = follower_.table().find(id);
+    return job && !hasAccess(caller, *job);
+}
+
+void JobService::submit(const fleet::Queue& queue, const std::string& team, JobId id, jobs::JobSpec spec,
+    foundation::SteadyTime deadline, std::function<void(RequestResult)> done)
 {
+    if (isForbidden({ queue.name, team }, id))
+        return done({ RequestOutcome::Forbidden, milliseconds(0) });
     if (follower_.table().find(id) && isJobStored_(id)) {
         events_.write("job.repeated", { { "job", jobs::toText(id) }, { "offset", follower_.offset() } });
         return done({ RequestOutcome::Stored, milliseconds(0) });
@@ -105,13 +122,16 @@
     const auto receivedAt = std::chrono::duration_cast<milliseconds>(clock_.wallNow().time_since_epoch());
     append(
         "job.submitted",
-        jobs::JobSubmitted { id, queue.name, queue.pool, receivedAt, std::move(spec), queue.maximumAttempts }, id,
+        jobs::JobSubmitted { id, queue.name, queue.pool, receivedAt, std::move(spec), queue.maximumAttempts, team }, id,
         deadline, [this, id] { return follower_.table().find(id) && isJobStored_(id); }, std::move(done));
 }
 
 // The cancellation of an unknown job is written as well, since another entry may just have accepted that job.
-void JobService::cancel(JobId id, foundation::SteadyTime deadline, std::function<void(RequestResult)> done)
+void JobService::cancel(
+    const Caller& caller, JobId id, foundation::SteadyTime deadline, std::function<void(RequestResult)> done)
 {
+    if (isForbidden(caller, id))
+        return done({ RequestOutcome::Forbidden, milliseconds(0) });
     const auto isCancelled = [this, id] {
         const jobs::Job* job = follower_.table().find(id);
         return job && job->isCancelled && isJobStored_(id);
@@ -151,12 +171,13 @@
 
 // The log is read to its end for an unknown job. For a job in progress the answer waits for the records that follow, or
 // the log is read to its end if it does not wait, unless this entry is the controller that writes these records.
-void JobService::status(JobId id, milliseconds wait, std::function<void(JobStatus)> done)
+void JobService::status(const Caller& caller, JobId id, milliseconds wait, std::function<void(JobStatus)> done)
 {
     const auto now = clock_.now();
-    const auto request = std::make_shared<StatusRequest>(StatusRequest { id, now, now + wait, std::move(done) });
+    const auto request
+        = std::make_shared<StatusRequest>(StatusRequest { caller, id, now, now + wait, std::move(done) });
     const JobStatus known = statusFromTable(id);
-    if (isSettled(known))
+    if (isSettled(known) || isForbidden(caller, id))
         return answer(*request, known);
     if (known.lookup == JobLookup::Found && wait.count() > 0)
         return awaitEnd(request);
@@ -233,6 +254,8 @@
     ++statusLoad_.answers;
     statusLoad_.totalWait += waited;
     statusLoad_.longestWait = std::max(statusLoad_.longestWait, waited);
+    if (isForbidden(request.caller, request.job))
+        return std::exchange(request.done, nullptr)({ JobLookup::Forbidden, jobs::JobState::Queued });
     const bool hasEnded = status.lookup == JobLookup::Found
         && (status.state == jobs::JobState::Completed || status.state == jobs::JobState::Failed);
     if (hasEnded)
--- a/src/entry/jobservice.h
+++ b/src/entry/jobservice.h
@@ -37,10 +37,11 @@
     void setConfigurationAge(std::function<milliseconds()> age, milliseconds maximumAge);
 
     QueueLookup findQueue(const std::string& host, const std::string& path) override;
-    void submit(const fleet::Queue& queue, jobs::JobId id, jobs::JobSpec spec, foundation::SteadyTime deadline,
+    void submit(const fleet::Queue& queue, const std::string& team, jobs::JobId id, jobs::JobSpec spec,
+        foundation::SteadyTime deadline, std::function<void(RequestResult)> done) override;
+    void cancel(const Caller& caller, jobs::JobId id, foundation::SteadyTime deadline,
         std::function<void(RequestResult)> done) override;
-    void cancel(jobs::JobId id, foundation::SteadyTime deadline, std::function<void(RequestResult)> done) override;
-    void status(jobs::JobId id, milliseconds wait, std::function<void(JobStatus)> done) override;
+    void status(const Caller& caller, jobs::JobId id, milliseconds wait, std::function<void(JobStatus)> done) override;
 
     /// Answers the requests whose job has ended; to be called when the log was read or own records were stored.
     void onJobsChanged();
@@ -53,12 +54,16 @@
 private:
     /// A caller's request for the state of a job.
     struct StatusRequest {
+        Caller caller;
         jobs::JobId job = 0;
         foundation::SteadyTime receivedAt {};
         foundation::SteadyTime waitsUntil {}; ///< When it is answered although the job is in progress.
         std::function<void(JobStatus)> done; ///< Empty once it was answered.
     };
 
+    /// Whether the job is known and belongs to another team than the caller's.
+    bool isForbidden(const Caller& caller, jobs::JobId id) const;
+
     /// Status of a job by the table as it is, without another read of the log.
     JobStatus statusFromTable(jobs::JobId id) const;
 
--- a/src/entryd/entryprocess.h
+++ b/src/entryd/entryprocess.h
@@ -11,6 +11,7 @@
 #include "foundation/systemclock.h"
 #include "httpclient/pooledhttpclient.h"
 #include "httpserver/httpserver.h"
+#include "identity/teamkeydirectory.h"
 #include "platform/httpadvice.h"
 #include "platform/httpeventlog.h"
 #include "platform/httpfleetsource.h"
@@ -59,6 +60,7 @@
 
 private:
     control::ControlSettings controlSettings() const;
+    identity::KeyAgeLimits keyAgeLimits() const;
     void connectComponents();
     void runEventLoop();
     foundation::Result<void> listen();
@@ -98,6 +100,7 @@
     eventlog::JobSubmitter jobSubmitter_;
     entry::JobService jobService_;
     entry::DeclarationWatcher declarationWatcher_;
+    identity::TeamKeyDirectory teamKeys_;
     platform::JobHttpHandler jobHandler_;
     platform::ReadinessHttpHandler readinessHandler_;
     telemetry::TelemetryHandler telemetryHandler_;
--- a/src/entryd/internal/entryprocess.cpp
+++ b/src/entryd/internal/entryprocess.cpp
@@ -117,7 +117,9 @@
     , jobSubmitter_(submissionRouter_, clock_, timers_)
     , jobService_(jobFollower_, jobSubmitter_, clock_, timers_, events_)
     , declarationWatcher_(fleetSource_, clock_, timers_, events_)
-    , jobHandler_(jobService_, clock_)
+    , teamKeys_(
+          keyAgeLimits(), [this] { return declarationWatcher_.age(); }, events_)
+    , jobHandler_(jobService_, teamKeys_, clock_)
     , readinessHandler_(readiness_)
     , telemetryHandler_(metrics_, readiness_)
     , peerHandler_(control_, telemetryHandler_)
@@ -142,6 +144,15 @@
     return result;
 }
 
+identity::KeyAgeLimits EntryProcess::keyAgeLimits() const
+{
+    identity::KeyAgeLimits result;
+    result.newKeys = settings_.configurationBound;
+    if (settings_.keyRevocationBound)
+        result.removedKeys = identity::maximumAgeForKeys(*settings_.keyRevocationBound);
+    return result;
+}
+
 void EntryProcess::connectComponents()
 {
     jobService_.setControlStateChecks(
@@ -149,6 +160,7 @@
     jobService_.setConfigurationAge([this] { return declarationWatcher_.age(); }, settings_.configurationBound);
     jobSubmitter_.setStoreAvailabilityCheck([this] { return control_.isStoreAnswering(); });
     declarationWatcher_.onConfiguration([this](const fleet::FleetConfiguration& configuration) {
+        teamKeys_.setConfiguration(configuration);
         jobService_.setConfiguration(configuration);
         control_.setConfiguration(configuration);
     });
--- a/src/fleet/internal/fleet.cpp
+++ b/src/fleet/internal/fleet.cpp
@@ -34,6 +34,14 @@
     return found == queues.end() ? nullptr : &*found;
 }
 
+const Team* FleetConfiguration::findTeam(const std::string& name) const
+{
+    if (!teams)
+        return nullptr;
+    const auto found = teams->find(name);
+    return found == teams->end() ? nullptr : &found->second;
+}
+
 bool InstanceReport::hasLabel(const std::string& label) const
 {
     return std::find(labels.begin(), labels.end(), label) != labels.end();
--- a/src/fleet/types/fleet.h
+++ b/src/fleet/types/fleet.h
@@ -32,6 +32,18 @@
     double criticalPathFactor = 1; ///< Factor that the completion objective applies to a job's critical path.
     milliseconds objectiveMargin { 0 }; ///< Time that the completion objective adds to the multiplied critical path.
     std::optional<AdviceSettings> advice;
+    bool isPublic = false; ///< Requests need no API key, even where callers are identified.
+};
+
+/// A group of callers that share API keys, a rate of jobs and a share of the fleet.
+struct Team {
+    std::string name;
+    std::vector<std::string> apiKeys;
+    /// Jobs per second that the team may submit before all others are served; also its share of a full pool, relative
+    /// to the weights of the other teams.
+    double weight = 1;
+    /// Limit of the resources that the team's runs hold on all instances together; unlimited where it is 0.
+    jobs::Resources cap;
 };
 
 /// A pool of instances.
@@ -46,12 +58,16 @@
     std::uint64_t version = 0;
     std::vector<Queue> queues;
     std::map<std::string, Pool> pools;
+    std::optional<std::map<std::string, Team>> teams; ///< Key: name. Absent if callers are not identified.
 
     /// The queue of a request: the one with the longest matching path prefix for the host; null if none matches.
     const Queue* route(const std::string& host, const std::string& path) const;
 
     /// The queue of this name, or null.
     const Queue* findQueue(const std::string& name) const;
+
+    /// The team of this name, or null.
+    const Team* findTeam(const std::string& name) const;
 };
 
 /// A wave of planned maintenance: each of the machines is due for maintenance within `duration`.
--- a/src/jobs/internal/jobtable.cpp
+++ b/src/jobs/internal/jobtable.cpp
@@ -199,6 +199,8 @@
     job->receivedAt = record.receivedAt;
     job->spec = record.spec;
     job->maximumAttempts = record.maximumAttempts;
+    job->team = record.team;
+    job->exceedsTeamRate = record.exceedsTeamRate;
     job->isCancelled = unknownCancellations_.count(record.job) > 0;
     if (!job->isScheduled())
         job->startOccurrence(0);
--- a/src/jobs/internal/recordjson.cpp
+++ b/src/jobs/internal/recordjson.cpp
@@ -113,9 +113,14 @@
     for (const auto& step : record.spec.steps)
         steps.push_back(toJson(step));
     const Schedule& schedule = record.spec.schedule;
-    return json::array(
+    json fields = json::array(
         { record.job, record.queue, record.pool, record.receivedAt.count(), record.spec.payload, std::move(steps),
             schedule.occurrences, schedule.firstDueAt.count(), schedule.interval.count(), record.maximumAttempts });
+    if (!record.team.empty()) {
+        fields.push_back(record.team);
+        fields.push_back(record.exceedsTeamRate);
+    }
+    return fields;
 }
 
 JobSubmitted jobSubmittedFromJson(const json& fields)
@@ -134,6 +139,11 @@
     constexpr std::size_t maximumAttemptsField = 9; // Absent in records of earlier versions.
     if (fields.size() > maximumAttemptsField)
         record.maximumAttempts = fields.at(maximumAttemptsField).get<std::uint32_t>();
+    constexpr std::size_t teamField = 10; // Absent in records of earlier versions and of callers without a team.
+    if (fields.size() > teamField + 1) {
+        record.team = fields.at(teamField).get<std::string>();
+        record.exceedsTeamRate = fields.at(teamField + 1).get<bool>();
+    }
     return record;
 }
 
--- a/src/jobs/internal/snapshotcodec.cpp
+++ b/src/jobs/internal/snapshotcodec.cpp
@@ -104,6 +104,9 @@
         return encodeJob(job);
     Job final;
     final.id = job.id;
+    final.team = job.team;
+    if (!job.team.empty())
+        final.queue = job.queue;
     if (job.state() == JobState::Completed)
         final.startOccurrence(0);
     final.hasStarted = job.hasStarted;
@@ -117,7 +120,8 @@
     json occurrences = json::array();
     for (const auto& [number, occurrence] : job.occurrences)
         occurrences.push_back(json::array({ number, toJson(occurrence) }));
-    const JobSubmitted submitted { job.id, job.queue, job.pool, job.receivedAt, job.spec, job.maximumAttempts };
+    const JobSubmitted submitted { job.id, job.queue, job.pool, job.receivedAt, job.spec, job.maximumAttempts, job.team,
+        job.exceedsTeamRate };
     json fields = json::array(
         { jobs::toJson(submitted), std::move(occurrences), job.hasStarted, job.isCancelled, job.hasFailed });
     if (!job.crashHistories.empty())
@@ -138,6 +142,8 @@
         job->receivedAt = submitted.receivedAt;
         job->spec = submitted.spec;
         job->maximumAttempts = submitted.maximumAttempts;
+        job->team = submitted.team;
+        job->exceedsTeamRate = submitted.exceedsTeamRate;
         for (const auto& occurrence : value.at(1))
             restoreOccurrence(*job, occurrence.at(0).get<std::uint32_t>(), occurrence.at(1));
         job->hasStarted = value.at(2).get<bool>();
--- a/src/jobs/tests/jobtests.cpp
+++ b/src/jobs/tests/jobtests.cpp
@@ -622,3 +622,44 @@
         REQUIRE(singleRecordBuilder.add(record));
     CHECK(singleRecordBuilder.build().size() == records.size());
 }
+
+// The team's key may be removed while the job is open, so the job itself has to tell its team.
+TEST_CASE("records: the team of a job survives its record, its snapshot and its end", "[jobs]")
+{
+    JobSubmitted submitted;
+    submitted.job = 7;
+    submitted.queue = "calls";
+    submitted.spec.steps.emplace_back();
+    submitted.team = "growers";
+    submitted.exceedsTeamRate = true;
+    const auto record = decode(encode(Record(submitted), 0));
+    REQUIRE(record);
+    JobTable table;
+    table.apply(record->record);
+    const Job* job = table.find(7);
+    REQUIRE(job);
+    CHECK(job->team == "growers");
+    CHECK(job->exceedsTeamRate);
+    const auto restored = decodeJob(encodeJob(*job));
+    REQUIRE(restored);
+    CHECK((*restored)->team == "growers");
+    CHECK((*restored)->exceedsTeamRate);
+    table.apply(JobFailed { 7 });
+    const auto final = decodeJob(encodeFinalJob(*table.find(7)));
+    REQUIRE(final);
+    CHECK((*final)->team == "growers");
+    CHECK((*final)->queue == "calls");
+}
+
+// Versions without teams read these records as well, and deployments without teams store no further bytes.
+TEST_CASE("records: a job without a team is stored as before", "[jobs]")
+{
+    JobSubmitted submitted;
+    submitted.spec.steps.emplace_back();
+    const std::size_t size = encode(Record(submitted), 0).size();
+    submitted.team = "t";
+    CHECK(encode(Record(submitted), 0).size() > size);
+    submitted.team.clear();
+    submitted.exceedsTeamRate = true;
+    CHECK(encode(Record(submitted), 0).size() == size);
+}
--- a/src/jobs/types/job.h
+++ b/src/jobs/types/job.h
@@ -94,6 +94,8 @@
     milliseconds receivedAt { 0 }; ///< Wall-clock time since the Unix epoch.
     JobSpec spec;
     std::uint32_t maximumAttempts = 0; ///< See JobSubmitted.
+    std::string team; ///< See JobSubmitted.
+    bool exceedsTeamRate = false; ///< See JobSubmitted.
     std::map<std::uint32_t, Occurrence> occurrences; ///< Occurrences that have started, by number.
     std::map<TaskId, CrashHistory> crashHistories; ///< Tasks under which an instance has crashed.
     std::uint32_t completedOccurrences = 0;
--- a/src/jobs/types/records.h
+++ b/src/jobs/types/records.h
@@ -65,6 +65,9 @@
     /// Number of failed runs that the queue allowed a task when the job was accepted; 0 if an earlier version wrote the
     /// record.
     std::uint32_t maximumAttempts = 0;
+    std::string team {}; ///< Team of the caller; empty if the caller was not identified.
+    /// Whether the team had submitted more jobs than its rate allows when the controller received this one.
+    bool exceedsTeamRate = false;
 };
 
 /// A caller cancelled a job; its submission may follow later in the log.
--- a/src/settings/entrysettings.h
+++ b/src/settings/entrysettings.h
@@ -34,6 +34,15 @@
     bool compressesRecords = true; ///< The same for compressed records.
     foundation::milliseconds shutdownGrace { 6000 };
     foundation::milliseconds configurationBound { 2000 }; ///< Time in which a confirmed configuration is in force.
+    /// Time after the removal of an API key from which no request that uses it may run, on any entry. Absent: an entry
+    /// that cannot read the configuration goes on accepting the keys that it knows.
+    std::optional<foundation::milliseconds> keyRevocationBound;
+    /// Jobs that a team may submit at once beyond a second's worth of its rate.
+    std::size_t teamBurstJobs = 20;
+    /// Factor by which a task takes longer away from its data or its group; 1 if it does not.
+    double remoteSlowdown = 1;
+    std::optional<std::size_t> memoryLimitMb; ///< Memory that the process may use; absent if it is not limited.
+    std::optional<std::size_t> descriptorLimit; ///< File descriptors that the process may open; absent if unknown.
 };
 
 /// Processor time that the process may use, in thousandths of a core.
--- a/src/settings/internal/entrysettings.cpp
+++ b/src/settings/internal/entrysettings.cpp
@@ -51,6 +51,11 @@
             optionalInterval("status_retention_ms", 1000),
             optionalInterval("shutdown_grace_ms", 500),
             optionalInterval("configuration_bound_ms", 100),
+            optionalInterval("key_revocation_bound_ms", 500),
+            { "team_burst_jobs", FieldType::Integer, false, 0, 1000000, {} },
+            { "remote_slowdown", FieldType::Number, false, 1, 1000, {} },
+            { "memory_limit_mb", FieldType::Integer, false, 32, 1 << 20, {} },
+            { "descriptor_limit", FieldType::Integer, false, 256, 1 << 24, {} },
             { "run_records", FieldType::Choice, false, 0, 0,
                 { compressedRunRecords, batchedRunRecords, singleRunRecords } },
         };
@@ -68,11 +73,7 @@
         copier.copy("telemetry_address", result.telemetryAddress);
         copier.copy("store_address", result.storeAddress);
         copier.copy("machine_control_address", result.machineControlAddress);
-        if (object.contains("advice_address")) {
-            foundation::Address advice;
-            copier.copy("advice_address", advice);
-            result.adviceAddress = advice;
-        }
+        copier.copy("advice_address", result.adviceAddress);
         copier.copy("processor_share", result.processorShare);
         copier.copy("processor_cores", result.processorCores);
         copier.copy("longest_lease_ms", result.maximumLease);
@@ -83,6 +84,11 @@
         copier.copy("status_retention_ms", result.statusRetention);
         copier.copy("shutdown_grace_ms", result.shutdownGrace);
         copier.copy("configuration_bound_ms", result.configurationBound);
+        copier.copy("key_revocation_bound_ms", result.keyRevocationBound);
+        copier.copy("team_burst_jobs", result.teamBurstJobs);
+        copier.copy("remote_slowdown", result.remoteSlowdown);
+        copier.copy("memory_limit_mb", result.memoryLimitMb);
+        copier.copy("descriptor_limit", result.descriptorLimit);
         const auto form = object.value("run_records", compressedRunRecords);
         result.batchesRunRecords = form != singleRunRecords;
         result.compressesRecords = form == compressedRunRecords;
--- a/src/settings/internal/fieldcopier.h
+++ b/src/settings/internal/fieldcopier.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 
 namespace turmericsill::settings {
@@ -48,6 +49,12 @@
             target = object_[field].get<std::size_t>();
     }
 
+    template <typename Value> void copy(const char* field, std::optional<Value>& target) const
+    {
+        if (object_.contains(field))
+            copy(field, target.emplace());
+    }
+
 private:
     const nlohmann::json& object_;
 };
--- a/src/settings/tests/entrysettingstests.cpp
+++ b/src/settings/tests/entrysettingstests.cpp
@@ -30,6 +30,24 @@
     CHECK(settings->logAppendBytes == 2097152);
     CHECK(processorMillicores(*settings) == 240);
     CHECK(settings->logRetention == turmericsill::foundation::milliseconds(300000));
+    CHECK_FALSE(settings->keyRevocationBound);
+    CHECK_FALSE(settings->memoryLimitMb);
+    CHECK(settings->remoteSlowdown == 1);
+}
+
+TEST_CASE("entry settings: bounds of teams, locality and memory are read", "[settings]")
+{
+    turmericsill::jsonsource::Faults faults;
+    const auto settings = parseEntrySettings("entry.json",
+        requiredFields + R"(, "key_revocation_bound_ms": 5000, "team_burst_jobs": 30, "remote_slowdown": 2.5,
+    "memory_limit_mb": 160, "descriptor_limit": 4100})",
+        faults);
+    REQUIRE(settings);
+    CHECK(settings->keyRevocationBound == turmericsill::foundation::milliseconds(5000));
+    CHECK(settings->teamBurstJobs == 30);
+    CHECK(settings->remoteSlowdown == 2.5);
+    CHECK(settings->memoryLimitMb == 160);
+    CHECK(settings->descriptorLimit == 4100);
 }
 
 TEST_CASE("entry settings: each missing, ill-typed or unsupported field is reported as one fault", "[settings]")
