--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -44,7 +44,7 @@
 run_seed() {
     work_dir=$(mktemp -d)
     pids=()
-    "$build/standins/standin_jobplatform" --address "$platform" >"$work_dir/platform.log" 2>&1 &
+    "$build/standins/standin_jobplatform" --address "$platform" --teams >"$work_dir/platform.log" 2>&1 &
     pids+=($!)
     local callers=() proxies=() pid_files=() n
     for n in $(seq "$entries"); do
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -25,8 +25,18 @@
     constexpr milliseconds queryInterval { 150 }; ///< Interval of status queries during the fault phase.
     constexpr std::uint64_t firstJobId = 0x50a0000000000000;
     constexpr unsigned statusOk = 200;
+    constexpr unsigned statusUnauthorized = 401;
     constexpr unsigned statusGone = 410;
+    constexpr unsigned statusTooManyRequests = 429;
     constexpr unsigned statusUnavailable = 503;
+    constexpr int burstJobs = 20; ///< Jobs that the hot team submits at once; its rate is two a second.
+    const std::string unknownKey = "unknown-key";
+
+    /// Whether an answer tells that the job was surely not stored.
+    bool isRefusal(unsigned status)
+    {
+        return status == statusUnauthorized || status == statusTooManyRequests || status == statusUnavailable;
+    }
 
     std::string formatId(std::uint64_t id)
     {
@@ -86,7 +96,8 @@
     call.target = "/calls/" + formatId(id);
     call.body = body;
     call.contentType = "application/json";
-    call.headers = { { "Host", "calls.example" }, { "X-Deadline-Ms", std::to_string(callerTimeout.count()) } };
+    call.headers = { { "Host", "calls.example" }, { "X-Deadline-Ms", std::to_string(callerTimeout.count()) },
+        { "X-Api-Key", jobs_[id].key } };
     call.timeout = callerTimeout;
     call.step = "soak.call";
     entries_[entry].client->send(std::move(call), std::move(done));
@@ -96,14 +107,22 @@
 {
     if (isRecovering_)
         return;
-    const std::uint64_t id = firstJobId + jobs_.size();
-    jobs_[id];
-    submitJob(id, randomEntry());
+    submitNewJob(randomNumber(0, 9) == 0 ? unknownKey : "steady-key");
+    const int hotJobs = randomNumber(0, 19) == 0 ? burstJobs : 0;
+    for (int i = 0; i < hotJobs; ++i)
+        submitNewJob("hot-key");
     if (randomNumber(0, 9) == 0)
         cancelRandomJob();
     schedule(milliseconds(randomNumber(10, 120)), [this] { submitNextJob(); });
 }
 
+void Soak::submitNewJob(const std::string& key)
+{
+    const std::uint64_t id = firstJobId + jobs_.size();
+    jobs_[id].key = key;
+    submitJob(id, randomEntry());
+}
+
 void Soak::submitJob(std::uint64_t id, std::size_t entry)
 {
     json steps
@@ -122,8 +141,9 @@
     std::uint64_t id, std::size_t entry, const Result<HttpResponse>& answer, foundation::SteadyTime sentAt)
 {
     SoakJob& job = jobs_[id];
-    const bool isRefused
-        = answer ? answer->status == statusUnavailable : answer.error().code == foundation::Errc::Unavailable;
+    const bool isRefused = answer ? isRefusal(answer->status) : answer.error().code == foundation::Errc::Unavailable;
+    if (answer && answer->status == statusOk && job.key == unknownKey)
+        violations_.push_back("a job with an unknown key was accepted: " + formatId(id));
     if (answer && answer->status == statusOk)
         job.outcome = SubmissionOutcome::Accepted;
     else if (!isRefused && job.outcome == SubmissionOutcome::Refused)
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -30,7 +30,7 @@
 /// Soak test with random callers and faults. The seed determines the random choices, but a run is not exactly
 /// reproducible, since real processes take part. It checks these invariants by what callers and instances see:
 /// - An accepted job is never unknown, finishes in the end and has no task that runs twice.
-/// - A job that was refused at every attempt never runs.
+/// - A job that was refused at every attempt never runs, and one with an unknown key is never accepted.
 /// - An entry that is told to stop answers the requests that it has read.
 class Soak {
 public:
@@ -51,6 +51,7 @@
     enum class SubmissionOutcome { Refused, Unknown, Accepted };
 
     struct SoakJob {
+        std::string key; ///< API key of its caller.
         SubmissionOutcome outcome = SubmissionOutcome::Refused;
         bool isCancelled = false;
         bool isFinal = false; ///< Its status was completed, failed or cancelled.
@@ -65,6 +66,7 @@
     };
 
     void submitNextJob();
+    void submitNewJob(const std::string& key);
     void submitJob(std::uint64_t id, std::size_t entry);
     std::ptrdiff_t countJobs(SubmissionOutcome outcome) const;
     void onSubmitted(std::uint64_t id, std::size_t entry, const foundation::Result<httpclient::HttpResponse>& answer,
--- a/standins/jobs/main.cpp
+++ b/standins/jobs/main.cpp
@@ -8,6 +8,7 @@
 #include <iostream>
 
 ABSL_FLAG(std::string, address, "127.0.0.1:7600", "IP:PORT to listen on");
+ABSL_FLAG(bool, teams, false, "whether callers need a key of a team");
 ABSL_FLAG(int, instances, 8, "number of instances, each of 64 cores");
 
 int main(int argc, char** argv)
@@ -21,7 +22,7 @@
     }
     boost::asio::io_context context(1);
     turmericsill::standins::PlatformStandin standin(
-        context, *address, static_cast<std::size_t>(absl::GetFlag(FLAGS_instances)));
+        context, *address, static_cast<std::size_t>(absl::GetFlag(FLAGS_instances)), absl::GetFlag(FLAGS_teams));
     if (auto listening = standin.listen(); !listening) {
         std::cerr << listening.error().message() << "\n";
         return 1;
--- a/standins/jobs/platformstandin.cpp
+++ b/standins/jobs/platformstandin.cpp
@@ -106,11 +106,12 @@
 } // namespace
 
 PlatformStandin::PlatformStandin(
-    boost::asio::io_context& context, const foundation::Address& address, std::size_t instances)
+    boost::asio::io_context& context, const foundation::Address& address, std::size_t instances, bool declaresTeams)
     : context_(context)
     , address_(address)
     , timers_(context)
     , platform_(clock_, 1, maximumLease)
+    , declaresTeams_(declaresTeams)
     , server_(context, *this, httpserver::ServerLimits())
 {
     for (std::size_t i = 0; i < instances; ++i) {
@@ -137,11 +138,15 @@
 
 void PlatformStandin::publishDeclarations()
 {
-    const json configuration { { "version", 1 },
+    json configuration { { "version", 1 },
         { "routes",
             json::array({ { { "name", "calls" }, { "host", "calls.example" }, { "path_prefix", "/calls/" },
                 { "service", pool }, { "max_attempts", 4 }, { "slo_ms", 600 } } }) },
         { "services", json::array({ { { "name", pool } } }) } };
+    if (declaresTeams_)
+        configuration["tenants"] = json::array({ { { "name", "steady" }, { "api_keys", { "steady-key" } },
+                                                     { "weight", 100 } },
+            { { "name", "hot" }, { "api_keys", { "hot-key" } }, { "weight", 2 }, { "cap", { { "cpu", 40000 } } } } });
     appendKeyed(operatorTopic, { platform::encodeKeyedRecord("config", configuration.dump()) });
 }
 
--- a/standins/jobs/platformstandin.h
+++ b/standins/jobs/platformstandin.h
@@ -22,7 +22,9 @@
 /// instance). GET /turmericsill/figures reports the stored jobs, the intended runs and the violated invariants.
 class PlatformStandin : public httpserver::IHttpHandler {
 public:
-    PlatformStandin(boost::asio::io_context& context, const foundation::Address& address, std::size_t instances);
+    /// `declaresTeams`: whether callers need a key of one of two teams, "steady-key" or "hot-key".
+    PlatformStandin(boost::asio::io_context& context, const foundation::Address& address, std::size_t instances,
+        bool declaresTeams);
 
     foundation::Result<void> listen();
 
@@ -60,6 +62,7 @@
     emulator::EmulatedPlatform platform_;
     std::map<std::string, KeyedTopic> keyedTopics_;
     std::map<std::string, foundation::Address> instanceAddresses_;
+    bool declaresTeams_;
     std::uint64_t intendedRuns_ = 0;
     httpserver::HttpServer server_;
     std::vector<std::unique_ptr<httpserver::HttpServer>> instanceServers_; ///< One server for each instance's address.
