Teams: caps limit what the runs of a team hold, and a full pool is divided by weight

Cause: one team with a burst of jobs delays all others, and nothing limits what a team's runs hold.

Change: TeamUsage counts the active runs of each team from the table of jobs and the placements of the plan in progress. The planner starts no task above the cap of its team; such a task is neither a need without room nor a demand for machines. Jobs beyond their team's rate follow the others of the same priority and kind. Among these, teams below their share of the pool are served first, each up to its share, then the rest. Without configured teams the plan is one pass, as before.

--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -65,7 +65,7 @@
           [this](const std::set<std::string>& present) { onInstancesLoaded(present); })
     , health_(context.clock, context.events)
     , adviceCache_(context.advice, context.clock, context.events, [this] { schedulePlan(); })
-    , scheduler_(context.follower, context.clock)
+    , scheduler_(context.follower, context.clock, context.events)
     , jobTimer_(context.clock, context.events)
     , planDelay_(planBatchingDelay)
 {
--- a/src/control/internal/poolscheduler.cpp
+++ b/src/control/internal/poolscheduler.cpp
@@ -3,6 +3,7 @@
 #include "scheduling/placementplanner.h"
 
 #include <algorithm>
+#include <unordered_set>
 #include <utility>
 
 namespace turmericsill::control {
@@ -12,6 +13,12 @@
 namespace {
 
     constexpr milliseconds maximumSubmissionAge { 60000 };
+    /// Age from which a job is served although its team is above its share, for example because of long-running tasks.
+    /// Exceeds the objectives of short jobs, so that such jobs are few unless the team is starved.
+    constexpr milliseconds overdueAge { 10000 };
+    /// One overdue job of each team in a pool is served in this time, so that a team whose jobs are all overdue gains
+    /// little by it.
+    constexpr milliseconds overdueInterval { 1000 };
 
     /// Part of a demand that exceeds the free processor time.
     jobs::Resources unservable(const jobs::Resources& demand, std::int64_t freeMilliCores)
@@ -28,10 +35,46 @@
 void PoolScheduler::setConfiguration(const fleet::FleetConfiguration& configuration)
 {
     configuration_ = configuration;
+    if (configuration_.teams)
+        usage_.setTeams(*configuration_.teams);
+    else
+        usage_ = {};
+    for (auto& [name, pool] : pools_)
+        pool.isPlanDue |= !pool.heldByCap.empty();
     for (const jobs::Job& job : follower_.table().openJobs())
         updateJob(job.id);
 }
 
+// A queue that was removed from the configuration leaves its jobs to the pool that they were accepted for.
+const std::string& PoolScheduler::poolOf(const jobs::Job& job) const
+{
+    const fleet::Queue* queue = configuration_.findQueue(job.queue);
+    return queue ? queue->pool : job.pool;
+}
+
+// The runs of a final job count until they have ended.
+void PoolScheduler::updateUsage(jobs::JobId id)
+{
+    if (!configuration_.teams)
+        return;
+    const jobs::Job* job = follower_.table().find(id);
+    const bool hasFallen = job ? usage_.update(*job, poolOf(*job)) : usage_.remove(id);
+    if (!hasFallen)
+        return;
+    for (auto& [name, pool] : pools_)
+        pool.isPlanDue |= job ? pool.heldByCap.count(job->team) > 0 : !pool.heldByCap.empty();
+}
+
+// A placement whose intent was not recorded must not count any longer.
+void PoolScheduler::resynchronize(const scheduling::PoolPlan& plan)
+{
+    std::unordered_set<jobs::JobId> placed;
+    for (const auto& placement : plan.placements) {
+        if (placed.insert(placement.task.job).second)
+            updateUsage(placement.task.job);
+    }
+}
+
 void PoolScheduler::removeJob(jobs::JobId id)
 {
     const auto known = openJobs_.find(id);
@@ -52,14 +95,14 @@
             std::clamp<decltype(age)>(age, milliseconds(0), maximumSubmissionAge));
 }
 
-// A queue that was removed from the configuration leaves its jobs to the pool that they were accepted for.
 void PoolScheduler::updateJob(jobs::JobId id)
 {
+    updateUsage(id);
     const jobs::Job* job = follower_.table().find(id);
     if (!job || job->isFinal())
         return removeJob(id);
     const fleet::Queue* queue = configuration_.findQueue(job->queue);
-    const std::string& poolName = queue ? queue->pool : job->pool;
+    const std::string& poolName = poolOf(*job);
     const auto known = openJobs_.find(id);
     const foundation::SteadyTime submittedAt
         = known == openJobs_.end() ? submissionTime(*job) : known->second.submittedAt;
@@ -67,7 +110,7 @@
         removeJob(id);
     openJobs_[id] = { poolName, submittedAt };
     PoolState& pool = pools_[poolName];
-    pool.backlog.update(*job, queue, submittedAt);
+    pool.backlog.update(*job, queue, submittedAt, configuration_.teams.has_value());
     pool.isPlanDue = true;
 }
 
@@ -102,9 +145,41 @@
     poolOfInstance_.erase(known);
 }
 
-void PoolScheduler::planChangedPools(scheduling::PlanConstraints constraints, const PlanHandler& onPlan)
+std::optional<foundation::SteadyTime> PoolScheduler::overdueBefore(const PoolState& pool) const
+{
+    const auto now = clock_.now();
+    return now - pool.overdueServedAt < overdueInterval ? std::nullopt : std::optional(now - overdueAge);
+}
+
+scheduling::PoolPlan PoolScheduler::planPool(
+    const std::string& name, PoolState& pool, scheduling::PlanConstraints constraints)
 {
     const scheduling::PlacementPlanner planner([this](jobs::JobId id) { return follower_.table().find(id); });
+    if (!configuration_.teams) {
+        pool.heldByCap.clear();
+        return planner.plan(pool.instances, pool.backlog, constraints);
+    }
+    scheduling::TeamShares teams(usage_, pool.backlog, name, pool.instances.freeMilliCores(), overdueBefore(pool));
+    constraints.teams = &teams;
+    scheduling::PoolPlan plan = planner.plan(pool.instances, pool.backlog, constraints);
+    if (teams.overdueBefore() && !teams.areOverdueJobsWaiting())
+        pool.overdueServedAt = clock_.now();
+    pool.heldByCap = teams.heldByCap();
+    return plan;
+}
+
+void PoolScheduler::reportTeams()
+{
+    const auto now = clock_.now();
+    if (!configuration_.teams || !teamReport_.isDue(now))
+        return;
+    for (const auto& [name, pool] : pools_)
+        teamReport_.addPool(name, pool.backlog, pool.instances.freeMilliCores(), pool.heldByCap, usage_);
+    teamReport_.write(usage_, now);
+}
+
+void PoolScheduler::planChangedPools(scheduling::PlanConstraints constraints, const PlanHandler& onPlan)
+{
     std::size_t placementsLeft = constraints.maximumPlacements;
     auto poolsLeft = static_cast<std::size_t>(
         std::count_if(pools_.begin(), pools_.end(), [](const auto& pool) { return pool.second.isPlanDue; }));
@@ -113,13 +188,16 @@
             continue;
         constraints.maximumPlacements = placementsLeft / poolsLeft--;
         pool.backlog.demoteLateJobs(clock_.now());
-        const scheduling::PoolPlan plan = planner.plan(pool.instances, pool.backlog, constraints);
+        const scheduling::PoolPlan plan = planPool(name, pool, constraints);
         placementsLeft -= std::min(placementsLeft, plan.placements.size());
         pool.unplaced = plan.unplaced;
         pool.unplaced += unservable(plan.deferred, pool.instances.freeMilliCores());
         pool.isPlanDue |= !plan.stepsAwaitingTickets.empty() || plan.deferredTasks > 0;
         onPlan(name, plan);
+        if (configuration_.teams)
+            resynchronize(plan);
     }
+    reportTeams();
 }
 
 std::map<std::string, jobs::Resources> PoolScheduler::unplacedByPool() const
--- a/src/control/internal/poolscheduler.h
+++ b/src/control/internal/poolscheduler.h
@@ -1,13 +1,18 @@
 #pragma once
 
+#include "control/internal/teamreport.h"
 #include "eventlog/jobfollower.h"
 #include "fleet/types/fleet.h"
 #include "scheduling/instanceindex.h"
 #include "scheduling/poolbacklog.h"
+#include "scheduling/teamshares.h"
+#include "scheduling/teamusage.h"
 #include "scheduling/types/poolview.h"
+#include "telemetry/ieventsink.h"
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -19,9 +24,10 @@
 public:
     using PlanHandler = std::function<void(const std::string& pool, const scheduling::PoolPlan& plan)>;
 
-    PoolScheduler(const eventlog::JobFollower& follower, const foundation::IClock& clock)
+    PoolScheduler(const eventlog::JobFollower& follower, const foundation::IClock& clock, telemetry::IEventSink& events)
         : follower_(follower)
         , clock_(clock)
+        , teamReport_(events)
     {
     }
 
@@ -45,7 +51,7 @@
     void removeInstance(const std::string& name);
 
     /// Plans the pools that have changed since their latest plan, and those whose steps wait for tickets or were
-    /// deferred. The pools share PlanConstraints::maximumPlacements.
+    /// deferred. The pools share PlanConstraints::maximumPlacements. `onPlan` records the intents in the table of jobs.
     void planChangedPools(scheduling::PlanConstraints constraints, const PlanHandler& onPlan);
 
     /// Instances of a pool that accept tasks.
@@ -60,6 +66,8 @@
         scheduling::PoolBacklog backlog;
         jobs::Resources unplaced; ///< Result of the latest plan.
         bool isPlanDue = false;
+        std::map<std::string, std::uint64_t> heldByCap; ///< See TeamShares, of the latest plan.
+        foundation::SteadyTime overdueServedAt {}; ///< Latest plan that found room for overdue jobs, or had none.
     };
 
     /// An open job.
@@ -68,12 +76,20 @@
         foundation::SteadyTime submittedAt;
     };
 
+    const std::string& poolOf(const jobs::Job& job) const;
+    void updateUsage(jobs::JobId id);
+    void resynchronize(const scheduling::PoolPlan& plan);
+    std::optional<foundation::SteadyTime> overdueBefore(const PoolState& pool) const;
+    scheduling::PoolPlan planPool(const std::string& name, PoolState& pool, scheduling::PlanConstraints constraints);
+    void reportTeams();
     void removeJob(jobs::JobId id);
     foundation::SteadyTime submissionTime(const jobs::Job& job) const;
 
     const eventlog::JobFollower& follower_;
     const foundation::IClock& clock_;
     fleet::FleetConfiguration configuration_;
+    scheduling::TeamUsage usage_; ///< Empty if no teams are configured.
+    TeamReport teamReport_;
     std::map<std::string, PoolState> pools_;
     std::unordered_map<jobs::JobId, OpenJob> openJobs_;
     std::unordered_map<std::string, std::string> poolOfInstance_; ///< Key: instance name.
--- a/src/scheduling/internal/poolbacklog.cpp
+++ b/src/scheduling/internal/poolbacklog.cpp
@@ -43,7 +43,7 @@
                     continue;
                 if (const auto tasks = startableTasks(spec, state); tasks > 0)
                     waiting.push_back({ { job.id, number, step }, resourceRequest(spec), tasks, spec.requiredLabel,
-                        queue && queue->advice.has_value() });
+                        queue && queue->advice.has_value(), spec.isGang, spec.resourcesPerTask });
             }
         }
         return waiting;
@@ -51,7 +51,17 @@
 
 } // namespace
 
-void PoolBacklog::update(const Job& job, const fleet::Queue* queue, foundation::SteadyTime submittedAt)
+TeamIndex PoolBacklog::indexOf(const std::string& team)
+{
+    if (team.empty())
+        return noTeam;
+    const auto [known, isNew] = teamIndexes_.try_emplace(team, static_cast<TeamIndex>(teams_.size()));
+    if (isNew)
+        teams_.push_back({ team, 0, 0 });
+    return known->second;
+}
+
+void PoolBacklog::update(const Job& job, const fleet::Queue* queue, foundation::SteadyTime submittedAt, bool usesTeams)
 {
     remove(job.id);
     if (job.isFinal())
@@ -62,8 +72,12 @@
     const auto startsBy = latestStart(job, queue, submittedAt);
     const bool isLate = startsBy <= demotedUntil_;
     const JobRank rank { queue ? queue->priority : std::numeric_limits<int>::max(),
-        !job.spec.steps.front().isLongRunning, isLate, remainingCoreSeconds(job), job.id };
-    jobs_.emplace(rank, std::move(waiting));
+        !job.spec.steps.front().isLongRunning, usesTeams && job.exceedsTeamRate, isLate, remainingCoreSeconds(job),
+        job.id };
+    const TeamIndex team = usesTeams ? indexOf(job.team) : noTeam;
+    ++teams_[team].waitingJobs;
+    teams_[team].jobsBeyondRate += rank.exceedsTeamRate;
+    jobs_.emplace(rank, WaitingJob { std::move(waiting), team, submittedAt });
     ranks_.emplace(job.id, rank);
     if (isLate)
         return;
@@ -76,7 +90,11 @@
     const auto found = ranks_.find(job);
     if (found == ranks_.end())
         return;
-    jobs_.erase(found->second);
+    const auto waiting = jobs_.find(found->second);
+    TeamBacklog& team = teams_[waiting->second.team];
+    --team.waitingJobs;
+    team.jobsBeyondRate -= found->second.exceedsTeamRate;
+    jobs_.erase(waiting);
     ranks_.erase(found);
     const auto startsBy = latestStartOf_.find(job);
     if (startsBy == latestStartOf_.end())
--- a/src/scheduling/internal/stepplacer.cpp
+++ b/src/scheduling/internal/stepplacer.cpp
@@ -47,9 +47,11 @@
         return placeGang(plan);
     std::uint32_t unplaced = 0;
     bool hasFailed = false;
-    for (std::uint32_t index = 0; index < state_.tasks.size(); ++index) {
+    for (std::uint32_t tried = 0; nextIndex_ < state_.tasks.size() && tried < maximumTasks_; ++nextIndex_) {
+        const std::uint32_t index = nextIndex_;
         if (!canStart(index))
             continue;
+        ++tried;
         if (isSuspect(index)) {
             unplaced += !placeSuspect(plan, index);
             continue;
--- a/src/scheduling/internal/stepplacer.h
+++ b/src/scheduling/internal/stepplacer.h
@@ -5,6 +5,7 @@
 #include "scheduling/types/poolview.h"
 
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -20,6 +21,16 @@
     StepPlacer(
         InstanceIndex& instances, const jobs::Job& job, const WaitingStep& waiting, const PlanConstraints& constraints);
 
+    /// Limits place() to this many startable tasks, from the task with this index on. Does not apply to gangs.
+    void setRange(std::uint32_t firstIndex, std::uint32_t maximumTasks)
+    {
+        nextIndex_ = firstIndex;
+        maximumTasks_ = maximumTasks;
+    }
+
+    /// Index of the first task that place() has not looked at.
+    std::uint32_t nextIndex() const { return nextIndex_; }
+
     /// Adds placements and unplaced demand to the plan. Returns false if a task found no room.
     bool place(PoolPlan& plan);
 
@@ -59,6 +70,8 @@
     const jobs::StepState& state_;
     const std::map<std::string, std::string>* tickets_ = nullptr; ///< Key: instance name; null while there are none.
     std::string wantedRack_; ///< Rack of the data, or else the one chosen for the step; empty if any will do.
+    std::uint32_t nextIndex_ = 0;
+    std::uint32_t maximumTasks_ = std::numeric_limits<std::uint32_t>::max();
     bool isOutOfResources_ = false;
     IndexedInstance* observedInstance_ = nullptr; ///< Instance of the suspects that this object has placed.
 };
--- a/src/scheduling/types/poolview.h
+++ b/src/scheduling/types/poolview.h
@@ -15,6 +15,8 @@
 
 namespace turmericsill::scheduling {
 
+class TeamShares;
+
 /// One step of one occurrence of a job.
 struct StepId {
     jobs::JobId job = 0;
@@ -59,6 +61,7 @@
     const std::set<jobs::JobId>* observedJobs = nullptr;
     /// Number of placements after which no further step is tried.
     std::size_t maximumPlacements = std::numeric_limits<std::size_t>::max();
+    TeamShares* teams = nullptr; ///< Caps and shares of the teams; null if none are configured.
 };
 
 /// The next run of a task and the instance chosen for it.
