--- a/src/scheduling/internal/placementplanner.cpp
+++ b/src/scheduling/internal/placementplanner.cpp
@@ -42,7 +42,7 @@
     enum class PassLimit : std::uint8_t {
         None,
         TeamShare, ///< Those that bring the team to its share.
-        OneTask, ///< One task of each step, or a gang.
+        OneTask, ///< One task, or a gang, of the first step that waits.
     };
 
     /// One plan of a pool.
@@ -126,13 +126,17 @@
             const auto known = progress_.empty() ? progress_.end() : progress_.find(job->first.job);
             Progress progress = known == progress_.end() ? Progress() : known->second;
             const WaitingJob& waiting = job->second;
-            for (; progress.step < waiting.steps.size(); progress = { progress.step + 1, 0, 0 }) {
-                if (!serveStep(waiting.steps[progress.step], waiting.team, progress, limit))
-                    break;
+            bool isCut = false;
+            while (progress.step < waiting.steps.size() && !isCut) {
+                isCut = !serveStep(waiting.steps[progress.step], waiting.team, progress, limit);
+                if (!isCut)
+                    progress = { progress.step + 1, 0, 0 };
+                isCut = isCut || limit == PassLimit::OneTask;
             }
-            if (limit != PassLimit::None)
+            const bool isFinished = progress.step == waiting.steps.size();
+            if (limit == PassLimit::OneTask || !isFinished)
                 progress_[job->first.job] = progress;
-            return progress.step == waiting.steps.size();
+            return isFinished;
         }
 
         // Returns false if tasks are left for a later pass. What the cap of the team holds back is not tried: neither
--- a/src/scheduling/tests/teamsharestests.cpp
+++ b/src/scheduling/tests/teamsharestests.cpp
@@ -167,3 +167,41 @@
         }
     }
 }
+
+// Load pattern: a surge of thousands of jobs beyond what the pool serves, in each plan. A plan that looks at the tasks
+// of each job in each pass takes all of the controller's processor time.
+TEST_CASE("team shares: a plan of a full pool looks up few jobs of a large backlog", "[scheduling]")
+{
+    ShareFixture fixture(4);
+    std::map<std::string, fleet::Team> declared;
+    constexpr jobs::JobId jobCount = 5000;
+    jobs::StepSpec step;
+    step.taskCount = 4;
+    step.resourcesPerTask = { 1000, 100, 0 };
+    step.estimatedDuration = milliseconds(1000);
+    for (jobs::JobId id = 1; id <= jobCount; ++id) {
+        const std::string team = "team-" + std::to_string(id % 20);
+        // Half of the teams are at their cap once they run a task.
+        declared[team] = { team, {}, 1.0 + static_cast<double>(id % 5), { id % 2 == 0 ? 1000 : 0, 0, 0 } };
+        fixture.addJob(id, team, step, id % 3 == 0, true);
+    }
+    fixture.usage.setTeams(declared);
+    std::size_t lookUps = 0;
+    const PlacementPlanner planner([&](jobs::JobId id) {
+        ++lookUps;
+        return fixture.jobs.at(id).get();
+    });
+    TeamShares teams(fixture.usage, fixture.backlog, "desk", fixture.index.freeMilliCores());
+    PlanConstraints constraints;
+    constraints.teams = &teams;
+    const PoolPlan plan = planner.plan(fixture.index, fixture.backlog, constraints);
+    CHECK(plan.placements.size() == 4 * 8);
+    CHECK(lookUps <= plan.placements.size() + 1);
+    // The demand counts once: without limit for half of the teams, and up to their cap for the others.
+    const std::uint64_t uncappedTasks = jobCount / 2 * step.taskCount;
+    std::uint64_t cappedPlacements = 0;
+    for (const auto& placement : plan.placements)
+        cappedPlacements += placement.task.job % 2 == 0;
+    const std::uint64_t demanded = uncappedTasks - (plan.placements.size() - cappedPlacements) + 10 - cappedPlacements;
+    CHECK(plan.unplaced.milliCores == static_cast<std::int64_t>(demanded) * 1000);
+}
