Tests of shares: each fails without the rule that it names

Cause: the tests of a step larger than its share, of priorities and of steps held back passed with the rule taken out, because the order of the jobs by size gave the same result.

Change: the jobs are chosen so that the order without the rule differs; the checks of before are kept or made on more cases.

--- a/src/control/tests/poolschedulertests.cpp
+++ b/src/control/tests/poolschedulertests.cpp
@@ -334,6 +334,8 @@
     const auto placed = fixture.plan();
     CHECK(placed.at(1) == 2);
     CHECK(placed.at(2) == 2);
+    fixture.showInstances();
+    CHECK(fixture.plan().empty());
 }
 
 // A need without room holds back all later jobs with an equal or larger need. If the cap counted as missing room, one
@@ -344,11 +346,13 @@
     fixture.setTeams({ team(small, 1, { 1000, 0, 0 }), team(large, 1) });
     fixture.submit(1, small, { step(20, 1000) }, false, "urgent");
     fixture.submit(2, large, { step(7, 1000) });
+    fixture.submit(3, small, { step(2, 1000) }, false, "urgent");
     const auto placed = fixture.plan();
-    CHECK(placed.at(1) == 1);
+    CHECK(placed.at(3) == 1);
+    CHECK(placed.count(1) == 0);
     CHECK(placed.at(2) == 7);
     CHECK(fixture.scheduler->unplacedByPool().at("desk").milliCores == 0);
-    CHECK(fixture.events.reports.at(small).at("held_by_cap") == 19);
+    CHECK(fixture.events.reports.at(small).at("held_by_cap") == 20 + 1);
 }
 
 // Without the limit, a team at its cap of one core asks for machines for all that it has waiting.
@@ -405,13 +409,15 @@
 // Shares apply among jobs of one priority. Otherwise a team below its share delays another team's urgent job.
 TEST_CASE("pool scheduler: the priority of the queue precedes shares and rates", "[control]")
 {
-    SchedulerFixture fixture;
-    fixture.setTeams({ team(small, 1), team(large, 7) });
-    fixture.submit(1, large, { step(8, 1000) });
-    fixture.submit(2, small, { step(8, 1000) }, true, "urgent");
-    const auto placed = fixture.plan();
-    CHECK(placed.at(2) == 8);
-    CHECK(placed.count(1) == 0);
+    for (const bool exceedsRate : { false, true }) {
+        SchedulerFixture fixture;
+        fixture.setTeams({ team(small, 1), team(large, 7) });
+        fixture.submit(1, large, { step(8, 1000) });
+        fixture.submit(2, small, { step(8, 1000) }, exceedsRate, "urgent");
+        const auto placed = fixture.plan();
+        CHECK(placed.at(2) == 8);
+        CHECK(placed.count(1) == 0);
+    }
 }
 
 // Load pattern: a full pool and two teams with more work than it serves. Served in the order of size, the team with the
@@ -447,7 +453,9 @@
 {
     SchedulerFixture fixture(2);
     fixture.setTeams({ team(small, 1), team(large, 1) });
-    fixture.submit(1, large, { step(100, 200) }, false);
+    jobs::StepSpec manyTasks = step(100, 200);
+    manyTasks.estimatedDuration = milliseconds(100); // The least work, so that it is served first.
+    fixture.submit(1, large, { manyTasks });
     fixture.submit(2, small, { step(8, 1000) });
     fixture.submit(3, small, { step(8, 4000) });
     fixture.plan();
