Metrics by team: the latest usage of each team as gauges

Cause: the event team.usage showed the state of teams in the log only, and its last line for a team stood for a state that had ended.

Change: a sink between the event metrics and the log keeps four gauges for each of up to 200 teams and sets them to 0 when control ends. The event is written once more after the work of a team has ended.

Measured: telemetry_tests, control_tests, scheduling_tests and emulation_tests pass.

--- a/src/control/internal/teamreport.cpp
+++ b/src/control/internal/teamreport.cpp
@@ -40,6 +40,11 @@
         if (team.runs > 0 && !name.empty())
             teams_.try_emplace(name);
     }
+    std::set<std::string> withWork;
+    for (const auto& [name, work] : teams_)
+        withWork.insert(name);
+    for (const std::string& name : std::exchange(reported_, withWork))
+        teams_.try_emplace(name);
     for (const auto& [name, work] : std::exchange(teams_, {})) {
         const auto known = usage.teams().find(name);
         const auto team = known == usage.teams().end() ? scheduling::TeamUsage::Team() : known->second;
--- a/src/control/internal/teamreport.h
+++ b/src/control/internal/teamreport.h
@@ -7,11 +7,13 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 
 namespace turmericsill::control {
 
-/// Writes the event "team.usage" for each team with work, at most once a second.
+/// Writes the event "team.usage" for each team with work, at most once a second, and once more after the work has
+/// ended.
 class TeamReport {
 public:
     explicit TeamReport(telemetry::IEventSink& events)
@@ -39,6 +41,7 @@
     telemetry::IEventSink& events_;
     foundation::SteadyTime writtenAt_ = foundation::SteadyTime::min();
     std::map<std::string, Work> teams_; ///< Key: team.
+    std::set<std::string> reported_; ///< Teams with work as of the latest report.
 };
 
 } // namespace turmericsill::control
--- a/src/control/tests/poolschedulertests.cpp
+++ b/src/control/tests/poolschedulertests.cpp
@@ -556,4 +556,15 @@
     fixture.plan();
     CHECK(fixture.events.count == 2);
     CHECK(fixture.events.reports.count("idle") == 0);
+    // Once more after the work has ended, so that the latest report is not mistaken for the present state.
+    fixture.follower.applyOwnRecord(jobs::JobCancelled { 1 });
+    fixture.endJobs(1, 1);
+    for (int second = 0; second < 3; ++second) {
+        fixture.clock.time += milliseconds(1000);
+        fixture.plan();
+    }
+    CHECK(fixture.events.count == 3);
+    CHECK(fixture.events.reports.at(small)
+        == std::map<std::string, std::int64_t> { { "waiting", 0 }, { "running_millicores", 0 },
+            { "share_millicores", 0 }, { "cap_millicores", 3000 }, { "held_by_cap", 0 }, { "beyond_rate", 0 } });
 }
--- a/src/entryd/entryprocess.h
+++ b/src/entryd/entryprocess.h
@@ -23,6 +23,7 @@
 #include "telemetry/jsoneventsink.h"
 #include "telemetry/metricsregistry.h"
 #include "telemetry/readiness.h"
+#include "telemetry/teammetrics.h"
 #include "telemetry/telemetryhandler.h"
 
 #include <boost/asio/io_context.hpp>
@@ -80,6 +81,7 @@
     foundation::AsioTimerQueue timers_;
     telemetry::JsonEventSink eventSink_;
     telemetry::MetricsRegistry metrics_;
+    telemetry::TeamMetrics teamMetrics_;
     telemetry::EventMetrics events_;
     telemetry::Readiness readiness_;
     prometheus::Gauge& configurationAge_;
--- a/src/telemetry/tests/eventtests.cpp
+++ b/src/telemetry/tests/eventtests.cpp
@@ -1,4 +1,5 @@
 #include "telemetry/eventmetrics.h"
+#include "telemetry/teammetrics.h"
 
 #include <catch2/catch.hpp>
 #include <vector>
@@ -42,3 +43,40 @@
     events.write("upkeep.ordered", { { "outcome", std::string("machines.upkeep 10.0.0.2:1: timeout: closed") } });
     CHECK(metrics.text().find("{event=\"upkeep.ordered\",result=\"error\"} 2") != std::string::npos);
 }
+
+// A former controller that goes on showing its latest figures hides those of its successor in sums over the entries.
+TEST_CASE("team metrics: the latest usage of each team is shown until control ends", "[telemetry]")
+{
+    MetricsRegistry metrics;
+    CountingSink sink;
+    TeamMetrics events(metrics, sink);
+    for (const std::uint64_t waiting : { 7, 5 })
+        events.write("team.usage",
+            { { "team", std::string("a") }, { "waiting", waiting }, { "running_millicores", std::int64_t(1500) },
+                { "share_millicores", std::int64_t(2000) }, { "cap_millicores", std::int64_t(0) } });
+    CHECK(metrics.text().find("turmericsill_team_waiting_jobs{team=\"a\"} 5") != std::string::npos);
+    CHECK(metrics.text().find("turmericsill_team_running_cores{team=\"a\"} 1.5") != std::string::npos);
+    CHECK(metrics.text().find("turmericsill_team_share_cores{team=\"a\"} 2") != std::string::npos);
+    CHECK(metrics.text().find("turmericsill_team_cap_cores{team=\"a\"} 0") != std::string::npos);
+    events.write("control.ends", { { "epoch", std::uint64_t(1) } });
+    CHECK(metrics.text().find("turmericsill_team_waiting_jobs{team=\"a\"} 0") != std::string::npos);
+    CHECK(metrics.text().find("turmericsill_team_running_cores{team=\"a\"} 0") != std::string::npos);
+    CHECK(sink.lines == 3);
+}
+
+// Names of teams come from a configuration that changes; each is a time series of its own for good.
+TEST_CASE("team metrics: the number of teams with gauges is bounded", "[telemetry]")
+{
+    MetricsRegistry metrics;
+    CountingSink sink;
+    TeamMetrics events(metrics, sink);
+    for (int team = 0; team < 1000; ++team)
+        events.write("team.usage", { { "team", "t" + std::to_string(team) }, { "waiting", std::uint64_t(1) } });
+    const std::string text = metrics.text();
+    std::size_t series = 0;
+    for (auto at = text.find("team_waiting_jobs{"); at != std::string::npos;
+         at = text.find("team_waiting_jobs{", at + 1))
+        ++series;
+    CHECK(series == 200);
+    CHECK(sink.lines == 1000);
+}
