Admission control: the controller rejects what the fleet cannot serve in time

Change: before the controller stores a submission it sets exceedsTeamRate and may reject it (control::SubmissionGate, scheduling::AdmissionControl): jobs beyond their team's rate that would miss their objective, and any job that would be completed clearly after three times its objective. The store path returns a receipt that names the rejected records; between entries it is the body of the answer, sent only to peers that announce X-Accepts-Rejections. A record that an earlier attempt may have stored is sent again instead.

--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -11,6 +11,7 @@
 #include "control/internal/poolscheduler.h"
 #include "control/internal/recordstore.h"
 #include "control/internal/startwindow.h"
+#include "control/internal/submissiongate.h"
 #include "control/leaseauthority.h"
 #include "control/snapshotter.h"
 #include "control/types/controlsettings.h"
@@ -81,8 +82,10 @@
     std::uint64_t epoch() const { return sessionContext_.epoch; }
 
     /// Stores callers' records, jobs::JobSubmitted and jobs::JobCancelled, in the same appends as the controller's own.
-    /// Errc::Unavailable: the log does not respond, and nothing was stored.
-    void store(const std::vector<jobs::Record>& records, eventlog::ISubmissionPath::StoreCallback done);
+    /// Errc::Unavailable: the log does not respond, and nothing was stored. None is rejected unless
+    /// `acceptsRejections`.
+    void store(
+        std::vector<jobs::Record> records, bool acceptsRejections, eventlog::ISubmissionPath::StoreCallback done);
 
     /// Fails the pending calls of store() with Errc::Fenced, because this entry is no longer the controller. Their
     /// records may still be stored.
@@ -128,6 +131,13 @@
     /// Resources requested by the ready tasks of each pool that found no room.
     std::map<std::string, jobs::Resources> unplacedByPool() const { return scheduler_.unplacedByPool(); }
 
+    /// Tells admission control of the machines that are being moved and that can be moved.
+    void setMachineSupply(const std::map<std::string, scheduling::PoolDemand>& demands,
+        const std::vector<scheduling::MachineView>& movable)
+    {
+        submissionGate_.setArriving(scheduling::arrivingMilliCores(demands, movable));
+    }
+
     /// Instances of a pool that accept new tasks.
     const scheduling::InstanceIndex& instancesOf(const std::string& pool);
 
@@ -182,10 +192,15 @@
     void repeatStops();
     void startPlacements(const std::string& pool, const scheduling::PoolPlan& plan);
     void requestAdvice(const scheduling::PoolPlan& plan, const scheduling::InstanceIndex& instances);
-    jobs::RunEnded withStorableCheckpoint(const jobs::RunEnded& record);
     void failJobIfAttemptsExhausted(const jobs::Job& job);
     void removeExpiredJobs();
     bool isSchedulable(const InstanceSession& session) const;
+    SubmissionGateContext gateContext()
+    {
+        return { context_.follower, context_.clock, context_.events,
+            [this](const std::string& pool) -> const scheduling::InstanceIndex& { return instancesOf(pool); },
+            [this](const std::string& pool) { return scheduler_.findBacklog(pool); } };
+    }
     scheduling::InstanceView viewOf(const InstanceSession& session) const;
     void recordIntent(const scheduling::Placement& placement);
     void sendStartOrders(const std::vector<scheduling::Placement>& placements, foundation::SteadyTime plannedAt);
@@ -207,6 +222,7 @@
     InstanceHealth health_;
     AdviceCache adviceCache_;
     PoolScheduler scheduler_;
+    SubmissionGate submissionGate_;
     JobTimer jobTimer_;
     StartWindow startWindow_;
     fleet::FleetConfiguration configuration_;
--- a/src/control/controllerelection.h
+++ b/src/control/controllerelection.h
@@ -54,8 +54,10 @@
 
     /// Stores callers' encoded records if this entry is the controller. Errc::Unavailable: it is not, or the log does
     /// not respond, and nothing was stored. Errc::InvalidInput: a record is neither a submission nor a cancellation.
-    /// After any other error the records may or may not be stored.
-    void store(const std::vector<std::string>& records, eventlog::ISubmissionPath::StoreCallback done);
+    /// After any other error the records may or may not be stored. None is rejected unless `acceptsRejections`, which
+    /// says that the sender of the records understands rejections.
+    void store(
+        const std::vector<std::string>& records, bool acceptsRejections, eventlog::ISubmissionPath::StoreCallback done);
 
     /// Whether the log holds everything that this entry knows of a job's submission, cancellation and end.
     bool isStored(jobs::JobId job) const { return !controller_ || controller_->isStored(job); }
--- a/src/control/httppeercontrol.h
+++ b/src/control/httppeercontrol.h
@@ -33,6 +33,14 @@
 std::string encodeRecords(const std::vector<std::string>& records);
 foundation::Result<std::vector<std::string>> decodeRecords(const std::string& body);
 
+/// Header of a request that forwards records, with the value "1": its sender understands rejections in the answer.
+extern const std::string acceptsRejectionsHeader;
+
+/// Body of the answer to a request that forwards records, in JSON; empty if none was rejected, as earlier versions
+/// answer. Decoding fails if a rejection is not of one of `records` records.
+std::string encodeReceipt(const eventlog::StoreReceipt& receipt);
+foundation::Result<eventlog::StoreReceipt> decodeReceipt(const std::string& body, std::size_t records);
+
 /// Body of the answer to a request for the control state, in JSON.
 std::string encodeControlState(const PeerControlState& state);
 foundation::Result<PeerControlState> decodeControlState(const std::string& body);
--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -1,6 +1,7 @@
 #include "control/controller.h"
 
 #include "control/internal/controltext.h"
+#include "control/internal/storablecheckpoint.h"
 #include "jobs/appendbuilder.h"
 
 #include <algorithm>
@@ -54,18 +55,22 @@
     , onStepDown_(std::move(onStepDown))
     , writer_(context.log, context.clock, context.timers, context.events, epoch, 1,
           [this](const foundation::Error& error) {
-              stepDown(error.code == Errc::Fenced ? "fenced by the log" : "the log rejects a record");
+    stepDown(error.code == Errc::Fenced ? "fenced by the log" : "the log rejects a record");
           })
     , records_(context.follower, writer_)
     , snapshotter_(context.snapshots, context.follower, context.clock, context.events, epoch,
           { settings.snapshotInterval, settings.snapshotGrowth })
     , directory_(
           context.fleetSource, context.clock, context.timers, context.events,
-          [this](const fleet::InstanceChange& change) { onInstanceChange(change); },
-          [this](const std::set<std::string>& present) { onInstancesLoaded(present); })
+          [this](const fleet::InstanceChange& change) {
+    onInstanceChange(change); },
+          [this](const std::set<std::string>& present) {
+    onInstancesLoaded(present); })
     , health_(context.clock, context.events)
-    , adviceCache_(context.advice, context.clock, context.events, [this] { schedulePlan(); })
+    , adviceCache_(context.advice, context.clock, context.events, [this] {
+    schedulePlan(); })
     , scheduler_(context.follower, context.clock)
+    , submissionGate_(gateContext(), settings.teamBurstJobs)
     , jobTimer_(context.clock, context.events)
     , planDelay_(planBatchingDelay)
 {
@@ -116,6 +121,7 @@
     for (const jobs::JobId id : jobsWithFailures)
         failJobIfAttemptsExhausted(*context_.follower.table().find(id));
     scheduler_.setConfiguration(configuration);
+    submissionGate_.setConfiguration(configuration);
     schedulePlan();
 }
 
@@ -269,6 +275,7 @@
     // Start orders rely on the capacities in the directory as well.
     controlStatus_ = directory_.isCurrent() ? status : std::min(status, ControlStatus::Unconfirmed);
     reportLoad(lag);
+    submissionGate_.tick();
     leaseAuthority_.tick();
     std::vector<InstanceSessionPtr> sessions;
     sessions.reserve(sessions_.size());
@@ -307,11 +314,13 @@
         context_.instances.dropConnections(address);
 }
 
-void Controller::store(const std::vector<jobs::Record>& records, eventlog::ISubmissionPath::StoreCallback done)
+void Controller::store(
+    std::vector<jobs::Record> records, bool acceptsRejections, eventlog::ISubmissionPath::StoreCallback done)
 {
     if (hasSteppedDown_ || writer_.isStalled())
         return done(foundation::failure(Errc::Unavailable, "control.store", {}, "the log does not respond"));
-    records_.storeCallerRecords(records, std::move(done));
+    const bool mayReject = acceptsRejections && directory_.isCurrent();
+    records_.storeCallerRecords(std::move(records), submissionGate_, mayReject, std::move(done));
     schedulePlan();
 }
 
@@ -702,7 +711,8 @@
         { { "task", jobs::toText(record.task) }, { "run", std::uint64_t(record.run) },
             { "instance", session.incarnation().instance }, { "how", toText(record.outcome) },
             { "epoch", sessionContext_.epoch } });
-    records_.writeDecidingRecord(withStorableCheckpoint(record), record.task.job);
+    records_.writeDecidingRecord(
+        withStorableCheckpoint(record, context_.log.recordLimits(), context_.events), record.task.job);
     observedUntil_.erase(record.task);
     health_.recordRunOutcome(session.incarnation().instance, record.outcome);
     if (record.outcome == RunOutcome::Failed)
@@ -713,19 +723,6 @@
     schedulePlan();
 }
 
-// The end of the run has to be stored in any case. Without a checkpoint the task keeps the one before.
-RunEnded Controller::withStorableCheckpoint(const RunEnded& record)
-{
-    RunEnded storable = record;
-    if (jobs::fitsRecord(record, context_.log.recordLimits()))
-        return storable;
-    context_.events.write("checkpoint.dropped",
-        { { "task", jobs::toText(record.task) }, { "run", std::uint64_t(record.run) },
-            { "bytes", std::uint64_t(record.checkpoint.size()) } });
-    storable.checkpoint.clear();
-    return storable;
-}
-
 // The end of a run may be in the log without the failure of its job that follows from it, and the queue of the job may
 // have been unknown then. So the failures in the table are what counts, not the end that was just recorded. A queue
 // that was removed from the configuration leaves its jobs the attempts that they were accepted with.
--- a/src/control/internal/controllerelection.cpp
+++ b/src/control/internal/controllerelection.cpp
@@ -329,7 +329,8 @@
     context_.follower.endControl();
 }
 
-void ControllerElection::store(const std::vector<std::string>& records, eventlog::ISubmissionPath::StoreCallback done)
+void ControllerElection::store(
+    const std::vector<std::string>& records, bool acceptsRejections, eventlog::ISubmissionPath::StoreCallback done)
 {
     if (!controller_ || !isStoreAnswering())
         return done(foundation::failure(Errc::Unavailable, "control.store", {},
@@ -345,7 +346,7 @@
                 foundation::failure(Errc::InvalidInput, "control.store", {}, "not a submission or cancellation"));
         callerRecords.push_back(std::move(decodedRecord->record));
     }
-    controller_->store(callerRecords, std::move(done));
+    controller_->store(std::move(callerRecords), acceptsRejections, std::move(done));
 }
 
 bool ControllerElection::isStoreAnswering() const
--- a/src/control/internal/httppeercontrol.cpp
+++ b/src/control/internal/httppeercontrol.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/post.hpp>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <set>
 
 namespace turmericsill::control {
 
@@ -31,6 +32,7 @@
 
 const std::string controlStatePath = "/control";
 const std::string recordsPath = "/control/records";
+const std::string acceptsRejectionsHeader = "X-Accepts-Rejections";
 
 HttpPeerControl::HttpPeerControl(boost::asio::io_context& context)
     : context_(context)
@@ -71,13 +73,15 @@
     call.target = recordsPath;
     call.body = encodeRecords(records);
     call.contentType = "application/cbor";
+    call.headers.emplace_back(acceptsRejectionsHeader, "1");
     call.timeout = timeout;
     call.step = "control.forward";
-    client->send(std::move(call), [done = std::move(done)](const Result<httpclient::HttpResponse>& answer) {
+    const std::size_t count = records.size();
+    client->send(std::move(call), [count, done = std::move(done)](const Result<httpclient::HttpResponse>& answer) {
         if (!answer)
             return done(tl::unexpected(answer.error()));
         if (answer->status == statusOk)
-            return done({});
+            return done(decodeReceipt(answer->body, count));
         const Errc code = isNotStored(answer->status) ? Errc::Unavailable : Errc::ProtocolViolation;
         done(failure(code, "control.forward", {}, "HTTP status " + std::to_string(answer->status)));
     });
@@ -107,6 +111,39 @@
     }
 }
 
+std::string encodeReceipt(const eventlog::StoreReceipt& receipt)
+{
+    if (receipt.rejected.empty())
+        return {};
+    nlohmann::json rejected = nlohmann::json::array();
+    for (const eventlog::RejectedRecord& record : receipt.rejected)
+        rejected.push_back({ record.index, record.retryAfter.count() });
+    return nlohmann::json { { "rejected", std::move(rejected) } }.dump();
+}
+
+// Each record is named once at most, since its submitter is answered once.
+Result<eventlog::StoreReceipt> decodeReceipt(const std::string& body, std::size_t records)
+{
+    eventlog::StoreReceipt receipt;
+    if (body.empty())
+        return receipt;
+    try {
+        std::set<std::size_t> indexes;
+        const auto value = nlohmann::json::parse(body);
+        for (const auto& item : value.at("rejected")) {
+            const auto index = item.at(0).get<std::int64_t>();
+            const auto retryAfter = item.at(1).get<std::int64_t>();
+            const bool isKnown = index >= 0 && static_cast<std::size_t>(index) < records;
+            if (!isKnown || retryAfter < 0 || !indexes.insert(static_cast<std::size_t>(index)).second)
+                return failure(Errc::ProtocolViolation, "control.forward", {}, "invalid rejection");
+            receipt.rejected.push_back({ static_cast<std::size_t>(index), milliseconds(retryAfter) });
+        }
+        return receipt;
+    } catch (const nlohmann::json::exception& error) {
+        return failure(Errc::ProtocolViolation, "control.forward", {}, error.what());
+    }
+}
+
 std::string encodeControlState(const PeerControlState& state)
 {
     return nlohmann::json {
--- a/src/control/internal/machinemanager.cpp
+++ b/src/control/internal/machinemanager.cpp
@@ -28,7 +28,6 @@
     constexpr milliseconds shortTaskCutoff { 4000 };
     /// Interval of the events that report the demand of each pool.
     constexpr milliseconds demandReportInterval { 1000 };
-    constexpr double trendWindowSeconds = 0.5; ///< Smoothing time of a pool's demand: ten samples.
     constexpr int servingPercent = 100; ///< Progress at which a long-running task is serving.
 
 } // namespace
@@ -380,22 +379,6 @@
         });
 }
 
-void MachineManager::updateTrend(const std::string& pool, double milliCores, scheduling::PoolDemand& demand)
-{
-    DemandTrend& trend = trends_[pool];
-    const auto now = context_.clock.now();
-    const double elapsed = std::chrono::duration<double>(now - trend.sampledAt).count();
-    if (elapsed > trendWindowSeconds) {
-        trend.growthPerSecond = 0;
-    } else if (elapsed > 0) {
-        const double weight = elapsed / trendWindowSeconds;
-        trend.growthPerSecond += weight * ((milliCores - trend.milliCores) / elapsed - trend.growthPerSecond);
-    }
-    trend.milliCores = milliCores;
-    trend.sampledAt = now;
-    demand.growthMilliCoresPerSecond = trend.growthPerSecond;
-}
-
 std::map<std::string, scheduling::PoolDemand> MachineManager::poolDemands()
 {
     std::map<std::string, scheduling::PoolDemand> demands;
@@ -410,7 +393,8 @@
         used[session->report().pool] += static_cast<double>(session->shortTaskMilliCores());
     for (auto& [pool, demand] : demands) {
         demand.freeMilliCores = controller_.instancesOf(pool).freeMilliCores();
-        updateTrend(pool, used[pool] + static_cast<double>(demand.unplaced.milliCores), demand);
+        const double milliCores = used[pool] + static_cast<double>(demand.unplaced.milliCores);
+        demand.growthMilliCoresPerSecond = trends_[pool].update(milliCores, context_.clock.now());
     }
     return demands;
 }
@@ -442,9 +426,11 @@
     }
     reportDemands(demands);
     const scheduling::MovePolicy policy;
-    if (!scheduling::hasShortage(demands, policy))
-        return;
-    for (const auto& next : scheduling::planMoves(movableMachines(), demands, policy)) {
+    std::vector<scheduling::MachineView> movable;
+    if (scheduling::hasShortage(demands, policy))
+        movable = movableMachines();
+    controller_.setMachineSupply(demands, movable);
+    for (const auto& next : scheduling::planMoves(movable, demands, policy)) {
         if (!refusedMoves_.count({ next.machine, next.pool }))
             requestMove(next);
     }
--- a/src/control/internal/poolscheduler.cpp
+++ b/src/control/internal/poolscheduler.cpp
@@ -122,6 +122,12 @@
     }
 }
 
+const scheduling::PoolBacklog* PoolScheduler::findBacklog(const std::string& pool) const
+{
+    const auto found = pools_.find(pool);
+    return found == pools_.end() ? nullptr : &found->second.backlog;
+}
+
 std::map<std::string, jobs::Resources> PoolScheduler::unplacedByPool() const
 {
     std::map<std::string, jobs::Resources> result;
--- a/src/control/internal/poolscheduler.h
+++ b/src/control/internal/poolscheduler.h
@@ -51,6 +51,10 @@
     /// Instances of a pool that accept tasks.
     const scheduling::InstanceIndex& instancesOf(const std::string& pool) { return pools_[pool].instances; }
 
+    /// Tasks of a pool that are ready to run, as of the latest change applied; null for a pool without instances and
+    /// jobs.
+    const scheduling::PoolBacklog* findBacklog(const std::string& pool) const;
+
     /// Resources requested by the ready tasks of each pool that found no room in the latest plan.
     std::map<std::string, jobs::Resources> unplacedByPool() const;
 
--- a/src/control/internal/recordstore.cpp
+++ b/src/control/internal/recordstore.cpp
@@ -31,45 +31,56 @@
     });
 }
 
-void RecordStore::storeCallerRecords(
-    const std::vector<jobs::Record>& records, eventlog::ISubmissionPath::StoreCallback done)
+void RecordStore::storeCallerRecords(std::vector<jobs::Record> records, ISubmissionGate& gate, bool mayReject,
+    eventlog::ISubmissionPath::StoreCallback done)
 {
-    for (const auto& record : records)
-        applySubmission(record);
+    eventlog::StoreReceipt receipt;
+    for (std::size_t index = 0; index < records.size(); ++index) {
+        if (const auto retryAfter = applyCallerRecord(std::move(records[index]), gate, mayReject))
+            receipt.rejected.push_back({ index, *retryAfter });
+    }
+    // The callers of rejected records need not wait for what was written before.
+    if (!records.empty() && receipt.rejected.size() == records.size())
+        return done(std::move(receipt));
     const std::uint64_t id = nextStoreId_++;
-    pendingStores_.emplace(id, std::move(done));
+    pendingStores_.emplace(id, PendingStore { std::move(done), std::move(receipt) });
     writer_.whenStored([this, id] {
-        if (!pendingStores_.count(id))
+        const auto pending = pendingStores_.find(id);
+        if (pending == pendingStores_.end())
             return;
-        const auto callback = std::move(pendingStores_.at(id));
-        pendingStores_.erase(id);
-        callback({});
+        PendingStore stored = std::move(pending->second);
+        pendingStores_.erase(pending);
+        stored.done(std::move(stored.receipt));
     });
 }
 
 void RecordStore::failPendingStores()
 {
     const auto pending = std::exchange(pendingStores_, {});
-    for (const auto& [id, done] : pending)
-        done(foundation::failure(Errc::Fenced, "control.store", {}, "no longer the controller"));
+    for (const auto& [id, store] : pending)
+        store.done(foundation::failure(Errc::Fenced, "control.store", {}, "no longer the controller"));
 }
 
 // Skips a record that would change nothing: the record that had the same effect is in the log or is being appended.
-void RecordStore::applySubmission(const jobs::Record& record)
+std::optional<foundation::milliseconds> RecordStore::applyCallerRecord(
+    jobs::Record record, ISubmissionGate& gate, bool mayReject)
 {
-    if (const auto* submitted = std::get_if<jobs::JobSubmitted>(&record)) {
+    if (auto* submitted = std::get_if<jobs::JobSubmitted>(&record)) {
         if (follower_.table().find(submitted->job))
-            return;
+            return std::nullopt;
+        if (const auto retryAfter = gate.examine(*submitted, mayReject))
+            return retryAfter;
         write(record);
         trackUnstored(submitted->job);
     }
     if (const auto* cancelled = std::get_if<jobs::JobCancelled>(&record)) {
         const Job* job = follower_.table().find(cancelled->job);
         if (job && job->isFinal())
-            return;
+            return std::nullopt;
         write(record);
         trackUnstored(cancelled->job);
     }
+    return std::nullopt;
 }
 
 } // namespace turmericsill::control
--- a/src/control/internal/recordstore.h
+++ b/src/control/internal/recordstore.h
@@ -1,11 +1,14 @@
 #pragma once
 
+#include "control/internal/isubmissiongate.h"
 #include "eventlog/controllerwriter.h"
 #include "eventlog/isubmissionpath.h"
 #include "eventlog/jobfollower.h"
 
 #include <map>
+#include <optional>
 #include <unordered_map>
+#include <vector>
 
 namespace turmericsill::control {
 
@@ -28,7 +31,9 @@
     void writeDecidingRecord(const jobs::Record& record, jobs::JobId job);
 
     /// Stores callers' records, jobs::JobSubmitted and jobs::JobCancelled, in the same appends as the controller's own.
-    void storeCallerRecords(const std::vector<jobs::Record>& records, eventlog::ISubmissionPath::StoreCallback done);
+    /// `gate` examines the submissions of new jobs; see ISubmissionGate for `mayReject`.
+    void storeCallerRecords(std::vector<jobs::Record> records, ISubmissionGate& gate, bool mayReject,
+        eventlog::ISubmissionPath::StoreCallback done);
 
     /// Fails the pending calls of storeCallerRecords() with Errc::Fenced. Their records may still be stored.
     void failPendingStores();
@@ -37,14 +42,21 @@
     bool isStored(jobs::JobId job) const { return !unstoredRecords_.count(job); }
 
 private:
-    void applySubmission(const jobs::Record& record);
+    struct PendingStore {
+        eventlog::ISubmissionPath::StoreCallback done;
+        eventlog::StoreReceipt receipt;
+    };
+
+    /// Writes a caller's record, or returns the delay after which a rejected one may be submitted again.
+    std::optional<foundation::milliseconds> applyCallerRecord(
+        jobs::Record record, ISubmissionGate& gate, bool mayReject);
     void trackUnstored(jobs::JobId job);
 
     eventlog::JobFollower& follower_;
     eventlog::ControllerWriter& writer_;
     /// Number of records per job that determine its reported state and are not in the log yet.
     std::unordered_map<jobs::JobId, int> unstoredRecords_;
-    std::map<std::uint64_t, eventlog::ISubmissionPath::StoreCallback> pendingStores_;
+    std::map<std::uint64_t, PendingStore> pendingStores_;
     std::uint64_t nextStoreId_ = 0;
 };
 
--- a/src/control/internal/submissionrouter.cpp
+++ b/src/control/internal/submissionrouter.cpp
@@ -48,7 +48,7 @@
 void SubmissionRouter::store(std::vector<std::string> records, milliseconds timeout, StoreCallback done)
 {
     if (control_.isController())
-        return control_.store(records, std::move(done));
+        return control_.store(records, true, std::move(done));
     const auto peer = peerInControl();
     if (!peer)
         return append(std::move(records), timeout, std::move(done));
@@ -56,10 +56,10 @@
     ++forwardsInFlight_;
     const milliseconds effectiveTimeout = forwardTimeout + joinLatenciesPerForward * control_.storeLatency();
     context_.peers.forward(*peer, records, std::min(timeout, effectiveTimeout),
-        [this, epoch, records, timeout, done = std::move(done)](const Result<void>& stored) {
+        [this, epoch, records, timeout, done = std::move(done)](const Result<eventlog::StoreReceipt>& stored) {
             --forwardsInFlight_;
             if (stored)
-                return done({});
+                return done(stored);
             avoidController(epoch, stored.error());
             if (stored.error().code == Errc::Unavailable)
                 return append(records, timeout, done);
@@ -90,7 +90,7 @@
     context_.log.append(std::move(request), timeout, [done = std::move(done)](const Result<AppendReceipt>& receipt) {
         if (!receipt)
             return done(tl::unexpected(receipt.error()));
-        done({});
+        done(eventlog::StoreReceipt());
     });
 }
 
--- a/src/control/ipeercontrol.h
+++ b/src/control/ipeercontrol.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "eventlog/isubmissionpath.h"
 #include "foundation/address.h"
 #include "foundation/iclock.h"
 #include "foundation/result.h"
@@ -22,7 +23,7 @@
 /// Calls from one entry to another.
 class IPeerControl {
 public:
-    using ForwardCallback = std::function<void(foundation::Result<void>)>;
+    using ForwardCallback = eventlog::ISubmissionPath::StoreCallback;
     using StateCallback = std::function<void(foundation::Result<PeerControlState>)>;
 
     virtual ~IPeerControl() = default;
@@ -30,7 +31,8 @@
     /// Queries whether an entry is the controller.
     virtual void queryState(const foundation::Address& peer, StateCallback done) = 0;
 
-    /// Sends callers' encoded records to the controller, which answers once they are stored. Errc::Unavailable: they
+    /// Sends callers' encoded records to the controller, which answers once they are stored, except
+    /// those that it rejects. Errc::Unavailable: they
     /// are not stored, because the peer was not reached, is not the controller or cannot reach the log. After any other
     /// error they may or may not be stored.
     virtual void forward(const foundation::Address& peer, std::vector<std::string> records,
--- a/src/control/machinemanager.h
+++ b/src/control/machinemanager.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "control/controller.h"
+#include "control/internal/demandtrend.h"
 #include "fleet/imachinecontrol.h"
 #include "scheduling/types/fleetview.h"
 
@@ -46,13 +47,6 @@
         bool isReporting = false; ///< Whether a report is pending.
     };
 
-    /// Processor demand of a pool over time.
-    struct DemandTrend {
-        double milliCores = 0;
-        double growthPerSecond = 0; ///< Smoothed growth in thousandths of a core per second.
-        foundation::SteadyTime sampledAt {};
-    };
-
     enum class OperationKind { Evacuation, Maintenance, PoolChange };
 
     /// Planned or ordered operation on a machine.
@@ -87,7 +81,6 @@
     void requestMaintenance(const std::string& machine, MachineOperation& operation);
     void reportWave(Wave& wave, bool completed);
     std::map<std::string, scheduling::PoolDemand> poolDemands();
-    void updateTrend(const std::string& pool, double milliCores, scheduling::PoolDemand& demand);
     void reportDemands(const std::map<std::string, scheduling::PoolDemand>& demands);
     void planMoves();
     std::vector<scheduling::MachineView> movableMachines() const;
--- a/src/control/types/controlsettings.h
+++ b/src/control/types/controlsettings.h
@@ -2,6 +2,8 @@
 
 #include "control/types/leaseterms.h"
 
+#include <cstddef>
+
 namespace turmericsill::control {
 
 /// Durations and intervals that the controller observes.
@@ -15,6 +17,7 @@
     /// Whether runs are stored as jobs::RunBatch records, which earlier versions of this program cannot read.
     bool batchesRunRecords = true;
     bool compressesRecords = true; ///< The same for the compression of records.
+    std::size_t teamBurstJobs = 20; ///< Jobs that a team may submit at once beyond a second's worth of its rate.
     milliseconds holderInterval { 3000 }; ///< Minimum time between the orders of two controllers for one machine.
 };
 
--- a/src/emulator/internal/emulatedplatformclient.cpp
+++ b/src/emulator/internal/emulatedplatformclient.cpp
@@ -416,7 +416,7 @@
     const foundation::Address& peer, std::vector<std::string> records, milliseconds timeout, ForwardCallback done)
 {
     auto isOpen = std::make_shared<bool>(true);
-    const auto finish = [isOpen, done](const Result<void>& result) {
+    const auto finish = [isOpen, done](const Result<eventlog::StoreReceipt>& result) {
         if (std::exchange(*isOpen, false))
             done(result);
     };
@@ -425,7 +425,7 @@
         control::ControllerElection* control = peerLookup_(peer);
         if (!control)
             return;
-        control->store(records, [this, isAlive, finish](const Result<void>& stored) {
+        control->store(records, true, [this, isAlive, finish](const Result<eventlog::StoreReceipt>& stored) {
             if (*isAlive)
                 answer(networkDelay, [finish, stored] { finish(stored); });
         });
--- a/src/emulator/internal/emulation.cpp
+++ b/src/emulator/internal/emulation.cpp
@@ -147,7 +147,7 @@
                 onAnswer(result);
             if (result.outcome == RequestOutcome::Stored)
                 platform_.invariants().onAccepted(id);
-            else if (result.outcome == RequestOutcome::NotStored)
+            else if (result.outcome == RequestOutcome::NotStored || result.outcome == RequestOutcome::Overloaded)
                 platform_.invariants().onRefused(id);
         });
 }
--- a/src/entry/ijobservice.h
+++ b/src/entry/ijobservice.h
@@ -19,6 +19,7 @@
     NotStored, ///< The request surely has no effect, now or later.
     Unknown, ///< The request may or may not take effect.
     Rejected, ///< The request has no effect, nor would it if it was repeated: it is too large for the log.
+    Overloaded, ///< The request has no effect: the fleet is overloaded. It may be repeated later.
     Forbidden, ///< The request has no effect: the job belongs to another team.
 };
 
--- a/src/entry/internal/jobservice.cpp
+++ b/src/entry/internal/jobservice.cpp
@@ -19,15 +19,17 @@
     /// A count that is older is read anew; the platform allows 2 s.
     constexpr milliseconds maximumPendingCountAge { 1700 };
 
-    RequestResult toRequestResult(AppendOutcome outcome)
+    RequestResult toRequestResult(const eventlog::AppendResult& result)
     {
-        switch (outcome) {
+        switch (result.outcome) {
         case AppendOutcome::Stored:
             return { RequestOutcome::Stored, milliseconds(0) };
         case AppendOutcome::NotStored:
             return { RequestOutcome::NotStored, storeRetryAfter };
         case AppendOutcome::Rejected:
             return { RequestOutcome::Rejected, milliseconds(0) };
+        case AppendOutcome::Overloaded:
+            return { RequestOutcome::Overloaded, result.retryAfter };
         case AppendOutcome::Unknown:
             break;
         }
@@ -46,6 +48,8 @@
             return "not-stored";
         case RequestOutcome::Rejected:
             return "rejected";
+        case RequestOutcome::Overloaded:
+            return "refused-overload";
         case RequestOutcome::Forbidden:
             return "forbidden";
         case RequestOutcome::Unknown:
@@ -144,8 +148,8 @@
 {
     const auto appendStartedAt = clock_.now();
     submitter_.submit(record, deadline, std::move(isStored),
-        [this, event, id, appendStartedAt, done = std::move(done)](AppendOutcome outcome) {
-            const RequestResult result = toRequestResult(outcome);
+        [this, event, id, appendStartedAt, done = std::move(done)](const eventlog::AppendResult& appended) {
+            const RequestResult result = toRequestResult(appended);
             const auto took = std::chrono::duration_cast<milliseconds>(clock_.now() - appendStartedAt);
             events_.write(event,
                 { { "job", jobs::toText(id) }, { "outcome", toText(result.outcome) },
--- a/src/entryd/internal/entryprocess.cpp
+++ b/src/entryd/internal/entryprocess.cpp
@@ -75,9 +75,11 @@
     const auto records = control::decodeRecords(exchange->request().body());
     if (!records)
         return exchange->respond(httpserver::makeResponse(statusBadRequest, records.error().message()));
-    control_.store(*records, [exchange](const Result<void>& stored) {
+    const bool acceptsRejections = exchange->request()[control::acceptsRejectionsHeader] == "1";
+    control_.store(*records, acceptsRejections, [exchange](const Result<eventlog::StoreReceipt>& stored) {
         if (stored)
-            return exchange->respond(httpserver::makeResponse(statusOk, ""));
+            return exchange->respond(
+                httpserver::makeResponse(statusOk, control::encodeReceipt(*stored), "application/json"));
         const bool isDefinitelyNotStored = stored.error().code == foundation::Errc::Unavailable;
         exchange->respond(httpserver::makeResponse(
             isDefinitelyNotStored ? statusServiceUnavailable : statusGatewayTimeout, stored.error().message()));
@@ -136,6 +138,7 @@
     result.lease.maximumLease = settings_.maximumLease;
     result.lease.duration = std::min(result.lease.duration, settings_.maximumLease);
     result.holderInterval = settings_.holderInterval;
+    result.teamBurstJobs = settings_.teamBurstJobs;
     result.batchesRunRecords = settings_.batchesRunRecords;
     result.compressesRecords = settings_.compressesRecords;
     result.statusRetention = settings_.statusRetention + statusRetentionMargin;
--- a/src/eventlog/internal/jobsubmitter.cpp
+++ b/src/eventlog/internal/jobsubmitter.cpp
@@ -40,16 +40,16 @@
 {
     std::string payload = jobs::encode(record, 0);
     if (payload.size() + epochBytes > path_.recordLimits().recordBytes)
-        return done(AppendOutcome::Rejected);
+        return done({ AppendOutcome::Rejected });
     waiting_.push_back({ std::move(payload), clock_.now(), deadline, std::move(isStored), std::move(done) });
     scheduleDeadlineCheck();
     sendBatches();
 }
 
-void JobSubmitter::complete(PendingRecord& pending, AppendOutcome outcome)
+void JobSubmitter::complete(PendingRecord& pending, const AppendResult& result)
 {
     if (auto done = std::exchange(pending.done, nullptr))
-        done(outcome);
+        done(result);
 }
 
 void JobSubmitter::sendBatches()
@@ -84,22 +84,19 @@
     const std::uint64_t number = ++lastBatchNumber_;
     inFlight_[number].assign(std::make_move_iterator(waiting_.begin()), std::make_move_iterator(batchEnd));
     waiting_.erase(waiting_.begin(), batchEnd);
-    path_.store(
-        std::move(records), storeCallTimeout, [this, number](const Result<void>& stored) { onAnswer(number, stored); });
+    path_.store(std::move(records), storeCallTimeout,
+        [this, number](const Result<StoreReceipt>& stored) { onAnswer(number, stored); });
 }
 
-void JobSubmitter::onAnswer(std::uint64_t number, const Result<void>& stored)
+void JobSubmitter::onAnswer(std::uint64_t number, const Result<StoreReceipt>& stored)
 {
     const auto found = inFlight_.find(number);
     if (found == inFlight_.end())
         return;
     Batch batch = std::move(found->second);
     inFlight_.erase(found);
-    if (stored) {
-        for (auto& pending : batch)
-            complete(pending, AppendOutcome::Stored);
-        return sendBatches();
-    }
+    if (stored)
+        return onStored(std::move(batch), *stored);
     if (stored.error().code == Errc::Rejected)
         return onRejected(std::move(batch));
     const bool isKnownNotStored = stored.error().code == Errc::Unavailable;
@@ -114,13 +111,39 @@
     scheduleRetry();
 }
 
+// A rejected record of which an earlier attempt may have been stored is sent again, since its caller must not be told
+// that it was not stored.
+void JobSubmitter::onStored(Batch batch, const StoreReceipt& receipt)
+{
+    bool hasRetry = false;
+    for (const RejectedRecord& rejected : receipt.rejected) {
+        PendingRecord& pending = batch.at(rejected.index);
+        if (!pending.done)
+            continue;
+        if (!pending.mayBeStored) {
+            complete(pending, { AppendOutcome::Overloaded, rejected.retryAfter });
+            continue;
+        }
+        pending.wasRefused = false;
+        waiting_.push_back(std::move(pending));
+        pending.done = nullptr;
+        hasRetry = true;
+    }
+    for (auto& pending : batch)
+        complete(pending, { AppendOutcome::Stored });
+    if (!hasRetry)
+        return sendBatches();
+    failExpiredWaiting();
+    scheduleRetry();
+}
+
 // One record may be the reason why the whole batch was rejected, so each is sent again by itself.
 void JobSubmitter::onRejected(Batch batch)
 {
     const bool isSingle = batch.size() == 1;
     for (auto& pending : batch) {
         if (isSingle)
-            complete(pending, pending.mayBeStored ? AppendOutcome::Unknown : AppendOutcome::Rejected);
+            complete(pending, { pending.mayBeStored ? AppendOutcome::Unknown : AppendOutcome::Rejected });
         if (!pending.done)
             continue;
         pending.isSentAlone = true;
@@ -144,7 +167,7 @@
         bool hasOpenRecord = false;
         for (auto& pending : batch) {
             if (pending.done && pending.isStored())
-                complete(pending, AppendOutcome::Stored);
+                complete(pending, { AppendOutcome::Stored });
             hasOpenRecord |= pending.done != nullptr;
         }
         return hasOpenRecord;
@@ -185,7 +208,7 @@
         pending = waiting_.erase(pending);
     }
     for (auto& pending : expired)
-        complete(pending, pending.mayBeStored ? AppendOutcome::Unknown : AppendOutcome::NotStored);
+        complete(pending, { pending.mayBeStored ? AppendOutcome::Unknown : AppendOutcome::NotStored });
 }
 
 void JobSubmitter::failExpiredInFlight()
@@ -196,7 +219,7 @@
         for (auto& pending : batch) {
             const bool hasTimedOut = isStoreSilent && now >= pending.submittedAt + unansweredAppendTimeout;
             if (hasTimedOut || now >= pending.deadline)
-                complete(pending, AppendOutcome::Unknown);
+                complete(pending, { AppendOutcome::Unknown });
         }
     }
 }
--- a/src/eventlog/jobsubmitter.h
+++ b/src/eventlog/jobsubmitter.h
@@ -19,6 +19,12 @@
     NotStored, ///< Surely not stored, now or later.
     Unknown, ///< An attempt got no answer, so the record may have been stored or may still be.
     Rejected, ///< Not stored, nor would it be if it was submitted again.
+    Overloaded, ///< Surely not stored, because the fleet is overloaded; may be submitted again later.
+};
+
+struct AppendResult {
+    AppendOutcome outcome = AppendOutcome::Unknown;
+    foundation::milliseconds retryAfter { 0 }; ///< Delay before the next attempt, for AppendOutcome::Overloaded.
 };
 
 /// Stores callers' records for this entry in batches. As many batches are in flight as the path allows; records that
@@ -26,7 +32,7 @@
 /// A record may be stored twice, which is harmless because applying it again has no effect.
 class JobSubmitter {
 public:
-    using Callback = std::function<void(AppendOutcome)>;
+    using Callback = std::function<void(const AppendResult&)>;
 
     JobSubmitter(ISubmissionPath& path, foundation::IClock& clock, foundation::ITimerQueue& timers);
 
@@ -66,7 +72,8 @@
 
     void sendBatches();
     void sendBatch();
-    void onAnswer(std::uint64_t number, const foundation::Result<void>& stored);
+    void onAnswer(std::uint64_t number, const foundation::Result<StoreReceipt>& stored);
+    void onStored(Batch batch, const StoreReceipt& receipt);
     void onRejected(Batch batch);
     std::size_t countNextBatch() const;
     void scheduleRetry();
@@ -75,7 +82,7 @@
     void checkDeadlines();
     void scheduleDeadlineCheck();
     bool isExpired(const PendingRecord& pending) const;
-    static void complete(PendingRecord& pending, AppendOutcome outcome);
+    static void complete(PendingRecord& pending, const AppendResult& result);
 
     ISubmissionPath& path_;
     foundation::IClock& clock_;
--- a/src/eventlog/tests/jobsubmittertests.cpp
+++ b/src/eventlog/tests/jobsubmittertests.cpp
@@ -39,16 +39,29 @@
             callbacks[i](answerTo(calls[calls.size() - callbacks.size() + i]));
     }
 
-    foundation::Result<void> answerTo(const std::vector<std::string>& records) const
+    /// Fails the calls that are held, as if their answers were lost.
+    void loseHeld()
+    {
+        for (const auto& done : std::exchange(held, {}))
+            done(foundation::failure(Errc::Timeout, "control.forward"));
+    }
+
+    foundation::Result<StoreReceipt> answerTo(const std::vector<std::string>& records) const
     {
         for (const auto& record : records) {
             if (rejectedSizes.count(record.size()))
                 return foundation::failure(Errc::Rejected, "log.append");
         }
-        return {};
+        StoreReceipt receipt;
+        for (std::size_t index = 0; index < records.size(); ++index) {
+            if (overloadedSizes.count(records[index].size()))
+                receipt.rejected.push_back({ index, milliseconds(2500) });
+        }
+        return receipt;
     }
 
     std::set<std::size_t> rejectedSizes;
+    std::set<std::size_t> overloadedSizes; ///< Sizes of the records that an overloaded controller rejects.
     std::vector<std::vector<std::string>> calls;
     std::vector<StoreCallback> held;
     bool isHeld = false;
@@ -61,7 +74,10 @@
         record.spec.payload.assign(payloadBytes, 'p');
         submitter.submit(
             record, clock.now() + milliseconds(3000), [] { return false; },
-            [this, id](AppendOutcome outcome) { outcomes[id] = outcome; });
+            [this, id](const AppendResult& result) {
+                outcomes[id] = result.outcome;
+                delays[id] = result.retryAfter;
+            });
     }
 
     static std::size_t sizeOf(JobId id, std::size_t payloadBytes)
@@ -76,6 +92,7 @@
     foundation::TimerQueue timers;
     JobSubmitter submitter { path, clock, timers };
     std::map<JobId, AppendOutcome> outcomes;
+    std::map<JobId, milliseconds> delays;
 };
 
 } // namespace
@@ -121,3 +138,57 @@
         CHECK(bytes <= limits.appendBytes);
     }
 }
+
+// The caller of a rejected record must learn of it and of the delay, and the callers of the others of their records.
+TEST_CASE("submitter: a record that is rejected in overload does not affect the records beside it", "[eventlog]")
+{
+    SubmitterFixture fixture;
+    fixture.path.overloadedSizes.insert(SubmitterFixture::sizeOf(3, 700));
+    fixture.path.isHeld = true;
+    fixture.submit(1, 10);
+    for (const JobId id : { 2, 3, 4 })
+        fixture.submit(id, id == 3 ? 700 : 100);
+    fixture.path.answerHeld();
+    CHECK(fixture.outcomes.at(2) == AppendOutcome::Stored);
+    CHECK(fixture.outcomes.at(3) == AppendOutcome::Overloaded);
+    CHECK(fixture.delays.at(3) == milliseconds(2500));
+    CHECK(fixture.outcomes.at(4) == AppendOutcome::Stored);
+    CHECK(fixture.path.calls.size() == 2);
+}
+
+// The first attempt may have been stored although its answer was lost. A rejection of the second one would tell the
+// caller that the job does not exist while it runs.
+TEST_CASE("submitter: a rejected record that may be stored is sent again", "[eventlog]")
+{
+    SubmitterFixture fixture;
+    fixture.path.overloadedSizes.insert(SubmitterFixture::sizeOf(1, 10));
+    fixture.path.isHeld = true;
+    fixture.submit(1, 10);
+    fixture.path.loseHeld();
+    fixture.path.isHeld = false;
+    for (int i = 0; i < 3; ++i) {
+        fixture.clock.time += milliseconds(40);
+        fixture.timers.runDue(fixture.clock.now());
+    }
+    CHECK(fixture.path.calls.size() == 4);
+    CHECK(fixture.outcomes.empty());
+    fixture.path.overloadedSizes.clear();
+    fixture.clock.time += milliseconds(40);
+    fixture.timers.runDue(fixture.clock.now());
+    CHECK(fixture.outcomes.at(1) == AppendOutcome::Stored);
+}
+
+TEST_CASE("submitter: a rejected record that may be stored has an unknown outcome at its deadline", "[eventlog]")
+{
+    SubmitterFixture fixture;
+    fixture.path.overloadedSizes.insert(SubmitterFixture::sizeOf(1, 10));
+    fixture.path.isHeld = true;
+    fixture.submit(1, 10);
+    fixture.path.loseHeld();
+    fixture.path.isHeld = false;
+    for (int i = 0; i < 80; ++i) {
+        fixture.clock.time += milliseconds(40);
+        fixture.timers.runDue(fixture.clock.now());
+    }
+    CHECK(fixture.outcomes.at(1) == AppendOutcome::Unknown);
+}
--- /dev/null
+++ b/src/scheduling/admission.h
@@ -0,0 +1,130 @@
+#pragma once
+
+#include "fleet/types/fleet.h"
+#include "foundation/iclock.h"
+#include "scheduling/poolbacklog.h"
+#include "scheduling/types/fleetview.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace turmericsill::scheduling {
+
+/// Place of a job in the order in which its pool serves jobs, apart from the shares of the teams.
+struct ServiceRank {
+    int priority = 0; ///< Priority of the queue; lower values are served first.
+    bool isShort = false; ///< Long-running jobs precede the others.
+    bool exceedsTeamRate = false; ///< Jobs within their team's rate precede the others.
+    bool isLate = false; ///< The job misses its objective even if it starts at once.
+    double remainingCoreSeconds = 0;
+    jobs::JobId job = 0;
+
+    bool operator<(const ServiceRank& other) const;
+
+    /// Precedes every rank of the same priority, kind and rate.
+    ServiceRank startOfClass() const;
+};
+
+/// Work of a job that waits for room, or that does not wait yet because it is being submitted.
+struct WaitingWork {
+    ServiceRank rank;
+    std::string team;
+    double coreSeconds = 0; ///< Estimated work of the tasks that neither run nor are done.
+};
+
+/// Work of a job of a backlog.
+WaitingWork waitingWork(const JobRank& rank, const jobs::Job& job);
+
+/// Work of a job that is being submitted to a queue.
+WaitingWork submittedWork(const jobs::JobSubmitted& submission, const fleet::Queue& queue);
+
+/// Work that a pool serves before a job, in core-seconds.
+struct WorkAhead {
+    double ofEarlierClasses = 0; ///< Of jobs that precede the job whatever their team has of the pool.
+    double ofClass = 0; ///< Of jobs of the same priority, kind and rate that precede it.
+    double ofTeam = 0; ///< The part of `ofClass` that is of the job's own team.
+    double teamShare = 1; ///< Share of the team in the pool, among the teams with waiting work.
+};
+
+/// Sums of the waiting work of a pool in the order of service. A query takes logarithmic time, so that the backlog is
+/// not walked for each submission.
+class PoolWork {
+public:
+    /// Replaces the work. The teams' weights are those of the configuration; 1 for any other team.
+    void assign(std::vector<WaitingWork> work, const fleet::FleetConfiguration& configuration);
+
+    /// Adds the work of a job that was accepted since assign().
+    void add(WaitingWork work) { added_.push_back(std::move(work)); }
+
+    WorkAhead ahead(const WaitingWork& job, const fleet::FleetConfiguration& configuration) const;
+
+private:
+    /// Work of several jobs in the order of service.
+    struct Sums {
+        std::vector<ServiceRank> ranks;
+        std::vector<double> coreSeconds; ///< Sum up to and including the job of the same index.
+
+        void append(const WaitingWork& work);
+        double before(const ServiceRank& rank) const;
+    };
+
+    Sums all_;
+    std::map<std::string, Sums> byTeam_;
+    double weights_ = 0; ///< Sum of the weights of the teams in `byTeam_`.
+    std::vector<WaitingWork> added_; ///< In no order.
+};
+
+/// Processor capacity of a pool, in thousandths of a core.
+struct PoolSupply {
+    std::int64_t present = 0; ///< Of the instances that accept tasks, used or not.
+    std::int64_t free = 0; ///< Part of `present` that no run holds.
+    std::int64_t arriving = 0; ///< Of the machines being moved to the pool, and of idle ones that can be moved there.
+};
+
+/// Processor capacity of each pool that is being moved to it or is idle elsewhere; machines of a pool whose own tasks
+/// wait are not idle. Key: pool.
+std::map<std::string, std::int64_t> arrivingMilliCores(
+    const std::map<std::string, PoolDemand>& demands, const std::vector<MachineView>& movable);
+
+/// Time until the work ahead of a job has been served. An estimate on the low side, since a job that is refused without
+/// need is worse than one that is late: machines that arrive count as present, and runs in progress as ended.
+foundation::milliseconds estimatedWait(const WorkAhead& ahead, const PoolSupply& supply);
+
+/// What admission control has to know of a job.
+struct AdmissionRequest {
+    jobs::JobId job = 0;
+    bool exceedsTeamRate = false;
+    foundation::milliseconds objective { 0 }; ///< See completionObjective().
+    foundation::milliseconds criticalPath { 0 };
+    foundation::milliseconds wait { 0 }; ///< See estimatedWait().
+};
+
+/// Decides which submissions to a pool are accepted. Rejected are jobs beyond their team's rate that would miss their
+/// objective because of the work ahead of them, and any job that would be completed clearly after three times its
+/// objective. Once it has rejected a job, it rejects at lower waits until none has exceeded them for a second.
+class AdmissionControl {
+public:
+    /// Returns the delay after which the job may be submitted again if it is rejected. The delays of different jobs are
+    /// spread, so that their callers do not return together.
+    std::optional<foundation::milliseconds> decide(const AdmissionRequest& request, foundation::SteadyTime now);
+
+    bool isRejecting(foundation::SteadyTime now) const { return beyondRate_.isActive(now) || overdue_.isActive(now); }
+
+private:
+    /// A limit that stays at its lower value for a while once its upper value was exceeded.
+    struct Limit {
+        std::optional<foundation::SteadyTime> exceededAt;
+
+        bool isActive(foundation::SteadyTime now) const;
+        bool isExceeded(foundation::milliseconds value, foundation::milliseconds lower, foundation::milliseconds upper,
+            foundation::SteadyTime now);
+    };
+
+    Limit beyondRate_;
+    Limit overdue_;
+};
+
+} // namespace turmericsill::scheduling
