--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -319,7 +319,7 @@
 {
     if (hasSteppedDown_ || writer_.isStalled())
         return done(foundation::failure(Errc::Unavailable, "control.store", {}, "the log does not respond"));
-    const bool mayReject = acceptsRejections && directory_.isCurrent();
+    const bool mayReject = acceptsRejections && controlStatus_ == ControlStatus::Confirmed;
     records_.storeCallerRecords(std::move(records), submissionGate_, mayReject, std::move(done));
     schedulePlan();
 }
--- a/src/control/internal/submissiongate.cpp
+++ b/src/control/internal/submissiongate.cpp
@@ -17,10 +17,10 @@
     /// A longer time since this entry has read to the log's end may hide jobs that others have stored. A read without
     /// records is answered within 1 s.
     constexpr milliseconds maximumLogAge { 2000 };
-    /// The sums of a backlog are renewed at this interval, lengthened by a multiple of the time that it takes (about a
-    /// microsecond a job), so that it takes under 3% of the thread's time.
+    /// Age at which the sums of a backlog are renewed. It grows with the backlog, since a renewal takes 0.3 us a job
+    /// (5,000 jobs on a whole core), so that renewals take a few per cent of a slow core.
     constexpr milliseconds refreshInterval { 50 };
-    constexpr std::chrono::microseconds refreshIntervalPerJob { 40 };
+    constexpr std::chrono::microseconds refreshIntervalPerJob { 20 };
     constexpr milliseconds reportInterval { 1000 };
     /// Jobs received earlier no longer count against a rate of a job in three seconds or more.
     constexpr milliseconds rateMemory { 60000 };
@@ -133,7 +133,7 @@
         work.reserve(backlog->jobs().size());
         for (const auto& [rank, steps] : backlog->jobs()) {
             if (const jobs::Job* job = context_.follower.table().find(rank.job))
-                work.push_back(scheduling::waitingWork(rank, *job));
+                work.push_back(scheduling::waitingWork(rank, steps, *job));
         }
     }
     pool.refreshDueAt = context_.clock.now() + refreshInterval + work.size() * refreshIntervalPerJob;
--- a/src/emulator/emulation.h
+++ b/src/emulator/emulation.h
@@ -84,9 +84,9 @@
     /// Name of the unpaused entry that is the controller; empty when there is none.
     std::string controller() const;
 
-    /// Submits a job through an entry as a caller does, and records its outcome for the invariants.
+    /// Submits a job through an entry as a caller of a team does, and records its outcome for the invariants.
     void submit(const std::string& entryName, jobs::JobId id, const jobs::JobSpec& spec,
-        std::function<void(entry::RequestResult)> onAnswer = nullptr);
+        std::function<void(entry::RequestResult)> onAnswer = nullptr, const std::string& team = {});
     void cancel(const std::string& entryName, jobs::JobId id);
 
     /// Queries a job's status from an entry and checks it against the invariants. The entry may wait up to `wait` for
--- a/src/emulator/internal/emulation.cpp
+++ b/src/emulator/internal/emulation.cpp
@@ -133,7 +133,7 @@
 }
 
 void Emulation::submit(const std::string& entryName, jobs::JobId id, const jobs::JobSpec& spec,
-    std::function<void(RequestResult)> onAnswer)
+    std::function<void(RequestResult)> onAnswer, const std::string& team)
 {
     platform_.invariants().onSubmitted(id, spec);
     EmulatedEntry* target = entry(entryName);
@@ -141,7 +141,7 @@
         return platform_.invariants().onOutcomeUnknown(id);
     // Without an answer, for example because the process ends, the job may or may not be stored.
     platform_.invariants().onOutcomeUnknown(id);
-    target->service().submit(platform_.configuration().queues.front(), {}, id, spec, clock_.now() + callerTimeout,
+    target->service().submit(platform_.configuration().queues.front(), team, id, spec, clock_.now() + callerTimeout,
         [this, id, onAnswer](RequestResult result) {
             if (onAnswer)
                 onAnswer(result);
--- a/src/scheduling/admission.h
+++ b/src/scheduling/admission.h
@@ -33,10 +33,11 @@
     ServiceRank rank;
     std::string team;
     double coreSeconds = 0; ///< Estimated work of the tasks that neither run nor are done.
+    std::int64_t readyMilliCores = 0; ///< Processor time that those of the tasks request that are ready to run.
 };
 
 /// Work of a job of a backlog.
-WaitingWork waitingWork(const JobRank& rank, const jobs::Job& job);
+WaitingWork waitingWork(const JobRank& rank, const std::vector<WaitingStep>& steps, const jobs::Job& job);
 
 /// Work of a job that is being submitted to a queue.
 WaitingWork submittedWork(const jobs::JobSubmitted& submission, const fleet::Queue& queue);
@@ -47,6 +48,10 @@
     double ofClass = 0; ///< Of jobs of the same priority, kind and rate that precede it.
     double ofTeam = 0; ///< The part of `ofClass` that is of the job's own team.
     double teamShare = 1; ///< Share of the team in the pool, among the teams with waiting work.
+    /// Processor time that the ready tasks of this work and of the job itself request, in thousandths of a core.
+    std::int64_t readyMilliCores = 0;
+    std::int64_t teamReadyMilliCores = 0; ///< The part of the team in the job's class, with the job itself.
+    std::int64_t teamCapMilliCores = 0; ///< Limit of what the team's runs hold; 0 if there is none.
 };
 
 /// Sums of the waiting work of a pool in the order of service. A query takes logarithmic time, so that the backlog is
@@ -62,13 +67,18 @@
     WorkAhead ahead(const WaitingWork& job, const fleet::FleetConfiguration& configuration) const;
 
 private:
+    struct Amount {
+        double coreSeconds = 0;
+        std::int64_t readyMilliCores = 0;
+    };
+
     /// Work of several jobs in the order of service.
     struct Sums {
         std::vector<ServiceRank> ranks;
-        std::vector<double> coreSeconds; ///< Sum up to and including the job of the same index.
+        std::vector<Amount> amounts; ///< Sum up to and including the job of the same index.
 
         void append(const WaitingWork& work);
-        double before(const ServiceRank& rank) const;
+        Amount before(const ServiceRank& rank) const;
     };
 
     Sums all_;
--- a/src/scheduling/internal/admission.cpp
+++ b/src/scheduling/internal/admission.cpp
@@ -30,12 +30,13 @@
     constexpr milliseconds maximumRetryAfter { 30000 };
     constexpr milliseconds retrySpread { 2000 };
 
+    double toCores(std::int64_t milliCores) { return static_cast<double>(milliCores) / milliCoresPerCore; }
+
     /// Estimated work of a number of tasks of a step in core-seconds of the capacity that they reserve.
     double reservedCoreSeconds(const jobs::StepSpec& step, std::size_t tasks)
     {
         const std::chrono::duration<double> seconds = taskDuration(step);
-        const double cores = static_cast<double>(resourceRequest(step).milliCores) / milliCoresPerCore;
-        return seconds.count() * cores * static_cast<double>(tasks);
+        return seconds.count() * toCores(resourceRequest(step).milliCores) * static_cast<double>(tasks);
     }
 
     double weightOf(const std::string& team, const fleet::FleetConfiguration& configuration)
@@ -50,6 +51,28 @@
         return std::chrono::round<milliseconds>(exact * factor);
     }
 
+    /// Time that the pool takes for the work ahead. A team gets at least its share of the pool, so that its job waits
+    /// no longer than for the work of its own team there.
+    double secondsForPool(const WorkAhead& ahead, const PoolSupply& supply)
+    {
+        const double cores = toCores(supply.present + supply.arriving);
+        const bool hasRoom = toCores(supply.free) > uncontendedFreePart * toCores(supply.present)
+            || ahead.readyMilliCores <= supply.free + supply.arriving;
+        // A pool without any capacity gets machines as soon as a job waits; nothing is known of its speed.
+        if (cores <= 0 || hasRoom)
+            return 0;
+        const double ofClass
+            = ahead.teamShare > 0 ? std::min(ahead.ofClass, ahead.ofTeam / ahead.teamShare) : ahead.ofClass;
+        return std::max(0.0, ahead.ofEarlierClasses + ofClass) / cores;
+    }
+
+    /// Time that the team's own work ahead takes within its cap. What the team's runs hold at present is not counted.
+    double secondsForCap(const WorkAhead& ahead)
+    {
+        const bool isBelowCap = ahead.teamCapMilliCores <= 0 || ahead.teamReadyMilliCores <= ahead.teamCapMilliCores;
+        return isBelowCap ? 0 : ahead.ofTeam / toCores(ahead.teamCapMilliCores);
+    }
+
     auto classOf(const ServiceRank& rank) { return std::tie(rank.priority, rank.isShort, rank.exceedsTeamRate); }
 
 } // namespace
@@ -65,11 +88,13 @@
     return { priority, isShort, exceedsTeamRate, false, -std::numeric_limits<double>::infinity(), 0 };
 }
 
-WaitingWork waitingWork(const JobRank& rank, const jobs::Job& job)
+WaitingWork waitingWork(const JobRank& rank, const std::vector<WaitingStep>& steps, const jobs::Job& job)
 {
-    WaitingWork work { { rank.priority, rank.isShort, job.exceedsTeamRate, rank.isLate, rank.remainingCoreSeconds,
-                           rank.job },
-        job.team, 0 };
+    WaitingWork work;
+    work.rank = { rank.priority, rank.isShort, job.exceedsTeamRate, rank.isLate, rank.remainingCoreSeconds, rank.job };
+    work.team = job.team;
+    for (const WaitingStep& step : steps)
+        work.readyMilliCores += step.need.milliCores * step.tasks;
     for (const auto& [number, occurrence] : job.occurrences) {
         for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
             const jobs::StepState& state = occurrence.steps[step];
@@ -83,27 +108,33 @@
 
 WaitingWork submittedWork(const jobs::JobSubmitted& submission, const fleet::Queue& queue)
 {
-    WaitingWork work { { queue.priority, true, submission.exceedsTeamRate, false, 0, submission.job }, submission.team,
-        0 };
+    WaitingWork work;
+    work.rank = { queue.priority, true, submission.exceedsTeamRate, false, 0, submission.job };
+    work.team = submission.team;
     for (const jobs::StepSpec& step : submission.spec.steps) {
         work.coreSeconds += reservedCoreSeconds(step, step.taskCount);
+        if (step.dependsOn.empty())
+            work.readyMilliCores += resourceRequest(step).milliCores * step.taskCount;
         const std::chrono::duration<double> seconds = taskDuration(step);
-        work.rank.remainingCoreSeconds += seconds.count() * static_cast<double>(step.resourcesPerTask.milliCores)
-            / milliCoresPerCore * static_cast<double>(step.taskCount);
+        work.rank.remainingCoreSeconds
+            += seconds.count() * toCores(step.resourcesPerTask.milliCores) * static_cast<double>(step.taskCount);
     }
     return work;
 }
 
 void PoolWork::Sums::append(const WaitingWork& work)
 {
+    Amount sum = amounts.empty() ? Amount() : amounts.back();
+    sum.coreSeconds += work.coreSeconds;
+    sum.readyMilliCores += work.readyMilliCores;
     ranks.push_back(work.rank);
-    coreSeconds.push_back((coreSeconds.empty() ? 0 : coreSeconds.back()) + work.coreSeconds);
+    amounts.push_back(sum);
 }
 
-double PoolWork::Sums::before(const ServiceRank& rank) const
+PoolWork::Amount PoolWork::Sums::before(const ServiceRank& rank) const
 {
     const auto end = std::lower_bound(ranks.begin(), ranks.end(), rank);
-    return end == ranks.begin() ? 0 : coreSeconds[static_cast<std::size_t>(end - ranks.begin()) - 1];
+    return end == ranks.begin() ? Amount() : amounts[static_cast<std::size_t>(end - ranks.begin()) - 1];
 }
 
 void PoolWork::assign(std::vector<WaitingWork> work, const fleet::FleetConfiguration& configuration)
@@ -126,23 +157,37 @@
 WorkAhead PoolWork::ahead(const WaitingWork& job, const fleet::FleetConfiguration& configuration) const
 {
     const ServiceRank start = job.rank.startOfClass();
+    const Amount earlier = all_.before(start);
+    const Amount all = all_.before(job.rank);
     WorkAhead result;
-    result.ofEarlierClasses = all_.before(start);
-    result.ofClass = all_.before(job.rank) - result.ofEarlierClasses;
+    result.ofEarlierClasses = earlier.coreSeconds;
+    result.ofClass = all.coreSeconds - earlier.coreSeconds;
+    result.readyMilliCores = all.readyMilliCores + job.readyMilliCores;
+    result.teamReadyMilliCores = job.readyMilliCores;
     const double weight = weightOf(job.team, configuration);
-    const auto own = byTeam_.find(job.team);
-    if (own != byTeam_.end())
-        result.ofTeam = own->second.before(job.rank) - own->second.before(start);
-    const double weights = own != byTeam_.end() ? weights_ : weights_ + weight;
+    double weights = weights_;
+    if (const auto own = byTeam_.find(job.team); own != byTeam_.end()) {
+        const Amount before = own->second.before(job.rank);
+        const Amount earlierOfTeam = own->second.before(start);
+        result.ofTeam = before.coreSeconds - earlierOfTeam.coreSeconds;
+        result.teamReadyMilliCores += before.readyMilliCores - earlierOfTeam.readyMilliCores;
+    } else {
+        weights += weight;
+    }
+    result.teamShare = weights > 0 ? weight / weights : 1;
+    if (const fleet::Team* team = configuration.findTeam(job.team))
+        result.teamCapMilliCores = team->cap.milliCores;
     for (const WaitingWork& item : added_) {
         if (!(item.rank < job.rank))
             continue;
         const bool isSameClass = classOf(item.rank) == classOf(job.rank);
         (isSameClass ? result.ofClass : result.ofEarlierClasses) += item.coreSeconds;
-        if (isSameClass && item.team == job.team)
-            result.ofTeam += item.coreSeconds;
+        result.readyMilliCores += item.readyMilliCores;
+        if (!isSameClass || item.team != job.team)
+            continue;
+        result.ofTeam += item.coreSeconds;
+        result.teamReadyMilliCores += item.readyMilliCores;
     }
-    result.teamShare = weights > 0 ? weight / weights : 1;
     return result;
 }
 
@@ -165,17 +210,9 @@
     return arriving;
 }
 
-// A team gets at least its share of the pool, so its job waits no longer than for the work of its own team there.
 milliseconds estimatedWait(const WorkAhead& ahead, const PoolSupply& supply)
 {
-    const auto capacity = static_cast<double>(supply.present + supply.arriving) / milliCoresPerCore;
-    const bool hasRoom = static_cast<double>(supply.free) > uncontendedFreePart * static_cast<double>(supply.present);
-    // A pool without any capacity gets machines as soon as a job waits; nothing is known of its speed.
-    if (capacity <= 0 || hasRoom)
-        return milliseconds(0);
-    const double throughShare
-        = ahead.teamShare > 0 ? std::min(ahead.ofClass, ahead.ofTeam / ahead.teamShare) : ahead.ofClass;
-    const double seconds = std::max(0.0, ahead.ofEarlierClasses + throughShare) / capacity;
+    const double seconds = std::max(secondsForPool(ahead, supply), secondsForCap(ahead));
     constexpr double longestSeconds = 86400;
     return std::chrono::round<milliseconds>(std::chrono::duration<double>(std::min(seconds, longestSeconds)));
 }
--- a/src/scheduling/tests/admissiontests.cpp
+++ b/src/scheduling/tests/admissiontests.cpp
@@ -33,7 +33,7 @@
 
 WaitingWork workOf(jobs::JobId id, const std::string& team, double coreSeconds, bool exceedsTeamRate = false)
 {
-    return { { 1, true, exceedsTeamRate, false, coreSeconds, id }, team, coreSeconds };
+    return { { 1, true, exceedsTeamRate, false, coreSeconds, id }, team, coreSeconds, core };
 }
 
 AdmissionRequest request(milliseconds wait, bool exceedsTeamRate, jobs::JobId id = 1)
@@ -255,6 +255,9 @@
     const WorkAhead beyondRate = work.ahead(workOf(10, "growers", 10, true), configuration);
     CHECK(beyondRate.ofEarlierClasses == Approx(7 + 100 + 2 + 1 + 3 + 4));
     CHECK(beyondRate.ofClass == Approx(1));
+    CHECK(ahead.readyMilliCores == 5 * core); // Of the jobs 1, 4, 6 and 7, and of the job itself.
+    CHECK(ahead.teamReadyMilliCores == 3 * core);
+    CHECK(beyondRate.readyMilliCores == 8 * core);
     CHECK(work.ahead(workOf(10, "packers", 0.5), configuration).teamShare == Approx(5.0 / 20));
 }
 
@@ -262,21 +265,40 @@
 TEST_CASE("admission: a job waits no longer than for its own team's work in the team's share", "[scheduling]")
 {
     const PoolSupply supply { 10 * core, 0, 0 };
-    CHECK(estimatedWait({ 0, 1000, 0, 0.1 }, supply) == 0ms);
-    CHECK(estimatedWait({ 0, 1000, 5, 0.1 }, supply) == 5s);
-    CHECK(estimatedWait({ 20, 1000, 5, 0.1 }, supply) == 7s);
-    CHECK(estimatedWait({ 0, 30, 5, 0.1 }, supply) == 3s);
+    CHECK(estimatedWait({ 0, 1000, 0, 0.1, core }, supply) == 0ms);
+    CHECK(estimatedWait({ 0, 1000, 5, 0.1, core }, supply) == 5s);
+    CHECK(estimatedWait({ 20, 1000, 5, 0.1, core }, supply) == 7s);
+    CHECK(estimatedWait({ 0, 30, 5, 0.1, core }, supply) == 3s);
 }
 
 TEST_CASE("admission: no wait is estimated for a pool with room or without any capacity", "[scheduling]")
 {
-    const WorkAhead ahead { 0, 1000, 1000, 1 };
+    const WorkAhead ahead { 0, 1000, 1000, 1, 200 * core };
     CHECK(estimatedWait(ahead, { 10 * core, 3 * core, 0 }) == 0ms);
     CHECK(estimatedWait(ahead, { 0, 0, 0 }) == 0ms);
     CHECK(estimatedWait(ahead, { 10 * core, core, 40 * core }) == 20s);
     CHECK(estimatedWait(ahead, { 0, 0, 100 * core }) == 10s);
 }
 
+// Long jobs that were submitted together and all fit are no reason for one of them to wait.
+TEST_CASE(
+    "admission: no wait is estimated where what is ahead fits into the free and arriving capacity", "[scheduling]")
+{
+    const PoolSupply supply { 100 * core, 15 * core, 0 };
+    CHECK(estimatedWait({ 0, 300, 300, 1, 15 * core }, supply) == 0ms);
+    CHECK(estimatedWait({ 0, 300, 300, 1, 16 * core }, supply) == 3s);
+    CHECK(estimatedWait({ 0, 300, 300, 1, 20 * core }, { 100 * core, 15 * core, 5 * core }) == 0ms);
+}
+
+// A job that its team's cap holds back waits in a pool with room as well.
+TEST_CASE("admission: the work of a team takes at least as long as its cap allows", "[scheduling]")
+{
+    const PoolSupply supply { 100 * core, 50 * core, 0 };
+    CHECK(estimatedWait({ 0, 60, 40, 1, 30 * core, 21 * core, 20 * core }, supply) == 2s);
+    CHECK(estimatedWait({ 0, 60, 40, 1, 30 * core, 20 * core, 20 * core }, supply) == 0ms);
+    CHECK(estimatedWait({ 0, 60, 40, 1, 30 * core, 21 * core, 0 }, supply) == 0ms);
+}
+
 // Tasks that run and are done are no work ahead.
 TEST_CASE("admission: the work of a waiting job is that of its tasks that have not started", "[scheduling]")
 {
@@ -294,7 +316,9 @@
     jobs::StepState& first = job.startOccurrence(0).steps.front();
     first.done = 3;
     first.active = 5;
-    const WaitingWork work = waitingWork({ 1, true, false, 11, 7 }, job);
+    const WaitingWork work
+        = waitingWork({ 1, true, false, 11, 7 }, { { { 7, 0, 0 }, { 500, 100, 0 }, 2, {}, false } }, job);
+    CHECK(work.readyMilliCores == core);
     CHECK(work.coreSeconds == Approx(2 + 4));
     CHECK(work.rank.exceedsTeamRate);
     CHECK(work.team == "growers");
@@ -303,6 +327,7 @@
     queue.priority = 3;
     const WaitingWork submitted = submittedWork({ 8, "calls", "desk", 1ms, job.spec, 1, "growers", true }, queue);
     CHECK(submitted.coreSeconds == Approx(14));
+    CHECK(submitted.readyMilliCores == 7 * core);
     CHECK(submitted.rank.remainingCoreSeconds == Approx(14));
     CHECK(submitted.rank.priority == 3);
     CHECK(submitted.rank.exceedsTeamRate);
