--- a/src/emulator/tests/admissiontests.cpp
+++ b/src/emulator/tests/admissiontests.cpp
@@ -1,5 +1,6 @@
 #include "emulator/tests/fixtures.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
 
@@ -88,6 +89,9 @@
     CHECK(fixture.outcomes["growers"][RequestOutcome::Stored] > 12 * 4);
     CHECK(fixture.countEvents("admission.load") > 0);
     REQUIRE_FALSE(fixture.rejected.empty());
+    const auto refusals = std::count_if(fixture.sink.lines.begin(), fixture.sink.lines.end(),
+        [](const std::string& line) { return line.find("outcome=refused-overload") != std::string::npos; });
+    CHECK(refusals == static_cast<std::ptrdiff_t>(fixture.rejected.size()));
     for (const auto& [id, retryAfter] : fixture.rejected) {
         CHECK(fixture.emulation.entry("e-1")->follower().table().find(id) == nullptr);
         CHECK(retryAfter > milliseconds(0));
--- a/src/eventlog/internal/jobsubmitter.cpp
+++ b/src/eventlog/internal/jobsubmitter.cpp
@@ -126,7 +126,7 @@
         }
         pending.wasRefused = false;
         waiting_.push_back(std::move(pending));
-        pending.done = nullptr;
+        pending = PendingRecord();
         hasRetry = true;
     }
     for (auto& pending : batch)
