--- a/src/scheduling/types/poolview.h
+++ b/src/scheduling/types/poolview.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet/types/fleet.h"
+#include "foundation/iclock.h"
 #include "jobs/types/job.h"
 
 #include <boost/container/flat_map.hpp>
@@ -36,6 +37,12 @@
 /// Tickets for steps that may run only where the advice service permits. Keys: step, then instance name.
 using StepTickets = std::map<StepId, std::map<std::string, std::string>>;
 
+/// Resources that a run is expected to release, by its start and the estimated duration of its task.
+struct ExpectedRelease {
+    foundation::SteadyTime at;
+    jobs::Resources resources;
+};
+
 /// An instance that may get new tasks.
 struct InstanceView {
     const fleet::InstanceReport* report = nullptr;
@@ -48,6 +55,8 @@
     std::uint32_t bestEffortTasks = 0; ///< Tasks with StepSpec::isBestEffort, which slow latency-sensitive tasks down.
     bool isOnProbation = false; ///< Gets one task at a time until a task succeeds.
     bool isObserved = false; ///< Gets no tasks, because it has just started one that may crash its instances.
+    /// Of the runs whose start is known, in no order. Empty unless PlanConstraints::rackWaits is used.
+    std::vector<ExpectedRelease> releases;
 };
 
 /// Restrictions on the placements of one plan.
