Placement: short tasks wait for a slot on the rack of their data where that pays

A task that found no room on the rack of its data started on another rack at once and took remote_slowdown times as long there.

With remote_slowdown above 1, RackWaits applies the decision of placementwait to the steps of a pool, counts the slots that earlier waits take, and ends the waits by a plan of their own or when the rack loses instances. Tasks without a rack leave awaited slots to those that wait while there is room elsewhere. Waits pause after they have lost more than they gained.

The effect under load is not measured.

--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -1,6 +1,7 @@
 #include "control/controller.h"
 
 #include "control/internal/controltext.h"
+#include "control/internal/instanceviews.h"
 #include "jobs/appendbuilder.h"
 
 #include <algorithm>
@@ -65,7 +66,7 @@
           [this](const std::set<std::string>& present) { onInstancesLoaded(present); })
     , health_(context.clock, context.events)
     , adviceCache_(context.advice, context.clock, context.events, [this] { schedulePlan(); })
-    , scheduler_(context.follower, context.clock)
+    , scheduler_(context.follower, context.clock, context.events, settings.remoteSlowdown)
     , jobTimer_(context.clock, context.events)
     , planDelay_(planBatchingDelay)
 {
@@ -470,25 +471,11 @@
         && !health_.isExcluded(instance) && !cordoned_.count(instance);
 }
 
-// The runs are in the order of their tasks, so those of a step follow each other.
 scheduling::InstanceView Controller::viewOf(const InstanceSession& session) const
 {
-    scheduling::InstanceView view;
-    view.report = &session.report();
-    view.free = session.free();
-    view.tasksByStep.reserve(session.runs().size());
-    const jobs::StepSpec* spec = nullptr;
-    for (const auto& [task, run] : session.runs()) {
-        const scheduling::StepId step = scheduling::stepOf(task);
-        if (view.tasksByStep.empty() || !(view.tasksByStep.rbegin()->first == step)) {
-            const Job* job = context_.follower.table().find(task.job);
-            spec = job ? &job->spec.steps[task.step] : nullptr;
-        }
-        ++view.tasksByStep[step];
-        if (spec)
-            scheduling::countTask(view, *spec);
-        view.isObserved |= isObserved(task);
-    }
+    auto view = viewInstance(session, context_.follower.table(), settings_.remoteSlowdown);
+    view.isObserved = std::any_of(
+        session.runs().begin(), session.runs().end(), [this](const auto& run) { return isObserved(run.first); });
     view.isOnProbation = health_.isOnProbation(session.incarnation().instance);
     return view;
 }
--- a/src/control/internal/poolscheduler.cpp
+++ b/src/control/internal/poolscheduler.cpp
@@ -39,6 +39,8 @@
         return;
     PoolState& pool = pools_[known->second.pool];
     pool.backlog.remove(id);
+    if (pool.rackWaits)
+        pool.rackWaits->remove(id);
     pool.isPlanDue = true;
     openJobs_.erase(known);
 }
@@ -68,6 +70,8 @@
     openJobs_[id] = { poolName, submittedAt };
     PoolState& pool = pools_[poolName];
     pool.backlog.update(*job, queue, submittedAt);
+    if (pool.rackWaits)
+        pool.rackWaits->update(*job);
     pool.isPlanDue = true;
 }
 
@@ -106,6 +110,7 @@
 {
     const scheduling::PlacementPlanner planner([this](jobs::JobId id) { return follower_.table().find(id); });
     std::size_t placementsLeft = constraints.maximumPlacements;
+    beginRackWaits();
     auto poolsLeft = static_cast<std::size_t>(
         std::count_if(pools_.begin(), pools_.end(), [](const auto& pool) { return pool.second.isPlanDue; }));
     for (auto& [name, pool] : pools_) {
@@ -113,6 +118,7 @@
             continue;
         constraints.maximumPlacements = placementsLeft / poolsLeft--;
         pool.backlog.demoteLateJobs(clock_.now());
+        constraints.rackWaits = pool.rackWaits.get();
         const scheduling::PoolPlan plan = planner.plan(pool.instances, pool.backlog, constraints);
         placementsLeft -= std::min(placementsLeft, plan.placements.size());
         pool.unplaced = plan.unplaced;
@@ -120,6 +126,41 @@
         pool.isPlanDue |= !plan.stepsAwaitingTickets.empty() || plan.deferredTasks > 0;
         onPlan(name, plan);
     }
+    reportRackWaits();
+}
+
+// A pool whose waits have come to their end is planned, so that the tasks start elsewhere.
+void PoolScheduler::beginRackWaits()
+{
+    if (remoteSlowdown_ <= 1)
+        return;
+    for (auto& [name, pool] : pools_) {
+        if (!pool.rackWaits)
+            pool.rackWaits = std::make_unique<scheduling::RackWaits>(
+                remoteSlowdown_, [this](const jobs::Job& job) { return timesOf(job); });
+        pool.isPlanDue |= pool.rackWaits->isDue(clock_.now());
+        if (pool.isPlanDue)
+            pool.rackWaits->beginPlan(clock_.now());
+    }
+}
+
+void PoolScheduler::reportRackWaits()
+{
+    for (auto& [name, pool] : pools_) {
+        if (!pool.rackWaits)
+            continue;
+        for (const auto& wait : pool.rackWaits->takeEnded())
+            waitReporter_.report(name, wait);
+    }
+}
+
+scheduling::JobTimes PoolScheduler::timesOf(const jobs::Job& job) const
+{
+    const auto known = openJobs_.find(job.id);
+    if (known == openJobs_.end())
+        return { clock_.now(), clock_.now() };
+    const foundation::SteadyTime submittedAt = known->second.submittedAt;
+    return { submittedAt, scheduling::latestStart(job, configuration_.findQueue(job.queue), submittedAt) };
 }
 
 std::map<std::string, jobs::Resources> PoolScheduler::unplacedByPool() const
--- a/src/control/internal/poolscheduler.h
+++ b/src/control/internal/poolscheduler.h
@@ -1,13 +1,16 @@
 #pragma once
 
+#include "control/internal/waitreporter.h"
 #include "eventlog/jobfollower.h"
 #include "fleet/types/fleet.h"
 #include "scheduling/instanceindex.h"
 #include "scheduling/poolbacklog.h"
+#include "scheduling/rackwaits.h"
 #include "scheduling/types/poolview.h"
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <unordered_map>
 
@@ -19,9 +22,13 @@
 public:
     using PlanHandler = std::function<void(const std::string& pool, const scheduling::PoolPlan& plan)>;
 
-    PoolScheduler(const eventlog::JobFollower& follower, const foundation::IClock& clock)
+    /// `remoteSlowdown`: see ControlSettings.
+    PoolScheduler(const eventlog::JobFollower& follower, const foundation::IClock& clock, telemetry::IEventSink& events,
+        double remoteSlowdown)
         : follower_(follower)
         , clock_(clock)
+        , waitReporter_(events)
+        , remoteSlowdown_(remoteSlowdown)
     {
     }
 
@@ -44,8 +51,8 @@
     /// Removes an instance that accepts no tasks.
     void removeInstance(const std::string& name);
 
-    /// Plans the pools that have changed since their latest plan, and those whose steps wait for tickets or were
-    /// deferred. The pools share PlanConstraints::maximumPlacements.
+    /// Plans the pools that have changed since their latest plan, and those whose steps wait for tickets, were deferred
+    /// or have waited long enough for their racks. The pools share PlanConstraints::maximumPlacements.
     void planChangedPools(scheduling::PlanConstraints constraints, const PlanHandler& onPlan);
 
     /// Instances of a pool that accept tasks.
@@ -59,6 +66,7 @@
         scheduling::InstanceIndex instances;
         scheduling::PoolBacklog backlog;
         jobs::Resources unplaced; ///< Result of the latest plan.
+        std::unique_ptr<scheduling::RackWaits> rackWaits; ///< Null if tasks do not wait for their racks.
         bool isPlanDue = false;
     };
 
@@ -69,10 +77,15 @@
     };
 
     void removeJob(jobs::JobId id);
+    void beginRackWaits();
+    void reportRackWaits();
+    scheduling::JobTimes timesOf(const jobs::Job& job) const;
     foundation::SteadyTime submissionTime(const jobs::Job& job) const;
 
     const eventlog::JobFollower& follower_;
     const foundation::IClock& clock_;
+    WaitReporter waitReporter_;
+    double remoteSlowdown_ = 1;
     fleet::FleetConfiguration configuration_;
     std::map<std::string, PoolState> pools_;
     std::unordered_map<jobs::JobId, OpenJob> openJobs_;
--- a/src/entryd/internal/entryprocess.cpp
+++ b/src/entryd/internal/entryprocess.cpp
@@ -138,6 +138,7 @@
     result.holderInterval = settings_.holderInterval;
     result.batchesRunRecords = settings_.batchesRunRecords;
     result.compressesRecords = settings_.compressesRecords;
+    result.remoteSlowdown = settings_.remoteSlowdown;
     result.statusRetention = settings_.statusRetention + statusRetentionMargin;
     constexpr int snapshotsPerRetention = 5;
     result.snapshotInterval = settings_.logRetention / snapshotsPerRetention;
--- a/src/scheduling/internal/placementwait.cpp
+++ b/src/scheduling/internal/placementwait.cpp
@@ -30,20 +30,6 @@
         return input.now <= latestRemoteStart ? latestRemoteStart : input.latestStart;
     }
 
-    /// Number of tasks that fit into free resources.
-    std::int64_t slotCount(const jobs::Resources& need, const jobs::Resources& free)
-    {
-        std::int64_t result = std::numeric_limits<std::int64_t>::max();
-        const auto restrict = [&result](std::int64_t needed, std::int64_t available) {
-            if (needed > 0)
-                result = std::min(result, std::max(std::int64_t(0), available) / needed);
-        };
-        restrict(need.milliCores, free.milliCores);
-        restrict(need.memoryMb, free.memoryMb);
-        restrict(need.accelerators, free.accelerators);
-        return result;
-    }
-
 } // namespace
 
 std::string_view toText(WaitReason reason)
@@ -89,6 +75,19 @@
     return { true, WaitReason::SlotExpected, until, expectedAt };
 }
 
+std::int64_t taskCapacity(const jobs::Resources& need, const jobs::Resources& free)
+{
+    std::int64_t result = std::numeric_limits<std::int64_t>::max();
+    const auto restrict = [&result](std::int64_t needed, std::int64_t available) {
+        if (needed > 0)
+            result = std::min(result, std::max(std::int64_t(0), available) / needed);
+    };
+    restrict(need.milliCores, free.milliCores);
+    restrict(need.memoryMb, free.memoryMb);
+    restrict(need.accelerators, free.accelerators);
+    return result;
+}
+
 void addExpectedSlots(const InstanceView& instance, const jobs::Resources& need, SteadyTime now, SteadyTime horizon,
     std::vector<SteadyTime>& slots)
 {
@@ -99,10 +98,10 @@
     }
     std::sort(releases.begin(), releases.end(), [](const auto& a, const auto& b) { return a.at < b.at; });
     jobs::Resources free = instance.free;
-    std::int64_t known = slotCount(need, free);
+    std::int64_t known = taskCapacity(need, free);
     for (const ExpectedRelease& release : releases) {
         free += release.resources;
-        for (const std::int64_t count = slotCount(need, free); known < count; ++known)
+        for (const std::int64_t count = taskCapacity(need, free); known < count; ++known)
             slots.push_back(release.at);
     }
 }
--- a/src/scheduling/internal/stepplacer.cpp
+++ b/src/scheduling/internal/stepplacer.cpp
@@ -1,5 +1,7 @@
 #include "scheduling/internal/stepplacer.h"
 
+#include "scheduling/rackwaits.h"
+
 #include <algorithm>
 #include <map>
 
@@ -43,6 +45,8 @@
 {
     if (spec_.prefersOneRack && wantedRack_.empty())
         chooseRack();
+    if (isWholeStepWaiting())
+        return true;
     if (spec_.isGang)
         return placeGang(plan);
     std::uint32_t unplaced = 0;
@@ -57,8 +61,10 @@
         // What keeps one task of the step from every instance keeps the others as well.
         IndexedInstance* instance = hasFailed ? nullptr : chooseInstance(index);
         hasFailed = !instance;
+        if (instance && isWaitingForRack(*instance, index))
+            continue;
         if (instance)
-            plan.placements.push_back(assign(*instance, index, state_.tasks[index].lastRun + 1));
+            placeTask(plan, *instance, index);
         else
             ++unplaced;
     }
@@ -99,7 +105,7 @@
         return false;
     const bool isPlaced = isAllowed(instance->view);
     if (isPlaced)
-        plan.placements.push_back(assign(*instance, index, state_.tasks[index].lastRun + 1));
+        placeTask(plan, *instance, index);
     instance->view.isObserved = true;
     observedInstance_ = instance;
     return true;
@@ -129,15 +135,22 @@
         members.push_back(assign(*instance, index, run));
         hosts.push_back(instance);
     }
-    for (std::uint32_t index = 0; index < hosts.size(); ++index)
+    for (std::uint32_t index = 0; index < hosts.size(); ++index) {
         hosts[index]->view.isObserved |= isSuspect(index);
+        reportPlaced(*hosts[index]);
+    }
     plan.placements.insert(plan.placements.end(), members.begin(), members.end());
     return true;
 }
 
-// Prefers the rack with the most free processor time for the whole step.
+// Prefers the rack with the most free processor time for the whole step, or the one that it waits for.
 void StepPlacer::chooseRack()
 {
+    const std::string* awaitedRack = constraints_.rackWaits ? constraints_.rackWaits->findRack(waiting_.id) : nullptr;
+    if (awaitedRack) {
+        wantedRack_ = *awaitedRack;
+        return;
+    }
     std::map<std::string, std::int64_t> room;
     for (const IndexedInstance* instance : instances_.instances()) {
         if (isAllowed(instance->view))
@@ -149,6 +162,63 @@
         wantedRack_ = best->first;
 }
 
+// Only short tasks with an estimate wait, and only if nothing but room keeps them from their rack.
+bool StepPlacer::canWaitForRack() const
+{
+    const bool hasOtherRestrictions = waiting_.isTicketRequired || spec_.maximumPerInstance > 0
+        || spec_.latencyTarget.count() > 0 || !job_.crashHistories.empty();
+    return constraints_.rackWaits && !wantedRack_.empty() && !spec_.isLongRunning && !spec_.isBestEffort
+        && spec_.estimatedDuration.count() > 0 && !hasOtherRestrictions;
+}
+
+// The tasks of a gang, and those of a step that prefers one rack, are slowed down together if one of them starts on
+// another rack. So they wait together, unless some of them run already.
+bool StepPlacer::isWholeStepWaiting()
+{
+    if (!canWaitForRack() || !(spec_.isGang || spec_.prefersOneRack))
+        return false;
+    const auto tasks = static_cast<std::uint32_t>(state_.tasks.size());
+    for (std::uint32_t index = 0; index < tasks; ++index) {
+        if (!canStart(index) || state_.tasks[index].failures > 0)
+            return false;
+    }
+    const std::int64_t onRack = roomFor(tasks, instances_.instances(wantedRack_));
+    if (onRack >= tasks || roomFor(tasks, instances_.instances(spec_.requiredLabel)) < tasks)
+        return false;
+    const auto missing = static_cast<std::uint32_t>(tasks - onRack);
+    return constraints_.rackWaits->isWaiting({ instances_, waiting_, job_, wantedRack_, 0, missing });
+}
+
+bool StepPlacer::isWaitingForRack(const IndexedInstance& instance, std::uint32_t index)
+{
+    if (!canWaitForRack() || spec_.prefersOneRack || state_.tasks[index].failures > 0
+        || instance.view.report->hasLabel(wantedRack_))
+        return false;
+    const RackRequest request { instances_, waiting_, job_, wantedRack_, tasksWaitingForRack_, 1 };
+    const bool isWaiting = constraints_.rackWaits->isWaiting(request);
+    tasksWaitingForRack_ += isWaiting;
+    return isWaiting;
+}
+
+// The best fit for a task is the fullest instance, which is often one of the rack that others wait for.
+bool StepPlacer::isAwaitedByOthers(const InstanceView& instance) const
+{
+    return constraints_.rackWaits && !spec_.isLongRunning && constraints_.rackWaits->isAwaited(instance.report->rack())
+        && !(wantedRack_ == instance.report->rack());
+}
+
+// Number of tasks of the step that the instances have room for; counts up to `tasks`.
+std::int64_t StepPlacer::roomFor(std::int64_t tasks, const InstanceIndex::Order& order) const
+{
+    std::int64_t room = 0;
+    for (auto entry = InstanceIndex::firstWithFreeCores(order, waiting_.need.milliCores);
+         entry != order.end() && room < tasks; ++entry) {
+        const InstanceView& view = (*entry)->view;
+        room += isAllowed(view) ? std::min(tasks, taskCapacity(waiting_.need, view.free)) : 0;
+    }
+    return room;
+}
+
 bool StepPlacer::isAllowed(const InstanceView& instance) const
 {
     if (!spec_.requiredLabel.empty() && !instance.report->hasLabel(spec_.requiredLabel))
@@ -183,7 +253,8 @@
         || (suspicions && suspicions->hasCrashedAtStart(view.report->machine));
     const std::uint32_t spreadPenalty = spec_.isLongRunning ? spreadPenaltyOf(view) : 0;
     const std::int64_t otherLongRunning = view.longRunningTasks;
-    const bool hasInterference = spec_.latencyTarget.count() > 0 && view.bestEffortTasks > 0;
+    const bool hasInterference
+        = (spec_.latencyTarget.count() > 0 && view.bestEffortTasks > 0) || isAwaitedByOthers(view);
     // Long-running tasks share instances, so that the others stay free to be moved or maintained.
     return { hasFailedThere, hasInterference, isOnOtherRack, spreadPenalty, spec_.isLongRunning ? -otherLongRunning : 0,
         suspicions ? -view.free.milliCores : view.free.milliCores };
@@ -238,6 +309,18 @@
     return best;
 }
 
+void StepPlacer::placeTask(PoolPlan& plan, IndexedInstance& instance, std::uint32_t index)
+{
+    plan.placements.push_back(assign(instance, index, state_.tasks[index].lastRun + 1));
+    reportPlaced(instance);
+}
+
+void StepPlacer::reportPlaced(const IndexedInstance& instance)
+{
+    if (constraints_.rackWaits)
+        constraints_.rackWaits->onPlaced(waiting_.id, instance.view.report->hasLabel(wantedRack_));
+}
+
 Placement StepPlacer::assign(IndexedInstance& instance, std::uint32_t index, std::uint32_t run)
 {
     instances_.addTask(instance, waiting_.id, spec_);
--- a/src/scheduling/internal/stepplacer.h
+++ b/src/scheduling/internal/stepplacer.h
@@ -43,12 +43,19 @@
     const jobs::CrashHistory* findSuspicions(std::uint32_t index) const;
     bool canStartSuspects() const;
     void chooseRack();
+    bool canWaitForRack() const;
+    bool isWholeStepWaiting();
+    bool isAwaitedByOthers(const InstanceView& instance) const;
+    bool isWaitingForRack(const IndexedInstance& instance, std::uint32_t index);
+    std::int64_t roomFor(std::int64_t tasks, const InstanceIndex::Order& order) const;
     bool isAllowed(const InstanceView& instance) const;
     std::uint32_t tasksOn(const InstanceView& instance) const;
     Rank rank(const IndexedInstance& instance, std::uint32_t index, const jobs::CrashHistory* suspicions) const;
     std::uint32_t spreadPenaltyOf(const InstanceView& instance) const;
     IndexedInstance* chooseInstance(std::uint32_t index);
     IndexedInstance* bestOf(const InstanceIndex::Order& order, std::uint32_t index, bool isOnOtherRack);
+    void placeTask(PoolPlan& plan, IndexedInstance& instance, std::uint32_t index);
+    void reportPlaced(const IndexedInstance& instance);
     Placement assign(IndexedInstance& instance, std::uint32_t index, std::uint32_t run);
 
     InstanceIndex& instances_;
@@ -60,6 +67,7 @@
     const std::map<std::string, std::string>* tickets_ = nullptr; ///< Key: instance name; null while there are none.
     std::string wantedRack_; ///< Rack of the data, or else the one chosen for the step; empty if any will do.
     bool isOutOfResources_ = false;
+    std::uint32_t tasksWaitingForRack_ = 0;
     IndexedInstance* observedInstance_ = nullptr; ///< Instance of the suspects that this object has placed.
 };
 
--- a/src/scheduling/placementwait.h
+++ b/src/scheduling/placementwait.h
@@ -4,6 +4,7 @@
 #include "scheduling/types/poolview.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <string_view>
 #include <vector>
 
@@ -53,6 +54,9 @@
 /// slot gains that does.
 PlacementWaitDecision decidePlacementWait(const PlacementWaitInput& input);
 
+/// Number of tasks with this need that fit into free resources.
+std::int64_t taskCapacity(const jobs::Resources& need, const jobs::Resources& free);
+
 /// Adds the times at which runs that end on an instance are expected to make room for one more task with this need,
 /// up to `horizon`. Runs that should have ended by `now` are left out: their estimate tells nothing about their end.
 void addExpectedSlots(const InstanceView& instance, const jobs::Resources& need, foundation::SteadyTime now,
--- a/src/scheduling/types/poolview.h
+++ b/src/scheduling/types/poolview.h
@@ -16,6 +16,8 @@
 
 namespace turmericsill::scheduling {
 
+class RackWaits;
+
 /// One step of one occurrence of a job.
 struct StepId {
     jobs::JobId job = 0;
@@ -68,6 +70,8 @@
     const std::set<jobs::JobId>* observedJobs = nullptr;
     /// Number of placements after which no further step is tried.
     std::size_t maximumPlacements = std::numeric_limits<std::size_t>::max();
+    /// Steps that wait for slots on their racks; null if tasks start on another rack at once.
+    RackWaits* rackWaits = nullptr;
 };
 
 /// The next run of a task and the instance chosen for it.
