--- a/src/control/types/controlsettings.h
+++ b/src/control/types/controlsettings.h
@@ -16,8 +16,8 @@
     bool batchesRunRecords = true;
     bool compressesRecords = true; ///< The same for the compression of records.
     milliseconds holderInterval { 3000 }; ///< Minimum time between the orders of two controllers for one machine.
-    /// Duration of a task on another rack than that of its data, as a multiple of its duration there. Above 1, tasks may
-    /// wait for slots on their racks.
+    /// Duration of a task on another rack than that of its data, as a multiple of its duration there. Above 1, tasks
+    /// may wait for slots on their racks.
     double remoteSlowdown = 1;
 };
 
