--- a/src/control/internal/poolscheduler.cpp
+++ b/src/control/internal/poolscheduler.cpp
@@ -82,6 +82,8 @@
         return;
     PoolState& pool = pools_[known->second.pool];
     pool.backlog.remove(id);
+    if (pool.rackWaits)
+        pool.rackWaits->remove(id);
     pool.isPlanDue = true;
     openJobs_.erase(known);
 }
@@ -111,6 +113,8 @@
     openJobs_[id] = { poolName, submittedAt };
     PoolState& pool = pools_[poolName];
     pool.backlog.update(*job, queue, submittedAt, configuration_.teams.has_value());
+    if (pool.rackWaits)
+        pool.rackWaits->update(*job);
     pool.isPlanDue = true;
 }
 
@@ -181,6 +185,7 @@
 void PoolScheduler::planChangedPools(scheduling::PlanConstraints constraints, const PlanHandler& onPlan)
 {
     std::size_t placementsLeft = constraints.maximumPlacements;
+    beginRackWaits();
     auto poolsLeft = static_cast<std::size_t>(
         std::count_if(pools_.begin(), pools_.end(), [](const auto& pool) { return pool.second.isPlanDue; }));
     for (auto& [name, pool] : pools_) {
@@ -188,6 +193,7 @@
             continue;
         constraints.maximumPlacements = placementsLeft / poolsLeft--;
         pool.backlog.demoteLateJobs(clock_.now());
+        constraints.rackWaits = pool.rackWaits.get();
         const scheduling::PoolPlan plan = planPool(name, pool, constraints);
         placementsLeft -= std::min(placementsLeft, plan.placements.size());
         pool.unplaced = plan.unplaced;
@@ -198,6 +204,7 @@
             resynchronize(plan);
     }
     reportTeams();
+    reportRackWaits();
 }
 
 const scheduling::PoolBacklog* PoolScheduler::findBacklog(const std::string& pool) const
@@ -206,6 +213,40 @@
     return found == pools_.end() ? nullptr : &found->second.backlog;
 }
 
+// A pool whose waits have come to their end is planned, so that the tasks start elsewhere.
+void PoolScheduler::beginRackWaits()
+{
+    if (remoteSlowdown_ <= 1)
+        return;
+    for (auto& [name, pool] : pools_) {
+        if (!pool.rackWaits)
+            pool.rackWaits = std::make_unique<scheduling::RackWaits>(
+                remoteSlowdown_, [this](const jobs::Job& job) { return timesOf(job); });
+        pool.isPlanDue |= pool.rackWaits->isDue(clock_.now());
+        if (pool.isPlanDue)
+            pool.rackWaits->beginPlan(clock_.now());
+    }
+}
+
+void PoolScheduler::reportRackWaits()
+{
+    for (auto& [name, pool] : pools_) {
+        if (!pool.rackWaits)
+            continue;
+        for (const auto& wait : pool.rackWaits->takeEnded())
+            waitReporter_.report(name, wait);
+    }
+}
+
+scheduling::JobTimes PoolScheduler::timesOf(const jobs::Job& job) const
+{
+    const auto known = openJobs_.find(job.id);
+    if (known == openJobs_.end())
+        return { clock_.now(), clock_.now() };
+    const foundation::SteadyTime submittedAt = known->second.submittedAt;
+    return { submittedAt, scheduling::latestStart(job, configuration_.findQueue(job.queue), submittedAt) };
+}
+
 std::map<std::string, jobs::Resources> PoolScheduler::unplacedByPool() const
 {
     std::map<std::string, jobs::Resources> result;
--- a/src/control/internal/poolscheduler.h
+++ b/src/control/internal/poolscheduler.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "control/internal/teamreport.h"
+#include "control/internal/waitreporter.h"
 #include "eventlog/jobfollower.h"
 #include "fleet/types/fleet.h"
 #include "scheduling/instanceindex.h"
 #include "scheduling/poolbacklog.h"
+#include "scheduling/rackwaits.h"
 #include "scheduling/teamshares.h"
 #include "scheduling/teamusage.h"
 #include "scheduling/types/poolview.h"
@@ -12,6 +14,7 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -24,9 +27,13 @@
 public:
     using PlanHandler = std::function<void(const std::string& pool, const scheduling::PoolPlan& plan)>;
 
-    PoolScheduler(const eventlog::JobFollower& follower, const foundation::IClock& clock, telemetry::IEventSink& events)
+    /// `remoteSlowdown`: see ControlSettings.
+    PoolScheduler(const eventlog::JobFollower& follower, const foundation::IClock& clock, telemetry::IEventSink& events,
+        double remoteSlowdown)
         : follower_(follower)
         , clock_(clock)
+        , waitReporter_(events)
+        , remoteSlowdown_(remoteSlowdown)
         , teamReport_(events)
     {
     }
@@ -50,8 +57,9 @@
     /// Removes an instance that accepts no tasks.
     void removeInstance(const std::string& name);
 
-    /// Plans the pools that have changed since their latest plan, and those whose steps wait for tickets or were
-    /// deferred. The pools share PlanConstraints::maximumPlacements. `onPlan` records the intents in the table of jobs.
+    /// Plans the pools that have changed since their latest plan, and those whose steps wait for tickets, were deferred
+    /// or have waited long enough for their racks. The pools share PlanConstraints::maximumPlacements. `onPlan` records
+    /// the intents in the table of jobs.
     void planChangedPools(scheduling::PlanConstraints constraints, const PlanHandler& onPlan);
 
     /// Instances of a pool that accept tasks.
@@ -69,6 +77,7 @@
         scheduling::InstanceIndex instances;
         scheduling::PoolBacklog backlog;
         jobs::Resources unplaced; ///< Result of the latest plan.
+        std::unique_ptr<scheduling::RackWaits> rackWaits; ///< Null if tasks do not wait for their racks.
         bool isPlanDue = false;
         std::map<std::string, std::uint64_t> heldByCap; ///< See TeamShares, of the latest plan.
         foundation::SteadyTime overdueServedAt {}; ///< Latest plan that found room for overdue jobs, or had none.
@@ -87,10 +96,15 @@
     scheduling::PoolPlan planPool(const std::string& name, PoolState& pool, scheduling::PlanConstraints constraints);
     void reportTeams();
     void removeJob(jobs::JobId id);
+    void beginRackWaits();
+    void reportRackWaits();
+    scheduling::JobTimes timesOf(const jobs::Job& job) const;
     foundation::SteadyTime submissionTime(const jobs::Job& job) const;
 
     const eventlog::JobFollower& follower_;
     const foundation::IClock& clock_;
+    WaitReporter waitReporter_;
+    double remoteSlowdown_ = 1;
     fleet::FleetConfiguration configuration_;
     scheduling::TeamUsage usage_; ///< Empty if no teams are configured.
     TeamReport teamReport_;
--- a/src/control/tests/poolschedulertests.cpp
+++ b/src/control/tests/poolschedulertests.cpp
@@ -185,7 +185,7 @@
     /// Replaces the scheduler as a new controller does, which reads the table of jobs.
     void changeController()
     {
-        scheduler = std::make_unique<PoolScheduler>(follower, clock, events);
+        scheduler = std::make_unique<PoolScheduler>(follower, clock, events, 1);
         showInstances();
         scheduler->setConfiguration(configuration);
     }
@@ -195,7 +195,7 @@
     mocks::HeldLog log;
     UsageRecorder events;
     eventlog::JobFollower follower { log, log, clock, timers, {} };
-    std::unique_ptr<PoolScheduler> scheduler = std::make_unique<PoolScheduler>(follower, clock, events);
+    std::unique_ptr<PoolScheduler> scheduler = std::make_unique<PoolScheduler>(follower, clock, events, 1);
     fleet::FleetConfiguration configuration;
     std::vector<std::unique_ptr<fleet::InstanceReport>> reports;
     std::map<std::string, jobs::Resources> free; ///< Key: instance.
--- a/src/control/types/controlsettings.h
+++ b/src/control/types/controlsettings.h
@@ -19,6 +19,9 @@
     bool compressesRecords = true; ///< The same for the compression of records.
     std::size_t teamBurstJobs = 20; ///< Jobs that a team may submit at once beyond a second's worth of its rate.
     milliseconds holderInterval { 3000 }; ///< Minimum time between the orders of two controllers for one machine.
+    /// Duration of a task on another rack than that of its data, as a multiple of its duration there. Above 1, tasks
+    /// may wait for slots on their racks.
+    double remoteSlowdown = 1;
 };
 
 } // namespace turmericsill::control
--- a/src/entryd/internal/entryprocess.cpp
+++ b/src/entryd/internal/entryprocess.cpp
@@ -142,6 +142,7 @@
     result.teamBurstJobs = settings_.teamBurstJobs;
     result.batchesRunRecords = settings_.batchesRunRecords;
     result.compressesRecords = settings_.compressesRecords;
+    result.remoteSlowdown = settings_.remoteSlowdown;
     result.statusRetention = settings_.statusRetention + statusRetentionMargin;
     constexpr int snapshotsPerRetention = 5;
     result.snapshotInterval = settings_.logRetention / snapshotsPerRetention;
--- a/src/scheduling/internal/stepplacer.h
+++ b/src/scheduling/internal/stepplacer.h
@@ -54,12 +54,19 @@
     const jobs::CrashHistory* findSuspicions(std::uint32_t index) const;
     bool canStartSuspects() const;
     void chooseRack();
+    bool canWaitForRack() const;
+    bool isWholeStepWaiting();
+    bool isAwaitedByOthers(const InstanceView& instance) const;
+    bool isWaitingForRack(const IndexedInstance& instance, std::uint32_t index);
+    std::int64_t roomFor(std::int64_t tasks, const InstanceIndex::Order& order) const;
     bool isAllowed(const InstanceView& instance) const;
     std::uint32_t tasksOn(const InstanceView& instance) const;
     Rank rank(const IndexedInstance& instance, std::uint32_t index, const jobs::CrashHistory* suspicions) const;
     std::uint32_t spreadPenaltyOf(const InstanceView& instance) const;
     IndexedInstance* chooseInstance(std::uint32_t index);
     IndexedInstance* bestOf(const InstanceIndex::Order& order, std::uint32_t index, bool isOnOtherRack);
+    void placeTask(PoolPlan& plan, IndexedInstance& instance, std::uint32_t index);
+    void reportPlaced(const IndexedInstance& instance);
     Placement assign(IndexedInstance& instance, std::uint32_t index, std::uint32_t run);
 
     InstanceIndex& instances_;
@@ -73,6 +80,7 @@
     std::uint32_t nextIndex_ = 0;
     std::uint32_t maximumTasks_ = std::numeric_limits<std::uint32_t>::max();
     bool isOutOfResources_ = false;
+    std::uint32_t tasksWaitingForRack_ = 0;
     IndexedInstance* observedInstance_ = nullptr; ///< Instance of the suspects that this object has placed.
 };
 
