HTTP client: responses are limited in header, framing, body and in their sum

Cause: only the body of a response was limited, to 256 MB a call. Change: setResponseLimits() sets for all clients of a context the limits of header, trailers and chunk headers (16,384 bytes), of the body, and of the memory of all calls in progress (ResponseBudget). Framing is limited to twice the body and 1 MB. The call that goes beyond a limit fails like one whose response is malformed. Without a call of setResponseLimits() the body limit is as before and the sum is not limited. Responses below 64 kB are not counted.

--- a/src/httpclient/internal/clientconnection.cpp
+++ b/src/httpclient/internal/clientconnection.cpp
@@ -29,7 +29,12 @@
     /// Option of a socket: milliseconds after which the system ends a connection whose data were not delivered.
     using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
-    constexpr std::uint64_t maximumResponseBytes = 256u << 20; ///< Enough for a page of the largest log read.
+    /// Responses below this size are not counted: nearly all are, and there are at most as many as connections.
+    constexpr std::size_t freeResponseBytes = 64 << 10;
+    /// A body in chunks of few bytes takes more on the connection than its size; the store and instances send larger
+    /// ones.
+    constexpr std::size_t maximumFramingFactor = 2;
+    constexpr std::size_t framingAllowance = 1 << 20;
     constexpr foundation::milliseconds deliveryTimeout { 2000 }; ///< Holds while this process does not run, too.
     constexpr std::size_t minimumReadBytes = 1024; ///< Enough for nearly all answers of instances.
 
@@ -44,11 +49,14 @@
     asio::io_context& context, PooledHttpClient& client, const IServerIdentification* identification)
     : socket_(context)
     , deadlines_(asio::use_service<CallDeadlines>(context))
+    , budget_(asio::use_service<ResponseBudget>(context))
     , client_(&client)
     , identification_(identification)
 {
 }
 
+ClientConnection::~ClientConnection() { budget_.update(countedBytes_, 0); }
+
 void ClientConnection::send(HttpCall call, HttpCallback done, foundation::SteadyTime deadline)
 {
     done_ = std::move(done);
@@ -68,7 +76,9 @@
     writeHeader(call);
     body_ = std::move(call.body);
     parser_.emplace();
-    parser_->body_limit(maximumResponseBytes);
+    parser_->header_limit(static_cast<std::uint32_t>(budget_.limits().maximumHeaderBytes));
+    parser_->body_limit(budget_.limits().maximumBodyBytes);
+    receivedBytes_ = 0;
     readBytes_ = std::max(minimumReadBytes, call.readBufferBytes);
     deadlines_.add(*this, deadline);
     if (isConnected_)
@@ -194,6 +204,7 @@
             foundation::ControlTraffic::processTotals().received += bytes;
             self->isReadFull_ = bytes == requested;
             self->buffer_.commit(bytes);
+            self->receivedBytes_ += bytes;
             self->onRead(error);
         });
 }
@@ -217,9 +228,23 @@
     buffer_.consume(parser_->put(buffer_.data(), error));
     if (error && error != http::error::need_more)
         return fail(Errc::ProtocolViolation, error);
-    if (!parser_->is_done())
-        return read();
-    onResponse();
+    if (parser_->is_done())
+        return onResponse();
+    if (!isWithinLimits())
+        return fail(Errc::ProtocolViolation, http::error::body_limit);
+    read();
+}
+
+// The parser limits neither fields that arrive one at a time nor trailers, chunk headers and extensions.
+bool ClientConnection::isWithinLimits()
+{
+    const ResponseLimits& limits = budget_.limits();
+    const std::size_t unparsed = parser_->is_header_done() ? buffer_.size() : receivedBytes_;
+    if (unparsed > limits.maximumHeaderBytes + readBytes_
+        || receivedBytes_ > limits.maximumBodyBytes * maximumFramingFactor + framingAllowance)
+        return false;
+    const std::size_t held = buffer_.capacity() + parser_->bodyMemory();
+    return held <= freeResponseBytes + readBytes_ || budget_.update(countedBytes_, held);
 }
 
 // The end of the connection ends the body of a response without a length.
@@ -290,6 +315,7 @@
     auto done = std::move(done_);
     done_ = nullptr;
     CallDeadlines::cancel(*this);
+    budget_.update(countedBytes_, 0);
     if (!canReuseConnection)
         close();
     if (client_ && canReuseConnection)
--- a/src/httpclient/internal/clientconnection.h
+++ b/src/httpclient/internal/clientconnection.h
@@ -2,6 +2,7 @@
 
 #include "foundation/tcpstream.h"
 #include "httpclient/internal/calldeadlines.h"
+#include "httpclient/internal/responsebudget.h"
 #include "httpclient/internal/responseparser.h"
 #include "httpclient/iserveridentification.h"
 #include "httpclient/pooledhttpclient.h"
@@ -24,6 +25,7 @@
 class ClientConnection : public boost::intrusive_ref_counter<ClientConnection, boost::thread_unsafe_counter>,
                          private TimedCall {
 public:
+    ~ClientConnection() override;
     ClientConnection(
         boost::asio::io_context& context, PooledHttpClient& client, const IServerIdentification* identification);
 
@@ -57,6 +59,7 @@
     void read();
     void onRead(const boost::beast::error_code& error);
     void parseResponse();
+    bool isWithinLimits();
     void onDisconnected(const boost::beast::error_code& error);
     void onResponse();
     void onIdentified(const HttpResponse& response, bool canReuseConnection);
@@ -67,6 +70,9 @@
 
     foundation::TcpSocket socket_;
     CallDeadlines& deadlines_;
+    ResponseBudget& budget_;
+    std::size_t countedBytes_ = 0; ///< Counted against the budget for the response in progress.
+    std::size_t receivedBytes_ = 0; ///< Of the response in progress, as sent.
     PooledHttpClient* client_;
     const IServerIdentification* identification_;
     std::int64_t serverIncarnation_ = 0;
--- a/src/httpclient/internal/responseparser.h
+++ b/src/httpclient/internal/responseparser.h
@@ -12,6 +12,7 @@
     ResponseParser() { eager(true); }
 
     unsigned status() const { return status_; }
+    std::size_t bodyMemory() const { return body_.capacity(); }
     std::string takeBody() { return std::move(body_); }
 
 private:
--- a/src/httpclient/tests/pooledhttpclienttests.cpp
+++ b/src/httpclient/tests/pooledhttpclienttests.cpp
@@ -1,5 +1,6 @@
 #include "foundation/tests/overwrittenobject.h"
 #include "httpclient/pooledhttpclient.h"
+#include "httpclient/types/responselimits.h"
 #include "httpserver/httpserver.h"
 
 #include <array>
@@ -450,3 +451,105 @@
         context.run_one();
     CHECK(answers == std::vector<std::string> { "1....", "2...." });
 }
+
+namespace {
+
+/// The outcome of one call to a server that sends `pieces`.
+Result<HttpResponse> callScripted(const ResponseLimits& limits, std::vector<std::string> pieces)
+{
+    asio::io_context context;
+    setResponseLimits(context, limits);
+    ScriptedServer server(context, std::move(pieces));
+    PooledHttpClient client(context, server.address(), 1);
+    std::optional<Result<HttpResponse>> outcome;
+    HttpCall call;
+    call.timeout = 5s;
+    client.send(std::move(call), [&](Result<HttpResponse> result) {
+        outcome = std::move(result);
+        context.stop();
+    });
+    context.run_for(10s);
+    REQUIRE(outcome);
+    return *outcome;
+}
+
+} // namespace
+
+// The deadline of a call is put off while data arrive, so a server that sends without end would fill the memory.
+TEST_CASE("http client: headers, trailers and chunk headers without end fail the call", "[httpclient]")
+{
+    ResponseLimits limits;
+    limits.maximumHeaderBytes = 4096;
+    const std::string opening = "HTTP/1.1 200 OK\r\n";
+    const std::string chunked = opening + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::string field = "X: " + std::string(500, 'h') + "\r\n";
+    const std::vector<std::pair<std::string, std::string>> responses { { opening, field },
+        { chunked + "1\r\nx\r\n0\r\n", field }, { chunked + "1;", std::string(500, 'e') } };
+    for (const auto& [beginning, repeated] : responses) {
+        INFO(beginning);
+        std::vector<std::string> pieces { beginning };
+        pieces.resize(200, repeated);
+        const auto outcome = callScripted(limits, std::move(pieces));
+        REQUIRE_FALSE(outcome);
+        CHECK(outcome.error().code == foundation::Errc::ProtocolViolation);
+        CHECK(outcome.error().message().find("limit") != std::string::npos);
+    }
+}
+
+TEST_CASE("http client: a body beyond the limit of one response fails the call", "[httpclient]")
+{
+    ResponseLimits limits;
+    limits.maximumBodyBytes = 100000;
+    const std::string body(100001, 'x');
+    const std::string opening = "HTTP/1.1 200 OK\r\nContent-Length: ";
+    CHECK_FALSE(callScripted(limits, { opening + "100001\r\n\r\n" + body }));
+    CHECK_FALSE(callScripted(limits, { "HTTP/1.1 200 OK\r\n\r\n" + body }));
+    const auto accepted = callScripted(limits, { opening + "100000\r\n\r\n" + body });
+    REQUIRE(accepted);
+    CHECK(accepted->body.size() == 100000);
+}
+
+// Each response is within its limit; only their sum is not.
+TEST_CASE("http client: the responses of all clients together are limited", "[httpclient]")
+{
+    asio::io_context context;
+    ResponseLimits limits;
+    limits.totalBytes = 10 << 20;
+    setResponseLimits(context, limits);
+    PageHandler handler;
+    httpserver::HttpServer server(context, handler, {});
+    REQUIRE(server.listen({ "127.0.0.1", 0 }));
+    const std::string unfinished = "HTTP/1.1 200 OK\r\nContent-Length: 8000000\r\n\r\n" + std::string(7 << 20, 'x');
+    ScriptedServer first(context, { unfinished });
+    ScriptedServer second(context, { unfinished });
+    PooledHttpClient firstClient(context, first.address(), 1);
+    PooledHttpClient secondClient(context, second.address(), 1);
+    int failed = 0;
+    int failedByLimit = 0;
+    for (PooledHttpClient* client : { &firstClient, &secondClient }) {
+        HttpCall call;
+        call.timeout = 5s;
+        client->send(std::move(call), [&](const Result<HttpResponse>& result) {
+            if (!result && result.error().message().find("limit") != std::string::npos)
+                ++failedByLimit;
+            if (!result && ++failed == 2)
+                context.stop();
+        });
+    }
+    context.run_for(10s);
+    CHECK(failed == 2);
+    CHECK(failedByLimit >= 1);
+    PooledHttpClient client(context, { "127.0.0.1", server.port() }, 1);
+    int answered = 0;
+    for (int index = 0; index < 12; ++index) {
+        client.send({}, [&](const Result<HttpResponse>& result) {
+            if (result)
+                ++answered;
+            if (answered == 12)
+                context.stop();
+        });
+    }
+    context.restart();
+    context.run_for(10s);
+    CHECK(answered == 12);
+}
