Untrusted clients: one budget for the memory and descriptors that clients of an entry hold

Change: HttpConnection reads and parses by itself and limits those parts. ReadBudget, shared by the listening sockets of an entry, counts what connections hold beyond 8 kB each; when it is used up, the connection with the most bytes times the longest time without progress is closed first, and a request that cannot have its memory gets 503 with Retry-After and has not run. When connections or descriptors are short, a connection that never sent anything is closed in favour of a new one. Free memory is returned to the system after pressure. The limits are settings and follow from memory_limit_mb and descriptor_limit. Counters reach the metrics, and connection.refused names the causes. An idle connection holds a buffer of 4 kB instead of 16 kB, so a request of more than 4 kB that is sent at once takes one more read. The test of connections beyond the limit is as it was: those closed in favour of new ones are counted among the refused.

--- a/src/entryd/entryprocess.h
+++ b/src/entryd/entryprocess.h
@@ -5,6 +5,7 @@
 #include "control/submissionrouter.h"
 #include "entry/declarationwatcher.h"
 #include "entry/jobservice.h"
+#include "entryd/internal/refusalreporter.h"
 #include "eventlog/jobfollower.h"
 #include "eventlog/jobsubmitter.h"
 #include "foundation/asiotimerqueue.h"
@@ -61,6 +62,8 @@
 private:
     control::ControlSettings controlSettings() const;
     identity::KeyAgeLimits keyAgeLimits() const;
+    httpserver::ReadBudgetLimits readBudgetLimits() const;
+    httpserver::ServerLimits callerLimits() const;
     void connectComponents();
     void runEventLoop();
     foundation::Result<void> listen();
@@ -105,6 +108,8 @@
     platform::ReadinessHttpHandler readinessHandler_;
     telemetry::TelemetryHandler telemetryHandler_;
     PeerCallHandler peerHandler_;
+    httpserver::ReadBudget readBudget_;
+    RefusalReporter refusals_;
     httpserver::HttpServer callerServer_;
     httpserver::HttpServer healthServer_;
     httpserver::HttpServer telemetryServer_;
--- a/src/entryd/internal/entryprocess.cpp
+++ b/src/entryd/internal/entryprocess.cpp
@@ -1,5 +1,7 @@
 #include "entryd/entryprocess.h"
 
+#include "httpclient/types/responselimits.h"
+
 #include <algorithm>
 #include <csignal>
 #include <utility>
@@ -36,10 +38,11 @@
         return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(now).count());
     }
 
-    httpserver::ServerLimits callerLimits()
+    /// Checks of the balancer have no body.
+    httpserver::ServerLimits healthLimits()
     {
         httpserver::ServerLimits limits;
-        limits.maximumConnections = 3000; // Leaves 1,100 of 4,100 file descriptors for files, instances and the store.
+        limits.maximumBodyBytes = 4 << 10;
         return limits;
     }
 
@@ -123,11 +126,33 @@
     , readinessHandler_(readiness_)
     , telemetryHandler_(metrics_, readiness_)
     , peerHandler_(control_, telemetryHandler_)
-    , callerServer_(context_, jobHandler_, callerLimits())
-    , healthServer_(context_, readinessHandler_, httpserver::ServerLimits())
-    , telemetryServer_(context_, peerHandler_, peerLimits(jobLog_.recordLimits()))
+    , readBudget_(readBudgetLimits())
+    , refusals_(events_, metrics_, readBudget_)
+    , callerServer_(context_, jobHandler_, callerLimits(), &readBudget_)
+    , healthServer_(context_, readinessHandler_, healthLimits(), &readBudget_)
+    , telemetryServer_(context_, peerHandler_, peerLimits(jobLog_.recordLimits()), &readBudget_)
     , signals_(context_, SIGTERM, SIGINT, SIGHUP)
 {
+    httpclient::ResponseLimits limits;
+    limits.totalBytes = settings::responseMemoryBytes(settings_);
+    limits.maximumBodyBytes = std::min(limits.maximumBodyBytes, limits.totalBytes);
+    httpclient::setResponseLimits(context_, limits);
+}
+
+httpserver::ReadBudgetLimits EntryProcess::readBudgetLimits() const
+{
+    httpserver::ReadBudgetLimits result;
+    result.bytes = settings::requestMemoryBytes(settings_);
+    result.descriptors = settings_.descriptorLimit;
+    return result;
+}
+
+httpserver::ServerLimits EntryProcess::callerLimits() const
+{
+    httpserver::ServerLimits result;
+    result.maximumConnections = settings::maximumCallerConnections(settings_);
+    result.maximumBodyBytes = settings_.requestBodyBytes;
+    return result;
 }
 
 control::ControlSettings EntryProcess::controlSettings() const
@@ -247,6 +272,9 @@
             { "offset", jobFollower_.offset() }, { "states", status.answers }, { "states_read", status.reads },
             { "state_ms", toMs(status.longestWait) }, { "state_sum_ms", toMs(status.totalWait) },
             { "lag_ms", toMs(now - dueAt) } });
+    refusals_.report("caller", callerServer_.counters());
+    refusals_.report("health", healthServer_.counters());
+    refusals_.report("telemetry", telemetryServer_.counters());
     const auto next = now + loadReportInterval;
     timers_.schedule(next, [this, next] { reportLoad(next); });
 }
--- a/src/httpserver/httpserver.h
+++ b/src/httpserver/httpserver.h
@@ -5,6 +5,7 @@
 #include "foundation/result.h"
 #include "foundation/tcpstream.h"
 #include "httpserver/ihttphandler.h"
+#include "httpserver/readbudget.h"
 #include "httpserver/types/serverlimits.h"
 
 #include <boost/asio/io_context.hpp>
@@ -22,9 +23,11 @@
 
 /// HTTP/1.1 server that runs on the thread of one io_context. Requests of a connection are handled one at a time, in
 /// order.
-class HttpServer {
+class HttpServer : private IdleConnectionSource {
 public:
-    HttpServer(boost::asio::io_context& context, IHttpHandler& handler, const ServerLimits& limits);
+    /// `budget` is shared with other servers and outlives them; without one the server has an unlimited one of its own.
+    HttpServer(boost::asio::io_context& context, IHttpHandler& handler, const ServerLimits& limits,
+        ReadBudget* budget = nullptr);
     ~HttpServer();
 
     HttpServer(const HttpServer&) = delete;
@@ -57,10 +60,14 @@
     void scheduleIdleSweep();
     void closeIdleConnections();
     void onAccept(foundation::TcpSocket socket);
+    bool hasRoomFor(foundation::TcpSocket& socket);
+    bool closeIdlest(foundation::SteadyTime now) override;
 
     boost::asio::io_context& context_;
     IHttpHandler& handler_;
     ServerLimits limits_;
+    ReadBudget ownBudget_;
+    ReadBudget& budget_;
     ServerCounters counters_;
     boost::asio::ip::tcp::acceptor acceptor_;
     foundation::OneShotTimer acceptRetryTimer_;
--- a/src/httpserver/internal/httpconnection.cpp
+++ b/src/httpserver/internal/httpconnection.cpp
@@ -1,7 +1,7 @@
 #include "httpserver/internal/httpconnection.h"
 
-#include <boost/beast/core/bind_handler.hpp>
-#include <boost/beast/http/read.hpp>
+#include <algorithm>
+#include <boost/beast/http/error.hpp>
 #include <boost/beast/http/write.hpp>
 #include <utility>
 
@@ -14,7 +14,21 @@
 
 namespace {
 
-    constexpr std::size_t maximumReadAheadBytes = 16 << 10; ///< Limit of the data read during a request.
+    /// Limit of the data read while no request is parsed. Each idle connection holds a buffer of this size; most
+    /// requests fit into it.
+    constexpr std::size_t maximumReadAheadBytes = 4 << 10;
+    constexpr std::size_t parsedReadBytes = 16 << 10; ///< Largest part of a request that is read at a time.
+    constexpr std::size_t fieldOverheadBytes = 80; ///< Memory for a header field beside its text.
+    /// Smallest field, "a:" and its line end, with the memory that it takes.
+    constexpr std::size_t worstFieldExpansion = (fieldOverheadBytes + 4) / 4;
+
+    std::size_t memoryOfFields(const HttpRequest& request)
+    {
+        std::size_t bytes = 0;
+        for (const auto& field : request)
+            bytes += field.name_string().size() + field.value().size() + fieldOverheadBytes;
+        return bytes;
+    }
 
 } // namespace
 
@@ -32,6 +46,7 @@
 {
     if (!server_)
         return;
+    server_->budget_.release(*this);
     --server_->counters_.open;
     server_->connections_.erase(server_->connections_.iterator_to(*this));
 }
@@ -43,6 +58,57 @@
     stream_.close();
 }
 
+void HttpConnection::detach()
+{
+    server_->budget_.release(*this);
+    server_ = nullptr;
+}
+
+void HttpConnection::closeForBudget()
+{
+    ++server_->counters_.closedForMemory;
+    close();
+}
+
+std::size_t HttpConnection::heldBytes() const
+{
+    std::size_t bytes = buffer_.capacity();
+    if (parser_)
+        bytes += headerMemory_ + parser_->get().body().capacity();
+    if (response_)
+        bytes += response_->body().size();
+    return bytes;
+}
+
+// Returns false if the connection has to give back what it holds.
+bool HttpConnection::account()
+{
+    if (!server_)
+        return true;
+    const std::size_t held = heldBytes();
+    if (!isCounted() && held <= server_->budget_.freeBytesPerConnection())
+        return true;
+    return server_->budget_.update(*this, held, std::chrono::steady_clock::now());
+}
+
+void HttpConnection::releaseRequest()
+{
+    parser_.reset();
+    buffer_.clear();
+    buffer_.shrink_to_fit();
+}
+
+void HttpConnection::refuseForMemory()
+{
+    ++server_->counters_.refusedForMemory;
+    releaseRequest();
+    HttpResponse response
+        = makeResponse(503, "the request was not carried out: the requests being received take too much memory\n");
+    response.set(http::field::retry_after, "1");
+    response.keep_alive(false);
+    write(std::move(response));
+}
+
 void HttpConnection::closeIfIdle()
 {
     if (isIdle())
@@ -56,8 +122,11 @@
         return;
     parser_.reset();
     idleSince_ = std::chrono::steady_clock::now();
-    if (buffer_.size() == 0)
-        return readAhead();
+    if (buffer_.size() == 0) {
+        readAhead();
+        account();
+        return;
+    }
     isParsing_ = true;
     if (isReadingAhead_)
         return stopReadingAhead();
@@ -77,11 +146,80 @@
     parser_.emplace();
     parser_->header_limit(static_cast<std::uint32_t>(server_->limits_.maximumHeaderBytes));
     parser_->body_limit(server_->limits_.maximumBodyBytes);
+    parser_->eager(true);
+    chunkExtensions_ = { 0, server_->limits_.maximumChunkExtensionBytes };
+    parser_->on_chunk_header(chunkExtensions_);
+    headerBytes_ = 0;
+    headerMemory_ = 0;
     stream_.expires_after(server_->limits_.requestTimeout);
-    http::async_read(stream_, buffer_, *parser_, [self = SelfPtr(this)](beast::error_code failed, std::size_t) {
-        self->isParsing_ = false;
-        self->onRequest(failed);
-    });
+    parseReceived();
+}
+
+void HttpConnection::ChunkExtensionCounter::operator()(
+    std::uint64_t, beast::string_view extensions, beast::error_code& error)
+{
+    bytes += extensions.size();
+    if (bytes > limit)
+        error = http::error::header_limit;
+}
+
+void HttpConnection::parseReceived()
+{
+    beast::error_code error;
+    const bool isInHeader = !parser_->is_header_done();
+    const std::size_t parsedBytes = parser_->put(buffer_.data(), error);
+    buffer_.consume(parsedBytes);
+    countFields(isInHeader, parsedBytes);
+    if (error == http::error::need_more)
+        error = unparsedLimit();
+    if (error || parser_->is_done())
+        return endParsing(error);
+    if (account())
+        return readMore();
+    isParsing_ = false;
+    refuseForMemory();
+}
+
+// Until the header is complete its fields are not counted one by one, which would take a pass over them for each part.
+void HttpConnection::countFields(bool wasInHeader, std::size_t parsedBytes)
+{
+    if (!parser_->is_header_done()) {
+        headerBytes_ += parsedBytes;
+        headerMemory_ = headerBytes_ * worstFieldExpansion;
+    } else if (wasInHeader || parser_->is_done())
+        headerMemory_ = memoryOfFields(parser_->get());
+}
+
+// The parser limits neither fields that arrive one at a time nor trailers and chunk headers, which it consumes only
+// when they are complete.
+beast::error_code HttpConnection::unparsedLimit() const
+{
+    const bool isHeaderDone = parser_->is_header_done();
+    const std::size_t bytes = buffer_.size() + (isHeaderDone ? 0 : headerBytes_);
+    const std::size_t limit = isHeaderDone ? server_->limits_.maximumTrailerBytes : server_->limits_.maximumHeaderBytes;
+    return bytes >= limit ? make_error_code(http::error::header_limit) : beast::error_code();
+}
+
+void HttpConnection::readMore()
+{
+    stream_.async_read_some(buffer_.prepare(parsedReadBytes),
+        [self = SelfPtr(this)](beast::error_code error, std::size_t bytes) { self->onReadMore(error, bytes); });
+}
+
+void HttpConnection::onReadMore(beast::error_code error, std::size_t bytes)
+{
+    if (!server_)
+        return;
+    if (error)
+        return endParsing(error);
+    buffer_.commit(bytes);
+    parseReceived();
+}
+
+void HttpConnection::endParsing(const beast::error_code& error)
+{
+    isParsing_ = false;
+    onRequest(error);
 }
 
 void HttpConnection::onRequest(beast::error_code error)
@@ -94,6 +232,8 @@
     keepAlive_ = parser_->get().keep_alive();
     isHeadRequest_ = parser_->get().method() == http::verb::head;
     version_ = parser_->get().version();
+    if (!account())
+        return refuseForMemory();
     isAwaitingResponse_ = true;
     readAhead();
     server_->handler_.handle(this);
@@ -106,13 +246,13 @@
         ++counters.timedOut;
         return close();
     }
-    if (error == http::error::end_of_stream || error == http::error::partial_message
-        || error.category() != make_error_code(http::error::bad_method).category())
+    if (error.category() != make_error_code(http::error::bad_method).category())
         return close();
     const bool isHeaderOversized = error == http::error::header_limit;
     const bool isBodyOversized = error == http::error::body_limit;
     ++(isHeaderOversized || isBodyOversized ? counters.oversizedRequests : counters.malformedRequests);
     const unsigned status = isBodyOversized ? 413 : isHeaderOversized ? 431 : 400;
+    releaseRequest();
     HttpResponse response = makeResponse(status, error.message() + "\n");
     response.keep_alive(false);
     write(std::move(response));
@@ -123,6 +263,8 @@
 {
     if (isReadingAhead_ || buffer_.size() >= maximumReadAheadBytes)
         return;
+    if (buffer_.size() == 0 && buffer_.capacity() > maximumReadAheadBytes)
+        buffer_.shrink_to_fit();
     isReadingAhead_ = true;
     stream_.socket().async_read_some(buffer_.prepare(maximumReadAheadBytes - buffer_.size()),
         [self = SelfPtr(this)](beast::error_code error, std::size_t bytes) { self->onReadAhead(error, bytes); });
@@ -137,6 +279,7 @@
     if (error && error != asio::error::operation_aborted)
         return onClientDisconnected();
     buffer_.commit(bytes);
+    hasReceived_ |= bytes > 0;
     if (isCancelled)
         return parseRequest();
     if (isAwaitingResponse_)
@@ -179,6 +322,9 @@
     isWriting_ = true;
     response_.emplace(std::move(response));
     const bool closes = response_->need_eof();
+    if (isCounted())
+        server_->budget_.noteProgress(*this, std::chrono::steady_clock::now());
+    account(); // The response is sent in any case: its request has run, and nearly always the system takes it at once.
     if (server_)
         stream_.expires_after(server_->limits_.writeTimeout);
     http::async_write(stream_, *response_,
--- a/src/httpserver/internal/httpconnection.h
+++ b/src/httpserver/internal/httpconnection.h
@@ -11,7 +11,7 @@
 
 /// A client connection; also the exchange of its request in progress.
 /// Asynchronous operations and handlers that refer to it keep it alive.
-class HttpConnection final : public HttpExchange, public ConnectionHook {
+class HttpConnection final : public HttpExchange, public ConnectionHook, private BudgetHolder {
 public:
     HttpConnection(foundation::TcpSocket socket, HttpServer& server);
     ~HttpConnection() override;
@@ -28,17 +28,43 @@
     /// Whether the connection is waiting for the first byte of a request.
     bool isIdle() const { return !isAwaitingResponse_ && !isWriting_ && !isParsing_; }
 
+    bool isOpen() const { return stream_.socket().is_open(); }
+
+    /// Whether the client has ever sent anything.
+    bool hasReceived() const { return hasReceived_; }
+
     /// When the connection last began to wait for a request.
     foundation::SteadyTime idleSince() const { return idleSince_; }
 
     /// Clears the pointer to the server, which is being destroyed.
-    void detach() { server_ = nullptr; }
+    void detach();
 
 private:
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+    /// Counts the extensions of the chunks of a body and rejects those beyond the limit.
+    struct ChunkExtensionCounter {
+        void operator()(std::uint64_t size, boost::beast::string_view extensions, boost::beast::error_code& error);
+
+        std::size_t bytes = 0;
+        std::size_t limit = 0;
+    };
+
+    /// A connection that was closed is counted until its handler has let go of the request.
+    bool isExpendable() const override { return !isAwaitingResponse_ && isOpen(); }
+    void closeForBudget() override;
+    std::size_t heldBytes() const;
+    bool account();
+    void releaseRequest();
+    void refuseForMemory();
     void readRequest();
     void parseRequest();
+    void parseReceived();
+    boost::beast::error_code unparsedLimit() const;
+    void countFields(bool wasInHeader, std::size_t parsedBytes);
+    void readMore();
+    void onReadMore(boost::beast::error_code error, std::size_t bytes);
+    void endParsing(const boost::beast::error_code& error);
     void stopReadingAhead();
     void onRequest(boost::beast::error_code error);
     void rejectRequest(const boost::beast::error_code& error);
@@ -51,12 +77,16 @@
     foundation::TcpStream stream_;
     boost::beast::flat_buffer buffer_;
     std::optional<Parser> parser_;
+    ChunkExtensionCounter chunkExtensions_;
+    std::size_t headerBytes_ = 0; ///< Consumed by the parser while the header is incomplete.
+    std::size_t headerMemory_ = 0; ///< Memory of the fields of the request, trailers included.
     std::optional<HttpResponse> response_;
     HttpServer* server_;
     foundation::SteadyTime idleSince_ {};
     bool keepAlive_ = false; ///< Copy from the request in progress, which the handler may have moved.
     bool isHeadRequest_ = false;
     unsigned version_ = 11;
+    bool hasReceived_ = false;
     bool isAwaitingResponse_ = false;
     bool isReadingAhead_ = false;
     bool isParsing_ = false;
--- a/src/httpserver/internal/httpserver.cpp
+++ b/src/httpserver/internal/httpserver.cpp
@@ -30,19 +30,22 @@
     return response;
 }
 
-HttpServer::HttpServer(asio::io_context& context, IHttpHandler& handler, const ServerLimits& limits)
+HttpServer::HttpServer(asio::io_context& context, IHttpHandler& handler, const ServerLimits& limits, ReadBudget* budget)
     : context_(context)
     , handler_(handler)
     , limits_(limits)
+    , budget_(budget ? *budget : ownBudget_)
     , acceptor_(context)
     , acceptRetryTimer_(context)
     , idleSweepTimer_(context)
 {
+    budget_.addSource(*this);
 }
 
 HttpServer::~HttpServer()
 {
     *alive_ = false;
+    budget_.removeSource(*this);
     while (!connections_.empty()) {
         HttpConnection& connection = connections_.front();
         connections_.pop_front();
@@ -92,18 +95,54 @@
 
 void HttpServer::onAccept(foundation::TcpSocket socket)
 {
-    if (counters_.open >= limits_.maximumConnections) {
-        ++counters_.refusedConnections;
+    if (!hasRoomFor(socket))
         return;
-    }
     ++counters_.accepted;
     boost::intrusive_ptr<HttpConnection>(new HttpConnection(std::move(socket), *this))->start();
 }
 
+// Either an idle connection is closed in favour of the new one, or the new one is refused.
+bool HttpServer::hasRoomFor(foundation::TcpSocket& socket)
+{
+    const bool isFull = counters_.open >= limits_.maximumConnections;
+    const bool isShort = budget_.isShortOfDescriptors(socket.native_handle());
+    if (!isFull && !isShort)
+        return true;
+    const auto now = std::chrono::steady_clock::now();
+    const bool hasClosed = closeIdlest(now) || (!isFull && budget_.closeIdlest(now));
+    if (!hasClosed)
+        ++counters_.refusedConnections;
+    return hasClosed;
+}
+
+// Connections that never sent anything go first, the oldest of them, since a client connects in order to send. The list
+// is in the order of acceptance.
+bool HttpServer::closeIdlest(foundation::SteadyTime now)
+{
+    HttpConnection* idlest = nullptr;
+    for (auto& connection : connections_) {
+        if (!connection.isOpen() || !connection.isIdle())
+            continue;
+        if (!connection.hasReceived()) {
+            idlest = &connection;
+            break;
+        }
+        const bool isLongIdle = now - connection.idleSince() >= limits_.guaranteedIdleTime;
+        if (isLongIdle && (!idlest || connection.idleSince() < idlest->idleSince()))
+            idlest = &connection;
+    }
+    if (!idlest)
+        return false;
+    ++counters_.refusedConnections;
+    idlest->close();
+    return true;
+}
+
 void HttpServer::scheduleIdleSweep()
 {
     idleSweepTimer_.start(idleSweepInterval, [this] {
         closeIdleConnections();
+        budget_.trimMemory(std::chrono::steady_clock::now());
         scheduleIdleSweep();
     });
 }
--- a/src/httpserver/tests/httpservertests.cpp
+++ b/src/httpserver/tests/httpservertests.cpp
@@ -33,8 +33,9 @@
 /// A server on a free port of the loopback interface, with clients on the same thread.
 class ServerFixture {
 public:
-    explicit ServerFixture(const ServerLimits& limits = {})
-        : server(context, handler, limits)
+    explicit ServerFixture(const ServerLimits& limits = {}, const ReadBudgetLimits& budgetLimits = {})
+        : budget(budgetLimits)
+        , server(context, handler, limits, &budget)
     {
         REQUIRE(server.listen({ "127.0.0.1", 0 }));
     }
@@ -90,6 +91,7 @@
 
     asio::io_context context;
     RecordingHandler handler;
+    ReadBudget budget;
     HttpServer server;
 };
 
@@ -262,3 +264,141 @@
         CHECK(error);
     }
 }
+
+// Beast's parser limits neither: it consumes them only when they are complete, and the buffer grows until then.
+TEST_CASE("http server: trailers and chunk extensions beyond their limits are rejected", "[httpserver]")
+{
+    ServerLimits limits;
+    limits.maximumTrailerBytes = 2000;
+    limits.maximumChunkExtensionBytes = 2000;
+    ServerFixture fixture(limits);
+    const std::string opening = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    std::string trailers = opening + "1\r\nx\r\n0\r\n";
+    std::string extendedChunks = opening;
+    for (int index = 0; index < 1000; ++index) {
+        trailers += "X: " + std::string(50, 't') + "\r\n";
+        extendedChunks += "1;" + std::string(50, 'e') + "\r\nx\r\n";
+    }
+    CHECK(statusOf(fixture.sendAndReceive(trailers)) == "HTTP/1.1 431");
+    CHECK(statusOf(fixture.sendAndReceive(opening + "1;" + std::string(50000, 'e'))) == "HTTP/1.1 431");
+    CHECK(statusOf(fixture.sendAndReceive(extendedChunks)) == "HTTP/1.1 431");
+    CHECK(fixture.handler.exchanges.empty());
+    CHECK(fixture.server.counters().oversizedRequests == 3);
+    CHECK(statusOf(fixture.sendAndReceive(opening + "1;name=value\r\nx\r\n0\r\nX: trailer\r\n\r\n")) == "HTTP/1.1 200");
+}
+
+// The parser consumes fields that arrive whole one after the other, and its limit counts only what it has not consumed.
+TEST_CASE("http server: a header whose fields arrive one at a time is limited as a whole", "[httpserver]")
+{
+    ServerLimits limits;
+    limits.maximumHeaderBytes = 2000;
+    ServerFixture fixture(limits);
+    auto client = fixture.connect();
+    asio::write(client, asio::buffer(std::string("GET / HTTP/1.1\r\n")));
+    boost::system::error_code error;
+    for (int index = 0; index < 100 && fixture.server.counters().oversizedRequests == 0 && !error; ++index) {
+        asio::write(client, asio::buffer("X: " + std::string(95, 'h') + "\r\n"), error);
+        fixture.runFor(2ms);
+    }
+    CHECK(fixture.server.counters().oversizedRequests == 1);
+}
+
+TEST_CASE("http server: a body of the largest size is accepted in chunks of one byte", "[httpserver]")
+{
+    ServerLimits limits;
+    limits.maximumBodyBytes = 262144;
+    ReadBudgetLimits budgetLimits;
+    budgetLimits.bytes = 8 << 20;
+    ServerFixture fixture(limits, budgetLimits);
+    fixture.handler.respondsImmediately = false;
+    std::string request = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (int index = 0; index < 262144; ++index)
+        request += "1\r\nx\r\n";
+    request += "0\r\n\r\n";
+    auto client = fixture.connect();
+    asio::async_write(client, asio::buffer(request), [](boost::system::error_code, std::size_t) {});
+    REQUIRE(fixture.runUntil([&] { return fixture.handler.exchanges.size() == 1; }));
+    CHECK(fixture.handler.exchanges[0]->request().body().size() == 262144);
+}
+
+TEST_CASE("http server: while the budget is used up by handled requests, only small ones are accepted", "[httpserver]")
+{
+    ReadBudgetLimits budgetLimits;
+    budgetLimits.bytes = 150000;
+    ServerFixture fixture({}, budgetLimits);
+    fixture.handler.respondsImmediately = false;
+    const std::string large = "POST /large HTTP/1.1\r\nContent-Length: 100000\r\n\r\n" + std::string(100000, 'x');
+    auto client = fixture.connect();
+    asio::write(client, asio::buffer(large));
+    REQUIRE(fixture.runUntil([&] { return fixture.handler.exchanges.size() == 1; }));
+    const std::string refused = fixture.sendAndReceive(large);
+    CHECK(statusOf(refused) == "HTTP/1.1 503");
+    CHECK(refused.find("Retry-After: 1\r\n") != std::string::npos);
+    CHECK(refused.find("was not carried out") != std::string::npos);
+    CHECK(fixture.handler.exchanges.size() == 1);
+    CHECK(fixture.server.counters().refusedForMemory == 1);
+    auto small = fixture.connect();
+    asio::write(small, asio::buffer(std::string("POST /small HTTP/1.1\r\nContent-Length: 2\r\n\r\nok")));
+    CHECK(fixture.runUntil([&] { return fixture.handler.exchanges.size() == 2; }));
+    for (auto& exchange : fixture.handler.exchanges)
+        exchange->respond(makeResponse(200, "done"));
+    fixture.handler.exchanges.clear();
+    CHECK(fixture.runUntil([&] { return fixture.budget.usedBytes() == 0; }));
+}
+
+TEST_CASE("http server: a body that stays unfinished gives way to one that is received", "[httpserver]")
+{
+    ReadBudgetLimits budgetLimits;
+    budgetLimits.bytes = 150000;
+    ServerFixture fixture({}, budgetLimits);
+    const std::string header = "POST / HTTP/1.1\r\nContent-Length: 100000\r\n\r\n";
+    auto stalled = fixture.connect();
+    asio::write(stalled, asio::buffer(header + std::string(99999, 'x')));
+    fixture.runFor(50ms);
+    CHECK(statusOf(fixture.sendAndReceive(header + std::string(100000, 'x'))) == "HTTP/1.1 200");
+    CHECK(fixture.server.counters().closedForMemory == 1);
+    CHECK(fixture.server.counters().refusedForMemory == 0);
+    CHECK(fixture.runUntil([&] { return fixture.budget.usedBytes() == 0; }));
+}
+
+// The handler still has the request of a client that is gone, so its memory is not free.
+TEST_CASE("http server: an abandoned request is counted until its handler lets go of it", "[httpserver]")
+{
+    ReadBudgetLimits budgetLimits;
+    budgetLimits.bytes = 150000;
+    ServerFixture fixture({}, budgetLimits);
+    fixture.handler.respondsImmediately = false;
+    const std::string large = "POST / HTTP/1.1\r\nContent-Length: 100000\r\n\r\n" + std::string(100000, 'x');
+    auto client = fixture.connect();
+    asio::write(client, asio::buffer(large));
+    REQUIRE(fixture.runUntil([&] { return fixture.handler.exchanges.size() == 1; }));
+    client.close();
+    REQUIRE(fixture.runUntil([&] { return fixture.handler.abandoned == 1; }));
+    CHECK(statusOf(fixture.sendAndReceive(large)) == "HTTP/1.1 503");
+    CHECK(fixture.budget.usedBytes() > 0);
+    fixture.handler.exchanges.clear();
+    CHECK(fixture.runUntil([&] { return fixture.budget.usedBytes() == 0; }));
+}
+
+TEST_CASE("http server: a silent connection gives way to a new one, and one in use does not", "[httpserver]")
+{
+    ServerLimits limits;
+    limits.maximumConnections = 2;
+    ServerFixture fixture(limits);
+    auto used = fixture.connect();
+    asio::write(used, asio::buffer(std::string("GET /first HTTP/1.1\r\n\r\n")));
+    REQUIRE(fixture.runUntil([&] { return fixture.handler.exchanges.size() == 1; }));
+    fixture.handler.exchanges.clear();
+    auto silent = fixture.connect();
+    REQUIRE(fixture.runUntil([&] { return fixture.server.counters().open == 2; }));
+    auto third = fixture.connect();
+    asio::write(third, asio::buffer(std::string("GET /third HTTP/1.1\r\n\r\n")));
+    REQUIRE(fixture.runUntil([&] { return fixture.handler.exchanges.size() == 1; }));
+    fixture.handler.exchanges.clear();
+    REQUIRE(fixture.runUntil([&] { return fixture.server.counters().open == 2; }));
+    auto fourth = fixture.connect();
+    REQUIRE(fixture.runUntil([&] { return fixture.server.counters().refusedConnections == 2; }));
+    CHECK(fixture.server.counters().open == 2);
+    asio::write(used, asio::buffer(std::string("GET /again HTTP/1.1\r\n\r\n")));
+    CHECK(fixture.runUntil([&] { return fixture.handler.exchanges.size() == 1; }));
+}
--- a/src/settings/entrysettings.h
+++ b/src/settings/entrysettings.h
@@ -43,8 +43,23 @@
     double remoteSlowdown = 1;
     std::optional<std::size_t> memoryLimitMb; ///< Memory that the process may use; absent if it is not limited.
     std::optional<std::size_t> descriptorLimit; ///< File descriptors that the process may open; absent if unknown.
+    /// Each absent one follows from the limits above; see requestMemoryBytes(), responseMemoryBytes() and
+    /// maximumCallerConnections().
+    std::optional<std::size_t> requestMemoryMb;
+    std::optional<std::size_t> responseMemoryMb;
+    std::optional<std::size_t> callerConnections;
+    std::size_t requestBodyBytes = 256 << 10; ///< Largest body of a caller's request.
 };
 
+/// Memory for the requests of all clients that were read and not yet handled, and for responses not yet written.
+std::size_t requestMemoryBytes(const EntrySettings& settings);
+
+/// Memory for responses of the store, of instances and of other entries that are being received.
+std::size_t responseMemoryBytes(const EntrySettings& settings);
+
+/// Connections of callers that may be open at a time.
+std::size_t maximumCallerConnections(const EntrySettings& settings);
+
 /// Processor time that the process may use, in thousandths of a core.
 std::uint32_t processorMillicores(const EntrySettings& settings);
 
--- a/src/settings/internal/entrysettings.cpp
+++ b/src/settings/internal/entrysettings.cpp
@@ -16,6 +16,13 @@
     constexpr double maximumIntervalMs = 600000;
     constexpr double minimumLogBytes = 8192; ///< Takes a job with the longest text that the platform allows.
     constexpr double maximumLogBytes = 1 << 30;
+    constexpr std::size_t megabyte = 1 << 20;
+    constexpr std::size_t memoryShare = 4; ///< Requests and responses may each take one of so many parts.
+    constexpr std::size_t requestMemoryWithoutLimit = 64 * megabyte;
+    constexpr std::size_t responseMemoryWithoutLimit = 256 * megabyte; ///< Enough for a page of the largest log read.
+    /// Of 4,100 descriptors 1,100 are left for files, instances, other entries and the store.
+    constexpr std::size_t callerConnectionsOf = 3000;
+    constexpr std::size_t descriptorsFor = 4100;
 
     const std::string compressedRunRecords = "compressed";
     const std::string batchedRunRecords = "batched";
@@ -56,6 +63,10 @@
             { "remote_slowdown", FieldType::Number, false, 1, 1000, {} },
             { "memory_limit_mb", FieldType::Integer, false, 32, 1 << 20, {} },
             { "descriptor_limit", FieldType::Integer, false, 256, 1 << 24, {} },
+            { "request_memory_mb", FieldType::Integer, false, 4, 1 << 20, {} },
+            { "response_memory_mb", FieldType::Integer, false, 8, 1 << 20, {} },
+            { "caller_connections", FieldType::Integer, false, 16, 1 << 24, {} },
+            { "request_body_bytes", FieldType::Integer, false, 1024, maximumLogBytes, {} },
             { "run_records", FieldType::Choice, false, 0, 0,
                 { compressedRunRecords, batchedRunRecords, singleRunRecords } },
         };
@@ -89,14 +100,56 @@
         copier.copy("remote_slowdown", result.remoteSlowdown);
         copier.copy("memory_limit_mb", result.memoryLimitMb);
         copier.copy("descriptor_limit", result.descriptorLimit);
+        copier.copy("request_memory_mb", result.requestMemoryMb);
+        copier.copy("response_memory_mb", result.responseMemoryMb);
+        copier.copy("caller_connections", result.callerConnections);
+        copier.copy("request_body_bytes", result.requestBodyBytes);
         const auto form = object.value("run_records", compressedRunRecords);
         result.batchesRunRecords = form != singleRunRecords;
         result.compressesRecords = form == compressedRunRecords;
         return result;
     }
 
+    std::size_t memoryFor(
+        const std::optional<std::size_t>& megabytes, const EntrySettings& settings, std::size_t withoutLimit)
+    {
+        if (megabytes)
+            return *megabytes * megabyte;
+        return settings.memoryLimitMb ? *settings.memoryLimitMb * megabyte / memoryShare : withoutLimit;
+    }
+
+    void checkLimits(const jsonsource::Document& document, const EntrySettings& settings, jsonsource::Faults& faults)
+    {
+        if (settings.memoryLimitMb && requestMemoryBytes(settings) > *settings.memoryLimitMb * megabyte / 2)
+            document.addFault(faults, "/request_memory_mb", "expected at most half of memory_limit_mb");
+        if (settings.memoryLimitMb && responseMemoryBytes(settings) > *settings.memoryLimitMb * megabyte / 2)
+            document.addFault(faults, "/response_memory_mb", "expected at most half of memory_limit_mb");
+        if (settings.descriptorLimit && maximumCallerConnections(settings) >= *settings.descriptorLimit)
+            document.addFault(faults, "/caller_connections", "expected less than descriptor_limit");
+        if (requestMemoryBytes(settings) < 2 * settings.requestBodyBytes)
+            document.addFault(faults, "/request_body_bytes", "expected at most half of request_memory_mb");
+    }
+
 } // namespace
 
+std::size_t requestMemoryBytes(const EntrySettings& settings)
+{
+    return memoryFor(settings.requestMemoryMb, settings, requestMemoryWithoutLimit);
+}
+
+std::size_t responseMemoryBytes(const EntrySettings& settings)
+{
+    return memoryFor(settings.responseMemoryMb, settings, responseMemoryWithoutLimit);
+}
+
+std::size_t maximumCallerConnections(const EntrySettings& settings)
+{
+    if (settings.callerConnections)
+        return *settings.callerConnections;
+    return settings.descriptorLimit ? *settings.descriptorLimit * callerConnectionsOf / descriptorsFor
+                                    : callerConnectionsOf;
+}
+
 std::uint32_t processorMillicores(const EntrySettings& settings)
 {
     constexpr double millicoresPerCore = 1000;
@@ -114,7 +167,11 @@
     jsonsource::checkObject(*document, "", schema(), faults);
     if (faults.size() != faultsBefore)
         return std::nullopt;
-    return fromJson(document->value());
+    EntrySettings settings = fromJson(document->value());
+    checkLimits(*document, settings, faults);
+    if (faults.size() != faultsBefore)
+        return std::nullopt;
+    return settings;
 }
 
 std::optional<EntrySettings> loadEntrySettings(const std::string& path, jsonsource::Faults& faults)
--- a/src/settings/tests/entrysettingstests.cpp
+++ b/src/settings/tests/entrysettingstests.cpp
@@ -65,3 +65,43 @@
     CHECK(faults[0].field == "/instance_control");
     CHECK(faults[0].expected == "expected one of \"rpc\"");
 }
+
+TEST_CASE("entry settings: limits of clients follow from those of the process unless they are set", "[settings]")
+{
+    constexpr std::size_t megabyte = 1 << 20;
+    turmericsill::jsonsource::Faults faults;
+    const auto unlimited = parseEntrySettings("entry.json", requiredFields + "}", faults);
+    REQUIRE(unlimited);
+    CHECK(requestMemoryBytes(*unlimited) == 64 * megabyte);
+    CHECK(responseMemoryBytes(*unlimited) == 256 * megabyte);
+    CHECK(maximumCallerConnections(*unlimited) == 3000);
+    CHECK(unlimited->requestBodyBytes == 262144);
+    const auto limited = parseEntrySettings(
+        "entry.json", requiredFields + R"(, "memory_limit_mb": 160, "descriptor_limit": 8200})", faults);
+    REQUIRE(limited);
+    CHECK(requestMemoryBytes(*limited) == 40 * megabyte);
+    CHECK(responseMemoryBytes(*limited) == 40 * megabyte);
+    CHECK(maximumCallerConnections(*limited) == 6000);
+    const auto chosen = parseEntrySettings("entry.json",
+        requiredFields + R"(, "memory_limit_mb": 160, "descriptor_limit": 4100, "request_memory_mb": 30,
+    "response_memory_mb": 50, "caller_connections": 2000, "request_body_bytes": 100000})",
+        faults);
+    REQUIRE(chosen);
+    CHECK(requestMemoryBytes(*chosen) == 30 * megabyte);
+    CHECK(responseMemoryBytes(*chosen) == 50 * megabyte);
+    CHECK(maximumCallerConnections(*chosen) == 2000);
+    CHECK(chosen->requestBodyBytes == 100000);
+}
+
+TEST_CASE("entry settings: limits of clients that contradict those of the process are faults", "[settings]")
+{
+    const auto faultyField = [](const std::string& fields) {
+        turmericsill::jsonsource::Faults faults;
+        CHECK_FALSE(parseEntrySettings("entry.json", requiredFields + fields + "}", faults));
+        return faults.size() == 1 ? faults[0].field : std::to_string(faults.size()) + " faults";
+    };
+    CHECK(faultyField(R"(, "memory_limit_mb": 160, "request_memory_mb": 81)") == "/request_memory_mb");
+    CHECK(faultyField(R"(, "memory_limit_mb": 160, "response_memory_mb": 81)") == "/response_memory_mb");
+    CHECK(faultyField(R"(, "descriptor_limit": 4100, "caller_connections": 4100)") == "/caller_connections");
+    CHECK(faultyField(R"(, "request_memory_mb": 4, "request_body_bytes": 3000000)") == "/request_body_bytes");
+}
