Untrusted clients: closed connections are not counted again, and slow requests give way

When connections were short, only silent and long idle ones gave way, so slow requests kept all others out until their timeout; nothing gave way when the system refused a descriptor. The request or response that has been under way for longest gives way as well, and a refused descriptor closes a connection too.

--- a/src/httpserver/internal/httpconnection.cpp
+++ b/src/httpserver/internal/httpconnection.cpp
@@ -121,7 +121,7 @@
     if (!server_)
         return;
     parser_.reset();
-    idleSince_ = std::chrono::steady_clock::now();
+    waitsSince_ = std::chrono::steady_clock::now();
     if (buffer_.size() == 0) {
         readAhead();
         account();
@@ -151,6 +151,7 @@
     parser_->on_chunk_header(chunkExtensions_);
     headerBytes_ = 0;
     headerMemory_ = 0;
+    waitsSince_ = std::chrono::steady_clock::now();
     stream_.expires_after(server_->limits_.requestTimeout);
     parseReceived();
 }
@@ -206,12 +207,16 @@
         [self = SelfPtr(this)](beast::error_code error, std::size_t bytes) { self->onReadMore(error, bytes); });
 }
 
+// A read may have been completed when the connection is closed in favour of another one, before its handler runs. What
+// it has read must not be counted again.
 void HttpConnection::onReadMore(beast::error_code error, std::size_t bytes)
 {
     if (!server_)
         return;
     if (error)
         return endParsing(error);
+    if (!isOpen())
+        return;
     buffer_.commit(bytes);
     parseReceived();
 }
@@ -278,6 +283,8 @@
         return;
     if (error && error != asio::error::operation_aborted)
         return onClientDisconnected();
+    if (!isOpen() && !isAwaitingResponse_)
+        return;
     buffer_.commit(bytes);
     hasReceived_ |= bytes > 0;
     if (isCancelled)
@@ -322,8 +329,9 @@
     isWriting_ = true;
     response_.emplace(std::move(response));
     const bool closes = response_->need_eof();
+    waitsSince_ = std::chrono::steady_clock::now();
     if (isCounted())
-        server_->budget_.noteProgress(*this, std::chrono::steady_clock::now());
+        server_->budget_.noteProgress(*this, waitsSince_);
     account(); // The response is sent in any case: its request has run, and nearly always the system takes it at once.
     if (server_)
         stream_.expires_after(server_->limits_.writeTimeout);
--- a/src/httpserver/internal/httpconnection.h
+++ b/src/httpserver/internal/httpconnection.h
@@ -33,8 +33,11 @@
     /// Whether the client has ever sent anything.
     bool hasReceived() const { return hasReceived_; }
 
-    /// When the connection last began to wait for a request.
-    foundation::SteadyTime idleSince() const { return idleSince_; }
+    /// Whether the connection is waiting for the rest of a request or for its client to take a response.
+    bool isInTransfer() const { return isParsing_ || isWriting_; }
+
+    /// When the connection last began to wait for a request, for the rest of one, or for its client to take a response.
+    foundation::SteadyTime waitsSince() const { return waitsSince_; }
 
     /// Clears the pointer to the server, which is being destroyed.
     void detach();
@@ -82,7 +85,7 @@
     std::size_t headerMemory_ = 0; ///< Memory of the fields of the request, trailers included.
     std::optional<HttpResponse> response_;
     HttpServer* server_;
-    foundation::SteadyTime idleSince_ {};
+    foundation::SteadyTime waitsSince_ {};
     bool keepAlive_ = false; ///< Copy from the request in progress, which the handler may have moved.
     bool isHeadRequest_ = false;
     unsigned version_ = 11;
--- a/src/httpserver/internal/httpserver.cpp
+++ b/src/httpserver/internal/httpserver.cpp
@@ -78,6 +78,8 @@
         context_, [this, alive = alive_](boost::system::error_code error, foundation::TcpSocket socket) {
             if (!*alive || error == asio::error::operation_aborted || !acceptor_.is_open())
                 return;
+            if (error == asio::error::no_descriptors)
+                budget_.closeIdlest(std::chrono::steady_clock::now());
             if (error)
                 return retryAcceptLater();
             onAccept(std::move(socket));
@@ -115,26 +117,36 @@
     return hasClosed;
 }
 
-// Connections that never sent anything go first, the oldest of them, since a client connects in order to send. The list
-// is in the order of acceptance.
+// Connections that never sent anything go first, the oldest of them, since a client connects in order to send; then
+// those that have been idle for longer than promised; then the one whose request or response has been under way for
+// longest. The list is in the order of acceptance.
 bool HttpServer::closeIdlest(foundation::SteadyTime now)
 {
     HttpConnection* idlest = nullptr;
+    HttpConnection* slowest = nullptr;
+    const auto replaceByLonger = [](HttpConnection*& chosen, HttpConnection& other) {
+        if (!chosen || other.waitsSince() < chosen->waitsSince())
+            chosen = &other;
+    };
     for (auto& connection : connections_) {
-        if (!connection.isOpen() || !connection.isIdle())
+        if (!connection.isOpen())
+            continue;
+        if (connection.isInTransfer())
+            replaceByLonger(slowest, connection);
+        if (!connection.isIdle())
             continue;
         if (!connection.hasReceived()) {
             idlest = &connection;
             break;
         }
-        const bool isLongIdle = now - connection.idleSince() >= limits_.guaranteedIdleTime;
-        if (isLongIdle && (!idlest || connection.idleSince() < idlest->idleSince()))
-            idlest = &connection;
+        if (now - connection.waitsSince() >= limits_.guaranteedIdleTime)
+            replaceByLonger(idlest, connection);
     }
-    if (!idlest)
+    HttpConnection* closed = idlest ? idlest : slowest;
+    if (!closed)
         return false;
     ++counters_.refusedConnections;
-    idlest->close();
+    closed->close();
     return true;
 }
 
@@ -151,7 +163,7 @@
 {
     const auto idleBefore = std::chrono::steady_clock::now() - limits_.idleTimeout;
     forEachConnection([&](HttpConnection& connection) {
-        if (!connection.isIdle() || connection.idleSince() >= idleBefore)
+        if (!connection.isIdle() || connection.waitsSince() >= idleBefore)
             return;
         ++counters_.timedOut;
         connection.close();
--- a/src/httpserver/readbudget.h
+++ b/src/httpserver/readbudget.h
@@ -47,14 +47,14 @@
     foundation::SteadyTime progressedAt_ {};
 };
 
-/// A server that can close an idle connection when descriptors are short.
+/// A server that can close the connection that is needed least when descriptors are short.
 class IdleConnectionSource : public boost::intrusive::list_base_hook<boost::intrusive::tag<IdleConnectionSource>> {
 public:
     IdleConnectionSource() = default;
     IdleConnectionSource(const IdleConnectionSource&) = delete;
     IdleConnectionSource& operator=(const IdleConnectionSource&) = delete;
 
-    /// Closes the connection that is needed least; false if all are in use.
+    /// Closes the connection that is needed least; false if all are needed.
     virtual bool closeIdlest(foundation::SteadyTime now) = 0;
 
 protected:
@@ -92,7 +92,7 @@
     void addSource(IdleConnectionSource& source) { sources_.push_back(source); }
     void removeSource(IdleConnectionSource& source) { sources_.erase(sources_.iterator_to(source)); }
 
-    /// Closes an idle connection of any server; false if all are in use.
+    /// Closes the connection of any server that is needed least; false if all are needed.
     bool closeIdlest(foundation::SteadyTime now);
 
     /// Returns free memory to the system if the budget was at least half used and is so no more, at most every 10 s.
--- a/src/httpserver/tests/httpservertests.cpp
+++ b/src/httpserver/tests/httpservertests.cpp
@@ -402,3 +402,42 @@
     asio::write(used, asio::buffer(std::string("GET /again HTTP/1.1\r\n\r\n")));
     CHECK(fixture.runUntil([&] { return fixture.handler.exchanges.size() == 1; }));
 }
+
+// Clients that send a header slowly would otherwise keep all others out until their timeout.
+TEST_CASE("http server: the slowest request gives way to a new connection when connections are short", "[httpserver]")
+{
+    ServerLimits limits;
+    limits.maximumConnections = 2;
+    ServerFixture fixture(limits);
+    auto slowest = fixture.connect();
+    asio::write(slowest, asio::buffer(std::string("GET / HTT")));
+    fixture.runFor(20ms);
+    auto slow = fixture.connect();
+    asio::write(slow, asio::buffer(std::string("GET /slow HTT")));
+    fixture.runFor(20ms);
+    REQUIRE(fixture.server.counters().open == 2);
+    CHECK(statusOf(fixture.sendAndReceive("GET / HTTP/1.1\r\n\r\n")) == "HTTP/1.1 200");
+    CHECK(fixture.server.counters().refusedConnections == 1);
+    CHECK(fixture.server.counters().open == 2);
+    asio::write(slow, asio::buffer(std::string("P/1.1\r\n\r\n")));
+    CHECK(fixture.runUntil([&] { return fixture.handler.exchanges.size() == 2; }));
+}
+
+// Reads of many connections are completed in one turn of the loop. Those of connections that are closed in the same
+// turn were counted again, and displaced the connections that were left until none remained.
+TEST_CASE("http server: only as many connections are closed as the budget requires", "[httpserver]")
+{
+    ReadBudgetLimits budgetLimits;
+    budgetLimits.bytes = 300000;
+    ServerFixture fixture({}, budgetLimits);
+    std::vector<asio::ip::tcp::socket> clients;
+    for (int index = 0; index < 40; ++index)
+        clients.push_back(fixture.connect());
+    REQUIRE(fixture.runUntil([&] { return fixture.server.counters().open == 40; }));
+    for (auto& client : clients)
+        asio::write(client, asio::buffer("POST / HTTP/1.1\r\nContent-Length: 30000\r\n\r\n" + std::string(29000, 'x')));
+    REQUIRE(fixture.runUntil([&] { return fixture.server.counters().closedForMemory > 0; }));
+    fixture.runFor(50ms);
+    CHECK(fixture.budget.usedBytes() > budgetLimits.bytes / 2);
+    CHECK(fixture.server.counters().open == 40 - fixture.server.counters().closedForMemory);
+}
