--- a/src/httpserver/internal/httpserver.cpp
+++ b/src/httpserver/internal/httpserver.cpp
@@ -30,19 +30,22 @@
     return response;
 }
 
-HttpServer::HttpServer(asio::io_context& context, IHttpHandler& handler, const ServerLimits& limits)
+HttpServer::HttpServer(asio::io_context& context, IHttpHandler& handler, const ServerLimits& limits, ReadBudget* budget)
     : context_(context)
     , handler_(handler)
     , limits_(limits)
+    , budget_(budget ? *budget : ownBudget_)
     , acceptor_(context)
     , acceptRetryTimer_(context)
     , idleSweepTimer_(context)
 {
+    budget_.addSource(*this);
 }
 
 HttpServer::~HttpServer()
 {
     *alive_ = false;
+    budget_.removeSource(*this);
     while (!connections_.empty()) {
         HttpConnection& connection = connections_.front();
         connections_.pop_front();
@@ -75,6 +78,8 @@
         context_, [this, alive = alive_](boost::system::error_code error, foundation::TcpSocket socket) {
             if (!*alive || error == asio::error::operation_aborted || !acceptor_.is_open())
                 return;
+            if (error == asio::error::no_descriptors)
+                budget_.closeIdlest(std::chrono::steady_clock::now());
             if (error)
                 return retryAcceptLater();
             onAccept(std::move(socket));
@@ -92,18 +97,64 @@
 
 void HttpServer::onAccept(foundation::TcpSocket socket)
 {
-    if (counters_.open >= limits_.maximumConnections) {
-        ++counters_.refusedConnections;
+    if (!hasRoomFor(socket))
         return;
-    }
     ++counters_.accepted;
     boost::intrusive_ptr<HttpConnection>(new HttpConnection(std::move(socket), *this))->start();
 }
 
+// Either an idle connection is closed in favour of the new one, or the new one is refused.
+bool HttpServer::hasRoomFor(foundation::TcpSocket& socket)
+{
+    const bool isFull = counters_.open >= limits_.maximumConnections;
+    const bool isShort = budget_.isShortOfDescriptors(socket.native_handle());
+    if (!isFull && !isShort)
+        return true;
+    const auto now = std::chrono::steady_clock::now();
+    const bool hasClosed = closeIdlest(now) || (!isFull && budget_.closeIdlest(now));
+    if (!hasClosed)
+        ++counters_.refusedConnections;
+    return hasClosed;
+}
+
+// Connections that never sent anything go first, the oldest of them, since a client connects in order to send; then
+// those that have been idle for longer than promised; then the one whose request or response has been under way for
+// longest. The list is in the order of acceptance.
+bool HttpServer::closeIdlest(foundation::SteadyTime now)
+{
+    HttpConnection* idlest = nullptr;
+    HttpConnection* slowest = nullptr;
+    const auto replaceByLonger = [](HttpConnection*& chosen, HttpConnection& other) {
+        if (!chosen || other.waitsSince() < chosen->waitsSince())
+            chosen = &other;
+    };
+    for (auto& connection : connections_) {
+        if (!connection.isOpen())
+            continue;
+        if (connection.isInTransfer())
+            replaceByLonger(slowest, connection);
+        if (!connection.isIdle())
+            continue;
+        if (!connection.hasReceived()) {
+            idlest = &connection;
+            break;
+        }
+        if (now - connection.waitsSince() >= limits_.guaranteedIdleTime)
+            replaceByLonger(idlest, connection);
+    }
+    HttpConnection* closed = idlest ? idlest : slowest;
+    if (!closed)
+        return false;
+    ++counters_.refusedConnections;
+    closed->close();
+    return true;
+}
+
 void HttpServer::scheduleIdleSweep()
 {
     idleSweepTimer_.start(idleSweepInterval, [this] {
         closeIdleConnections();
+        budget_.trimMemory(std::chrono::steady_clock::now());
         scheduleIdleSweep();
     });
 }
@@ -112,7 +163,7 @@
 {
     const auto idleBefore = std::chrono::steady_clock::now() - limits_.idleTimeout;
     forEachConnection([&](HttpConnection& connection) {
-        if (!connection.isIdle() || connection.idleSince() >= idleBefore)
+        if (!connection.isIdle() || connection.waitsSince() >= idleBefore)
             return;
         ++counters_.timedOut;
         connection.close();
