Emulation: admission control under lost answers and changes of controller

Cause: a refusal must be reliable when answers get lost; the single cases do not cover how these faults combine. Change: six floods with lost and late appends, a slow store, a controller cut off from the store and a killed one. Each id is submitted once; no refused one may be in the table and no accepted one missing.

--- a/src/emulator/tests/admissiontests.cpp
+++ b/src/emulator/tests/admissiontests.cpp
@@ -145,6 +145,43 @@
     CHECK(fixture.violations().empty());
 }
 
+// Lost answers and changes of controller leave records whose fate the entry does not know. A caller that is told of a
+// rejection must be able to rely on it all the same: each id is submitted once here.
+TEST_CASE("admission: no refused job is stored and no accepted one is lost, whatever fails", "[emulation]")
+{
+    std::size_t refusals = 0;
+    for (const std::uint64_t seed : { 71, 72, 73, 74, 75, 76 }) {
+        LoadFixture fixture(seed);
+        auto& faults = fixture.emulation.platform().faults();
+        fixture.flood(3);
+        faults.lostAppendAnswerRatio = 0.2;
+        faults.lateAppendRatio = 0.1;
+        faults.storeLatency = milliseconds(seed % 2 == 0 ? 4 : 90);
+        fixture.flood(2);
+        faults.entriesPartitionedFromStore = { fixture.emulation.controller() };
+        fixture.flood(2);
+        faults.entriesPartitionedFromStore.clear();
+        fixture.flood(2);
+        if (const std::string controller = fixture.emulation.controller(); !controller.empty()) {
+            fixture.emulation.killEntry(controller);
+            fixture.flood(2);
+            fixture.emulation.startEntry(controller);
+        }
+        fixture.flood(2);
+        faults = InjectedFaults();
+        fixture.emulation.advanceTime(milliseconds(30000));
+        const auto& table = fixture.emulation.entry("e-1")->follower().table();
+        INFO("seed " << seed);
+        for (const auto& [id, retryAfter] : fixture.rejected)
+            CHECK(table.find(id) == nullptr);
+        for (const jobs::JobId id : fixture.emulation.platform().invariants().acceptedJobs())
+            CHECK(table.find(id) != nullptr);
+        CHECK(fixture.violations().empty());
+        refusals += fixture.rejected.size();
+    }
+    CHECK(refusals > 100);
+}
+
 // Deployments without teams must see nothing of admission control.
 TEST_CASE("admission: without teams the same load is accepted", "[emulation]")
 {
