--- a/src/scheduling/tests/admissiontests.cpp
+++ b/src/scheduling/tests/admissiontests.cpp
@@ -316,8 +316,12 @@
     jobs::StepState& first = job.startOccurrence(0).steps.front();
     first.done = 3;
     first.active = 5;
-    const WaitingWork work
-        = waitingWork({ 1, true, false, 11, 7 }, { { { 7, 0, 0 }, { 500, 100, 0 }, 2, {}, false } }, job);
+    JobRank rank;
+    rank.priority = 1;
+    rank.isShort = true;
+    rank.remainingCoreSeconds = 11;
+    rank.job = 7;
+    const WaitingWork work = waitingWork(rank, { { { 7, 0, 0 }, { 500, 100, 0 }, 2, {}, false } }, job);
     CHECK(work.readyMilliCores == core);
     CHECK(work.coreSeconds == Approx(2 + 4));
     CHECK(work.rank.exceedsTeamRate);
