--- a/src/scheduling/tests/admissiontests.cpp
+++ b/src/scheduling/tests/admissiontests.cpp
@@ -316,10 +316,16 @@
     jobs::StepState& first = job.startOccurrence(0).steps.front();
     first.done = 3;
     first.active = 5;
+    JobRank rank;
+    rank.priority = 1;
+    rank.isShort = true;
+    rank.exceedsTeamRate = true;
+    rank.remainingCoreSeconds = 11;
+    rank.job = 7;
     WaitingStep waiting;
     waiting.need = { 500, 100, 0 };
     waiting.tasks = 2;
-    const WaitingWork work = waitingWork({ 1, true, true, false, 11, 7 }, { waiting }, job);
+    const WaitingWork work = waitingWork(rank, { waiting }, job);
     CHECK(work.readyMilliCores == core);
     CHECK(work.coreSeconds == Approx(2 + 4));
     CHECK(work.rank.exceedsTeamRate);
