--- a/src/httpserver/httpserver.h
+++ b/src/httpserver/httpserver.h
@@ -23,7 +23,7 @@
 
 /// HTTP/1.1 server that runs on the thread of one io_context. Requests of a connection are handled one at a time, in
 /// order.
-class HttpServer : private IdleConnectionSource {
+class HttpServer final : private IdleConnectionSource {
 public:
     /// `budget` is shared with other servers and outlives them; without one the server has an unlimited one of its own.
     HttpServer(boost::asio::io_context& context, IHttpHandler& handler, const ServerLimits& limits,
