HTTP server: a connection that replaces an idle one takes over its descriptor

Cause: the test "untrusted clients: a mix on all listening sockets does not exhaust the process" failed once in the sanitizer build beside other load: 341 descriptors of 300. The number of a new descriptor tells how many are open only while no lower number is free. A connection that was accepted in favour of an idle one kept its high number, the next one got the low number of the closed one and was not seen as one too many, and so on: every second connection came on top.

Change: the new connection is moved to the lowest free descriptor. The new test fails without it (30 connections where 11 are allowed, each second one on top).

--- a/src/httpserver/internal/httpserver.cpp
+++ b/src/httpserver/internal/httpserver.cpp
@@ -2,6 +2,8 @@
 
 #include "httpserver/internal/httpconnection.h"
 
+#include <fcntl.h>
+#include <unistd.h>
 #include <utility>
 #include <vector>
 
@@ -19,6 +21,24 @@
     constexpr int listenBacklog = 4096;
     constexpr foundation::milliseconds acceptRetryDelay { 100 }; ///< After an error such as too many open files.
 
+    /// Gives a socket the lowest free descriptor; returns false if that fails, which closes the socket.
+    bool moveToLowestDescriptor(foundation::TcpSocket& socket)
+    {
+        boost::system::error_code error;
+        const auto protocol = socket.local_endpoint(error).protocol();
+        const int descriptor = socket.release(error);
+        if (error)
+            return false;
+        const int lowest = ::fcntl(descriptor, F_DUPFD_CLOEXEC, 0);
+        ::close(descriptor);
+        if (lowest < 0)
+            return false;
+        socket.assign(protocol, lowest, error);
+        if (error)
+            ::close(lowest);
+        return !error;
+    }
+
 } // namespace
 
 HttpResponse makeResponse(unsigned status, std::string body, const std::string& contentType)
@@ -103,7 +123,9 @@
     boost::intrusive_ptr<HttpConnection>(new HttpConnection(std::move(socket), *this))->start();
 }
 
-// Either an idle connection is closed in favour of the new one, or the new one is refused.
+// Either an idle connection is closed in favour of the new one, or the new one is refused. The new one takes over the
+// descriptor of the closed one: a free number below would go to the next connection, which would not show the shortage,
+// and so every second one would be accepted beyond the limit.
 bool HttpServer::hasRoomFor(foundation::TcpSocket& socket)
 {
     const bool isFull = counters_.open >= limits_.maximumConnections;
@@ -112,9 +134,10 @@
         return true;
     const auto now = std::chrono::steady_clock::now();
     const bool hasClosed = closeIdlest(now) || (!isFull && budget_.closeIdlest(now));
-    if (!hasClosed)
+    const bool hasRoom = hasClosed && (!isShort || moveToLowestDescriptor(socket));
+    if (!hasRoom)
         ++counters_.refusedConnections;
-    return hasClosed;
+    return hasRoom;
 }
 
 // Connections that never sent anything go first, the oldest of them, since a client connects in order to send; then
--- a/src/httpserver/tests/httpservertests.cpp
+++ b/src/httpserver/tests/httpservertests.cpp
@@ -441,3 +441,33 @@
     CHECK(fixture.budget.usedBytes() > budgetLimits.bytes / 2);
     CHECK(fixture.server.counters().open == 40 - fixture.server.counters().closedForMemory);
 }
+
+// A connection that was accepted in favour of an idle one kept its high descriptor, and the next one got the low
+// descriptor of the closed one, which showed no shortage. So every second connection was accepted beyond the limit.
+TEST_CASE("http server: descriptors stay under their limit while silent connections replace each other", "[httpserver]")
+{
+    constexpr int room = 10;
+    constexpr int reserve = 16; // The least that ReadBudget keeps for calls of the process.
+    asio::io_context clientContext;
+    std::vector<asio::ip::tcp::socket> clients;
+    for (int index = 0; index < 6 * room; ++index)
+        clients.emplace_back(clientContext, asio::ip::tcp::v4());
+    ReadBudgetLimits budgetLimits;
+    asio::io_context probeContext;
+    // The server takes a few descriptors, and the probe the next one.
+    const auto nextDescriptor
+        = [&] { return asio::ip::tcp::socket(probeContext, asio::ip::tcp::v4()).native_handle(); };
+    const int takenByServer = [&] {
+        const int before = nextDescriptor();
+        const ServerFixture probe;
+        return nextDescriptor() - before;
+    }();
+    budgetLimits.descriptors = static_cast<std::size_t>(nextDescriptor() + takenByServer + room + reserve);
+    ServerFixture fixture({}, budgetLimits);
+    for (auto& client : clients) {
+        client.connect({ asio::ip::make_address("127.0.0.1"), fixture.server.port() });
+        fixture.runFor(2ms);
+        CHECK(fixture.server.counters().open <= room + 1);
+    }
+    CHECK(fixture.server.counters().accepted == clients.size());
+}
