--- a/src/entryd/tests/untrustedclientstests.cpp
+++ b/src/entryd/tests/untrustedclientstests.cpp
@@ -1,132 +1,46 @@
 #include "entryundertest.h"
+#include "processtests/loopback.h"
+#include "processtests/pressure.h"
 
-#include <algorithm>
 #include <array>
 #include <catch2/catch.hpp>
-#include <cerrno>
-#include <chrono>
-#include <memory>
-#include <poll.h>
-#include <sys/socket.h>
-#include <unistd.h>
-#include <vector>
-
-// Clients that exceeded the limits made a process run out of memory and end; see docs/design/teams-and-contention.md,
-// Part 6. Each test checks only what does not depend on the speed of the machine: the process lives, its memory and
-// descriptors stay under a bound, and an ordinary request is answered while the clients are still connected.
+#include <string>
+
+// Clients that exceeded the limits made a process run out of memory and end; see docs/design/request-limits.md. Each
+// test checks only what does not depend on the speed of the machine: the process lives, its memory and descriptors stay
+// under a bound, and an ordinary request is answered while the clients are still connected.
 
 using namespace turmericsill::entryd::tests;
-using namespace std::chrono_literals;
+using namespace turmericsill::processtests;
 
 namespace {
 
 /// Half of EntryUnderTest::memoryLimitMb; the process needs less than the other half when nobody calls it.
 constexpr std::size_t maximumGrowthKb = 32 << 10;
-constexpr auto crowdGuard = 40s;
-constexpr auto quietTime = 1s; ///< A crowd is done when none of its clients could send for so long.
-constexpr int maximumReconnects = 8;
 constexpr std::size_t smallStep = 1;
-constexpr std::size_t largeStep = 64 << 10;
 
-/// What each client of a crowd does: it sends `opening`, then `repeated` over and over until it has sent
-/// `repeatedBytes` of it, and stays connected. When it is disconnected, it begins again.
+/// A behaviour and the listening socket that it is meant for.
 struct Behaviour {
     std::string opening;
     std::string repeated;
     std::size_t repeatedBytes = 0;
     std::size_t bytesPerStep = largeStep;
-    bool readsSlowly = false; ///< Whether it reads a byte of the answers per step; otherwise it reads nothing.
+    bool readsSlowly = false;
     Listener listener = Listener::Caller;
 };
 
-class MisbehavingClient {
-public:
-    MisbehavingClient(const EntryUnderTest& entry, const Behaviour& behaviour)
-        : port_(entry.port(behaviour.listener))
-        , behaviour_(behaviour)
-    {
-        while (behaviour_.repeatedBytes > 0 && behaviour_.repeated.size() < largeStep)
-            behaviour_.repeated += behaviour_.repeated;
-        reconnect();
-    }
-
-    ~MisbehavingClient() { ::close(socket_); }
-
-    MisbehavingClient(const MisbehavingClient&) = delete;
-    MisbehavingClient& operator=(const MisbehavingClient&) = delete;
-
-    /// Sends and reads what it may; returns whether it could.
-    bool step()
-    {
-        bool hasProgressed = false;
-        char answer = 0;
-        if (behaviour_.readsSlowly)
-            hasProgressed = ::recv(socket_, &answer, 1, 0) == 1;
-        const std::size_t total = behaviour_.opening.size() + behaviour_.repeatedBytes;
-        if (sent_ >= total)
-            return hasProgressed;
-        const bool isOpening = sent_ < behaviour_.opening.size();
-        const std::string& text = isOpening ? behaviour_.opening : behaviour_.repeated;
-        const std::size_t at = isOpening ? sent_ : (sent_ - behaviour_.opening.size()) % text.size();
-        const std::size_t most = std::min({ text.size() - at, total - sent_, behaviour_.bytesPerStep });
-        const ssize_t bytes = ::send(socket_, text.data() + at, most, MSG_NOSIGNAL);
-        if (bytes > 0)
-            sent_ += std::size_t(bytes);
-        else if (bytes < 0 && errno != EAGAIN && reconnects_++ < maximumReconnects)
-            reconnect();
-        else
-            return hasProgressed;
-        return true;
-    }
-
-private:
-    void reconnect()
-    {
-        if (socket_ >= 0)
-            ::close(socket_);
-        socket_ = connectTo(port_);
-        sent_ = 0;
-    }
-
-    std::uint16_t port_;
-    Behaviour behaviour_;
-    int socket_ = -1;
-    std::size_t sent_ = 0;
-    int reconnects_ = 0;
-};
-
-using Crowd = std::vector<std::unique_ptr<MisbehavingClient>>;
-
 void addClients(Crowd& crowd, const EntryUnderTest& entry, std::size_t count, const Behaviour& behaviour)
 {
-    for (std::size_t index = 0; index < count; ++index)
-        crowd.push_back(std::make_unique<MisbehavingClient>(entry, behaviour));
+    const Stream stream { behaviour.opening, behaviour.repeated, behaviour.repeatedBytes };
+    addClients(crowd, entry.port(behaviour.listener), count, { stream, behaviour.bytesPerStep, behaviour.readsSlowly });
 }
 
 /// Lets the crowd press the entry until none of its clients can send any more, and checks the entry.
 void checkUnderPressure(const EntryUnderTest& entry, const Crowd& crowd)
 {
-    const auto deadline = std::chrono::steady_clock::now() + crowdGuard;
-    auto lastProgress = std::chrono::steady_clock::now();
-    std::size_t mostDescriptors = 0;
-    for (auto now = lastProgress; now < deadline && now - lastProgress < quietTime && entry.isAlive();
-         now = std::chrono::steady_clock::now()) {
-        bool hasProgressed = false;
-        for (const auto& client : crowd)
-            hasProgressed |= client->step();
-        mostDescriptors = std::max(mostDescriptors, entry.openDescriptors());
-        if (hasProgressed)
-            lastProgress = now;
-        else
-            ::poll(nullptr, 0, 5);
-    }
-    REQUIRE(entry.isAlive());
-    CHECK(entry.answersOrdinaryRequest());
-    WARN("resident memory at start " << entry.residentAtStartKb() << " kB, peak " << entry.peakResidentKb()
-                                     << " kB, now " << entry.residentKb() << " kB; descriptors " << mostDescriptors);
-    CHECK(entry.peakResidentKb() <= entry.residentAtStartKb() + maximumGrowthKb);
-    CHECK(mostDescriptors <= EntryUnderTest::descriptorLimit);
-    CHECK(entry.isAlive());
+    const ProcessBounds bounds { entry.residentAtStartKb() + maximumGrowthKb, EntryUnderTest::descriptorLimit };
+    turmericsill::processtests::checkUnderPressure(
+        entry.process(), crowd, bounds, [&entry] { return entry.answersOrdinaryRequest(); });
 }
 
 const std::string chunkedOpening = "POST /jobs HTTP/1.1\r\nHost: jobs\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -177,6 +91,30 @@
     return { "", "GET /metrics HTTP/1.1\r\nHost: jobs\r\n\r\n", 4000, largeStep, true, listener };
 }
 
+Behaviour endlessEmptyLines() { return { "", "\r\n", 4 << 20 }; }
+
+Behaviour emptyLinesAfterRequest()
+{
+    return { "POST /jobs HTTP/1.1\r\nHost: jobs\r\nContent-Length: 2\r\n\r\n{}", "\r\n", 4 << 20 };
+}
+
+Behaviour endlessStartLine() { return { "GET /", std::string(1000, 'a'), 4 << 20 }; }
+
+Behaviour endlessField() { return { "GET /jobs HTTP/1.1\r\nX-Field: ", std::string(1000, 'v'), 4 << 20 }; }
+
+Behaviour endlessFields() { return { "GET /jobs HTTP/1.1\r\n", "a:\r\n", 4 << 20 }; }
+
+Behaviour endlessFoldedField() { return { "GET /jobs HTTP/1.1\r\nX-Field: a\r\n", " folded\r\n", 4 << 20 }; }
+
+Behaviour endlessChunkSize() { return { chunkedOpening, "0000000000", 4 << 20 }; }
+
+Behaviour expectedBody()
+{
+    Behaviour behaviour = announcedBody();
+    behaviour.opening.insert(behaviour.opening.find("Content-Length"), "Expect: 100-continue\r\n");
+    return behaviour;
+}
+
 } // namespace
 
 // Trailers do not count against the limit of the header in Beast's parser, so they are collected without end.
@@ -278,3 +216,60 @@
     }
     checkUnderPressure(entry, crowd);
 }
+
+// Empty lines before a request are skipped, so they must be counted.
+TEST_CASE("untrusted clients: endless empty lines before a request do not exhaust the memory", "[untrusted]")
+{
+    const EntryUnderTest entry;
+    Crowd crowd;
+    addClients(crowd, entry, 16, endlessEmptyLines());
+    addClients(crowd, entry, 16, emptyLinesAfterRequest());
+    checkUnderPressure(entry, crowd);
+}
+
+TEST_CASE("untrusted clients: endless start lines do not exhaust the memory", "[untrusted]")
+{
+    const EntryUnderTest entry;
+    Crowd crowd;
+    addClients(crowd, entry, 32, endlessStartLine());
+    checkUnderPressure(entry, crowd);
+}
+
+TEST_CASE("untrusted clients: endless headers do not exhaust the memory", "[untrusted]")
+{
+    const EntryUnderTest entry;
+    Crowd crowd;
+    addClients(crowd, entry, 16, endlessField());
+    addClients(crowd, entry, 16, endlessFields());
+    addClients(crowd, entry, 16, endlessFoldedField());
+    checkUnderPressure(entry, crowd);
+}
+
+TEST_CASE("untrusted clients: endless chunk sizes do not exhaust the memory", "[untrusted]")
+{
+    const EntryUnderTest entry;
+    Crowd crowd;
+    addClients(crowd, entry, 32, endlessChunkSize());
+    checkUnderPressure(entry, crowd);
+}
+
+TEST_CASE("untrusted clients: bodies that wait for a permission to be sent do not exhaust the memory", "[untrusted]")
+{
+    const EntryUnderTest entry;
+    Crowd crowd;
+    addClients(crowd, entry, 64, expectedBody());
+    checkUnderPressure(entry, crowd);
+}
+
+// One line a second for each listening socket and cause, whatever comes.
+TEST_CASE("untrusted clients: refusals are summed up in the log", "[untrusted]")
+{
+    const EntryUnderTest entry;
+    constexpr int requests = 3000;
+    const std::size_t before = entry.logBytes();
+    for (int i = 0; i < requests; ++i)
+        REQUIRE(exchange(entry.port(Listener::Caller), "BAD\r\n\r\n").rfind("HTTP/1.1 400", 0) == 0);
+    constexpr std::size_t shortestLine = 100;
+    CHECK(entry.logBytes() - before < requests * shortestLine);
+    CHECK(entry.answersOrdinaryRequest());
+}
