--- a/src/control/internal/httppeercontrol.cpp
+++ b/src/control/internal/httppeercontrol.cpp
@@ -1,5 +1,7 @@
 #include "control/httppeercontrol.h"
 
+#include "foundation/cbor.h"
+
 #include <boost/asio/post.hpp>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -15,6 +17,8 @@
 namespace {
 
     constexpr milliseconds queryTimeout { 500 };
+    /// More than an append of 2 MB holds.
+    constexpr std::size_t maximumRecordsPerCall = 100000;
     constexpr unsigned statusOk = 200;
     constexpr unsigned statusBadRequest = 400;
     constexpr unsigned statusContentTooLarge = 413;
@@ -101,12 +105,12 @@
 {
     try {
         std::vector<std::string> records;
-        for (const auto& item : nlohmann::json::from_cbor(body)) {
+        for (const auto& item : foundation::parseCbor(body, maximumRecordsPerCall)) {
             const auto& bytes = item.get_binary();
             records.emplace_back(bytes.begin(), bytes.end());
         }
         return records;
-    } catch (const nlohmann::json::exception& error) {
+    } catch (const std::exception& error) {
         return failure(Errc::InvalidInput, "control.records", {}, error.what());
     }
 }
--- a/src/entryd/tests/untrustedclientstests.cpp
+++ b/src/entryd/tests/untrustedclientstests.cpp
@@ -115,6 +115,12 @@
     return behaviour;
 }
 
+std::string recordsRequest(const std::string& body)
+{
+    return "POST /control/records HTTP/1.1\r\nHost: entry\r\nConnection: close\r\nContent-Length: "
+        + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
 } // namespace
 
 // Trailers do not count against the limit of the header in Beast's parser, so they are collected without end.
@@ -273,3 +279,15 @@
     CHECK(entry.logBytes() - before < requests * shortestLine);
     CHECK(entry.answersOrdinaryRequest());
 }
+
+// A decoder that calls itself for each level overflows its stack.
+TEST_CASE("untrusted clients: deeply nested records do not end the process", "[untrusted]")
+{
+    const EntryUnderTest entry;
+    constexpr std::size_t levels = 1000000;
+    const std::string response = exchange(entry.port(Listener::Telemetry), recordsRequest(std::string(levels, '\x81')));
+    INFO(response);
+    CHECK(response.rfind("HTTP/1.1 400", 0) == 0);
+    CHECK(entry.answersOrdinaryRequest());
+    CHECK(entry.process().isAlive());
+}
--- a/src/eventlog/internal/snapshotparts.cpp
+++ b/src/eventlog/internal/snapshotparts.cpp
@@ -1,5 +1,7 @@
 #include "eventlog/snapshotparts.h"
 
+#include "foundation/cbor.h"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -38,11 +40,21 @@
         return bytes;
     }
 
+    /// Returns null if the reference is malformed.
+    json parseReference(const std::string& bytes)
+    {
+        try {
+            return foundation::parseCbor(bytes);
+        } catch (const std::exception&) {
+            return nullptr;
+        }
+    }
+
     /// The value that a reference tells of, or nothing if a part of it is missing.
     std::optional<std::string> joinParts(
         const SnapshotEntry& reference, const std::unordered_map<std::string, std::string>& parts)
     {
-        const json fields = json::from_cbor(reference.value, true, false);
+        const json fields = parseReference(reference.value);
         if (!fields.is_object() || !fields.contains("generation") || !fields["generation"].is_string()
             || !fields.contains("parts") || !fields["parts"].is_number_unsigned())
             return std::nullopt;
--- a/src/fleetstate/internal/snapshotcodec.cpp
+++ b/src/fleetstate/internal/snapshotcodec.cpp
@@ -3,6 +3,7 @@
 #include "declarations/objectcodec.h"
 #include "fleetstate/internal/stateeditor.h"
 #include "fleetstate/recordcodec.h"
+#include "foundation/cbor.h"
 
 namespace turmericsill::fleetstate::snapshotcodec {
 
@@ -161,7 +162,7 @@
 Result<DecodedSnapshot> decode(std::string_view snapshot)
 {
     try {
-        const json value = json::from_cbor(snapshot);
+        const json value = foundation::parseCbor(snapshot);
         if (value.at("v").get<std::uint64_t>() > recordSchemaVersion)
             return failure(
                 Errc::UnknownRecord, "snapshot.decode", {}, "snapshot was written by a newer version of the program");
--- a/src/jobs/internal/recordcodec.cpp
+++ b/src/jobs/internal/recordcodec.cpp
@@ -1,5 +1,6 @@
 #include "jobs/recordcodec.h"
 
+#include "foundation/cbor.h"
 #include "jobs/internal/compression.h"
 #include "jobs/internal/recordjson.h"
 #include "jobs/internal/runbatchjson.h"
@@ -13,6 +14,8 @@
     using foundation::Result;
     using nlohmann::json;
 
+    constexpr std::size_t maximumRecordValues = 1000000; ///< Other entries hand over records that they have encoded.
+
     json toJson(const TaskId& id) { return json::array({ id.job, id.occurrence, id.step, id.index }); }
 
     TaskId taskFromJson(const json& value)
@@ -142,7 +145,7 @@
         return decode(*record);
     }
     try {
-        const json value = json::from_cbor(bytes.begin(), bytes.end());
+        const json value = foundation::parseCbor(bytes, maximumRecordValues);
         return LoggedRecord { recordFromJson(value.at(0).get<std::size_t>(), value.at(1)),
             value.at(2).get<std::uint64_t>() };
     } catch (const std::exception& error) {
--- a/src/jobs/internal/snapshotcodec.cpp
+++ b/src/jobs/internal/snapshotcodec.cpp
@@ -1,5 +1,6 @@
 #include "jobs/snapshotcodec.h"
 
+#include "foundation/cbor.h"
 #include "jobs/internal/recordjson.h"
 
 namespace turmericsill::jobs {
@@ -88,7 +89,7 @@
     template <typename Read> auto decodeWith(std::string_view bytes, Read read) -> Result<decltype(read(json()))>
     {
         try {
-            return read(json::from_cbor(bytes.begin(), bytes.end()));
+            return read(foundation::parseCbor(bytes));
         } catch (const std::exception& error) {
             return failure(Errc::UnknownRecord, "jobs.snapshot", {}, error.what());
         }
--- a/src/membership/internal/heartbeatcodec.cpp
+++ b/src/membership/internal/heartbeatcodec.cpp
@@ -1,6 +1,6 @@
 #include "membership/heartbeatcodec.h"
 
-#include <nlohmann/json.hpp>
+#include "foundation/cbor.h"
 
 namespace turmericsill::membership {
 
@@ -24,7 +24,7 @@
 Result<Heartbeat> decodeHeartbeat(std::string_view datagram)
 {
     try {
-        const json value = json::from_cbor(datagram);
+        const json value = foundation::parseCbor(datagram);
         Heartbeat heartbeat;
         std::size_t field = 0;
         value.at(field++).get_to(heartbeat.entry);
