Jobs: tasks that never started take no memory, and a job has at most 100,000

What callers saw: one request of 6 kB within all limits, 200 steps of 100,000 tasks, was accepted; the entry took 1.7 GB, and so did each entry that read it from the log, also after a restart. With 1,000 steps it was 8.8 GB. Cause: a step held 88 bytes for each of its tasks from the acceptance of the job on. Each step and each count had a limit, the tasks of all steps had none. Change: TaskList holds the tasks up to the last one that was ever changed; tasks start in their order. A job has at most 100,000 tasks, as many as a step; more are refused with 400 and the field. A job of more than 1,000,000 that an earlier version has accepted is shown as failed when it is read.

--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -145,7 +145,7 @@
     for (const Job& job : context_.follower.table().openJobs()) {
         for (const auto& [number, occurrence] : job.occurrences) {
             for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
-                const auto& tasks = occurrence.steps[step].tasks;
+                const auto& tasks = occurrence.steps[step].tasks.touched();
                 for (std::uint32_t index = 0; index < tasks.size(); ++index) {
                     if (tasks[index].phase == TaskPhase::Active)
                         inheritRun({ job.id, number, step, index }, tasks[index], job.spec.steps[step]);
@@ -612,7 +612,7 @@
 {
     for (const auto& [number, occurrence] : job.occurrences) {
         for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
-            const auto& tasks = occurrence.steps[step].tasks;
+            const auto& tasks = occurrence.steps[step].tasks.touched();
             for (std::uint32_t index = 0; index < tasks.size(); ++index) {
                 const auto session = sessions_.find(tasks[index].incarnation.instance);
                 if (tasks[index].phase == TaskPhase::Active && session != sessions_.end())
--- a/src/control/internal/jobtimer.cpp
+++ b/src/control/internal/jobtimer.cpp
@@ -17,14 +17,6 @@
         return std::chrono::duration_cast<milliseconds>(time).count();
     }
 
-    std::uint64_t taskCount(const Job& job)
-    {
-        std::uint64_t tasks = 0;
-        for (const auto& step : job.spec.steps)
-            tasks += step.taskCount;
-        return tasks;
-    }
-
 } // namespace
 
 milliseconds JobTimer::ageOf(const Job& job) const
@@ -75,7 +67,7 @@
     const milliseconds objective = queue ? scheduling::completionObjective(*queue, job.spec) : milliseconds(0);
     events_.write("job.ended",
         { { "job", jobs::toText(job.id) }, { "queue", job.queue }, { "completed", job.state() == JobState::Completed },
-            { "tasks", taskCount(job) }, { "age_ms", std::int64_t(ageOf(job).count()) },
+            { "tasks", job.spec.taskCount() }, { "age_ms", std::int64_t(ageOf(job).count()) },
             { "objective_ms", std::int64_t(objective.count()) },
             { "path_ms", std::int64_t(scheduling::criticalPath(job.spec).count()) },
             { "pickup_ms", std::int64_t(stages.pickup.count()) }, { "waiting_ms", toMilliseconds(stages.waiting) },
--- /dev/null
+++ b/src/entryd/tests/acceptedjobstests.cpp
@@ -0,0 +1,64 @@
+#include "entryundertest.h"
+#include "processtests/loopback.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+
+// What a caller asks for within all limits of one request may need more memory than any process has. What is accepted
+// stands in the log, so that every entry that reads it pays again.
+
+using namespace turmericsill::entryd::tests;
+using namespace turmericsill::processtests;
+
+namespace {
+
+/// Half of EntryUnderTest::memoryLimitMb; the process needs less than the other half when nobody calls it.
+constexpr std::size_t maximumGrowthKb = 32 << 10;
+
+/// A stand-in of the platform and an entry that uses it.
+struct EntryOnPlatform {
+    EntryOnPlatform()
+        : port(unusedPorts(1).front())
+        , platform(
+              { TURMERICSILL_PLATFORM_STANDIN, { "--address=127.0.0.1:" + std::to_string(port) }, "/dev/null", {} })
+        , entry(port)
+    {
+        REQUIRE(entry.acceptsJob());
+    }
+
+    void checkAlive() const
+    {
+        CHECK(entry.acceptsJob());
+        REQUIRE(entry.process().isAlive());
+        WARN("resident memory peak " << entry.process().peakResidentKb() << " kB");
+        CHECK(entry.process().peakResidentKb() <= entry.residentAtStartKb() + maximumGrowthKb);
+    }
+
+    std::uint16_t port;
+    ProcessUnderTest platform;
+    EntryUnderTest entry;
+};
+
+/// A job with steps of the largest number of tasks that a step may have.
+std::string jobOfSteps(int count)
+{
+    std::string steps;
+    for (int i = 0; i < count; ++i)
+        steps += std::string(i == 0 ? "" : ",") + R"({"count":100000,"cpu":100})";
+    return R"({"spec":"s","steps":[)" + steps + "]}";
+}
+
+} // namespace
+
+// Each task takes memory as soon as its job is accepted, and the log makes each entry that reads it pay.
+TEST_CASE("untrusted callers: a job of millions of tasks does not exhaust the memory", "[untrusted]")
+{
+    EntryOnPlatform system;
+    // The old code needs 88 bytes for each of 20 million tasks.
+    const std::string response = system.entry.submit("00000000000000bb", jobOfSteps(200));
+    INFO(response);
+    CHECK(response.rfind("HTTP/1.1 400", 0) == 0);
+    system.checkAlive();
+    system.entry.restart();
+    system.checkAlive();
+}
--- a/src/jobs/internal/job.cpp
+++ b/src/jobs/internal/job.cpp
@@ -105,7 +105,7 @@
     if (isNew) {
         for (const auto& step : spec.steps) {
             found->second.steps.emplace_back();
-            found->second.steps.back().tasks.resize(step.taskCount);
+            found->second.steps.back().tasks = TaskList(step.taskCount);
         }
     }
     return found->second;
@@ -138,7 +138,7 @@
     const auto& tasks = occurrences.at(id.occurrence).steps[id.step].tasks;
     if (!spec.steps[id.step].isGang)
         return tasks[id.index].failures;
-    return std::accumulate(tasks.begin(), tasks.end(), std::uint32_t(0),
+    return std::accumulate(tasks.touched().begin(), tasks.touched().end(), std::uint32_t(0),
         [](std::uint32_t sum, const Task& member) { return sum + member.failures; });
 }
 
@@ -150,7 +150,7 @@
         for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
             if (spec.steps[step].isLongRunning || occurrence.steps[step].isDone())
                 continue;
-            const auto& tasks = occurrence.steps[step].tasks;
+            const auto& tasks = occurrence.steps[step].tasks.touched();
             for (std::uint32_t index = 0; index < tasks.size(); ++index) {
                 const TaskId task { id, number, step, index };
                 const bool hasFailed = tasks[index].phase != TaskPhase::Done && tasks[index].failures > 0;
--- a/src/jobs/internal/jobspec.cpp
+++ b/src/jobs/internal/jobspec.cpp
@@ -1,5 +1,7 @@
 #include "jobs/types/jobspec.h"
 
+#include <numeric>
+
 namespace turmericsill::jobs {
 
 Resources& Resources::operator+=(const Resources& other)
@@ -27,4 +29,10 @@
     return milliCores == other.milliCores && memoryMb == other.memoryMb && accelerators == other.accelerators;
 }
 
+std::uint64_t JobSpec::taskCount() const
+{
+    return std::accumulate(steps.begin(), steps.end(), std::uint64_t(0),
+        [](std::uint64_t sum, const StepSpec& step) { return sum + step.taskCount; });
+}
+
 } // namespace turmericsill::jobs
--- a/src/jobs/internal/jobtable.cpp
+++ b/src/jobs/internal/jobtable.cpp
@@ -85,8 +85,11 @@
         changedJobs_.push_back(job);
 }
 
+// A job with too many tasks may stand in the log since an earlier version accepted it.
 void JobTable::insert(std::unique_ptr<Job> job)
 {
+    if (job->spec.taskCount() > maximumTasks && job->activeRuns == 0)
+        job->hasFailed = true;
     (job->isFinal() && job->activeRuns == 0 ? finalJobs_ : openJobs_).push_back(*job);
     if (job->isScheduled())
         scheduledJobs_.insert(job->id);
@@ -284,7 +287,7 @@
         tasks[record.task.index].checkpoint = record.checkpoint;
         return;
     }
-    for (Task& member : tasks)
+    for (Task& member : tasks.all())
         member.checkpoint = record.checkpoint;
 }
 
@@ -297,7 +300,7 @@
     ++step.done;
     job.crashHistories.erase(id);
     if (job.spec.steps[id.step].isGang) {
-        for (Task& member : step.tasks) {
+        for (Task& member : step.tasks.all()) {
             if (member.phase == TaskPhase::Done)
                 continue;
             if (member.phase == TaskPhase::Active) {
--- a/src/jobs/internal/snapshotcodec.cpp
+++ b/src/jobs/internal/snapshotcodec.cpp
@@ -61,8 +61,8 @@
         json steps = json::array();
         for (const auto& step : occurrence.steps) {
             json tasks = json::array();
-            for (const auto& task : step.tasks)
-                tasks.push_back(toJson(task));
+            for (std::size_t index = 0; index < step.tasks.size(); ++index)
+                tasks.push_back(toJson(step.tasks[index]));
             steps.push_back(std::move(tasks));
         }
         return steps;
@@ -75,10 +75,12 @@
         for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
             StepState& step = occurrence.steps[i];
             for (std::size_t j = 0; j < step.tasks.size(); ++j) {
-                step.tasks[j] = taskFromJson(steps.at(i).at(j));
-                step.done += step.tasks[j].phase == TaskPhase::Done;
-                step.active += step.tasks[j].phase == TaskPhase::Active;
-                job.failedRuns += step.tasks[j].failures;
+                Task task = taskFromJson(steps.at(i).at(j));
+                step.done += task.phase == TaskPhase::Done;
+                step.active += task.phase == TaskPhase::Active;
+                job.failedRuns += task.failures;
+                if (!task.isUntouched())
+                    step.tasks[j] = std::move(task);
             }
             job.activeRuns += step.active;
         }
--- a/src/jobs/tests/jobtests.cpp
+++ b/src/jobs/tests/jobtests.cpp
@@ -663,3 +663,49 @@
     submitted.exceedsTeamRate = true;
     CHECK(encode(Record(submitted), 0).size() == size);
 }
+
+TEST_CASE("task list: only tasks up to the last changed one take memory", "[jobs]")
+{
+    TaskList tasks(100000);
+    CHECK(tasks.size() == 100000);
+    CHECK(static_cast<const TaskList&>(tasks)[99999].isUntouched());
+    CHECK(tasks.touched().empty());
+    tasks[2].lastRun = 1;
+    CHECK(tasks.touched().size() == 3);
+    CHECK_FALSE(static_cast<const TaskList&>(tasks)[2].isUntouched());
+    CHECK(tasks.all().size() == 100000);
+}
+
+TEST_CASE("snapshots: restored tasks that never started take no memory", "[jobs]")
+{
+    JobTable table;
+    table.apply(submitted(7, { step(5000), step(3, { 0 }) }));
+    table.apply(intended(7, 0, 1));
+    table.apply(ended(7, 0, 1, RunOutcome::Done));
+    table.apply(intended(7, 1, 1));
+    const std::string bytes = encodeJob(*table.find(7));
+    const auto restored = decodeJob(bytes);
+    REQUIRE(restored);
+    const StepState& large = (*restored)->occurrences.at(0).steps[0];
+    CHECK(large.tasks.size() == 5000);
+    CHECK(large.tasks.touched().size() == 2);
+    CHECK(large.done == 1);
+    CHECK(large.active == 1);
+    CHECK(encodeJob(**restored) == bytes);
+}
+
+// An earlier version may have accepted it, and every entry reads it from the log.
+TEST_CASE("job table: a job with too many tasks is failed and takes no memory for them", "[jobs]")
+{
+    constexpr std::uint32_t tasksPerStep = 100000;
+    for (const std::size_t steps : { 10, 11 }) {
+        JobTable table;
+        table.apply(submitted(7, std::vector<StepSpec>(steps, step(tasksPerStep))));
+        const Job* job = table.find(7);
+        REQUIRE(job);
+        CHECK(job->spec.taskCount() == steps * tasksPerStep);
+        CHECK(job->state() == (steps == 10 ? JobState::Queued : JobState::Failed));
+        CHECK(table.openJobs().size() == (steps == 10 ? 1 : 0));
+        CHECK(job->occurrences.at(0).steps[0].tasks.touched().empty());
+    }
+}
--- a/src/jobs/types/job.h
+++ b/src/jobs/types/job.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "jobs/types/records.h"
+#include "jobs/types/tasklist.h"
 
 #include <boost/intrusive/list_hook.hpp>
 #include <cstdint>
@@ -11,12 +12,6 @@
 
 namespace turmericsill::jobs {
 
-enum class TaskPhase : std::uint8_t {
-    Pending, ///< No run exists that may still be executing, and the task is not done.
-    Active, ///< A run was intended and is not recorded as ended.
-    Done, ///< A run of the task, or of a member of its gang, completed the work.
-};
-
 /// The crash of an instance on which a run of a task was at work.
 struct CrashUnderTask {
     std::uint32_t run = 0;
@@ -49,18 +44,9 @@
     bool isExhausted(bool isLongRunning) const;
 };
 
-/// State of a task and its latest run.
-struct Task {
-    TaskPhase phase = TaskPhase::Pending;
-    std::uint32_t lastRun = 0; ///< Number of the latest run, counted from 1; 0 when there was none.
-    std::uint32_t failures = 0; ///< Number of runs that ended with RunOutcome::Failed.
-    InstanceIncarnation incarnation; ///< Instance, and its incarnation, that the latest run was assigned to.
-    std::string checkpoint; ///< Latest checkpoint; empty when there is none.
-};
-
 /// State of one step in one occurrence of a job.
 struct StepState {
-    std::vector<Task> tasks;
+    TaskList tasks;
     std::uint32_t done = 0; ///< Number of tasks in TaskPhase::Done.
     std::uint32_t active = 0; ///< Number of tasks in TaskPhase::Active.
 
--- a/src/jobs/types/jobspec.h
+++ b/src/jobs/types/jobspec.h
@@ -53,11 +53,18 @@
     milliseconds interval { 0 }; ///< Time from one occurrence to the next.
 };
 
+/// Tasks of one occurrence beyond which a job is not run. Memory and planning time grow with the number of tasks; it is
+/// ten times the number that a caller may submit.
+constexpr std::uint64_t maximumTasks = 1000000;
+
 /// A job as its caller submits it.
 struct JobSpec {
     std::string payload; ///< Passed to every task unchanged.
     std::vector<StepSpec> steps;
     Schedule schedule;
+
+    /// Number of tasks of one occurrence.
+    std::uint64_t taskCount() const;
 };
 
 } // namespace turmericsill::jobs
--- /dev/null
+++ b/src/jobs/types/tasklist.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "jobs/types/task.h"
+
+#include <cstddef>
+#include <vector>
+
+namespace turmericsill::jobs {
+
+/// The tasks of a step. Tasks after the last one that was ever changed take no memory: a caller may ask for many more
+/// than the fleet can start.
+class TaskList {
+public:
+    TaskList() = default;
+    explicit TaskList(std::size_t size)
+        : size_(size)
+    {
+    }
+
+    std::size_t size() const { return size_; }
+
+    const Task& operator[](std::size_t index) const
+    {
+        static const Task untouched;
+        return index < touched_.size() ? touched_[index] : untouched;
+    }
+
+    /// For changing the task.
+    Task& operator[](std::size_t index)
+    {
+        if (index >= touched_.size())
+            touched_.resize(index + 1);
+        return touched_[index];
+    }
+
+    /// The first tasks, up to the last one that was changed; all others are as they were created.
+    const std::vector<Task>& touched() const { return touched_; }
+
+    /// For changing all tasks.
+    std::vector<Task>& all()
+    {
+        touched_.resize(size_);
+        return touched_;
+    }
+
+private:
+    std::size_t size_ = 0;
+    std::vector<Task> touched_;
+};
+
+} // namespace turmericsill::jobs
--- a/src/scheduling/internal/poolbacklog.cpp
+++ b/src/scheduling/internal/poolbacklog.cpp
@@ -27,8 +27,11 @@
     /// Number of tasks that can be started; a gang starts completely or not at all.
     std::uint32_t startableTasks(const StepSpec& spec, const StepState& state)
     {
-        const auto pending = static_cast<std::uint32_t>(std::count_if(
-            state.tasks.begin(), state.tasks.end(), [](const Task& task) { return task.phase == TaskPhase::Pending; }));
+        const auto& touched = state.tasks.touched();
+        const auto untouched = state.tasks.size() - touched.size();
+        const auto pending = static_cast<std::uint32_t>(untouched
+            + static_cast<std::size_t>(std::count_if(
+                touched.begin(), touched.end(), [](const Task& task) { return task.phase == TaskPhase::Pending; })));
         return spec.isGang && pending < state.tasks.size() ? 0 : pending;
     }
 
--- a/src/scheduling/tests/plannertests.cpp
+++ b/src/scheduling/tests/plannertests.cpp
@@ -162,7 +162,7 @@
     jobs::Job& running = fixture.addJob(1, "urgent", { step(5, 1000) });
     PoolPlan plan = fixture.plan();
     REQUIRE(tasksByInstance(plan).size() == 1);
-    for (auto& task : running.occurrences[0].steps[0].tasks)
+    for (auto& task : running.occurrences[0].steps[0].tasks.all())
         task.phase = jobs::TaskPhase::Active;
     running.occurrences[0].steps[0].active = 5;
     jobs::Job& suspect = fixture.addJob(2, "urgent", { step(1, 1000) });
