Jobs: few occurrences of a schedule are under way at a time

What callers saw: one request of 100 bytes, a schedule of 4,000,000 occurrences that are all due, took an entry to 1.3 GB, and after a restart to 3.3 GB. Cause: all occurrences that are due were started at once, and the field allows 4,294,967,295 of them. Change: at most 1,000 occurrences, and 100,000 of their tasks, are under way at a time; later ones start when earlier ones have ended. One occurrence may always be under way. Each entry decides this by itself as before: a start that the log tells of creates its occurrence anyway.

--- a/src/entryd/tests/acceptedjobstests.cpp
+++ b/src/entryd/tests/acceptedjobstests.cpp
@@ -62,3 +62,15 @@
     system.entry.restart();
     system.checkAlive();
 }
+
+// All occurrences of a schedule may be due at once, and they may be as many as the field allows.
+TEST_CASE("untrusted callers: a schedule of millions of occurrences does not exhaust the memory", "[untrusted]")
+{
+    EntryOnPlatform system;
+    const std::string job = R"({"spec":"s","steps":[{"count":1,"cpu":100}],"repeats":4000000,"first_ms":1})";
+    const std::string response = system.entry.submit("00000000000000cc", job);
+    INFO(response);
+    system.checkAlive();
+    system.entry.restart();
+    system.checkAlive();
+}
--- a/src/jobs/internal/job.cpp
+++ b/src/jobs/internal/job.cpp
@@ -80,6 +80,13 @@
         dependsOn.begin(), dependsOn.end(), [&](std::uint32_t dependency) { return steps[dependency].isDone(); });
 }
 
+bool Job::canStartOccurrence() const
+{
+    const std::size_t open = occurrences.size() - completedOccurrences;
+    const bool isWithinLimits = open < maximumOpenOccurrences && (open + 1) * spec.taskCount() <= maximumOpenTasks;
+    return nextDueOccurrence < occurrenceCount() && (open == 0 || isWithinLimits);
+}
+
 milliseconds Job::dueAt(std::uint32_t occurrence) const
 {
     return isScheduled() ? spec.schedule.firstDueAt + occurrence * spec.schedule.interval : milliseconds(0);
--- a/src/jobs/internal/jobtable.cpp
+++ b/src/jobs/internal/jobtable.cpp
@@ -59,7 +59,7 @@
         id = canStartOccurrences ? std::next(id) : scheduledJobs_.erase(id);
         if (!canStartOccurrences)
             continue;
-        while (job->nextDueOccurrence < job->occurrenceCount() && job->dueAt(job->nextDueOccurrence) <= wallTime) {
+        while (job->canStartOccurrence() && job->dueAt(job->nextDueOccurrence) <= wallTime) {
             const std::uint32_t due = job->nextDueOccurrence++;
             if (job->occurrences.count(due))
                 continue;
--- a/src/jobs/tests/jobtests.cpp
+++ b/src/jobs/tests/jobtests.cpp
@@ -709,3 +709,35 @@
         CHECK(job->occurrences.at(0).steps[0].tasks.touched().empty());
     }
 }
+
+TEST_CASE("job table: occurrences that are due start while few enough are under way", "[jobs]")
+{
+    JobTable table;
+    auto record = submitted(7, { step(1) });
+    record.spec.schedule = { 4000000, milliseconds(1), milliseconds(0) };
+    table.apply(record);
+    table.startDueOccurrences(milliseconds(5000));
+    CHECK(table.find(7)->occurrences.size() == maximumOpenOccurrences);
+    CHECK(table.find(7)->nextDueOccurrence == maximumOpenOccurrences);
+    const auto run = [&](std::uint32_t occurrence) {
+        table.apply(RunIntended { { 7, occurrence, 0, 0 }, 1, { "i-1", 7 } });
+        table.apply(RunEnded { { 7, occurrence, 0, 0 }, 1, RunOutcome::Done, {} });
+    };
+    run(0);
+    run(5);
+    table.startDueOccurrences(milliseconds(5000));
+    CHECK(table.find(7)->nextDueOccurrence == maximumOpenOccurrences + 2);
+    CHECK(table.find(7)->completedOccurrences == 2);
+}
+
+TEST_CASE("job table: the tasks of the occurrences under way are limited, and one occurrence always starts", "[jobs]")
+{
+    for (const auto& [tasks, occurrences] : { std::pair(30000u, 3u), std::pair(50000u, 2u), std::pair(70000u, 1u) }) {
+        JobTable table;
+        auto record = submitted(7, { step(tasks) });
+        record.spec.schedule = { 10, milliseconds(1), milliseconds(0) };
+        table.apply(record);
+        table.startDueOccurrences(milliseconds(5000));
+        CHECK(table.find(7)->occurrences.size() == occurrences);
+    }
+}
--- a/src/jobs/types/job.h
+++ b/src/jobs/types/job.h
@@ -97,6 +97,9 @@
     std::uint32_t occurrenceCount() const { return spec.schedule.occurrences == 0 ? 1 : spec.schedule.occurrences; }
     bool isScheduled() const { return spec.schedule.occurrences > 0; }
 
+    /// Whether there is a next occurrence and few enough are under way.
+    bool canStartOccurrence() const;
+
     /// Wall-clock time at which an occurrence is due; zero, thus at once, for a job without a schedule.
     milliseconds dueAt(std::uint32_t occurrence) const;
 
--- a/src/jobs/types/jobspec.h
+++ b/src/jobs/types/jobspec.h
@@ -57,6 +57,11 @@
 /// ten times the number that a caller may submit.
 constexpr std::uint64_t maximumTasks = 1000000;
 
+/// Occurrences of a job, and tasks of all of them, that may be under way at a time. Later ones start when earlier ones
+/// have ended; one may always be under way.
+constexpr std::size_t maximumOpenOccurrences = 1000;
+constexpr std::uint64_t maximumOpenTasks = 100000;
+
 /// A job as its caller submits it.
 struct JobSpec {
     std::string payload; ///< Passed to every task unchanged.
