HTTP server: a few empty lines before a request are ignored

What callers saw: a client that ends a body with a line end of its own got 400 for it, and its connection was closed; so was one that sends an empty line first. RFC 9112, 2.2 asks servers to ignore at least one empty line there. Cause: the parser takes an empty line for a malformed start line. Evidence: "http server: a few empty lines before a request are ignored" and the two cases after it fail without the change (400). Change: up to 8 empty lines before a request are skipped, whether CRLF or LF, also a byte at a time; more get 400 with the reason. Line ends begin no request, so that the time of a request does not run and the connection stays idle. Two more cases go to each limit of a request from just inside and just beyond; they passed before.

--- a/src/httpserver/internal/httpconnection.cpp
+++ b/src/httpserver/internal/httpconnection.cpp
@@ -136,7 +136,48 @@
     isParsing_ = true;
     if (isReadingAhead_)
         return stopReadingAhead();
-    parseRequest();
+    beginRequest();
+}
+
+void HttpConnection::beginRequest()
+{
+    skipEmptyLines();
+    if (emptyLines_ > server_->limits_.maximumEmptyLines) {
+        isParsing_ = false;
+        return rejectEmptyLines();
+    }
+    if (hasBegunRequest())
+        return parseRequest();
+    isParsing_ = false;
+    readAhead();
+    account();
+}
+
+// Some clients end a body with a line end that does not belong to it (RFC 9112, 2.2).
+void HttpConnection::skipEmptyLines()
+{
+    while (buffer_.size() > 0 && emptyLines_ <= server_->limits_.maximumEmptyLines) {
+        const auto* received = static_cast<const char*>(buffer_.data().data());
+        const std::size_t lineEndBytes = *received == '\r' ? 2 : 1;
+        if (buffer_.size() < lineEndBytes || received[lineEndBytes - 1] != '\n')
+            return;
+        buffer_.consume(lineEndBytes);
+        ++emptyLines_;
+    }
+}
+
+// Half of a line end may still become another empty line.
+bool HttpConnection::hasBegunRequest() const
+{
+    const auto received = buffer_.cdata();
+    return received.size() > 1 || (received.size() == 1 && *static_cast<const char*>(received.data()) != '\r');
+}
+
+void HttpConnection::rejectEmptyLines()
+{
+    ++server_->counters_.malformedRequests;
+    writeRejection(
+        400, "more than " + std::to_string(server_->limits_.maximumEmptyLines) + " empty lines before a request");
 }
 
 // Parsing reads into the same buffer, so it begins when the cancelled read has ended.
@@ -157,6 +198,7 @@
     parser_->on_chunk_header(chunkExtensions_);
     headerBytes_ = 0;
     headerMemory_ = 0;
+    emptyLines_ = 0;
     waitsSince_ = std::chrono::steady_clock::now();
     stream_.expires_after(server_->limits_.requestTimeout);
     parseReceived();
@@ -275,8 +317,13 @@
     const bool isBodyOversized = error == http::error::body_limit;
     ++(isHeaderOversized || isBodyOversized ? counters.oversizedRequests : counters.malformedRequests);
     const unsigned status = isBodyOversized ? 413 : isHeaderOversized ? 431 : 400;
+    writeRejection(status, error.message());
+}
+
+void HttpConnection::writeRejection(unsigned status, const std::string& reason)
+{
     releaseRequest();
-    HttpResponse response = makeResponse(status, error.message() + "\n");
+    HttpResponse response = makeResponse(status, reason + "\n");
     response.keep_alive(false);
     write(std::move(response));
 }
@@ -306,7 +353,7 @@
     buffer_.commit(bytes);
     hasReceived_ |= bytes > 0;
     if (isCancelled)
-        return parseRequest();
+        return beginRequest();
     if (isAwaitingResponse_)
         return readAhead();
     if (!isWriting_)
--- a/src/httpserver/internal/httpconnection.h
+++ b/src/httpserver/internal/httpconnection.h
@@ -61,6 +61,10 @@
     void releaseRequest();
     void refuseForMemory();
     void readRequest();
+    void beginRequest();
+    void skipEmptyLines();
+    bool hasBegunRequest() const;
+    void rejectEmptyLines();
     void parseRequest();
     void parseReceived();
     boost::beast::error_code unparsedLimit() const;
@@ -72,6 +76,7 @@
     void stopReadingAhead();
     void onRequest(boost::beast::error_code error);
     void rejectRequest(const boost::beast::error_code& error);
+    void writeRejection(unsigned status, const std::string& reason);
     void readAhead();
     void onReadAhead(boost::beast::error_code error, std::size_t bytes);
     void onClientDisconnected();
@@ -82,6 +87,7 @@
     boost::beast::flat_buffer buffer_;
     std::optional<Parser> parser_;
     ChunkExtensionCounter chunkExtensions_;
+    std::size_t emptyLines_ = 0; ///< Skipped before the next request.
     std::size_t headerBytes_ = 0; ///< Consumed by the parser while the header is incomplete.
     std::size_t headerMemory_ = 0; ///< Memory of the fields of the request, trailers included.
     std::optional<HttpResponse> response_;
--- a/src/httpserver/tests/httpservertests.cpp
+++ b/src/httpserver/tests/httpservertests.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <tuple>
 
 using namespace turmericsill;
 using namespace turmericsill::httpserver;
@@ -471,3 +472,115 @@
     }
     CHECK(fixture.server.counters().accepted == clients.size());
 }
+
+// RFC 9112, 2.2: some clients end a body with a line end that does not belong to it.
+TEST_CASE("http server: a few empty lines before a request are ignored", "[httpserver]")
+{
+    const ServerLimits limits;
+    std::string lines;
+    for (std::size_t line = 0; line < limits.maximumEmptyLines; ++line)
+        lines += line % 2 == 0 ? "\r\n" : "\n";
+    ServerFixture fixture;
+    const std::string first = "POST /first HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}";
+    const std::string second = "GET /second HTTP/1.1\r\nConnection: close\r\n\r\n";
+    const std::string responses = fixture.sendAndReceive(lines + first + lines + second, 3);
+    CHECK(responses.find("/first{}") != std::string::npos);
+    CHECK(responses.find("/second") != std::string::npos);
+    CHECK(statusOf(fixture.sendAndReceive(lines + "\r\n" + second)) == "HTTP/1.1 400");
+    CHECK(statusOf(fixture.sendAndReceive(first + lines + "\n" + second, 2)) == "HTTP/1.1 200");
+    CHECK(fixture.server.counters().malformedRequests == 2);
+    CHECK(fixture.handler.exchanges.size() == 3);
+}
+
+TEST_CASE("http server: empty lines that arrive a byte at a time are ignored", "[httpserver]")
+{
+    ServerFixture fixture;
+    auto client = fixture.connect();
+    for (const char byte : std::string("\r\n\r\nGET / HTTP/1.1\r\n\r\n")) {
+        asio::write(client, asio::buffer(&byte, 1));
+        fixture.runFor(2ms);
+    }
+    CHECK(fixture.runUntil([&] { return fixture.handler.exchanges.size() == 1; }));
+    CHECK(fixture.server.counters().malformedRequests == 0);
+}
+
+// A line end that follows a body begins no request, whose time would be limited.
+TEST_CASE("http server: a connection with a line end after its request stays open and is idle", "[httpserver]")
+{
+    ServerLimits limits;
+    limits.requestTimeout = 50ms;
+    ServerFixture fixture(limits);
+    auto client = fixture.connect();
+    for (const std::string ending : { "\r\n", "\n", "\r" }) {
+        asio::write(client, asio::buffer("POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}" + ending));
+        const std::size_t expected = fixture.handler.exchanges.size() + 1;
+        REQUIRE(fixture.runUntil([&] { return fixture.handler.exchanges.size() == expected; }));
+        fixture.runFor(200ms);
+        CHECK(fixture.server.counters().open == 1);
+        CHECK(fixture.server.counters().timedOut == 0);
+        if (ending == "\r")
+            break;
+    }
+}
+
+TEST_CASE("http server: each limit of a request is met from just inside and just beyond", "[httpserver]")
+{
+    ServerLimits limits;
+    limits.maximumHeaderBytes = 1000;
+    limits.maximumBodyBytes = 2000;
+    limits.maximumTrailerBytes = 1000;
+    limits.maximumChunkExtensionBytes = 500;
+    const std::string chunked = "POST / HTTP/1.1\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const auto fields = [](std::size_t bytes) {
+        const std::string start = "Connection: close\r\nX: ";
+        return "GET / HTTP/1.1\r\n" + start + std::string(bytes - start.size() - 4, 'x') + "\r\n\r\n";
+    };
+    const auto announced = [](std::size_t bytes) {
+        return "POST / HTTP/1.1\r\nConnection: close\r\nContent-Length: " + std::to_string(bytes) + "\r\n\r\n"
+            + std::string(bytes, 'x');
+    };
+    const auto chunks = [&](std::size_t bytes) {
+        std::string body;
+        for (std::size_t i = 0; i < bytes; ++i)
+            body += "1\r\nx\r\n";
+        return chunked + body + "0\r\n\r\n";
+    };
+    const auto extension
+        = [&](std::size_t bytes) { return chunked + "1;" + std::string(bytes - 1, 'e') + "\r\nx\r\n0\r\n\r\n"; };
+    const std::vector<std::tuple<std::string, std::string, std::string>> cases {
+        { fields(1000), fields(1001), "HTTP/1.1 431" },
+        { announced(2000), announced(2001), "HTTP/1.1 413" },
+        { chunks(2000), chunks(2001), "HTTP/1.1 413" },
+        { extension(500), extension(501), "HTTP/1.1 431" },
+    };
+    for (const auto& [inside, beyond, refusal] : cases) {
+        INFO(inside.substr(0, 200));
+        ServerFixture fixture(limits);
+        CHECK(statusOf(fixture.sendAndReceive(inside)) == "HTTP/1.1 200");
+        CHECK(fixture.handler.exchanges.size() == 1);
+        CHECK(statusOf(fixture.sendAndReceive(beyond)) == refusal);
+        CHECK(fixture.handler.exchanges.size() == 1);
+        CHECK(fixture.server.counters().oversizedRequests == 1);
+    }
+}
+
+// Trailers are limited as they arrive, since the parser takes them in when they are complete.
+TEST_CASE("http server: unfinished trailers are accepted just inside their limit and refused at it", "[httpserver]")
+{
+    ServerLimits limits;
+    limits.maximumTrailerBytes = 1000;
+    for (const std::size_t bytes : { limits.maximumTrailerBytes - 1, limits.maximumTrailerBytes }) {
+        ServerFixture fixture(limits);
+        auto client = fixture.connect();
+        const std::string lastChunk = "0\r\nX: ";
+        asio::write(client,
+            asio::buffer("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + lastChunk
+                + std::string(bytes - lastChunk.size(), 't')));
+        fixture.runFor(50ms);
+        CHECK(fixture.server.counters().oversizedRequests == (bytes < limits.maximumTrailerBytes ? 0 : 1));
+        if (bytes >= limits.maximumTrailerBytes)
+            continue;
+        asio::write(client, asio::buffer(std::string("\r\n\r\n")));
+        CHECK(fixture.runUntil([&] { return fixture.handler.exchanges.size() == 1; }));
+    }
+}
--- a/src/httpserver/types/serverlimits.h
+++ b/src/httpserver/types/serverlimits.h
@@ -13,6 +13,7 @@
     std::size_t maximumBodyBytes = 1 << 20;
     std::size_t maximumTrailerBytes = 16 << 10; ///< Trailers of a chunked body; also the header of one chunk.
     std::size_t maximumChunkExtensionBytes = 16 << 10; ///< Sum of the extensions of all chunks of a body.
+    std::size_t maximumEmptyLines = 8; ///< Empty lines before a request that are ignored.
     foundation::milliseconds requestTimeout { 5000 }; ///< Longest time from the first to the last byte of a request.
     foundation::milliseconds idleTimeout { 60000 }; ///< Longest time that a connection stays open without a request.
     foundation::milliseconds writeTimeout { 10000 };
