Event loops: an exception ends what a handler was doing, not the daemon or the server

On an entry, whose loop goes on, a request whose handler throws was never answered, and its memory stayed counted; a connection that could not be created ended the accepting of further ones. Cause: EventLoopThread ran its loop without a handler of exceptions, and the HTTP server assumed that nothing throws. Evidence: "http server: a request whose handler throws is answered" fails without the change: no response.

--- a/src/foundation/eventloopthread.h
+++ b/src/foundation/eventloopthread.h
@@ -25,6 +25,8 @@
     void stop();
 
 private:
+    void run();
+
     std::string name_;
     boost::asio::io_context context_ { 1 };
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> workGuard_;
--- a/src/foundation/internal/eventloopthread.cpp
+++ b/src/foundation/internal/eventloopthread.cpp
@@ -1,5 +1,7 @@
 #include "foundation/eventloopthread.h"
 
+#include <exception>
+#include <glog/logging.h>
 #include <pthread.h>
 #include <utility>
 
@@ -8,6 +10,7 @@
 namespace {
 
     constexpr std::size_t maximumThreadNameLength = 15; ///< Linux limit, without the terminating null.
+    constexpr double exceptionLogIntervalSeconds = 1;
 
 } // namespace
 
@@ -21,10 +24,22 @@
 
 void EventLoopThread::start()
 {
-    thread_ = std::thread([this] { context_.run(); });
+    thread_ = std::thread([this] { run(); });
     pthread_setname_np(thread_.native_handle(), name_.substr(0, maximumThreadNameLength).c_str());
 }
 
+// An exception that leaves a handler ends what this handler was doing, not the process.
+void EventLoopThread::run()
+{
+    while (!context_.stopped()) {
+        try {
+            context_.run();
+        } catch (const std::exception& error) {
+            LOG_EVERY_T(ERROR, exceptionLogIntervalSeconds) << "thread " << name_ << ": " << error.what();
+        }
+    }
+}
+
 void EventLoopThread::stop()
 {
     context_.stop();
--- a/src/httpserver/internal/httpconnection.cpp
+++ b/src/httpserver/internal/httpconnection.cpp
@@ -301,7 +301,12 @@
         return refuseForMemory();
     isAwaitingResponse_ = true;
     readAhead();
-    server_->handler_.handle(this);
+    try {
+        server_->handler_.handle(this);
+    } catch (...) {
+        respond(makeResponse(500, "the request has failed; it is unknown whether it was carried out\n"));
+        throw;
+    }
 }
 
 void HttpConnection::rejectRequest(const beast::error_code& error)
--- a/src/httpserver/internal/httpserver.cpp
+++ b/src/httpserver/internal/httpserver.cpp
@@ -3,6 +3,7 @@
 #include "httpserver/internal/httpconnection.h"
 
 #include <fcntl.h>
+#include <new>
 #include <unistd.h>
 #include <utility>
 #include <vector>
@@ -102,7 +103,11 @@
                 budget_.closeIdlest(std::chrono::steady_clock::now());
             if (error)
                 return retryAcceptLater();
-            onAccept(std::move(socket));
+            try {
+                onAccept(std::move(socket));
+            } catch (const std::bad_alloc&) {
+                ++counters_.refusedConnections; // The next ones must still be accepted.
+            }
             accept();
         });
 }
@@ -176,9 +181,9 @@
 void HttpServer::scheduleIdleSweep()
 {
     idleSweepTimer_.start(idleSweepInterval, [this] {
+        scheduleIdleSweep();
         closeIdleConnections();
         budget_.trimMemory(std::chrono::steady_clock::now());
-        scheduleIdleSweep();
     });
 }
 
--- a/src/httpserver/tests/httpservertests.cpp
+++ b/src/httpserver/tests/httpservertests.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <stdexcept>
 #include <tuple>
 
 using namespace turmericsill;
@@ -584,3 +585,26 @@
         CHECK(fixture.runUntil([&] { return fixture.handler.exchanges.size() == 1; }));
     }
 }
+
+// The connection would wait for its response for ever, and its memory would stay counted.
+TEST_CASE("http server: a request whose handler throws is answered", "[httpserver]")
+{
+    class ThrowingHandler : public IHttpHandler {
+    public:
+        void handle(const HttpExchangePtr&) override { throw std::runtime_error("out of order"); }
+    };
+    asio::io_context context;
+    ThrowingHandler handler;
+    HttpServer server(context, handler, {});
+    REQUIRE(server.listen({ "127.0.0.1", 0 }));
+    asio::ip::tcp::socket client(context);
+    client.connect({ asio::ip::make_address("127.0.0.1"), server.port() });
+    asio::write(client, asio::buffer(std::string("GET / HTTP/1.1\r\nConnection: close\r\n\r\n")));
+    const auto serve = [&context] { context.run_for(100ms); };
+    CHECK_THROWS_WITH(serve(), "out of order");
+    context.restart();
+    serve();
+    std::array<char, 100> response {};
+    const std::size_t bytes = client.read_some(asio::buffer(response));
+    CHECK(statusOf(std::string(response.data(), bytes)) == "HTTP/1.1 500");
+}
