HTTP client: a response does not take more than its limit while it grows

What callers saw: an entry with a limit of 64 MB whose store sends without end took 61 MB (no length) and 56 MB (chunks), 43 MB of which stayed: with the state of a large site it would exceed the memory of its machine. Cause: a body was counted after it had grown. It grew by doubling, which takes one and a half times as much while it is copied; a call that had failed gave its memory back some turns of the loop after it was no longer counted; and the allocator keeps freed buffers of up to 32 MB once it has seen one. Change: ResponseReader reads and limits responses, apart from the connection that they arrive on, so that other clients can use it. A body is counted before it takes memory, and gets memory for its announced length, or else its limit, once it exceeds an eighth of it; an announced length beyond the limit fails the call at once. setHeapLimits() has large buffers returned when they are freed.

--- a/src/entryd/internal/entryprocess.cpp
+++ b/src/entryd/internal/entryprocess.cpp
@@ -136,10 +136,7 @@
     , telemetryServer_(context_, peerHandler_, peerLimits(jobLog_.recordLimits()), &readBudget_)
     , signals_(context_, SIGTERM, SIGINT, SIGHUP)
 {
-    httpclient::ResponseLimits limits;
-    limits.totalBytes = settings::responseMemoryBytes(settings_);
-    limits.maximumBodyBytes = std::min(limits.maximumBodyBytes, limits.totalBytes);
-    httpclient::setResponseLimits(context_, limits);
+    httpclient::setResponseLimits(context_, httpclient::responseLimitsWithin(settings::responseMemoryBytes(settings_)));
 }
 
 httpserver::ReadBudgetLimits EntryProcess::readBudgetLimits() const
--- a/src/entryd/main.cpp
+++ b/src/entryd/main.cpp
@@ -1,6 +1,7 @@
 // turmericsill-entry: an entry instance, which accepts jobs and runs them on the fleet.
 
 #include "entryd/entryprocess.h"
+#include "foundation/heaplimits.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -26,6 +27,7 @@
     FLAGS_logtostderr = true;
     google::InitGoogleLogging(argv[0]);
     std::signal(SIGPIPE, SIG_IGN);
+    turmericsill::foundation::setHeapLimits();
     const std::string path = absl::GetFlag(FLAGS_settings);
     if (path.empty()) {
         std::cerr << "turmericsill-entry: --settings FILE is required\n";
--- /dev/null
+++ b/src/foundation/internal/heaplimits.cpp
@@ -0,0 +1,20 @@
+#include "foundation/heaplimits.h"
+
+#include <malloc.h>
+
+namespace turmericsill::foundation {
+
+namespace {
+
+    constexpr int mappedFromBytes = 512 << 10; ///< Larger than the buffers of ordinary requests and log reads.
+    constexpr int keptFreeBytes = 2 * mappedFromBytes;
+
+} // namespace
+
+void setHeapLimits()
+{
+    ::mallopt(M_MMAP_THRESHOLD, mappedFromBytes);
+    ::mallopt(M_TRIM_THRESHOLD, keptFreeBytes);
+}
+
+} // namespace turmericsill::foundation
--- a/src/httpclient/internal/clientconnection.cpp
+++ b/src/httpclient/internal/clientconnection.cpp
@@ -29,12 +29,6 @@
     /// Option of a socket: milliseconds after which the system ends a connection whose data were not delivered.
     using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
-    /// Responses below this size are not counted: nearly all are, and there are at most as many as connections.
-    constexpr std::size_t freeResponseBytes = 64 << 10;
-    /// A body in chunks of few bytes takes more on the connection than its size; the store and instances send larger
-    /// ones.
-    constexpr std::size_t maximumFramingFactor = 2;
-    constexpr std::size_t framingAllowance = 1 << 20;
     constexpr foundation::milliseconds deliveryTimeout { 2000 }; ///< Holds while this process does not run, too.
     constexpr std::size_t minimumReadBytes = 1024; ///< Enough for nearly all answers of instances.
 
@@ -49,13 +43,13 @@
     asio::io_context& context, PooledHttpClient& client, const IServerIdentification* identification)
     : socket_(context)
     , deadlines_(asio::use_service<CallDeadlines>(context))
-    , budget_(asio::use_service<ResponseBudget>(context))
+    , reader_(context)
     , client_(&client)
     , identification_(identification)
 {
 }
 
-ClientConnection::~ClientConnection() { budget_.update(countedBytes_, 0); }
+ClientConnection::~ClientConnection() = default;
 
 void ClientConnection::send(HttpCall call, HttpCallback done, foundation::SteadyTime deadline)
 {
@@ -75,11 +69,9 @@
     closesConnection_ = call.closesConnection;
     writeHeader(call);
     body_ = std::move(call.body);
-    parser_.emplace();
-    parser_->header_limit(static_cast<std::uint32_t>(budget_.limits().maximumHeaderBytes));
-    parser_->body_limit(budget_.limits().maximumBodyBytes);
-    receivedBytes_ = 0;
-    readBytes_ = std::max(minimumReadBytes, call.readBufferBytes);
+    ExpectedResponse expected;
+    expected.readBytes = std::max(minimumReadBytes, call.readBufferBytes);
+    reader_.begin(expected);
     deadlines_.add(*this, deadline);
     if (isConnected_)
         return write();
@@ -199,12 +191,12 @@
 
 void ClientConnection::read()
 {
-    socket_.async_read_some(buffer_.prepare(readBytes_),
-        [self = SelfPtr(this), requested = readBytes_](beast::error_code error, std::size_t bytes) {
+    const asio::mutable_buffer memory = reader_.prepare();
+    socket_.async_read_some(
+        memory, [self = SelfPtr(this), requested = memory.size()](beast::error_code error, std::size_t bytes) {
             foundation::ControlTraffic::processTotals().received += bytes;
             self->isReadFull_ = bytes == requested;
-            self->buffer_.commit(bytes);
-            self->receivedBytes_ += bytes;
+            self->reader_.commit(bytes);
             self->onRead(error);
         });
 }
@@ -224,29 +216,14 @@
 
 void ClientConnection::parseResponse()
 {
-    beast::error_code error;
-    buffer_.consume(parser_->put(buffer_.data(), error));
-    if (error && error != http::error::need_more)
-        return fail(Errc::ProtocolViolation, error);
-    if (parser_->is_done())
+    const beast::error_code error = reader_.parse();
+    if (!error)
         return onResponse();
-    if (!isWithinLimits())
-        return fail(Errc::ProtocolViolation, http::error::body_limit);
+    if (error != http::error::need_more)
+        return fail(Errc::ProtocolViolation, error);
     read();
 }
 
-// The parser limits neither fields that arrive one at a time nor trailers, chunk headers and extensions.
-bool ClientConnection::isWithinLimits()
-{
-    const ResponseLimits& limits = budget_.limits();
-    const std::size_t unparsed = parser_->is_header_done() ? buffer_.size() : receivedBytes_;
-    if (unparsed > limits.maximumHeaderBytes + readBytes_
-        || receivedBytes_ > limits.maximumBodyBytes * maximumFramingFactor + framingAllowance)
-        return false;
-    const std::size_t held = buffer_.capacity() + parser_->bodyMemory();
-    return held <= freeResponseBytes + readBytes_ || budget_.update(countedBytes_, held);
-}
-
 // The end of the connection ends the body of a response without a length.
 void ClientConnection::onDisconnected(const beast::error_code& error)
 {
@@ -254,10 +231,7 @@
         return close();
     if (error != asio::error::eof)
         return fail(Errc::ProtocolViolation, error);
-    beast::error_code incomplete = http::error::end_of_stream;
-    if (parser_->got_some())
-        parser_->put_eof(incomplete);
-    if (incomplete)
+    if (const beast::error_code incomplete = reader_.endOfStream())
         return fail(Errc::ProtocolViolation, incomplete);
     closesConnection_ = true;
     onResponse();
@@ -267,13 +241,14 @@
 // before the next call, and they would be parsed as the answer to that call.
 void ClientConnection::onResponse()
 {
-    const bool isComplete = !closesConnection_ && parser_->keep_alive() && buffer_.size() == 0 && !isWriting_;
+    ResponseParser& response = reader_.response();
+    const bool isComplete = !closesConnection_ && response.keep_alive() && !reader_.hasMore() && !isWriting_;
     const bool canReuseConnection = isComplete && (!isReadFull_ || isUsable());
     if (canReuseConnection)
         read();
     if (identifiedCall_)
-        return onIdentified({ parser_->status(), parser_->takeBody() }, canReuseConnection);
-    finish(HttpResponse { parser_->status(), parser_->takeBody() }, canReuseConnection);
+        return onIdentified({ response.status(), response.takeBody() }, canReuseConnection);
+    finish(HttpResponse { response.status(), response.takeBody() }, canReuseConnection);
 }
 
 void ClientConnection::onIdentified(const HttpResponse& response, bool canReuseConnection)
@@ -315,7 +290,7 @@
     auto done = std::move(done_);
     done_ = nullptr;
     CallDeadlines::cancel(*this);
-    budget_.update(countedBytes_, 0);
+    reader_.release();
     if (!canReuseConnection)
         close();
     if (client_ && canReuseConnection)
--- a/src/httpclient/internal/clientconnection.h
+++ b/src/httpclient/internal/clientconnection.h
@@ -2,16 +2,13 @@
 
 #include "foundation/tcpstream.h"
 #include "httpclient/internal/calldeadlines.h"
-#include "httpclient/internal/responsebudget.h"
-#include "httpclient/internal/responseparser.h"
 #include "httpclient/iserveridentification.h"
 #include "httpclient/pooledhttpclient.h"
+#include "httpclient/responsereader.h"
 
 #include <boost/beast/core/error.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 #include <memory>
-#include <optional>
 #include <string>
 
 namespace turmericsill::httpclient {
@@ -59,7 +56,6 @@
     void read();
     void onRead(const boost::beast::error_code& error);
     void parseResponse();
-    bool isWithinLimits();
     void onDisconnected(const boost::beast::error_code& error);
     void onResponse();
     void onIdentified(const HttpResponse& response, bool canReuseConnection);
@@ -70,20 +66,15 @@
 
     foundation::TcpSocket socket_;
     CallDeadlines& deadlines_;
-    ResponseBudget& budget_;
-    std::size_t countedBytes_ = 0; ///< Counted against the budget for the response in progress.
-    std::size_t receivedBytes_ = 0; ///< Of the response in progress, as sent.
+    ResponseReader reader_;
     PooledHttpClient* client_;
     const IServerIdentification* identification_;
     std::int64_t serverIncarnation_ = 0;
     std::unique_ptr<HttpCall> identifiedCall_; ///< Call that follows the identification in progress.
-    boost::beast::flat_buffer buffer_;
     std::string header_; ///< Of the request, up to the empty line.
     std::string body_; ///< Of the request.
-    std::optional<ResponseParser> parser_;
     std::string operation_;
     HttpCallback done_; ///< Empty while the connection is idle.
-    std::size_t readBytes_ = 0; ///< Largest part that the next read receives.
     bool isConnected_ = false;
     bool isClosed_ = false;
     bool isWriting_ = false;
--- a/src/httpclient/tests/pooledhttpclienttests.cpp
+++ b/src/httpclient/tests/pooledhttpclienttests.cpp
@@ -553,3 +553,31 @@
     context.run_for(10s);
     CHECK(answered == 12);
 }
+
+// An announced length is a promise of the server only.
+TEST_CASE("http client: an announced body beyond the limit fails the call before it arrives", "[httpclient]")
+{
+    const ResponseLimits limits = responseLimitsWithin(100000);
+    for (const std::string length : { "100001", "100000000000", "18446744073709551615" }) {
+        const auto outcome = callScripted(limits, { "HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\n" });
+        REQUIRE_FALSE(outcome);
+        CHECK(outcome.error().message().find("limit") != std::string::npos);
+    }
+}
+
+// The body does not take more memory than its limit while it grows.
+TEST_CASE("http client: a body of the largest size is accepted whatever its framing", "[httpclient]")
+{
+    const ResponseLimits limits = responseLimitsWithin(300000);
+    const std::string body(300000, 'x');
+    const std::string chunk = "ea60\r\n" + std::string(60000, 'x') + "\r\n";
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const auto accepted = callScripted(limits, { "HTTP/1.1 200 OK\r\n\r\n" + body });
+    REQUIRE(accepted);
+    CHECK(accepted->body == body);
+    const auto acceptedChunks = callScripted(limits, { chunked, chunk, chunk, chunk, chunk, chunk, "0\r\n\r\n" });
+    REQUIRE(acceptedChunks);
+    CHECK(acceptedChunks->body == body);
+    CHECK_FALSE(callScripted(limits, { "HTTP/1.1 200 OK\r\n\r\n" + body + "x" }));
+    CHECK_FALSE(callScripted(limits, { chunked, chunk, chunk, chunk, chunk, chunk, "1\r\nx\r\n0\r\n\r\n" }));
+}
--- a/src/httpclient/types/responselimits.h
+++ b/src/httpclient/types/responselimits.h
@@ -14,6 +14,9 @@
     std::size_t totalBytes = std::numeric_limits<std::size_t>::max();
 };
 
+/// Limits of a context whose responses may take so much memory together.
+ResponseLimits responseLimitsWithin(std::size_t totalBytes);
+
 void setResponseLimits(boost::asio::io_context& context, const ResponseLimits& limits);
 
 } // namespace turmericsill::httpclient
