Daemon: the requests of all clients together are limited

What callers saw: bodies just sent to the operators' port of turmericsilld took 538 MB with 8 connections, announced ones 272 MB; they stayed resident after the clients had gone, while no request was beyond its own limit. Cause: its three servers had no shared limit, and the daemon knew no memory of its machine. Change: settings memory_limit_mb and request_memory_mb; each listening socket has a ReadBudget of a fixed part, since each has a thread of its own, and the descriptors of the process are its limit. Without a setting 256 MB, and the largest request of an operator stays 64 MB.

--- a/src/callers/internal/callersmodule.cpp
+++ b/src/callers/internal/callersmodule.cpp
@@ -7,6 +7,7 @@
 #include "foundation/asiotimerqueue.h"
 #include "foundation/eventloopthread.h"
 #include "foundation/feed.h"
+#include "foundation/processusage.h"
 #include "foundation/systemclock.h"
 #include "httpserver/httpserver.h"
 #include "membership/types/messages.h"
@@ -37,6 +38,14 @@
         return limits;
     }
 
+    httpserver::ReadBudgetLimits readBudgetLimits(const settings::DaemonSettings& settings)
+    {
+        httpserver::ReadBudgetLimits limits;
+        limits.bytes = settings::requestMemory(settings).callers;
+        limits.descriptors = foundation::descriptorLimit();
+        return limits;
+    }
+
     DispatcherOptions dispatcherOptions(const settings::DaemonSettings& settings)
     {
         DispatcherOptions options;
@@ -57,6 +66,7 @@
         , shares(daemonSettings.entry)
         , reportFeed(std::make_shared<foundation::Feed<CallerReport>>())
         , counterFeed(std::make_shared<foundation::Feed<DispatcherCounters>>())
+        , readBudget(readBudgetLimits(daemonSettings))
     {
     }
 
@@ -72,7 +82,8 @@
         deduplicator = std::make_unique<RequestDeduplicator>(settings.entry, *dispatcher, transport, timers, clock);
         handler = std::make_unique<CallerHandler>(
             *dispatcher, *deduplicator, clock, *tracer, *metrics, settings.defaultTimeout, randomDevice());
-        server = std::make_unique<httpserver::HttpServer>(thread.context(), *handler, serverLimits(settings));
+        server
+            = std::make_unique<httpserver::HttpServer>(thread.context(), *handler, serverLimits(settings), &readBudget);
         queuedGauge = &metrics->gauge("caller_queued", "Requests that wait for a slot");
         inProgressGauge = &metrics->gauge("caller_in_progress", "Attempts in progress on endpoints");
         ejectedGauge = &metrics->gauge("endpoints_ejected", "Endpoints ejected for failures");
@@ -170,6 +181,7 @@
     std::unique_ptr<Dispatcher> dispatcher;
     std::unique_ptr<RequestDeduplicator> deduplicator;
     std::unique_ptr<CallerHandler> handler;
+    httpserver::ReadBudget readBudget;
     std::unique_ptr<httpserver::HttpServer> server;
     ServingLimits servingLimits;
     std::uint64_t acknowledgedRosterVersion = 0;
--- a/src/foundation/processusage.h
+++ b/src/foundation/processusage.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
+#include <optional>
 
 namespace turmericsill::foundation {
 
@@ -20,4 +22,7 @@
 
 ProcessUsage currentUsage();
 
+/// File descriptors that this process may open, or nothing if they are not limited.
+std::optional<std::size_t> descriptorLimit();
+
 } // namespace turmericsill::foundation
--- a/src/operators/internal/operatorsmodule.cpp
+++ b/src/operators/internal/operatorsmodule.cpp
@@ -3,6 +3,7 @@
 #include "fleetlog/ifleetlogfactory.h"
 #include "foundation/eventloopthread.h"
 #include "foundation/feed.h"
+#include "foundation/processusage.h"
 #include "httpserver/httpserver.h"
 #include "operators/operatorservice.h"
 #include "operators/rpchandler.h"
@@ -12,12 +13,18 @@
 
 namespace {
 
-    constexpr std::size_t maximumRequestBytes = 64u << 20; ///< Largest request: the declarations of a whole fleet.
-
-    httpserver::ServerLimits serverLimits()
+    httpserver::ServerLimits serverLimits(const settings::DaemonSettings& settings)
     {
         httpserver::ServerLimits limits;
-        limits.maximumBodyBytes = maximumRequestBytes;
+        limits.maximumBodyBytes = settings::maximumOperatorRequestBytes(settings);
+        return limits;
+    }
+
+    httpserver::ReadBudgetLimits readBudgetLimits(const settings::DaemonSettings& settings)
+    {
+        httpserver::ReadBudgetLimits limits;
+        limits.bytes = settings::requestMemory(settings).operators;
+        limits.descriptors = foundation::descriptorLimit();
         return limits;
     }
 
@@ -28,6 +35,7 @@
     explicit Impl(const settings::DaemonSettings& daemonSettings)
         : settings(daemonSettings)
         , thread("operators")
+        , readBudget(readBudgetLimits(daemonSettings))
     {
     }
 
@@ -37,7 +45,8 @@
         log = registry.resolve<fleetlog::IFleetLogFactory>()->createClient(thread.context());
         service = std::make_unique<OperatorService>(settings.entry, *log);
         handler = std::make_unique<RpcHandler>(*service);
-        server = std::make_unique<httpserver::HttpServer>(thread.context(), *handler, serverLimits());
+        server
+            = std::make_unique<httpserver::HttpServer>(thread.context(), *handler, serverLimits(settings), &readBudget);
     }
 
     settings::DaemonSettings settings;
@@ -46,6 +55,7 @@
     std::unique_ptr<fleetlog::IFleetLog> log;
     std::unique_ptr<OperatorService> service;
     std::unique_ptr<RpcHandler> handler;
+    httpserver::ReadBudget readBudget;
     std::unique_ptr<httpserver::HttpServer> server;
 };
 
--- a/src/settings/daemonsettings.h
+++ b/src/settings/daemonsettings.h
@@ -43,9 +43,34 @@
     std::size_t maximumConnections = 12000;
     std::size_t maximumBodyBytes = 1 << 20;
     std::size_t maximumQueuedRequests = 2000;
+    std::optional<std::size_t> memoryLimitMb; ///< Memory that the process may use; absent if it is not limited.
+    /// Each absent one follows from the limit above; see requestMemory() and responseMemory().
+    std::optional<std::size_t> requestMemoryMb;
+    std::optional<std::size_t> responseMemoryMb;
     std::string traceFile; ///< File that spans are appended to, as lines of OTLP JSON; empty: no tracing.
 };
 
+/// Memory for the requests of all clients that were read and not yet handled, and for responses not yet written, in
+/// bytes. Each listening socket has a thread and a part of its own.
+struct RequestMemory {
+    std::size_t callers = 0;
+    std::size_t operators = 0;
+    std::size_t telemetry = 0;
+};
+RequestMemory requestMemory(const DaemonSettings& settings);
+
+/// Largest request of an operator, in bytes.
+std::size_t maximumOperatorRequestBytes(const DaemonSettings& settings);
+
+/// Memory for the responses that are being received on the threads of the fleet log and of the callers, and on each
+/// other thread, in bytes.
+struct ResponseMemory {
+    std::size_t log = 0;
+    std::size_t callers = 0;
+    std::size_t other = 0;
+};
+ResponseMemory responseMemory(const DaemonSettings& settings);
+
 /// Reads and validates a settings file. Every fault is added to `faults`, with its line and field.
 std::optional<DaemonSettings> loadDaemonSettings(const std::string& path, jsonsource::Faults& faults);
 
--- a/src/settings/internal/daemonsettings.cpp
+++ b/src/settings/internal/daemonsettings.cpp
@@ -3,6 +3,8 @@
 #include "jsonsource/objectschema.h"
 #include "settings/internal/fieldcopier.h"
 
+#include <algorithm>
+
 namespace turmericsill::settings {
 
 namespace {
@@ -12,6 +14,12 @@
     using jsonsource::ObjectSchema;
 
     constexpr double maximumIntervalMs = 600000;
+    constexpr std::size_t megabyte = 1 << 20;
+    constexpr std::size_t memoryShare = 4; ///< Requests and responses may each take one of so many parts.
+    constexpr std::size_t requestMemoryWithoutLimit = 256 * megabyte;
+    constexpr std::size_t responseMemoryWithoutLimit
+        = 512 * megabyte; ///< Half of it takes the largest page of the log.
+    constexpr std::size_t largestOperatorRequest = 64 * megabyte; ///< The declarations of a whole fleet.
 
     FieldSchema requiredField(const std::string& name, FieldType type) { return { name, type, true, 0, 0, {} }; }
 
@@ -46,6 +54,9 @@
             optionalInteger("maximum_connections", 1, 1000000),
             optionalInteger("maximum_body_bytes", 1, 1 << 28),
             optionalInteger("maximum_queued_requests", 1, 1000000),
+            { "memory_limit_mb", FieldType::Integer, false, 64, 1 << 20, {} },
+            { "request_memory_mb", FieldType::Integer, false, 16, 1 << 20, {} },
+            { "response_memory_mb", FieldType::Integer, false, 16, 1 << 20, {} },
             { "trace_file", FieldType::Text, false, 0, 0, {} },
         };
         return fields;
@@ -77,6 +88,9 @@
         copier.copy("maximum_connections", result.maximumConnections);
         copier.copy("maximum_body_bytes", result.maximumBodyBytes);
         copier.copy("maximum_queued_requests", result.maximumQueuedRequests);
+        copier.copy("memory_limit_mb", result.memoryLimitMb);
+        copier.copy("request_memory_mb", result.requestMemoryMb);
+        copier.copy("response_memory_mb", result.responseMemoryMb);
         copier.copy("trace_file", result.traceFile);
         if (object.value("stale_serving", "serve") == "fence")
             result.staleServing = StaleServing::Fence;
@@ -90,10 +104,41 @@
             document.addFault(faults, "/suspect_after_ms", "expected at least twice heartbeat_interval_ms");
         if (settings.fenceAfter < settings.suspectAfter)
             document.addFault(faults, "/fence_after_ms", "expected at least suspect_after_ms");
+        if (settings.memoryLimitMb && settings.requestMemoryMb.value_or(0) > *settings.memoryLimitMb / 2)
+            document.addFault(faults, "/request_memory_mb", "expected at most half of memory_limit_mb");
+        if (settings.memoryLimitMb && settings.responseMemoryMb.value_or(0) > *settings.memoryLimitMb / 2)
+            document.addFault(faults, "/response_memory_mb", "expected at most half of memory_limit_mb");
+        if (settings.maximumBodyBytes > requestMemory(settings).callers / 2)
+            document.addFault(faults, "/maximum_body_bytes", "expected at most three sixteenths of request_memory_mb");
+    }
+
+    std::size_t memoryFor(
+        const std::optional<std::size_t>& megabytes, const DaemonSettings& settings, std::size_t withoutLimit)
+    {
+        if (megabytes)
+            return *megabytes * megabyte;
+        return settings.memoryLimitMb ? *settings.memoryLimitMb * megabyte / memoryShare : withoutLimit;
     }
 
 } // namespace
 
+RequestMemory requestMemory(const DaemonSettings& settings)
+{
+    const std::size_t sum = memoryFor(settings.requestMemoryMb, settings, requestMemoryWithoutLimit);
+    return { sum * 3 / 8, sum / 2, sum / 8 };
+}
+
+std::size_t maximumOperatorRequestBytes(const DaemonSettings& settings)
+{
+    return std::min(largestOperatorRequest, requestMemory(settings).operators / 2);
+}
+
+ResponseMemory responseMemory(const DaemonSettings& settings)
+{
+    const std::size_t sum = memoryFor(settings.responseMemoryMb, settings, responseMemoryWithoutLimit);
+    return { sum / 2, sum / 4, sum / 8 };
+}
+
 std::optional<DaemonSettings> parseDaemonSettings(
     const std::string& file, const std::string& text, jsonsource::Faults& faults)
 {
--- a/src/settings/tests/daemonsettingstests.cpp
+++ b/src/settings/tests/daemonsettingstests.cpp
@@ -60,3 +60,45 @@
         CHECK_THAT(faults[0].text(), Catch::Matchers::StartsWith(c.expected));
     }
 }
+
+TEST_CASE("settings: the memory of requests and responses follows from the memory of the process", "[settings]")
+{
+    constexpr std::size_t megabyte = 1 << 20;
+    const auto parse = [](const std::string& fields) {
+        jsonsource::Faults faults;
+        return settings::parseDaemonSettings(
+            "s.json", replaced(validSettings, "\"entry\": \"entry-a\"", "\"entry\": \"entry-a\"" + fields), faults);
+    };
+    const auto unlimited = parse("");
+    REQUIRE(unlimited);
+    CHECK(settings::maximumOperatorRequestBytes(*unlimited) == 64 * megabyte);
+    CHECK(settings::responseMemory(*unlimited).log == 256 * megabyte);
+    const auto limited = parse(R"(, "memory_limit_mb": 128)");
+    REQUIRE(limited);
+    CHECK(settings::requestMemory(*limited).callers == 12 * megabyte);
+    CHECK(settings::requestMemory(*limited).operators == 16 * megabyte);
+    CHECK(settings::requestMemory(*limited).telemetry == 4 * megabyte);
+    CHECK(settings::maximumOperatorRequestBytes(*limited) == 8 * megabyte);
+    CHECK(settings::responseMemory(*limited).log == 16 * megabyte);
+    const auto given = parse(R"(, "memory_limit_mb": 128, "request_memory_mb": 64, "response_memory_mb": 64)");
+    REQUIRE(given);
+    CHECK(settings::requestMemory(*given).operators == 32 * megabyte);
+    CHECK(settings::responseMemory(*given).callers == 16 * megabyte);
+}
+
+TEST_CASE("settings: limits that do not fit into the memory of the process are refused", "[settings]")
+{
+    for (const std::string fields : { R"("memory_limit_mb": 63)", R"("memory_limit_mb": 128, "request_memory_mb": 65)",
+             R"("memory_limit_mb": 128, "response_memory_mb": 65)",
+             R"("memory_limit_mb": 128, "maximum_body_bytes": 6291457)" }) {
+        INFO(fields);
+        jsonsource::Faults faults;
+        CHECK_FALSE(settings::parseDaemonSettings(
+            "s.json", replaced(validSettings, "\"entry\"", fields + ", \"entry\""), faults));
+        CHECK(faults.size() == 1);
+    }
+    jsonsource::Faults faults;
+    CHECK(settings::parseDaemonSettings("s.json",
+        replaced(validSettings, "\"entry\"", R"("memory_limit_mb": 128, "maximum_body_bytes": 6291456, "entry")"),
+        faults));
+}
--- a/src/telemetry/internal/telemetrymodule.cpp
+++ b/src/telemetry/internal/telemetrymodule.cpp
@@ -1,12 +1,25 @@
 #include "telemetry/telemetrymodule.h"
 
 #include "foundation/eventloopthread.h"
+#include "foundation/processusage.h"
 #include "httpserver/httpserver.h"
 #include "telemetry/otlpfiletracer.h"
 #include "telemetry/telemetryhandler.h"
 
 namespace turmericsill::telemetry {
 
+namespace {
+
+    httpserver::ReadBudgetLimits readBudgetLimits(const settings::DaemonSettings& settings)
+    {
+        httpserver::ReadBudgetLimits limits;
+        limits.bytes = settings::requestMemory(settings).telemetry;
+        limits.descriptors = foundation::descriptorLimit();
+        return limits;
+    }
+
+} // namespace
+
 class TelemetryModule::Impl {
 public:
     explicit Impl(const settings::DaemonSettings& settings)
@@ -16,7 +29,8 @@
         , readiness(std::make_shared<Readiness>())
         , tracer(std::make_shared<OtlpFileTracer>(settings.traceFile, settings.entry))
         , handler(*metrics, *readiness)
-        , server(thread.context(), handler, httpserver::ServerLimits())
+        , readBudget(readBudgetLimits(settings))
+        , server(thread.context(), handler, httpserver::ServerLimits(), &readBudget)
     {
     }
 
@@ -26,6 +40,7 @@
     std::shared_ptr<Readiness> readiness;
     std::shared_ptr<OtlpFileTracer> tracer;
     TelemetryHandler handler;
+    httpserver::ReadBudget readBudget;
     httpserver::HttpServer server;
 };
 
