--- a/src/callers/internal/callersmodule.cpp
+++ b/src/callers/internal/callersmodule.cpp
@@ -9,6 +9,7 @@
 #include "foundation/feed.h"
 #include "foundation/processusage.h"
 #include "foundation/systemclock.h"
+#include "httpclient/types/responselimits.h"
 #include "httpserver/httpserver.h"
 #include "membership/types/messages.h"
 #include "telemetry/readiness.h"
@@ -68,6 +69,8 @@
         , counterFeed(std::make_shared<foundation::Feed<DispatcherCounters>>())
         , readBudget(readBudgetLimits(daemonSettings))
     {
+        httpclient::setResponseLimits(
+            thread.context(), httpclient::responseLimitsWithin(settings::responseMemory(settings).callers));
     }
 
     void createComponents(foundation::ModuleRegistry& registry)
--- a/src/callers/internal/endpointconnection.cpp
+++ b/src/callers/internal/endpointconnection.cpp
@@ -4,7 +4,6 @@
 
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <utility>
 
@@ -15,6 +14,12 @@
 namespace http = beast::http;
 using foundation::Errc;
 
+namespace {
+
+    constexpr std::size_t responseReadBytes = 16 << 10; ///< Largest part of a response that is received at a time.
+
+} // namespace
+
 EndpointConnection::EndpointConnection(
     HttpEndpointTransport& transport, HttpEndpointTransport::PoolKey key, std::string peer)
     : transport_(transport)
@@ -23,6 +28,7 @@
     , peer_(std::move(peer))
     , maximumResponseBytes_(transport.maximumResponseBytes_)
     , stream_(transport.context_)
+    , reader_(transport.context_)
 {
 }
 
@@ -75,30 +81,38 @@
 
 void EndpointConnection::receive()
 {
-    parser_.emplace();
-    parser_->body_limit(maximumResponseBytes_);
-    parser_->skip(request_->method() == http::verb::head);
-    http::async_read_header(stream_, buffer_, *parser_,
-        [self = shared_from_this()](beast::error_code error, std::size_t) { self->onHeaderRead(error); });
+    httpclient::ExpectedResponse expected;
+    expected.readBytes = responseReadBytes;
+    expected.maximumBodyBytes = maximumResponseBytes_;
+    expected.isToHeadRequest = request_->method() == http::verb::head;
+    expected.keepsFields = true;
+    reader_.begin(expected);
+    parse();
 }
 
-void EndpointConnection::onHeaderRead(beast::error_code error)
+void EndpointConnection::read()
 {
-    if (error)
+    stream_.async_read_some(reader_.prepare(), [self = shared_from_this()](beast::error_code error, std::size_t bytes) {
+        if (error)
+            return self->failReceive(error);
+        self->reader_.commit(bytes);
+        self->parse();
+    });
+}
+
+void EndpointConnection::parse()
+{
+    const beast::error_code error = reader_.parse();
+    if (error == http::error::body_limit)
+        return fail(Errc::CapacityExceeded, "endpoint.receive", "response is too large");
+    if (error && error != http::error::need_more)
         return failReceive(error);
-    if (http::to_status_class(parser_->get().result()) == http::status_class::informational)
-        return receive();
-    if (!hasExplicitLength())
+    if (reader_.response().is_header_done() && !isInformational() && !hasExplicitLength())
         return fail(Errc::ProtocolViolation, "endpoint.receive",
             "the response has neither Content-Length nor chunked encoding");
-    // The parser enforces its body limit for chunked bodies, but not for a body with a Content-Length.
-    const auto length = parser_->content_length();
-    if (!parser_->is_done() && length && *length > maximumResponseBytes_)
-        return fail(Errc::CapacityExceeded, "endpoint.receive", "response is too large");
-    if (parser_->is_done())
-        return onBodyRead({});
-    http::async_read(stream_, buffer_, *parser_,
-        [self = shared_from_this()](beast::error_code failed, std::size_t) { self->onBodyRead(failed); });
+    if (error)
+        return read();
+    isInformational() ? receive() : onResponse();
 }
 
 void EndpointConnection::failReceive(const beast::error_code& error)
@@ -106,16 +120,19 @@
     fail(error == beast::error::timeout ? Errc::Timeout : Errc::ProtocolViolation, "endpoint.receive", error.message());
 }
 
-void EndpointConnection::onBodyRead(beast::error_code error)
+void EndpointConnection::onResponse()
 {
-    if (error)
-        return failReceive(error);
     const auto now = foundation::SystemClock().now();
+    httpclient::ResponseParser& received = reader_.response();
     // Bytes after the response belong to no request, and a connection with an overdue response is not reused.
-    const bool isReusable = parser_->get().keep_alive() && buffer_.size() == 0 && now < deadline_;
+    const bool isReusable = received.keep_alive() && !reader_.hasMore() && now < deadline_;
+    httpserver::HttpResponse response(http::response_header<> { received.takeFields() });
+    response.result(received.status());
+    response.reason(received.reason());
+    response.version(received.version());
+    response.body() = received.takeBody();
+    reader_.release();
     AttemptObserverPtr observer = std::move(observer_);
-    httpserver::HttpResponse response = parser_->release();
-    parser_.reset();
     request_ = nullptr;
     if (isReusable) {
         stream_.expires_never();
@@ -127,13 +144,19 @@
     observer->onResponse(std::move(response));
 }
 
+bool EndpointConnection::isInformational()
+{
+    return http::to_status_class(reader_.response().status()) == http::status_class::informational;
+}
+
 // Without a Content-Length or chunked encoding, a response truncated by a closed connection looks complete.
-bool EndpointConnection::hasExplicitLength() const
+bool EndpointConnection::hasExplicitLength()
 {
-    const auto& response = parser_->get();
-    const bool hasNoBody = request_->method() == http::verb::head || response.result() == http::status::no_content
-        || response.result() == http::status::not_modified;
-    return hasNoBody || response.has_content_length() || response.chunked();
+    const httpclient::ResponseParser& response = reader_.response();
+    const bool hasNoBody = request_->method() == http::verb::head
+        || response.status() == static_cast<unsigned>(http::status::no_content)
+        || response.status() == static_cast<unsigned>(http::status::not_modified);
+    return hasNoBody || response.content_length() || response.chunked();
 }
 
 bool EndpointConnection::isStillIdle()
@@ -155,6 +178,7 @@
 void EndpointConnection::fail(Errc code, const std::string& step, const std::string& detail)
 {
     close();
+    reader_.release();
     AttemptObserverPtr observer = std::move(observer_);
     request_ = nullptr;
     observer->onFailure(foundation::Error { code, step, peer_, detail });
--- a/src/callers/internal/endpointconnection.h
+++ b/src/callers/internal/endpointconnection.h
@@ -2,10 +2,7 @@
 
 #include "callers/httpendpointtransport.h"
 #include "foundation/tcpstream.h"
-
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <optional>
+#include "httpclient/responsereader.h"
 
 namespace turmericsill::callers {
 
@@ -30,15 +27,15 @@
     foundation::SteadyTime idleSince() const { return idleSince_; }
 
 private:
-    using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
-
     void connect(const foundation::Address& address);
     void send();
     void receive();
-    void onHeaderRead(boost::beast::error_code error);
-    void onBodyRead(boost::beast::error_code error);
+    void read();
+    void parse();
     void failReceive(const boost::beast::error_code& error);
-    bool hasExplicitLength() const;
+    void onResponse();
+    bool isInformational();
+    bool hasExplicitLength();
     void fail(foundation::Errc code, const std::string& step, const std::string& detail);
 
     HttpEndpointTransport& transport_;
@@ -47,8 +44,7 @@
     std::string peer_;
     std::size_t maximumResponseBytes_;
     foundation::TcpStream stream_;
-    boost::beast::flat_buffer buffer_;
-    std::optional<Parser> parser_;
+    httpclient::ResponseReader reader_;
     const httpserver::HttpRequest* request_ = nullptr;
     AttemptObserverPtr observer_;
     foundation::SteadyTime deadline_ {};
--- a/src/callers/tests/endpointtransporttests.cpp
+++ b/src/callers/tests/endpointtransporttests.cpp
@@ -230,3 +230,42 @@
     CHECK(observer->error->code == foundation::Errc::Conflict);
     CHECK(fixture.responses.empty());
 }
+
+TEST_CASE("endpoint transport: a response that exceeds a limit fails the attempt", "[transport]")
+{
+    const std::string opening = "HTTP/1.1 200 OK\r\n";
+    const std::string chunked = opening + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::string endless(64 << 10, '0');
+    const std::vector<std::string> responses {
+        opening + "Content-Length: 1001\r\n\r\n",
+        opening + "Content-Length: 100000000000\r\n\r\n",
+        chunked + "3e9\r\n" + std::string(1001, 'x') + "\r\n",
+        chunked + endless,
+        chunked + "1;" + endless,
+        chunked + "1\r\nx\r\n0\r\nX-Trailer: " + endless,
+        opening + "X-Field: " + endless,
+        "HTTP/1.1 200 " + endless,
+    };
+    for (const auto& response : responses) {
+        TransportFixture fixture;
+        INFO(response.substr(0, 80));
+        auto observer = fixture.exchange(response);
+        CHECK_FALSE(observer->response);
+        REQUIRE(observer->error);
+        CHECK(observer->error->step == "endpoint.receive");
+    }
+}
+
+TEST_CASE("endpoint transport: the fields, the reason and the largest body are passed on", "[transport]")
+{
+    TransportFixture fixture;
+    auto observer
+        = fixture.exchange("HTTP/1.1 203 Elsewhere\r\nX-One: 1\r\nX-One: 2\r\nTransfer-Encoding: chunked\r\n\r\n"
+                           "3e8\r\n"
+            + std::string(1000, 'x') + "\r\n0\r\nX-Trailer: t\r\n\r\n");
+    REQUIRE(observer->response);
+    CHECK(observer->response->result_int() == 203);
+    CHECK(observer->response->reason() == "Elsewhere");
+    CHECK(observer->response->count("X-One") == 2);
+    CHECK(observer->response->body() == std::string(1000, 'x'));
+}
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,6 +1,7 @@
 // turmericsilld: the daemon that runs one entry instance.
 
 #include "daemon/daemon.h"
+#include "foundation/heaplimits.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -53,6 +54,7 @@
     absl::ParseCommandLine(argc, argv);
     FLAGS_logtostderr = true;
     google::InitGoogleLogging(argv[0]);
+    turmericsill::foundation::setHeapLimits();
     const std::string path = absl::GetFlag(FLAGS_settings);
     if (path.empty()) {
         std::cerr << "turmericsilld: --settings FILE is required\n";
--- a/src/fleetlog/internal/fleetlogmodule.cpp
+++ b/src/fleetlog/internal/fleetlogmodule.cpp
@@ -7,6 +7,7 @@
 #include "foundation/eventloopthread.h"
 #include "foundation/feed.h"
 #include "foundation/systemclock.h"
+#include "httpclient/types/responselimits.h"
 #include "platform/httpplatform.h"
 #include "telemetry/metricsregistry.h"
 #include "telemetry/readiness.h"
@@ -26,6 +27,8 @@
         , snapshots(client, LogFollower::snapshotStream(settings.logStream), settings.entry, settings.snapshotRecords)
         , feed(std::make_shared<foundation::Feed<StateUpdate>>())
     {
+        httpclient::setResponseLimits(
+            thread.context(), httpclient::responseLimitsWithin(settings::responseMemory(settings).log));
         log.follower().onSnapshot([this](std::uint64_t nextOffset) {
             LOG(INFO) << "restored the fleet state from the snapshot at offset " << nextOffset;
             snapshots.onSnapshotStored(nextOffset);
--- a/src/maintenance/internal/maintenancemodule.cpp
+++ b/src/maintenance/internal/maintenancemodule.cpp
@@ -5,6 +5,7 @@
 #include "foundation/eventloopthread.h"
 #include "foundation/feed.h"
 #include "foundation/systemclock.h"
+#include "httpclient/types/responselimits.h"
 #include "maintenance/poolcontroller.h"
 #include "platform/httpplatform.h"
 #include "telemetry/metricsregistry.h"
@@ -28,6 +29,8 @@
         , instanceManager(thread.context(), daemonSettings.platformAddress)
         , reports(std::make_shared<foundation::Feed<DrainReports>>())
     {
+        httpclient::setResponseLimits(
+            thread.context(), httpclient::responseLimitsWithin(settings::responseMemory(settings).other));
     }
 
     void connectImports(foundation::ModuleRegistry& registry)
--- a/src/membership/internal/membershipmodule.cpp
+++ b/src/membership/internal/membershipmodule.cpp
@@ -6,6 +6,7 @@
 #include "foundation/eventloopthread.h"
 #include "foundation/feed.h"
 #include "foundation/systemclock.h"
+#include "httpclient/types/responselimits.h"
 #include "membership/membership.h"
 #include "membership/udppeertransport.h"
 #include "platform/httpplatform.h"
@@ -30,6 +31,8 @@
         , servingLimitsFeed(std::make_shared<foundation::Feed<ServingLimits>>())
         , membershipViewFeed(std::make_shared<foundation::Feed<MembershipView>>())
     {
+        httpclient::setResponseLimits(
+            thread.context(), httpclient::responseLimitsWithin(settings::responseMemory(settings).other));
     }
 
     void build(foundation::ModuleRegistry& registry)
--- a/src/platform/httpclient.h
+++ b/src/platform/httpclient.h
@@ -3,20 +3,16 @@
 #include "foundation/address.h"
 #include "foundation/iclock.h"
 #include "foundation/result.h"
+#include "httpclient/pooledhttpclient.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/http/verb.hpp>
 #include <functional>
-#include <memory>
 #include <string>
 
 namespace turmericsill::platform {
 
-/// Response of an HTTP server.
-struct HttpAnswer {
-    unsigned status = 0;
-    std::string body;
-};
+using HttpAnswer = httpclient::HttpResponse;
 
 /// Asynchronous HTTP/1.1 client for the platform's services. Opens a new connection for each request.
 /// Errc::Unavailable: the connection could not be established, so the request was not sent.
@@ -27,13 +23,13 @@
 
     HttpClient(boost::asio::io_context& context, foundation::Address server);
 
-    /// Sends a request; `operation` names it in errors. The callback runs on the context's thread.
+    /// Sends a request; `operation` names it in errors. The callback runs on the context's thread, unless the client is
+    /// destroyed before.
     void send(boost::beast::http::verb verb, const std::string& target, std::string body,
         foundation::milliseconds timeout, const std::string& operation, Callback done);
 
 private:
-    boost::asio::io_context& context_;
-    foundation::Address server_;
+    httpclient::PooledHttpClient client_;
 };
 
 } // namespace turmericsill::platform
--- a/standins/platform/platformservice.cpp
+++ b/standins/platform/platformservice.cpp
@@ -232,15 +232,20 @@
     answerOrTimeOut(exchange, 202, { { "operation", operation } });
 }
 
+platform::HttpClient& PlatformService::clientFor(const foundation::Address& server)
+{
+    return clients_.try_emplace(server, context_, server).first->second;
+}
+
 void PlatformService::startReboot(const std::string& name, const std::string& operation)
 {
     ++reboots_;
     instances_.at(name).isLeaving = true;
     publishInstances();
-    platform::HttpClient client(context_, instances_.at(name).controlAddress);
-    client.send(verb::post, "/reboot?instance=" + name, "{}", probeTimeout, "standin.reboot",
-        [this, name, operation](
-            const foundation::Result<platform::HttpAnswer>&) { pollReboot(name, operation, maximumRebootPolls); });
+    clientFor(instances_.at(name).controlAddress)
+        .send(verb::post, "/reboot?instance=" + name, "{}", probeTimeout, "standin.reboot",
+            [this, name, operation](
+                const foundation::Result<platform::HttpAnswer>&) { pollReboot(name, operation, maximumRebootPolls); });
 }
 
 void PlatformService::pollReboot(const std::string& name, const std::string& operation, int remaining)
@@ -250,15 +255,15 @@
         return;
     }
     timers_.schedule(std::chrono::steady_clock::now() + rebootPollInterval, [this, name, operation, remaining] {
-        platform::HttpClient client(context_, instances_.at(name).probeAddress);
-        client.send(verb::get, "/standin/ping", {}, probeTimeout, "standin.ping",
-            [this, name, operation, remaining](const foundation::Result<platform::HttpAnswer>& pong) {
-                if (!pong)
-                    return pollReboot(name, operation, remaining - 1);
-                instances_.at(name).isLeaving = false;
-                operations_[operation] = "done";
-                publishInstances();
-            });
+        clientFor(instances_.at(name).probeAddress)
+            .send(verb::get, "/standin/ping", {}, probeTimeout, "standin.ping",
+                [this, name, operation, remaining](const foundation::Result<platform::HttpAnswer>& pong) {
+                    if (!pong)
+                        return pollReboot(name, operation, remaining - 1);
+                    instances_.at(name).isLeaving = false;
+                    operations_[operation] = "done";
+                    publishInstances();
+                });
     });
 }
 
--- a/standins/platform/platformservice.h
+++ b/standins/platform/platformservice.h
@@ -53,6 +53,7 @@
     void registerInstance(const httpserver::HttpExchangePtr& exchange);
     void listInstances(const httpserver::HttpExchangePtr& exchange, const Query& query);
     void reboot(const httpserver::HttpExchangePtr& exchange, const std::string& name);
+    platform::HttpClient& clientFor(const foundation::Address& server);
     void startReboot(const std::string& name, const std::string& operation);
     void pollReboot(const std::string& name, const std::string& operation, int remaining);
     void answerOperation(const httpserver::HttpExchangePtr& exchange, const std::string& operation);
@@ -73,6 +74,7 @@
     std::map<std::uint64_t, PendingRead> pendingReads_;
     std::uint64_t nextPendingRead_ = 1;
     std::map<std::string, Instance> instances_;
+    std::map<foundation::Address, platform::HttpClient> clients_;
     nlohmann::json publishedInstances_ = nlohmann::json::array(); ///< Instance list as clients see it.
     std::map<std::string, std::string> operations_; ///< State of each reboot, by operation id.
     std::uint64_t appends_ = 0;
