Operators' requests and declaration files: limits of values, levels and bytes

What callers saw: a JSON request of 3 MB with 1,500,000 numbers took the daemon to 162 MB; a declaration file with 20,000 levels took turmericctl to 921 MB, and one of 512 MB, whatever it held, to 1,061 MB. Cause: parsing takes some hundred bytes for each value; the position of each value is kept as a text, whose length grows with its level; a file was read whole and copied. Change: the values of a request are counted before it is parsed, one for each 128 bytes of the operators' memory; more get 413. A file has at most 64 MB, 32 levels and 1,000,000 values; the fault names the file, the line and the field.

--- a/src/daemon/tests/untrustedclientstests.cpp
+++ b/src/daemon/tests/untrustedclientstests.cpp
@@ -107,3 +107,20 @@
     ::close(socket);
     checkUnderPressure(daemon, {});
 }
+
+// Each element of a list takes some hundred bytes once it is parsed.
+TEST_CASE("daemon: a request of very many JSON values does not exhaust the memory", "[untrusted]")
+{
+    const DaemonUnderTest daemon;
+    std::string body = R"({"jsonrpc":"2.0","id":1,"method":"plan","params":{"declarations":{"pools":[0)";
+    constexpr std::size_t values = 1500000;
+    for (std::size_t i = 0; i < values; ++i)
+        body += ",0";
+    body += "]}}}";
+    const std::string response = exchange(daemon.port(Listener::Operator),
+        "POST /rpc HTTP/1.1\r\nHost: daemon\r\nConnection: close\r\nContent-Length: " + std::to_string(body.size())
+            + "\r\n\r\n" + body);
+    INFO(response);
+    CHECK(response.rfind("HTTP/1.1 ", 0) == 0);
+    checkUnderPressure(daemon, {});
+}
--- a/src/foundation/internal/jsontext.cpp
+++ b/src/foundation/internal/jsontext.cpp
@@ -28,4 +28,20 @@
     json += '"';
 }
 
+std::size_t countJsonValues(std::string_view json)
+{
+    std::size_t values = 0;
+    bool isInString = false;
+    for (std::size_t at = 0; at < json.size(); ++at) {
+        const char character = json[at];
+        if (isInString && character == '\\')
+            ++at;
+        else if (character == '"')
+            isInString = !isInString;
+        else if (!isInString)
+            values += character == ',' || character == '[' || character == '{';
+    }
+    return values;
+}
+
 } // namespace turmericsill::foundation
--- a/src/foundation/tests/untrustedtexttests.cpp
+++ b/src/foundation/tests/untrustedtexttests.cpp
@@ -1,4 +1,5 @@
 #include "foundation/cbor.h"
+#include "foundation/jsontext.h"
 
 #include <catch2/catch.hpp>
 #include <string>
@@ -45,3 +46,13 @@
     CHECK_NOTHROW(parseCbor(bytes, 100));
     CHECK_THROWS_WITH(parseCbor(bytes, 99), "CBOR with too many values");
 }
+
+TEST_CASE("json text: values are counted without parsing, and not those in strings", "[foundation]")
+{
+    CHECK(countJsonValues("1") == 0);
+    CHECK(countJsonValues("[]") == 1);
+    CHECK(countJsonValues("[1,2,3]") == 3);
+    CHECK(countJsonValues(R"({"a":[{},{}],"b":",,[[{{","c\\\",":1})") == 7);
+    CHECK(countJsonValues(R"("\\")") == 0);
+    CHECK(countJsonValues(R"("\)") == 0);
+}
--- a/src/jsonsource/internal/document.cpp
+++ b/src/jsonsource/internal/document.cpp
@@ -1,15 +1,20 @@
 #include "jsonsource/document.h"
 
 #include <algorithm>
+#include <array>
 #include <fstream>
 #include <iterator>
-#include <sstream>
 #include <utility>
 
 namespace turmericsill::jsonsource {
 
 namespace {
 
+    constexpr std::size_t maximumFileBytes = 64u << 20; ///< As of a request of an operator.
+    constexpr std::size_t maximumDepth = 32; ///< Levels of lists and maps; declarations have three.
+    /// Declarations have some eight values for each instance.
+    constexpr std::size_t maximumValues = 1000000;
+
     /// Line position, shared by the iterator that the parser reads from and the handler that it calls.
     struct LinePosition {
         std::size_t line = 1;
@@ -153,13 +158,32 @@
 
     bool addValue(nlohmann::json value)
     {
+        if (!countValue())
+            return false;
         document_.lines_.emplace(childPointer(), linePosition_.line);
         insertValue(std::move(value));
         return true;
     }
 
+    /// Adds a fault and returns false if the document has too many values.
+    bool countValue()
+    {
+        if (++values_ <= maximumValues)
+            return true;
+        faults_.push_back({ document_.file_, linePosition_.line, childPointer(),
+            "at most " + std::to_string(maximumValues) + " values" });
+        return false;
+    }
+
     bool open(nlohmann::json container)
     {
+        if (!countValue())
+            return false;
+        if (openContainers_.size() == maximumDepth) {
+            faults_.push_back({ document_.file_, linePosition_.line, childPointer(),
+                "at most " + std::to_string(maximumDepth) + " levels of lists and maps" });
+            return false;
+        }
         std::string pointer = childPointer();
         document_.lines_.emplace(pointer, linePosition_.line);
         nlohmann::json& inserted = insertValue(std::move(container));
@@ -177,6 +201,7 @@
     const LinePosition& linePosition_;
     Faults& faults_;
     std::vector<OpenContainer> openContainers_;
+    std::size_t values_ = 0;
 };
 
 std::optional<Document> Document::parse(const std::string& file, const std::string& text, Faults& faults)
@@ -215,14 +240,21 @@
 std::optional<std::string> readFile(const std::string& path, Faults& faults)
 {
     std::ifstream stream(path, std::ios::binary);
-    std::ostringstream content;
-    if (stream && stream.peek() != std::ifstream::traits_type::eof())
-        content << stream.rdbuf();
-    if (!stream || stream.bad()) {
+    std::string content;
+    std::array<char, 64 << 10> part {};
+    while (stream && content.size() <= maximumFileBytes) {
+        stream.read(part.data(), part.size());
+        content.append(part.data(), static_cast<std::size_t>(stream.gcount()));
+    }
+    if (content.empty() || stream.bad()) {
         faults.push_back({ path, 1, "", "a readable, non-empty file" });
         return std::nullopt;
     }
-    return content.str();
+    if (content.size() > maximumFileBytes) {
+        faults.push_back({ path, 1, "", "a file of at most " + std::to_string(maximumFileBytes) + " bytes" });
+        return std::nullopt;
+    }
+    return content;
 }
 
 } // namespace turmericsill::jsonsource
--- a/src/jsonsource/tests/documenttests.cpp
+++ b/src/jsonsource/tests/documenttests.cpp
@@ -55,3 +55,20 @@
     CHECK(faults[4].line == 5);
     CHECK(faults[5].text() == "a.json:6: /mode: expected one of \"serve\" \"fence\"");
 }
+
+TEST_CASE("document: the levels and the number of values are limited", "[jsonsource]")
+{
+    const auto parse = [](const std::string& text) {
+        Faults faults;
+        const bool isParsed = Document::parse("limits.json", text, faults).has_value();
+        CHECK(isParsed == faults.empty());
+        return faults.empty() ? std::string() : faults.front().text();
+    };
+    CHECK(parse(std::string(32, '[') + std::string(32, ']')).empty());
+    CHECK(parse(std::string(33, '[') + std::string(33, ']')).find("at most 32 levels") != std::string::npos);
+    std::string list = "[0";
+    for (int i = 1; i < 999999; ++i)
+        list += ",0";
+    CHECK(parse(list + "]").empty());
+    CHECK(parse(list + ",0]").find("at most 1000000 values") != std::string::npos);
+}
--- a/src/operators/internal/operatorsmodule.cpp
+++ b/src/operators/internal/operatorsmodule.cpp
@@ -44,7 +44,7 @@
         readiness = registry.resolve<telemetry::Readiness>();
         log = registry.resolve<fleetlog::IFleetLogFactory>()->createClient(thread.context());
         service = std::make_unique<OperatorService>(settings.entry, *log);
-        handler = std::make_unique<RpcHandler>(*service);
+        handler = std::make_unique<RpcHandler>(*service, settings::requestMemory(settings).operators);
         server
             = std::make_unique<httpserver::HttpServer>(thread.context(), *handler, serverLimits(settings), &readBudget);
     }
