--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,7 +1,9 @@
 #!/usr/bin/env bash
 # Soak test: runs entry processes on a stand-in for the platform, with callers and faults on a seeded random schedule.
 # SEEDS: seeds to run, separated by spaces (default "1"); SECONDS_OF_TROUBLE: time during which faults begin, in seconds
-# (default 15); ENTRIES: number of entries (default 4); BUILD: build folder (default build). A seed fails if a guarantee
+# (default 15); ENTRIES: number of entries (default 4); CROWD: number of clients without limits on each listening socket
+# of an entry (default 2); MEMORY_LIMIT_MB: memory of an entry, 0 if it is not checked (default 160, the smallest machine;
+# 0 for a build with sanitizers); BUILD: build folder (default build). A seed fails if a guarantee
 # was violated or an entry ended by itself; its logs are kept in soak-logs/ of the build folder. Kills only processes
 # that it started itself.
 set -euo pipefail
@@ -10,6 +12,8 @@
 fault_seconds=${SECONDS_OF_TROUBLE:-15}
 entries=${ENTRIES:-4}
 build=${BUILD:-build}
+crowd=${CROWD:-2}
+memory_limit_mb=${MEMORY_LIMIT_MB:-$([ "$build" = build-sanitize ] && echo 0 || echo 160)}
 platform=127.0.0.1:7700
 mkdir -p "$build/soak-logs"
 work_dir=
@@ -46,15 +50,17 @@
     pids=()
     "$build/standins/standin_jobplatform" --address "$platform" --teams >"$work_dir/platform.log" 2>&1 &
     pids+=($!)
-    local callers=() proxies=() pid_files=() n
+    local callers=() proxies=() pid_files=() crowd_ports=() n
     for n in $(seq "$entries"); do
         proxies+=("127.0.0.1:$((7710 + n))") callers+=("127.0.0.1:$((7740 + n))") pid_files+=("$work_dir/entry-$n.pid")
+        crowd_ports+=($((7740 + n)) $((7770 + n)) $((7800 + n)))
         cat >"$work_dir/entry-$n.json" <<SETTINGS
 {
   "entry": "entry-$n", "data_centre": "here",
   "caller_address": "127.0.0.1:$((7740 + n))", "health_address": "127.0.0.1:$((7770 + n))",
   "telemetry_address": "127.0.0.1:$((7800 + n))",
-  "store_address": "127.0.0.1:$((7710 + n))", "machine_control_address": "$platform"
+  "store_address": "127.0.0.1:$((7710 + n))", "machine_control_address": "$platform",
+  "memory_limit_mb": 160, "descriptor_limit": 4100
 }
 SETTINGS
         keep_running "entry-$n" 2>/dev/null &
@@ -64,6 +70,7 @@
     local status=0
     "$build/soak/turmericsill_soak" --seed "$1" --seconds "$fault_seconds" --platform "$platform" \
         --callers "$(IFS=,; echo "${callers[*]}")" --proxies "$(IFS=,; echo "${proxies[*]}")" \
+        --crowd_ports "$(IFS=,; echo "${crowd_ports[*]}")" --crowd "$crowd" --memory_limit_mb "$memory_limit_mb" \
         --pid_files "$(IFS=,; echo "${pid_files[*]}")" || status=1
     stop_all
     if [ -e "$work_dir/crashes" ]; then
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -12,6 +12,9 @@
 ABSL_FLAG(std::string, platform, "127.0.0.1:7700", "IP:PORT of the platform stand-in");
 ABSL_FLAG(std::vector<std::string>, callers, {}, "IP:PORT of each entry's caller address");
 ABSL_FLAG(std::vector<std::string>, proxies, {}, "IP:PORT at which each entry reaches the store");
+ABSL_FLAG(std::vector<std::string>, crowd_ports, {}, "loopback ports that clients without limits press");
+ABSL_FLAG(std::size_t, crowd, 0, "number of clients without limits on each of these ports");
+ABSL_FLAG(std::size_t, memory_limit_mb, 0, "most memory of an entry; 0: not checked");
 ABSL_FLAG(std::vector<std::string>, pid_files, {}, "file with the process id of each entry");
 
 namespace {
@@ -39,6 +42,10 @@
     plan.seed = absl::GetFlag(FLAGS_seed);
     plan.faultPhase = std::chrono::seconds(absl::GetFlag(FLAGS_seconds));
     plan.pidFiles = absl::GetFlag(FLAGS_pid_files);
+    for (const auto& port : absl::GetFlag(FLAGS_crowd_ports))
+        plan.crowdPorts.push_back(static_cast<std::uint16_t>(std::stoul(port)));
+    plan.crowdPerPort = absl::GetFlag(FLAGS_crowd);
+    plan.memoryLimitKb = absl::GetFlag(FLAGS_memory_limit_mb) << 10;
     std::vector<Address> platform;
     const bool isValid = readAddresses({ absl::GetFlag(FLAGS_platform) }, platform)
         && readAddresses(absl::GetFlag(FLAGS_callers), plan.callerAddresses)
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -22,6 +22,8 @@
     constexpr milliseconds faultAftermath { 3000 }; ///< Time after a fault in which it may still break connections.
     constexpr milliseconds shutdownGrace { 6000 }; ///< Time within which an entry that is told to stop exits.
     constexpr milliseconds requestReadTime { 200 }; ///< Time within which an entry without faults reads a request.
+    constexpr milliseconds crowdInterval { 20 }; ///< Interval at which each client of the crowd may send.
+    constexpr milliseconds memoryCheckInterval { 100 };
     constexpr milliseconds queryInterval { 150 }; ///< Interval of status queries during the fault phase.
     constexpr std::uint64_t firstJobId = 0x50a0000000000000;
     constexpr unsigned statusOk = 200;
@@ -67,6 +69,9 @@
 
 bool Soak::run()
 {
+    if (plan_.crowdPerPort > 0)
+        pressEntries();
+    checkMemory();
     submitNextJob();
     queryRandomJob();
     injectFault();
@@ -103,6 +108,35 @@
     entries_[entry].client->send(std::move(call), std::move(done));
 }
 
+void Soak::pressEntries()
+{
+    if (!crowd_)
+        crowd_ = std::make_unique<UntrustedCrowd>(plan_.crowdPorts, plan_.crowdPerPort, random_);
+    crowd_->step();
+    if (isRecovering_)
+        return crowd_.reset();
+    schedule(crowdInterval, [this] { pressEntries(); });
+}
+
+void Soak::checkMemory()
+{
+    for (const auto& pidFile : plan_.pidFiles) {
+        std::string pid;
+        std::ifstream(pidFile) >> pid;
+        std::ifstream status("/proc/" + pid + "/status");
+        for (std::string field; status >> field;) {
+            std::size_t residentKb = 0;
+            if (field == "VmHWM:" && status >> residentKb)
+                peakResidentKb_ = std::max(peakResidentKb_, residentKb);
+        }
+    }
+    if (plan_.memoryLimitKb > 0 && peakResidentKb_ > plan_.memoryLimitKb && !hasExceededMemory_) {
+        hasExceededMemory_ = true;
+        violations_.push_back("an entry has taken " + std::to_string(peakResidentKb_) + " kB");
+    }
+    schedule(memoryCheckInterval, [this] { checkMemory(); });
+}
+
 void Soak::submitNextJob()
 {
     if (isRecovering_)
@@ -349,7 +383,8 @@
     return json {
         { "seed", plan_.seed }, { "sent", jobs_.size() }, { "accepted", countJobs(SubmissionOutcome::Accepted) },
         { "refused", countJobs(SubmissionOutcome::Refused) }, { "unknown", countJobs(SubmissionOutcome::Unknown) },
-        { "faults", faultCounts_ }, { "broken", violations_ }
+        { "faults", faultCounts_ }, { "crowd", plan_.crowdPorts.size() * plan_.crowdPerPort },
+        { "peak_resident_kb", peakResidentKb_ }, { "broken", violations_ }
     }.dump();
 }
 
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -3,6 +3,7 @@
 #include "foundation/asiotimerqueue.h"
 #include "foundation/systemclock.h"
 #include "httpclient/pooledhttpclient.h"
+#include "soak/crowd.h"
 #include "soak/faultproxy.h"
 
 #include <boost/asio/io_context.hpp>
@@ -25,6 +26,9 @@
     std::vector<foundation::Address> callerAddresses; ///< Caller address of each entry.
     std::vector<foundation::Address> proxyAddresses; ///< Address at which each entry reaches the store.
     std::vector<std::string> pidFiles; ///< File with the id of each entry's current process.
+    std::vector<std::uint16_t> crowdPorts; ///< Loopback ports that clients without limits press.
+    std::size_t crowdPerPort = 0; ///< Number of these clients on each port.
+    std::size_t memoryLimitKb = 0; ///< Most resident memory of an entry; 0 if it is not checked.
 };
 
 /// Soak test with random callers and faults. The seed determines the random choices, but a run is not exactly
@@ -32,6 +36,7 @@
 /// - An accepted job is never unknown, finishes in the end and has no task that runs twice.
 /// - A job that was refused at every attempt never runs, and one with an unknown key is never accepted.
 /// - An entry that is told to stop answers the requests that it has read.
+/// - The memory of each entry stays under its limit.
 class Soak {
 public:
     Soak(boost::asio::io_context& context, SoakPlan plan);
@@ -65,6 +70,8 @@
         bool isPaused = false;
     };
 
+    void pressEntries();
+    void checkMemory();
     void submitNextJob();
     void submitNewJob(const std::string& key);
     void submitJob(std::uint64_t id, std::size_t entry);
@@ -100,11 +107,14 @@
     foundation::AsioTimerQueue timers_;
     httpclient::PooledHttpClient platform_;
     std::vector<Entry> entries_;
+    std::unique_ptr<UntrustedCrowd> crowd_;
+    std::size_t peakResidentKb_ = 0; ///< Most resident memory of any entry.
     std::map<std::uint64_t, SoakJob> jobs_;
     std::map<std::string, int> faultCounts_; ///< Number of injected faults, by kind.
     std::vector<std::string> violations_;
     foundation::SteadyTime startedAt_;
     foundation::SteadyTime recoveryDeadline_;
+    bool hasExceededMemory_ = false;
     bool isRecovering_ = false;
     bool isFinished_ = false;
 };
