--- a/scripts/sanitize.sh
+++ b/scripts/sanitize.sh
@@ -14,5 +14,5 @@
 export UBSAN_OPTIONS=print_stacktrace=1
 BUILD=$build SEEDS=${SEEDS:-1} SECONDS_OF_TROUBLE=${SECONDS_OF_TROUBLE:-4} scripts/soak.sh
 export SCHEDULES=${SCHEDULES:-30} EXPLORE_COUNT=${EXPLORE_COUNT:-20}
-known_failures=$(scripts/known_failures.sh)
+known_failures=$(scripts/known_failures.sh --sanitizers)
 ctest --test-dir "$build" --output-on-failure --no-tests=error -j "$jobs" ${known_failures:+-E "$known_failures"}
