--- a/src/foundation/internal/heaplimits.cpp
+++ b/src/foundation/internal/heaplimits.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-    constexpr int mappedFromBytes = 512 << 10; ///< Larger than the buffers of ordinary requests and log reads.
-    constexpr int keptFreeBytes = 2 * mappedFromBytes;
+    constexpr int mappedFromBytes = 256 << 10; ///< Larger than the buffers of ordinary requests and log reads.
+    constexpr int keptFreeBytes = 128 << 10; ///< As the allocator's own, which would grow with the largest buffer.
 
 } // namespace
 
