Task list: the tasks of a small step take no more memory than they need

What callers saw: nothing. Cause, inferred: the list grew by doubling as one task after the other started, where it had its size from the beginning. Change: the first change of a task reserves memory for up to 64 tasks.

--- a/src/jobs/types/tasklist.h
+++ b/src/jobs/types/tasklist.h
@@ -2,6 +2,7 @@
 
 #include "jobs/types/task.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <vector>
 
@@ -28,8 +29,11 @@
     /// For changing the task.
     Task& operator[](std::size_t index)
     {
-        if (index >= touched_.size())
+        if (index >= touched_.size()) {
+            // Most steps are small, and all of their tasks start.
+            touched_.reserve(std::min(size_, smallStepTasks));
             touched_.resize(index + 1);
+        }
         return touched_[index];
     }
 
@@ -44,6 +48,8 @@
     }
 
 private:
+    static constexpr std::size_t smallStepTasks = 64;
+
     std::size_t size_ = 0;
     std::vector<Task> touched_;
 };
