--- a/src/callers/internal/callersmodule.cpp
+++ b/src/callers/internal/callersmodule.cpp
@@ -7,7 +7,6 @@
 #include "foundation/asiotimerqueue.h"
 #include "foundation/eventloopthread.h"
 #include "foundation/feed.h"
-#include "foundation/processusage.h"
 #include "foundation/systemclock.h"
 #include "httpclient/types/responselimits.h"
 #include "httpserver/httpserver.h"
@@ -39,14 +38,6 @@
         return limits;
     }
 
-    httpserver::ReadBudgetLimits readBudgetLimits(const settings::DaemonSettings& settings)
-    {
-        httpserver::ReadBudgetLimits limits;
-        limits.bytes = settings::requestMemory(settings).callers;
-        limits.descriptors = foundation::descriptorLimit();
-        return limits;
-    }
-
     DispatcherOptions dispatcherOptions(const settings::DaemonSettings& settings)
     {
         DispatcherOptions options;
@@ -67,7 +58,7 @@
         , shares(daemonSettings.entry)
         , reportFeed(std::make_shared<foundation::Feed<CallerReport>>())
         , counterFeed(std::make_shared<foundation::Feed<DispatcherCounters>>())
-        , readBudget(readBudgetLimits(daemonSettings))
+        , readBudget(httpserver::readBudgetLimitsWithin(settings::requestMemory(daemonSettings).callers))
     {
         httpclient::setResponseLimits(
             thread.context(), httpclient::responseLimitsWithin(settings::responseMemory(settings).callers));
--- a/src/httpserver/internal/readbudget.cpp
+++ b/src/httpserver/internal/readbudget.cpp
@@ -1,5 +1,7 @@
 #include "httpserver/readbudget.h"
 
+#include "foundation/processusage.h"
+
 #include <algorithm>
 #include <malloc.h>
 
@@ -19,6 +21,14 @@
 
 } // namespace
 
+ReadBudgetLimits readBudgetLimitsWithin(std::size_t bytes)
+{
+    ReadBudgetLimits limits;
+    limits.bytes = bytes;
+    limits.descriptors = foundation::descriptorLimit();
+    return limits;
+}
+
 ReadBudget::ReadBudget(const ReadBudgetLimits& limits)
     : limits_(limits)
 {
--- a/src/httpserver/readbudget.h
+++ b/src/httpserver/readbudget.h
@@ -21,6 +21,9 @@
     std::optional<std::size_t> descriptors; ///< File descriptors that the process may open.
 };
 
+/// Limits of servers whose requests may take so much memory together, and of all descriptors of this process.
+ReadBudgetLimits readBudgetLimitsWithin(std::size_t bytes);
+
 /// A connection whose memory counts against a ReadBudget.
 class BudgetHolder : public boost::intrusive::list_base_hook<boost::intrusive::tag<BudgetHolder>> {
 public:
--- a/src/operators/internal/operatorsmodule.cpp
+++ b/src/operators/internal/operatorsmodule.cpp
@@ -3,7 +3,6 @@
 #include "fleetlog/ifleetlogfactory.h"
 #include "foundation/eventloopthread.h"
 #include "foundation/feed.h"
-#include "foundation/processusage.h"
 #include "httpserver/httpserver.h"
 #include "operators/operatorservice.h"
 #include "operators/rpchandler.h"
@@ -20,14 +19,6 @@
         return limits;
     }
 
-    httpserver::ReadBudgetLimits readBudgetLimits(const settings::DaemonSettings& settings)
-    {
-        httpserver::ReadBudgetLimits limits;
-        limits.bytes = settings::requestMemory(settings).operators;
-        limits.descriptors = foundation::descriptorLimit();
-        return limits;
-    }
-
 } // namespace
 
 class OperatorsModule::Impl {
@@ -35,7 +26,7 @@
     explicit Impl(const settings::DaemonSettings& daemonSettings)
         : settings(daemonSettings)
         , thread("operators")
-        , readBudget(readBudgetLimits(daemonSettings))
+        , readBudget(httpserver::readBudgetLimitsWithin(settings::requestMemory(daemonSettings).operators))
     {
     }
 
--- a/src/telemetry/internal/telemetrymodule.cpp
+++ b/src/telemetry/internal/telemetrymodule.cpp
@@ -1,25 +1,12 @@
 #include "telemetry/telemetrymodule.h"
 
 #include "foundation/eventloopthread.h"
-#include "foundation/processusage.h"
 #include "httpserver/httpserver.h"
 #include "telemetry/otlpfiletracer.h"
 #include "telemetry/telemetryhandler.h"
 
 namespace turmericsill::telemetry {
 
-namespace {
-
-    httpserver::ReadBudgetLimits readBudgetLimits(const settings::DaemonSettings& settings)
-    {
-        httpserver::ReadBudgetLimits limits;
-        limits.bytes = settings::requestMemory(settings).telemetry;
-        limits.descriptors = foundation::descriptorLimit();
-        return limits;
-    }
-
-} // namespace
-
 class TelemetryModule::Impl {
 public:
     explicit Impl(const settings::DaemonSettings& settings)
@@ -29,7 +16,7 @@
         , readiness(std::make_shared<Readiness>())
         , tracer(std::make_shared<OtlpFileTracer>(settings.traceFile, settings.entry))
         , handler(*metrics, *readiness)
-        , readBudget(readBudgetLimits(settings))
+        , readBudget(httpserver::readBudgetLimitsWithin(settings::requestMemory(settings).telemetry))
         , server(thread.context(), handler, httpserver::ServerLimits(), &readBudget)
     {
     }
