Event loops: the entry and the daemon's threads run theirs by one function

Cause: EventLoopThread::run() repeated the loop of EntryProcess; only what is done with the exception differs. Change: foundation::runUntilStopped() takes that as an argument. Behaviour, the event and the log line are as before.

--- a/src/entryd/entryprocess.h
+++ b/src/entryd/entryprocess.h
@@ -66,7 +66,6 @@
     httpserver::ReadBudgetLimits readBudgetLimits() const;
     httpserver::ServerLimits callerLimits() const;
     void connectComponents();
-    void runEventLoop();
     foundation::Result<void> listen();
     void watchSignals();
     void onSignal(int signal);
--- a/src/entryd/internal/entryprocess.cpp
+++ b/src/entryd/internal/entryprocess.cpp
@@ -1,5 +1,6 @@
 #include "entryd/entryprocess.h"
 
+#include "foundation/eventloopthread.h"
 #include "httpclient/types/responselimits.h"
 
 #include <algorithm>
@@ -223,23 +224,13 @@
     updateReadiness();
     flushEvents();
     reportLoad(clock_.now());
-    runEventLoop();
+    foundation::runUntilStopped(context_, [this](const std::exception& error) {
+        events_.write("process.exception", { { "reason", std::string(error.what()) } });
+    });
     events_.write("process.stop", { { "offset", jobFollower_.offset() } });
     return {};
 }
 
-// An exception that leaves a handler ends what this handler was doing, not the process.
-void EntryProcess::runEventLoop()
-{
-    while (!context_.stopped()) {
-        try {
-            context_.run();
-        } catch (const std::exception& error) {
-            events_.write("process.exception", { { "reason", std::string(error.what()) } });
-        }
-    }
-}
-
 void EntryProcess::updateReadiness()
 {
     if (declarationWatcher_.version() > 0 && jobFollower_.hasCaughtUp())
--- a/src/foundation/eventloopthread.h
+++ b/src/foundation/eventloopthread.h
@@ -2,11 +2,17 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
+#include <exception>
+#include <functional>
 #include <string>
 #include <thread>
 
 namespace turmericsill::foundation {
 
+/// Runs the handlers of a context until it is stopped. An exception that leaves a handler ends what this handler was
+/// doing, not the process; it is passed to `onException`.
+void runUntilStopped(boost::asio::io_context& context, const std::function<void(const std::exception&)>& onException);
+
 /// Thread that runs the event loop of one component on an Asio context of its own.
 class EventLoopThread {
 public:
--- a/src/foundation/internal/eventloopthread.cpp
+++ b/src/foundation/internal/eventloopthread.cpp
@@ -1,6 +1,5 @@
 #include "foundation/eventloopthread.h"
 
-#include <exception>
 #include <glog/logging.h>
 #include <pthread.h>
 #include <utility>
@@ -14,6 +13,17 @@
 
 } // namespace
 
+void runUntilStopped(boost::asio::io_context& context, const std::function<void(const std::exception&)>& onException)
+{
+    while (!context.stopped()) {
+        try {
+            context.run();
+        } catch (const std::exception& error) {
+            onException(error);
+        }
+    }
+}
+
 EventLoopThread::EventLoopThread(std::string name)
     : name_(std::move(name))
     , workGuard_(context_.get_executor())
@@ -28,16 +38,11 @@
     pthread_setname_np(thread_.native_handle(), name_.substr(0, maximumThreadNameLength).c_str());
 }
 
-// An exception that leaves a handler ends what this handler was doing, not the process.
 void EventLoopThread::run()
 {
-    while (!context_.stopped()) {
-        try {
-            context_.run();
-        } catch (const std::exception& error) {
-            LOG_EVERY_T(ERROR, exceptionLogIntervalSeconds) << "thread " << name_ << ": " << error.what();
-        }
-    }
+    runUntilStopped(context_, [this](const std::exception& error) {
+        LOG_EVERY_T(ERROR, exceptionLogIntervalSeconds) << "thread " << name_ << ": " << error.what();
+    });
 }
 
 void EventLoopThread::stop()
