Settings: the memory for requests and responses is reckoned in one place

Cause: the settings of the daemon repeated memoryFor() and its constants from those of an entry. Change: settings/internal/memoryshare.h serves both. Values and faults are as before; their tests are unchanged.

--- a/src/settings/internal/daemonsettings.cpp
+++ b/src/settings/internal/daemonsettings.cpp
@@ -2,6 +2,7 @@
 
 #include "jsonsource/objectschema.h"
 #include "settings/internal/fieldcopier.h"
+#include "settings/internal/memoryshare.h"
 
 #include <algorithm>
 
@@ -14,8 +15,6 @@
     using jsonsource::ObjectSchema;
 
     constexpr double maximumIntervalMs = 600000;
-    constexpr std::size_t megabyte = 1 << 20;
-    constexpr std::size_t memoryShare = 4; ///< Requests and responses may each take one of so many parts.
     constexpr std::size_t requestMemoryWithoutLimit = 256 * megabyte;
     constexpr std::size_t responseMemoryWithoutLimit
         = 512 * megabyte; ///< Half of it takes the largest page of the log.
@@ -112,19 +111,11 @@
             document.addFault(faults, "/maximum_body_bytes", "expected at most three sixteenths of request_memory_mb");
     }
 
-    std::size_t memoryFor(
-        const std::optional<std::size_t>& megabytes, const DaemonSettings& settings, std::size_t withoutLimit)
-    {
-        if (megabytes)
-            return *megabytes * megabyte;
-        return settings.memoryLimitMb ? *settings.memoryLimitMb * megabyte / memoryShare : withoutLimit;
-    }
-
 } // namespace
 
 RequestMemory requestMemory(const DaemonSettings& settings)
 {
-    const std::size_t sum = memoryFor(settings.requestMemoryMb, settings, requestMemoryWithoutLimit);
+    const std::size_t sum = memoryFor(settings.requestMemoryMb, settings.memoryLimitMb, requestMemoryWithoutLimit);
     return { sum * 3 / 8, sum / 2, sum / 8 };
 }
 
@@ -135,7 +126,7 @@
 
 ResponseMemory responseMemory(const DaemonSettings& settings)
 {
-    const std::size_t sum = memoryFor(settings.responseMemoryMb, settings, responseMemoryWithoutLimit);
+    const std::size_t sum = memoryFor(settings.responseMemoryMb, settings.memoryLimitMb, responseMemoryWithoutLimit);
     return { sum / 2, sum / 4, sum / 8 };
 }
 
--- a/src/settings/internal/entrysettings.cpp
+++ b/src/settings/internal/entrysettings.cpp
@@ -2,6 +2,7 @@
 
 #include "jsonsource/objectschema.h"
 #include "settings/internal/fieldcopier.h"
+#include "settings/internal/memoryshare.h"
 
 #include <cmath>
 
@@ -16,8 +17,6 @@
     constexpr double maximumIntervalMs = 600000;
     constexpr double minimumLogBytes = 8192; ///< Takes a job with the longest text that the platform allows.
     constexpr double maximumLogBytes = 1 << 30;
-    constexpr std::size_t megabyte = 1 << 20;
-    constexpr std::size_t memoryShare = 4; ///< Requests and responses may each take one of so many parts.
     constexpr std::size_t requestMemoryWithoutLimit = 64 * megabyte;
     constexpr std::size_t responseMemoryWithoutLimit = 256 * megabyte; ///< Enough for a page of the largest log read.
     /// Of 4,100 descriptors 1,100 are left for files, instances, other entries and the store.
@@ -110,14 +109,6 @@
         return result;
     }
 
-    std::size_t memoryFor(
-        const std::optional<std::size_t>& megabytes, const EntrySettings& settings, std::size_t withoutLimit)
-    {
-        if (megabytes)
-            return *megabytes * megabyte;
-        return settings.memoryLimitMb ? *settings.memoryLimitMb * megabyte / memoryShare : withoutLimit;
-    }
-
     void checkLimits(const jsonsource::Document& document, const EntrySettings& settings, jsonsource::Faults& faults)
     {
         if (settings.memoryLimitMb && requestMemoryBytes(settings) > *settings.memoryLimitMb * megabyte / 2)
@@ -134,12 +125,12 @@
 
 std::size_t requestMemoryBytes(const EntrySettings& settings)
 {
-    return memoryFor(settings.requestMemoryMb, settings, requestMemoryWithoutLimit);
+    return memoryFor(settings.requestMemoryMb, settings.memoryLimitMb, requestMemoryWithoutLimit);
 }
 
 std::size_t responseMemoryBytes(const EntrySettings& settings)
 {
-    return memoryFor(settings.responseMemoryMb, settings, responseMemoryWithoutLimit);
+    return memoryFor(settings.responseMemoryMb, settings.memoryLimitMb, responseMemoryWithoutLimit);
 }
 
 std::size_t maximumCallerConnections(const EntrySettings& settings)
