Soak: the memory of an entry is read as the process tests read it, and checked once

Cause: the soak parsed /proc/PID/status by itself, and kept a flag so that a breach was told once, which its peak tells anyway. Change: processStatusKb() serves both; the peak is checked when the jobs are. The crowd is drawn before the first step instead of in it. The bound is as before.

--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -1,5 +1,7 @@
 #include "soak/soak.h"
 
+#include "processtests/processstatus.h"
+
 #include <algorithm>
 #include <csignal>
 #include <fstream>
@@ -23,7 +25,7 @@
     constexpr milliseconds shutdownGrace { 6000 }; ///< Time within which an entry that is told to stop exits.
     constexpr milliseconds requestReadTime { 200 }; ///< Time within which an entry without faults reads a request.
     constexpr milliseconds crowdInterval { 20 }; ///< Interval at which each client of the crowd may send.
-    constexpr milliseconds memoryCheckInterval { 100 };
+    constexpr milliseconds memoryInterval { 100 };
     constexpr milliseconds queryInterval { 150 }; ///< Interval of status queries during the fault phase.
     constexpr std::uint64_t firstJobId = 0x50a0000000000000;
     constexpr unsigned statusOk = 200;
@@ -69,9 +71,11 @@
 
 bool Soak::run()
 {
-    if (plan_.crowdPerPort > 0)
+    if (plan_.crowdPerPort > 0) {
+        crowd_ = std::make_unique<UntrustedCrowd>(plan_.crowdPorts, plan_.crowdPerPort, random_);
         pressEntries();
-    checkMemory();
+    }
+    measureMemory();
     submitNextJob();
     queryRandomJob();
     injectFault();
@@ -110,31 +114,20 @@
 
 void Soak::pressEntries()
 {
-    if (!crowd_)
-        crowd_ = std::make_unique<UntrustedCrowd>(plan_.crowdPorts, plan_.crowdPerPort, random_);
-    crowd_->step();
     if (isRecovering_)
         return crowd_.reset();
+    crowd_->step();
     schedule(crowdInterval, [this] { pressEntries(); });
 }
 
-void Soak::checkMemory()
+void Soak::measureMemory()
 {
     for (const auto& pidFile : plan_.pidFiles) {
         std::string pid;
         std::ifstream(pidFile) >> pid;
-        std::ifstream status("/proc/" + pid + "/status");
-        for (std::string field; status >> field;) {
-            std::size_t residentKb = 0;
-            if (field == "VmHWM:" && status >> residentKb)
-                peakResidentKb_ = std::max(peakResidentKb_, residentKb);
-        }
+        peakResidentKb_ = std::max(peakResidentKb_, processtests::processStatusKb(pid, "VmHWM:"));
     }
-    if (plan_.memoryLimitKb > 0 && peakResidentKb_ > plan_.memoryLimitKb && !hasExceededMemory_) {
-        hasExceededMemory_ = true;
-        violations_.push_back("an entry has taken " + std::to_string(peakResidentKb_) + " kB");
-    }
-    schedule(memoryCheckInterval, [this] { checkMemory(); });
+    schedule(memoryInterval, [this] { measureMemory(); });
 }
 
 void Soak::submitNextJob()
@@ -348,6 +341,8 @@
         if (job.outcome == SubmissionOutcome::Accepted && !job.isFinal)
             violations_.push_back("an accepted job was not finished: " + formatId(id));
     }
+    if (plan_.memoryLimitKb > 0 && peakResidentKb_ > plan_.memoryLimitKb)
+        violations_.push_back("an entry has taken " + std::to_string(peakResidentKb_) + " kB");
     checkPlatformFigures();
 }
 
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -71,7 +71,7 @@
     };
 
     void pressEntries();
-    void checkMemory();
+    void measureMemory();
     void submitNextJob();
     void submitNewJob(const std::string& key);
     void submitJob(std::uint64_t id, std::size_t entry);
@@ -114,7 +114,6 @@
     std::vector<std::string> violations_;
     foundation::SteadyTime startedAt_;
     foundation::SteadyTime recoveryDeadline_;
-    bool hasExceededMemory_ = false;
     bool isRecovering_ = false;
     bool isFinished_ = false;
 };
--- a/src/processtests/processundertest.cpp
+++ b/src/processtests/processundertest.cpp
@@ -1,11 +1,12 @@
 #include "processtests/processundertest.h"
 
+#include "processtests/processstatus.h"
+
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
 #include <filesystem>
-#include <fstream>
 #include <spawn.h>
 #include <sys/resource.h>
 #include <sys/wait.h>
@@ -109,13 +110,7 @@
 
 std::size_t ProcessUnderTest::statusKb(const std::string& field) const
 {
-    std::ifstream status("/proc/" + std::to_string(process_) + "/status");
-    for (std::string name; status >> name;) {
-        std::size_t value = 0;
-        if (name == field && status >> value)
-            return value;
-    }
-    return 0;
+    return processStatusKb(std::to_string(process_), field);
 }
 
 std::size_t ProcessUnderTest::openDescriptors() const
