--- a/src/identity/internal/teamkeydirectory.cpp
+++ b/src/identity/internal/teamkeydirectory.cpp
@@ -89,9 +89,7 @@
 {
     const milliseconds age = configurationAge_();
     Identification result = look(queue, keys, age);
-    const bool isAccepted
-        = result.outcome == IdentificationOutcome::Identified || result.outcome == IdentificationOutcome::NotRequired;
-    if (!isAccepted)
+    if (!result.isAccepted())
         events_.write("caller.refused",
             { { "queue", queue.name }, { "outcome", toText(result.outcome) }, { "configuration", version_ },
                 { "age_ms", std::int64_t(age == milliseconds::max() ? -1 : age.count()) } });
--- a/src/identity/types/identification.h
+++ b/src/identity/types/identification.h
@@ -18,6 +18,12 @@
 struct Identification {
     IdentificationOutcome outcome = IdentificationOutcome::MissingKey;
     std::string team; ///< Empty unless the caller was identified.
+
+    /// Whether the request may be carried out.
+    bool isAccepted() const
+    {
+        return outcome == IdentificationOutcome::Identified || outcome == IdentificationOutcome::NotRequired;
+    }
 };
 
 } // namespace turmericsill::identity
--- a/src/jobs/types/tasklist.h
+++ b/src/jobs/types/tasklist.h
@@ -22,8 +22,10 @@
 
     const Task& operator[](std::size_t index) const
     {
+        if (index < touched_.size())
+            return touched_[index];
         static const Task untouched;
-        return index < touched_.size() ? touched_[index] : untouched;
+        return untouched;
     }
 
     /// For changing the task.
