Tests: shared beginnings of the team tests and of the submitter's, a request without a constant argument

Cause: admissiontests.cpp and teamratestests.cpp had the same configuration with teams, two cases of jobsubmittertests.cpp the same five lines, and the ordinary request of an entry under test took its only content type as an argument. Change: scheduling/tests/teamfixtures.h, SubmitterFixture::loseAnswerToRejected(), postRequest(). Every assertion, crowd and bound is as before.

--- a/src/entryd/tests/entryundertest.cpp
+++ b/src/entryd/tests/entryundertest.cpp
@@ -13,11 +13,11 @@
 
 namespace {
 
-    std::string requestWith(
-        const std::string& target, const std::string& host, const std::string& contentType, const std::string& body)
+    std::string postRequest(const std::string& target, const std::string& host, const std::string& body)
     {
-        return "POST " + target + " HTTP/1.1\r\nHost: " + host + "\r\nConnection: close\r\nContent-Type: " + contentType
-            + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+        return "POST " + target + " HTTP/1.1\r\nHost: " + host
+            + "\r\nConnection: close\r\nContent-Type: application/json\r\nContent-Length: "
+            + std::to_string(body.size()) + "\r\n\r\n" + body;
     }
 
 } // namespace
@@ -48,8 +48,7 @@
 
 bool EntryUnderTest::answersOrdinaryRequest() const
 {
-    const std::string request
-        = requestWith("/jobs/0123456789abcdef", "jobs", "application/json", std::string(4096, 'x'));
+    const std::string request = postRequest("/jobs/0123456789abcdef", "jobs", std::string(4096, 'x'));
     return processtests::succeedsInTime([&] {
         // What the handler answers as long as it could not read the configuration from the store; afterwards it knows
         // that there is no such queue.
@@ -70,7 +69,7 @@
 
 std::string EntryUnderTest::submit(const std::string& job, const std::string& body) const
 {
-    return exchange(port(Listener::Caller), requestWith("/calls/" + job, "calls.example", "application/json", body));
+    return exchange(port(Listener::Caller), postRequest("/calls/" + job, "calls.example", body));
 }
 
 std::size_t EntryUnderTest::logBytes() const { return std::filesystem::file_size(folder_.file("log")); }
--- a/src/eventlog/tests/jobsubmittertests.cpp
+++ b/src/eventlog/tests/jobsubmittertests.cpp
@@ -87,6 +87,16 @@
         return jobs::encode(record, 0).size();
     }
 
+    /// Submits a job that an overloaded controller rejects; the answer to the first attempt is lost.
+    void loseAnswerToRejected(JobId id, std::size_t payloadBytes)
+    {
+        path.overloadedSizes.insert(sizeOf(id, payloadBytes));
+        path.isHeld = true;
+        submit(id, payloadBytes);
+        path.loseHeld();
+        path.isHeld = false;
+    }
+
     RejectingPath path;
     foundation::mocks::ManualClock clock;
     foundation::TimerQueue timers;
@@ -161,11 +171,7 @@
 TEST_CASE("submitter: a rejected record that may be stored is sent again", "[eventlog]")
 {
     SubmitterFixture fixture;
-    fixture.path.overloadedSizes.insert(SubmitterFixture::sizeOf(1, 10));
-    fixture.path.isHeld = true;
-    fixture.submit(1, 10);
-    fixture.path.loseHeld();
-    fixture.path.isHeld = false;
+    fixture.loseAnswerToRejected(1, 10);
     for (int i = 0; i < 3; ++i) {
         fixture.clock.time += milliseconds(40);
         fixture.timers.runDue(fixture.clock.now());
@@ -181,11 +187,7 @@
 TEST_CASE("submitter: a rejected record that may be stored has an unknown outcome at its deadline", "[eventlog]")
 {
     SubmitterFixture fixture;
-    fixture.path.overloadedSizes.insert(SubmitterFixture::sizeOf(1, 10));
-    fixture.path.isHeld = true;
-    fixture.submit(1, 10);
-    fixture.path.loseHeld();
-    fixture.path.isHeld = false;
+    fixture.loseAnswerToRejected(1, 10);
     for (int i = 0; i < 80; ++i) {
         fixture.clock.time += milliseconds(40);
         fixture.timers.runDue(fixture.clock.now());
--- a/src/scheduling/tests/admissiontests.cpp
+++ b/src/scheduling/tests/admissiontests.cpp
@@ -1,5 +1,6 @@
 #include "scheduling/admission.h"
 #include "scheduling/teamrates.h"
+#include "scheduling/tests/teamfixtures.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -18,19 +19,6 @@
 constexpr SteadyTime start { 100s };
 constexpr std::int64_t core = 1000;
 
-fleet::FleetConfiguration withTeams(const std::map<std::string, double>& weights)
-{
-    fleet::FleetConfiguration configuration;
-    configuration.teams.emplace();
-    for (const auto& [name, weight] : weights) {
-        fleet::Team team;
-        team.name = name;
-        team.weight = weight;
-        configuration.teams->emplace(name, team);
-    }
-    return configuration;
-}
-
 WaitingWork workOf(jobs::JobId id, const std::string& team, double coreSeconds, bool exceedsTeamRate = false)
 {
     return { { 1, true, exceedsTeamRate, false, coreSeconds, id }, team, coreSeconds, core };
--- a/src/scheduling/tests/teamratestests.cpp
+++ b/src/scheduling/tests/teamratestests.cpp
@@ -1,4 +1,5 @@
 #include "scheduling/teamrates.h"
+#include "scheduling/tests/teamfixtures.h"
 
 #include <catch2/catch.hpp>
 
@@ -11,19 +12,6 @@
 
 constexpr SteadyTime start { 100s };
 
-fleet::FleetConfiguration withTeams(const std::map<std::string, double>& weights)
-{
-    fleet::FleetConfiguration configuration;
-    configuration.teams.emplace();
-    for (const auto& [name, weight] : weights) {
-        fleet::Team team;
-        team.name = name;
-        team.weight = weight;
-        configuration.teams->emplace(name, team);
-    }
-    return configuration;
-}
-
 /// Submits a job; returns whether it is within the rate of its team.
 bool submit(TeamRates& rates, const std::string& team, SteadyTime now)
 {
