Waves: a machine that cannot be emptied stays in service

Cause: planWave() cordoned each machine that planMaintenance() picked, and only the order for its maintenance ended that. The order is sent once no long-running task is left, so a task without a place, or whose disruption budget others had used up, kept its machine from all work: for as long as it ran, after the wave's deadline and under the next controller as well.

Now a machine is evacuated only when each of its long-running tasks can leave: EvacuationPlanner asks for the budgets, and RelocationRoom for places, by the code that places the tasks afterwards. Tasks of other machines that are being evacuated get their places first, so that two machines are not each other's refuge. A machine that is not evacuated takes work, is checked again every 0.5 s, and its maintenance remains due. An evacuation without progress for 2 s is cancelled and tried again after 3 s. Draining instances use the same search for places.

"upkeep.deferred" (machine, wave, task, reason, since) and "upkeep.resumed" tell which machine waits for what, and maintenance_deferred_machines{reason} and maintenance_deferred_since_timestamp_seconds count them.

--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -141,6 +141,21 @@
     /// Instances of a pool that accept new tasks.
     const scheduling::InstanceIndex& instancesOf(const std::string& pool);
 
+    /// Room of a pool for tasks that are to be relocated; see PoolScheduler::relocationRoom().
+    std::unique_ptr<scheduling::RelocationRoom> relocationRoom(const std::string& pool, std::set<std::string> excluded);
+
+    /// Pool in which the tasks of a job are placed.
+    const std::string& poolOf(const jobs::Job& job) const { return scheduler_.poolOf(job); }
+
+    /// Whether a team holds more than its cap, so that none of its tasks starts.
+    bool exceedsTeamCap(const std::string& team) const { return scheduler_.exceedsCap(team); }
+
+    /// Whether the tasks of a job start only on instances for which there is a ticket.
+    bool requiresTicket(const jobs::Job& job) const;
+
+    /// Asks for tickets with which a step of a job may start.
+    void requestTickets(const jobs::Job& job, const scheduling::StepId& step);
+
 private:
     /// What keeps the thread of the controller busy.
     struct LoadReport {
@@ -191,7 +206,7 @@
     void stopRuns(const jobs::Job& job);
     void repeatStops();
     void startPlacements(const std::string& pool, const scheduling::PoolPlan& plan);
-    void requestAdvice(const scheduling::PoolPlan& plan, const scheduling::InstanceIndex& instances);
+    void requestAdvice(const std::vector<scheduling::StepId>& steps, const scheduling::InstanceIndex& instances);
     void failJobIfAttemptsExhausted(const jobs::Job& job);
     void removeExpiredJobs();
     bool isSchedulable(const InstanceSession& session) const;
--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -407,7 +407,7 @@
 
 void Controller::startPlacements(const std::string& pool, const scheduling::PoolPlan& plan)
 {
-    requestAdvice(plan, scheduler_.instancesOf(pool));
+    requestAdvice(plan.stepsAwaitingTickets, scheduler_.instancesOf(pool));
     if (plan.placements.empty())
         return;
     load_.placements += plan.placements.size();
@@ -457,16 +457,35 @@
     return scheduler_.instancesOf(pool);
 }
 
+// A change of an instance would invalidate the room, so all of them are applied first.
+std::unique_ptr<scheduling::RelocationRoom> Controller::relocationRoom(
+    const std::string& pool, std::set<std::string> excluded)
+{
+    applySessionChanges();
+    return scheduler_.relocationRoom(pool, adviceCache_.validTickets(), std::move(excluded));
+}
+
+bool Controller::requiresTicket(const Job& job) const
+{
+    const fleet::Queue* queue = configuration_.findQueue(job.queue);
+    return queue && queue->advice.has_value();
+}
+
+void Controller::requestTickets(const Job& job, const scheduling::StepId& step)
+{
+    requestAdvice({ step }, scheduler_.instancesOf(poolOf(job)));
+}
+
 // Instances with the most free processor time are queried first.
-void Controller::requestAdvice(const scheduling::PoolPlan& plan, const scheduling::InstanceIndex& instances)
+void Controller::requestAdvice(const std::vector<scheduling::StepId>& steps, const scheduling::InstanceIndex& instances)
 {
-    if (plan.stepsAwaitingTickets.empty())
+    if (steps.empty())
         return;
     std::vector<std::string> names;
     const auto& byFreeCores = instances.instances();
     for (auto instance = byFreeCores.rbegin(); instance != byFreeCores.rend(); ++instance)
         names.push_back((*instance)->name);
-    for (const auto& step : plan.stepsAwaitingTickets)
+    for (const auto& step : steps)
         adviceCache_.requestTickets(step, names);
 }
 
--- a/src/control/internal/machinemanager.cpp
+++ b/src/control/internal/machinemanager.cpp
@@ -28,7 +28,11 @@
     constexpr milliseconds shortTaskCutoff { 4000 };
     /// Interval of the events that report the demand of each pool.
     constexpr milliseconds demandReportInterval { 1000 };
-    constexpr int servingPercent = 100; ///< Progress at which a long-running task is serving.
+    /// Time without progress after which an evacuation is cancelled: its machine is withheld from other work. Exceeds
+    /// the time in which a relocated task is serving again.
+    constexpr milliseconds evacuationTimeout { 2000 };
+    constexpr milliseconds evacuationRetryInterval { 500 }; ///< Between checks whether a machine can be evacuated.
+    constexpr milliseconds cancelledEvacuationBackoff { 3000 }; ///< Before a cancelled evacuation begins again.
 
 } // namespace
 
@@ -41,6 +45,8 @@
     , settings_(settings)
     , ordersAllowedAt_(ordersAllowedAt)
     , isControlConfirmed_(std::move(isControlConfirmed))
+    , evacuationPlanner_(context.follower, context.clock, controller)
+    , deferredMaintenance_(context.clock, context.events)
 {
 }
 
@@ -79,6 +85,7 @@
 void MachineManager::tick()
 {
     const auto now = context_.clock.now();
+    setLeavingInstances();
     evacuateDrainingInstances();
     if (!isListing_ && now - lastListRequestAt_ >= listInterval())
         listMachines();
@@ -105,6 +112,7 @@
             if (!*alive)
                 return;
             isListing_ = false;
+            hasLastListFailed_ = !machines;
             if (!machines) {
                 context_.events.write("machines.unavailable", { { "reason", machines.error().message() } });
                 return;
@@ -210,8 +218,10 @@
         if (controller_.hasStartedMaintenance(wave.declared.number, machine))
             continue;
         const MachineReport* report = find(machine);
-        if (!report)
+        if (!report) {
+            deferredMaintenance_.end(machine);
             continue; // The machine has left the fleet.
+        }
         isDone = false;
         if (operation != operations_.end() || report->state != MachineState::Up)
             continue;
@@ -226,14 +236,58 @@
     }
     if (isDone)
         return reportWave(wave, true);
-    for (const auto& machine : scheduling::planMaintenance(view)) {
-        MachineOperation operation;
-        operation.wave = wave.declared.number;
-        operation.since = context_.clock.now();
-        operations_[machine] = operation;
-        context_.events.write("upkeep.empties",
-            { { "machine", machine }, { "wave", operation.wave }, { "under_way", std::uint64_t(view.inProgress) } });
+    scheduling::planMaintenance(view, [&](const scheduling::MaintenanceCandidate& candidate) {
+        if (!canEvacuate(candidate.machine, wave.declared.number))
+            return false;
+        beginEvacuation(candidate.machine, wave.declared.number, view.inProgress);
+        return true;
+    });
+}
+
+bool MachineManager::canEvacuate(const std::string& machine, std::uint64_t wave)
+{
+    if (!deferredMaintenance_.isRetryDue(machine))
+        return false;
+    const InstanceSessionPtr session = sessionOf(machines_.at(machine));
+    std::optional<BlockedEvacuation> blocked;
+    if (hasLastListFailed_)
+        blocked = BlockedEvacuation { EvacuationObstacle::MachineControl, {} };
+    else if (session)
+        blocked = evacuationPlanner_.findObstacle(*session);
+    if (blocked)
+        deferredMaintenance_.defer(machine, wave, *blocked, evacuationRetryInterval);
+    return !blocked;
+}
+
+void MachineManager::beginEvacuation(const std::string& machine, std::uint64_t wave, std::uint32_t underWay)
+{
+    MachineOperation operation;
+    operation.wave = wave;
+    operation.since = context_.clock.now();
+    operations_[machine] = operation;
+    evacuationPlanner_.addLeaving(machines_.at(machine).instance);
+    deferredMaintenance_.end(machine);
+    context_.events.write(
+        "upkeep.empties", { { "machine", machine }, { "wave", wave }, { "under_way", std::uint64_t(underWay) } });
+}
+
+// The machine returns to service; its maintenance remains due.
+void MachineManager::cancelEvacuation(const std::string& machine, const BlockedEvacuation& blocked)
+{
+    const auto found = operations_.find(machine);
+    deferredMaintenance_.defer(machine, found->second.wave, blocked, cancelledEvacuationBackoff);
+    operations_.erase(found);
+    setLeavingInstances();
+}
+
+void MachineManager::setLeavingInstances()
+{
+    std::set<std::string> leaving;
+    for (const auto& [machine, operation] : operations_) {
+        if (const MachineReport* report = find(machine); report && !report->instance.empty())
+            leaving.insert(report->instance);
     }
+    evacuationPlanner_.setLeaving(std::move(leaving));
 }
 
 void MachineManager::evacuateMachines()
@@ -255,18 +309,34 @@
     const InstanceSessionPtr session = sessionOf(*report);
     if (!session || session->runs().empty())
         return requestMaintenance(machine, operation);
+    const auto now = context_.clock.now();
     bool hasLongRunning = false;
+    bool hasProgress = false;
+    std::optional<BlockedEvacuation> blocked;
     for (const auto& [task, run] : session->runs()) {
         hasLongRunning |= run.isLongRunning;
+        hasProgress |= run.isLongRunning && run.isStopping;
         if (!run.isLongRunning || run.isStopping)
             continue;
-        if (canRelocate(task) && hasRoomElsewhere(*session, task))
-            return controller_.relocate(*session, task);
+        const auto obstacle = evacuationPlanner_.findObstacle(*session, task);
+        if (!obstacle) {
+            operation.since = now;
+            return evacuationPlanner_.relocate(*session, task);
+        }
+        if (!blocked)
+            blocked = obstacle;
+    }
+    if (!hasLongRunning) {
+        const auto wave = waves_.find(operation.wave);
+        const bool isLate = wave != waves_.end() && now > wave->second.deadline - shortTaskCutoff;
+        if (isLate)
+            requestMaintenance(machine, operation);
+        return;
     }
-    const auto wave = waves_.find(operation.wave);
-    const bool isLate = wave != waves_.end() && context_.clock.now() > wave->second.deadline - shortTaskCutoff;
-    if (!hasLongRunning && isLate)
-        requestMaintenance(machine, operation);
+    if (hasProgress)
+        operation.since = now;
+    if (blocked && now - operation.since >= evacuationTimeout)
+        cancelEvacuation(machine, *blocked);
 }
 
 // A draining instance exits within seconds and ends everything that runs on it.
@@ -275,54 +345,16 @@
     for (const auto& [name, session] : controller_.sessions()) {
         if (!session->report().isDraining || !session->isListed())
             continue;
-        std::vector<TaskId> leaving;
+        std::vector<TaskId> longRunning;
         for (const auto& [task, run] : session->runs()) {
-            if (run.isLongRunning && !run.isStopping && hasRoomElsewhere(*session, task))
-                leaving.push_back(task);
+            if (run.isLongRunning && !run.isStopping)
+                longRunning.push_back(task);
         }
-        for (const auto& task : leaving)
-            controller_.relocate(*session, task);
-    }
-}
-
-// A task may be relocated if fewer other tasks of its step than the disruption budget are unavailable for any reason.
-bool MachineManager::canRelocate(const TaskId& task) const
-{
-    const jobs::Job* job = context_.follower.table().find(task.job);
-    if (!job)
-        return false;
-    const auto& spec = job->spec.steps[task.step];
-    if (!spec.hasDisruptionBudget)
-        return true;
-    std::uint32_t away = 0;
-    const auto& tasks = job->occurrences.at(task.occurrence).steps[task.step].tasks;
-    for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-        if (index == task.index)
-            continue;
-        const TaskId other { task.job, task.occurrence, task.step, index };
-        const auto session = controller_.sessions().find(tasks[index].incarnation.instance);
-        bool isServing = false;
-        if (tasks[index].phase == jobs::TaskPhase::Active && session != controller_.sessions().end()) {
-            const auto run = session->second->runs().find(other);
-            isServing = run != session->second->runs().end() && run->second.percent >= servingPercent
-                && !run->second.isStopping && session->second->isInContact();
+        for (const auto& task : longRunning) {
+            if (evacuationPlanner_.hasPlace(*session, task))
+                evacuationPlanner_.relocate(*session, task);
         }
-        away += !isServing;
     }
-    return away < spec.disruptionBudget;
-}
-
-bool MachineManager::hasRoomElsewhere(const InstanceSession& session, const TaskId& task) const
-{
-    const jobs::Job* job = context_.follower.table().find(task.job);
-    if (!job || !session.hasReport())
-        return false;
-    const jobs::Resources need = scheduling::resourceRequest(job->spec.steps[task.step]);
-    const auto& instances = controller_.instancesOf(session.report().pool).instances();
-    return std::any_of(scheduling::InstanceIndex::firstWithFreeCores(instances, need.milliCores), instances.end(),
-        [&](const scheduling::IndexedInstance* other) {
-            return other->name != session.incarnation().instance && need.fitsInto(other->view.free);
-        });
 }
 
 void MachineManager::requestMaintenance(const std::string& machine, MachineOperation& operation)
--- a/src/control/internal/poolscheduler.cpp
+++ b/src/control/internal/poolscheduler.cpp
@@ -3,6 +3,7 @@
 #include "scheduling/placementplanner.h"
 
 #include <algorithm>
+#include <tuple>
 #include <unordered_set>
 #include <utility>
 
@@ -52,6 +53,17 @@
     return queue ? queue->pool : job.pool;
 }
 
+bool PoolScheduler::exceedsCap(const std::string& team) const
+{
+    const auto found = usage_.teams().find(team);
+    if (!configuration_.teams || team.empty() || found == usage_.teams().end())
+        return false;
+    const auto& [cap, held] = std::tie(found->second.cap, found->second.held);
+    return (cap.milliCores > 0 && held.milliCores > cap.milliCores)
+        || (cap.memoryMb > 0 && held.memoryMb > cap.memoryMb)
+        || (cap.accelerators > 0 && held.accelerators > cap.accelerators);
+}
+
 // The runs of a final job count until they have ended.
 void PoolScheduler::updateUsage(jobs::JobId id)
 {
--- a/src/control/internal/poolscheduler.h
+++ b/src/control/internal/poolscheduler.h
@@ -7,6 +7,7 @@
 #include "scheduling/instanceindex.h"
 #include "scheduling/poolbacklog.h"
 #include "scheduling/rackwaits.h"
+#include "scheduling/relocationroom.h"
 #include "scheduling/teamshares.h"
 #include "scheduling/teamusage.h"
 #include "scheduling/types/poolview.h"
@@ -16,6 +17,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 
@@ -65,6 +67,20 @@
     /// Instances of a pool that accept tasks.
     const scheduling::InstanceIndex& instancesOf(const std::string& pool) { return pools_[pool].instances; }
 
+    /// Room of a pool for tasks that are to be relocated. It must not outlive the next change of an instance.
+    std::unique_ptr<scheduling::RelocationRoom> relocationRoom(
+        const std::string& pool, scheduling::StepTickets tickets, std::set<std::string> excluded)
+    {
+        return std::make_unique<scheduling::RelocationRoom>(
+            pools_[pool].instances, std::move(tickets), std::move(excluded));
+    }
+
+    /// Pool in which the tasks of a job are placed.
+    const std::string& poolOf(const jobs::Job& job) const;
+
+    /// Whether a team holds more than its cap.
+    bool exceedsCap(const std::string& team) const;
+
     /// Tasks of a pool that are ready to run, as of the latest change applied; null for a pool without instances and
     /// jobs.
     const scheduling::PoolBacklog* findBacklog(const std::string& pool) const;
@@ -89,7 +105,6 @@
         foundation::SteadyTime submittedAt;
     };
 
-    const std::string& poolOf(const jobs::Job& job) const;
     void updateUsage(jobs::JobId id);
     void resynchronize(const scheduling::PoolPlan& plan);
     std::optional<foundation::SteadyTime> overdueBefore(const PoolState& pool) const;
--- a/src/control/machinemanager.h
+++ b/src/control/machinemanager.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "control/controller.h"
+#include "control/internal/deferredmaintenance.h"
 #include "control/internal/demandtrend.h"
+#include "control/internal/evacuationplanner.h"
 #include "fleet/imachinecontrol.h"
 #include "scheduling/types/fleetview.h"
 
@@ -16,7 +18,8 @@
 
 /// Moves machines between pools and carries out waves of planned maintenance for the controller.
 /// A machine gets one order at a time. Before its maintenance a machine is evacuated: its instance is cordoned,
-/// long-running tasks are relocated within their disruption budgets, and other tasks are left to finish.
+/// long-running tasks are relocated within their disruption budgets, and other tasks are left to finish. A machine that
+/// cannot be evacuated is not cordoned: it stays in service, and its maintenance is deferred.
 class MachineManager {
 public:
     /// No orders are sent before `ordersAllowedAt`, to keep ControlSettings::holderInterval after those of the former
@@ -56,7 +59,7 @@
         std::string targetPool; ///< Set for OperationKind::PoolChange.
         std::string instance; ///< Instance that ran on the machine when it was ordered down.
         jobs::Resources capacity;
-        foundation::SteadyTime since; ///< Time of the latest change of state.
+        foundation::SteadyTime since; ///< Time of the latest change of state, or progress of an evacuation.
         bool isInProgress = false; ///< The order was accepted, or an order to move was not answered.
         bool isRequestPending = false; ///< The answer to the order is pending.
         bool wasSeenDown = false;
@@ -73,11 +76,13 @@
     void closeIdleInstance(const std::string& instance);
     void planWaves();
     void planWave(Wave& wave);
+    bool canEvacuate(const std::string& machine, std::uint64_t wave);
+    void beginEvacuation(const std::string& machine, std::uint64_t wave, std::uint32_t underWay);
+    void cancelEvacuation(const std::string& machine, const BlockedEvacuation& blocked);
+    void setLeavingInstances();
     void evacuateMachines();
     void evacuateDrainingInstances();
     void evacuateMachine(const std::string& machine, MachineOperation& operation);
-    bool canRelocate(const jobs::TaskId& task) const;
-    bool hasRoomElsewhere(const InstanceSession& session, const jobs::TaskId& task) const;
     void requestMaintenance(const std::string& machine, MachineOperation& operation);
     void reportWave(Wave& wave, bool completed);
     std::map<std::string, scheduling::PoolDemand> poolDemands();
@@ -96,6 +101,8 @@
     ControlSettings settings_;
     foundation::SteadyTime ordersAllowedAt_;
     std::function<bool()> isControlConfirmed_;
+    EvacuationPlanner evacuationPlanner_;
+    DeferredMaintenance deferredMaintenance_;
     fleet::FleetConfiguration configuration_;
     std::map<std::string, fleet::MachineReport> machines_;
     std::map<std::string, MachineOperation> operations_; ///< Key: machine name.
@@ -106,6 +113,7 @@
     foundation::SteadyTime lastListRequestAt_ {};
     foundation::SteadyTime listedAsOf_ {}; ///< Time at which the latest list that was answered was requested.
     bool isListing_ = false;
+    bool hasLastListFailed_ = false;
     bool hasMachineList_ = false;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/entryd/entryprocess.h
+++ b/src/entryd/entryprocess.h
@@ -22,6 +22,7 @@
 #include "settings/entrysettings.h"
 #include "telemetry/eventmetrics.h"
 #include "telemetry/jsoneventsink.h"
+#include "telemetry/maintenancemetrics.h"
 #include "telemetry/metricsregistry.h"
 #include "telemetry/readiness.h"
 #include "telemetry/teammetrics.h"
@@ -84,6 +85,7 @@
     telemetry::JsonEventSink eventSink_;
     telemetry::MetricsRegistry metrics_;
     telemetry::TeamMetrics teamMetrics_;
+    telemetry::MaintenanceMetrics maintenanceMetrics_;
     telemetry::EventMetrics events_;
     telemetry::Readiness readiness_;
     prometheus::Gauge& configurationAge_;
--- a/src/entryd/internal/entryprocess.cpp
+++ b/src/entryd/internal/entryprocess.cpp
@@ -96,7 +96,8 @@
     , timers_(context_)
     , eventSink_(settings_.entry, clock_)
     , teamMetrics_(metrics_, eventSink_)
-    , events_(metrics_, teamMetrics_)
+    , maintenanceMetrics_(metrics_, teamMetrics_)
+    , events_(metrics_, maintenanceMetrics_)
     , configurationAge_(metrics_.gauge("configuration_age_seconds",
           "Time since when changes of the configuration that were confirmed may be missing"))
     , declarationClient_(context_, settings_.storeAddress, declarationConnections)
--- a/src/scheduling/internal/stepplacer.cpp
+++ b/src/scheduling/internal/stepplacer.cpp
@@ -75,6 +75,14 @@
     return unplaced == 0;
 }
 
+IndexedInstance* StepPlacer::findPermitted(const std::set<std::string>& excluded) const
+{
+    const InstanceIndex::Order& order = instances_.instances(spec_.requiredLabel);
+    const auto found = std::find_if(InstanceIndex::firstWithFreeCores(order, waiting_.need.milliCores), order.end(),
+        [&](const IndexedInstance* instance) { return !excluded.count(instance->name) && isAllowed(instance->view); });
+    return found == order.end() ? nullptr : *found;
+}
+
 bool StepPlacer::canStart(std::uint32_t index) const
 {
     if (state_.tasks[index].phase != TaskPhase::Pending)
--- a/src/scheduling/internal/stepplacer.h
+++ b/src/scheduling/internal/stepplacer.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <limits>
+#include <set>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -38,6 +39,10 @@
     /// other restrictions of the step.
     bool isOutOfResources() const { return isOutOfResources_; }
 
+    /// An instance, other than those in `excluded`, on which a further task of the step may start; null if there is
+    /// none.
+    IndexedInstance* findPermitted(const std::set<std::string>& excluded) const;
+
 private:
     /// Fields in order of significance; the smallest rank is the best.
     using Rank = std::tuple<bool, bool, bool, std::uint32_t, std::int64_t, std::int64_t>;
--- a/src/scheduling/internal/waveplanner.cpp
+++ b/src/scheduling/internal/waveplanner.cpp
@@ -22,7 +22,8 @@
 
 } // namespace
 
-std::vector<std::string> planMaintenance(const WaveView& wave)
+std::vector<std::string> planMaintenance(
+    const WaveView& wave, const std::function<bool(const MaintenanceCandidate&)>& canEvacuate)
 {
     std::vector<MaintenanceCandidate> order = wave.waiting;
     std::sort(order.begin(), order.end(), [](const MaintenanceCandidate& a, const MaintenanceCandidate& b) {
@@ -36,7 +37,8 @@
         const bool isIdle = candidate.runs == 0;
         if (inProgress >= wave.maximumDown || (!isIdle && inProgress >= required))
             break;
-        chosen.push_back(candidate.machine);
+        if (canEvacuate(candidate))
+            chosen.push_back(candidate.machine);
     }
     return chosen;
 }
--- a/src/scheduling/tests/plannertests.cpp
+++ b/src/scheduling/tests/plannertests.cpp
@@ -446,3 +446,16 @@
     wave.timeLeft = milliseconds(5000);
     CHECK(planMaintenance(wave).size() == 4);
 }
+
+// A machine that cannot be emptied kept its place in the wave, and the others waited for it.
+TEST_CASE("waves: machines that cannot be evacuated are passed over", "[scheduling]")
+{
+    WaveView wave;
+    wave.maximumDown = 2;
+    wave.timeLeft = milliseconds(5000);
+    for (int i = 0; i < 4; ++i)
+        wave.waiting.push_back({ "m-" + std::to_string(i), 3, 1, false });
+    const auto chosen = planMaintenance(wave,
+        [](const MaintenanceCandidate& candidate) { return candidate.machine != "m-0" && candidate.machine != "m-1"; });
+    CHECK(chosen == std::vector<std::string> { "m-2", "m-3" });
+}
--- a/src/telemetry/tests/eventtests.cpp
+++ b/src/telemetry/tests/eventtests.cpp
@@ -1,4 +1,5 @@
 #include "telemetry/eventmetrics.h"
+#include "telemetry/maintenancemetrics.h"
 #include "telemetry/teammetrics.h"
 
 #include <catch2/catch.hpp>
@@ -80,3 +81,28 @@
     CHECK(series == 200);
     CHECK(sink.lines == 1000);
 }
+
+// On call, nobody saw which machines a wave could not empty, since when and why.
+TEST_CASE("maintenance metrics: deferred machines are counted by reason until they are resumed", "[telemetry]")
+{
+    MetricsRegistry metrics;
+    CountingSink sink;
+    MaintenanceMetrics events(metrics, sink);
+    const auto defer = [&](const std::string& machine, const std::string& reason, std::int64_t sinceMs) {
+        events.write("upkeep.deferred", { { "machine", machine }, { "reason", reason }, { "since_ms", sinceMs } });
+    };
+    const auto shows = [&](const std::string& line) { return metrics.text().find(line) != std::string::npos; };
+    defer("m-1", "no-place", 7000);
+    defer("m-2", "no-place", 5000);
+    defer("m-1", "disruption-budget", 7000);
+    CHECK(shows("turmericsill_maintenance_deferred_machines{reason=\"no-place\"} 1"));
+    CHECK(shows("turmericsill_maintenance_deferred_machines{reason=\"disruption-budget\"} 1"));
+    CHECK(shows("turmericsill_maintenance_deferred_since_timestamp_seconds 5"));
+    events.write("upkeep.resumed", { { "machine", std::string("m-2") } });
+    CHECK(shows("turmericsill_maintenance_deferred_machines{reason=\"no-place\"} 0"));
+    CHECK(shows("turmericsill_maintenance_deferred_since_timestamp_seconds 7"));
+    events.write("control.ends", { { "epoch", std::uint64_t(1) } });
+    CHECK(shows("turmericsill_maintenance_deferred_machines{reason=\"disruption-budget\"} 0"));
+    CHECK(shows("turmericsill_maintenance_deferred_since_timestamp_seconds 0"));
+    CHECK(sink.lines == 5);
+}
