Waves: an emptied machine returns to service while its maintenance cannot be ordered

Callers saw pools without free machines while machine control refused the orders of a wave or did not answer them: each machine was emptied, its order failed, and the next tick emptied or ordered it again, withheld from work all the while. Seen in the emulation, where all four machines of a pool are in a wave: none of 16 jobs ran within 12 s.

Cause: an order that failed was repeated at every tick without end, and after a refusal the machine was chosen again at once.

Now a machine whose order is refused, or fails for 2 s and has certainly not been carried out, or is unanswered for 8 s, so that it may still be carried out, returns to service and is tried again 3 s later; "upkeep.deferred" tells the reason (order-refused, machine-control).

--- a/src/control/internal/evacuationplanner.cpp
+++ b/src/control/internal/evacuationplanner.cpp
@@ -30,9 +30,11 @@
     case EvacuationObstacle::LastInService:
         return "last-in-service";
     case EvacuationObstacle::MachineControl:
+        return "machine-control";
+    case EvacuationObstacle::OrderRefused:
         break;
     }
-    return "machine-control";
+    return "order-refused";
 }
 
 // The tasks of the other leaving instances get their places first, so that two instances are not each other's refuge.
--- a/src/control/internal/evacuationplanner.h
+++ b/src/control/internal/evacuationplanner.h
@@ -21,6 +21,7 @@
     TeamCap, ///< The team of a task holds more than its cap, so that the task would not start again.
     LastInService, ///< All other instances of the pool are being evacuated or maintained.
     MachineControl, ///< Machine control does not respond.
+    OrderRefused, ///< Machine control refuses the order.
 };
 
 std::string toText(EvacuationObstacle obstacle);
--- a/src/control/internal/machinemanager.cpp
+++ b/src/control/internal/machinemanager.cpp
@@ -31,6 +31,8 @@
     /// Time without progress after which an evacuation is cancelled: its machine is withheld from other work. Exceeds
     /// the time in which a relocated task is serving again.
     constexpr milliseconds evacuationTimeout { 2000 };
+    /// Time after which the order for an empty machine may be assumed to fail also if it is repeated.
+    constexpr milliseconds orderRetryTimeout { 8000 };
     constexpr milliseconds evacuationRetryInterval { 500 }; ///< Between checks whether a machine can be evacuated.
     constexpr milliseconds cancelledEvacuationBackoff { 3000 }; ///< Before a cancelled evacuation begins again.
 
@@ -376,11 +378,10 @@
                 { { "machine", machine }, { "wave", number }, { "epoch", controller_.epoch() },
                     { "outcome", outcome } });
             if (!result)
-                return; // Retried at the next tick; a repeated order has no further effect.
+                return onMaintenanceNotOrdered(machine, ordered, result.error());
             if (*result != MachineOrderResult::Accepted) {
                 controller_.onMachineNotTakenDown(instance);
-                operations_.erase(machine);
-                return;
+                return cancelEvacuation(machine, { EvacuationObstacle::OrderRefused, {} });
             }
             ordered.kind = OperationKind::Maintenance;
             ordered.isInProgress = true;
@@ -391,6 +392,24 @@
         });
 }
 
+// The order is repeated at the next tick; a repeated order has no further effect. An order without an answer may still
+// be carried out, so its machine is withheld for longer.
+void MachineManager::onMaintenanceNotOrdered(
+    const std::string& machine, MachineOperation& operation, const foundation::Error& error)
+{
+    const auto now = context_.clock.now();
+    operation.hasUnansweredOrder |= error.code != foundation::Errc::Unavailable;
+    if (!operation.orderFailingSince)
+        operation.orderFailingSince = now;
+    const milliseconds timeout = operation.hasUnansweredOrder ? orderRetryTimeout : evacuationTimeout;
+    if (now - *operation.orderFailingSince < timeout)
+        return;
+    const MachineReport* report = find(machine);
+    if (report && !operation.hasUnansweredOrder)
+        controller_.onMachineNotTakenDown(report->instance);
+    cancelEvacuation(machine, { EvacuationObstacle::MachineControl, {} });
+}
+
 void MachineManager::reportWave(Wave& wave, bool completed)
 {
     if (std::exchange(wave.isReporting, true))
--- a/src/control/machinemanager.h
+++ b/src/control/machinemanager.h
@@ -63,6 +63,9 @@
         bool isInProgress = false; ///< The order was accepted, or an order to move was not answered.
         bool isRequestPending = false; ///< The answer to the order is pending.
         bool wasSeenDown = false;
+        /// Since when no order for maintenance was answered, and whether one of them may still be carried out.
+        std::optional<foundation::SteadyTime> orderFailingSince;
+        bool hasUnansweredOrder = false;
     };
 
     /// Authority for orders that lasts as long as this controller is in control.
@@ -84,6 +87,8 @@
     void evacuateDrainingInstances();
     void evacuateMachine(const std::string& machine, MachineOperation& operation);
     void requestMaintenance(const std::string& machine, MachineOperation& operation);
+    void onMaintenanceNotOrdered(
+        const std::string& machine, MachineOperation& operation, const foundation::Error& error);
     void reportWave(Wave& wave, bool completed);
     std::map<std::string, scheduling::PoolDemand> poolDemands();
     void reportDemands(const std::map<std::string, scheduling::PoolDemand>& demands);
--- a/src/emulator/tests/wavetests.cpp
+++ b/src/emulator/tests/wavetests.cpp
@@ -196,3 +196,25 @@
     CHECK(fixture.maintained() == 0);
     CHECK(fixture.violations().empty());
 }
+
+// An emptied machine was withheld for as long as machine control did not respond, or refused the order.
+TEST_CASE("waves: emptied machines return to service while their maintenance cannot be ordered", "[emulation]")
+{
+    WaveFixture fixture(507, { "i-1", "i-2", "i-3", "i-4" });
+    auto& faults = fixture.emulation.platform().faults();
+    faults.isMaintenanceCarriedOut = false;
+    SECTION("refused") { }
+    SECTION("unanswered") { faults.unansweredMaintenanceRatio = 1; }
+    fixture.declareWave(milliseconds(5000));
+    fixture.emulation.advanceTime(milliseconds(6000));
+    std::size_t completed = 0;
+    for (jobs::JobId id = 0x100; id < 0x110; ++id) {
+        fixture.emulation.submit("e-1", id, job({ step(1, 1000) }));
+        fixture.emulation.advanceTime(milliseconds(1000));
+    }
+    fixture.emulation.advanceTime(milliseconds(12000));
+    for (jobs::JobId id = 0x100; id < 0x110; ++id)
+        completed += statusOf(fixture, "e-1", id).state == jobs::JobState::Completed;
+    CHECK(completed == 16);
+    CHECK(fixture.violations().empty());
+}
