Job table: the steps under way in all scheduled jobs together are limited

Cause: startDueOccurrences() made the full state of each occurrence that was due, up to 1,000 for each job and without a limit for all of them; the backlog holds each waiting step once more.

Now OccurrenceBudget counts the steps under way.

--- a/src/entryd/tests/acceptedjobstests.cpp
+++ b/src/entryd/tests/acceptedjobstests.cpp
@@ -2,7 +2,9 @@
 #include "processtests/loopback.h"
 
 #include <catch2/catch.hpp>
+#include <chrono>
 #include <string>
+#include <thread>
 
 // What a caller asks for within all limits of one request may need more memory than any process has. What is accepted
 // stands in the log, so that every entry that reads it pays again.
@@ -48,6 +50,21 @@
     return R"({"spec":"s","steps":[)" + steps + "]}";
 }
 
+/// A job of single-task steps that runs 1,000 times, all of them due at once.
+std::string scheduleOfSteps(int count)
+{
+    std::string steps;
+    for (int i = 0; i < count; ++i)
+        steps += std::string(i == 0 ? "" : ",") + R"({"count":1,"cpu":1000,"mem_mb":64})";
+    return R"({"spec":"s","steps":[)" + steps + R"(],"repeats":1000,"first_ms":1})";
+}
+
+std::string jobIdOf(int number)
+{
+    const std::string digits = std::to_string(number);
+    return std::string(16 - digits.size(), '0') + digits;
+}
+
 } // namespace
 
 // Each task takes memory as soon as its job is accepted, and the log makes each entry that reads it pay.
@@ -74,3 +91,19 @@
     system.entry.restart();
     system.checkAlive();
 }
+
+// Each schedule keeps its own limit, but the occurrences that are due in all of them add up.
+TEST_CASE("untrusted callers: occurrences of many schedules do not exhaust the memory", "[untrusted]")
+{
+    EntryOnPlatform system;
+    for (int number = 1; number <= 24; ++number) {
+        const std::string response = system.entry.submit(jobIdOf(number), scheduleOfSteps(100));
+        INFO(response);
+        CHECK(response.rfind("HTTP/1.1 200", 0) == 0);
+    }
+    std::this_thread::sleep_for(std::chrono::seconds(3)); // The controller has started what is due.
+    system.checkAlive();
+    system.entry.restart();
+    std::this_thread::sleep_for(std::chrono::seconds(3));
+    system.checkAlive();
+}
--- a/src/jobs/internal/job.cpp
+++ b/src/jobs/internal/job.cpp
@@ -1,6 +1,7 @@
 #include "jobs/types/job.h"
 
 #include <algorithm>
+#include <iterator>
 #include <numeric>
 #include <set>
 
@@ -73,6 +74,11 @@
     return std::all_of(steps.begin(), steps.end(), [](const StepState& step) { return step.isDone(); });
 }
 
+bool Occurrence::isUntouched() const
+{
+    return std::all_of(steps.begin(), steps.end(), [](const StepState& step) { return step.tasks.touched().empty(); });
+}
+
 bool Occurrence::isReady(const JobSpec& spec, std::size_t step) const
 {
     const auto& dependsOn = spec.steps[step].dependsOn;
@@ -82,7 +88,7 @@
 
 bool Job::canStartOccurrence() const
 {
-    const std::size_t open = occurrences.size() - completedOccurrences;
+    const std::size_t open = openOccurrences();
     const bool isWithinLimits = open < maximumOpenOccurrences && (open + 1) * spec.taskCount() <= maximumOpenTasks;
     return nextDueOccurrence < occurrenceCount() && (open == 0 || isWithinLimits);
 }
@@ -118,6 +124,12 @@
     return found->second;
 }
 
+void Job::removeUntouchedOccurrences()
+{
+    for (auto occurrence = occurrences.begin(); occurrence != occurrences.end();)
+        occurrence = occurrence->second.isUntouched() ? occurrences.erase(occurrence) : std::next(occurrence);
+}
+
 const Task* Job::find(const TaskId& id) const
 {
     const auto found = occurrences.find(id.occurrence);
--- a/src/jobs/internal/jobtable.cpp
+++ b/src/jobs/internal/jobtable.cpp
@@ -59,11 +59,13 @@
         id = canStartOccurrences ? std::next(id) : scheduledJobs_.erase(id);
         if (!canStartOccurrences)
             continue;
-        while (job->canStartOccurrence() && job->dueAt(job->nextDueOccurrence) <= wallTime) {
+        while (job->canStartOccurrence() && job->dueAt(job->nextDueOccurrence) <= wallTime
+            && occurrenceBudget_.permitsOccurrence(*job)) {
             const std::uint32_t due = job->nextDueOccurrence++;
             if (job->occurrences.count(due))
                 continue;
             job->startOccurrence(due);
+            occurrenceBudget_.update(*job);
             markChanged(*job);
         }
     }
@@ -95,6 +97,7 @@
         scheduledJobs_.insert(job->id);
     if (!job->crashHistories.empty())
         jobsWithCrashes_.insert(job->id);
+    occurrenceBudget_.update(*job);
     markChanged(*job);
     const JobId id = job->id;
     jobs_.emplace(id, std::move(job));
@@ -240,6 +243,7 @@
         || record.task.index >= job->spec.steps[record.task.step].taskCount)
         return;
     StepState& step = job->startOccurrence(record.task.occurrence).steps[record.task.step];
+    occurrenceBudget_.update(*job);
     Task& task = step.tasks[record.task.index];
     if (task.phase != TaskPhase::Pending || record.run <= task.lastRun)
         return;
@@ -313,8 +317,10 @@
         for (std::uint32_t index = 0; index < step.tasks.size(); ++index)
             job.crashHistories.erase({ id.job, id.occurrence, id.step, index });
     }
-    if (occurrence.isDone())
-        ++job.completedOccurrences;
+    if (!occurrence.isDone())
+        return;
+    ++job.completedOccurrences;
+    occurrenceBudget_.update(job);
 }
 
 void JobTable::applyRecord(const RunBatch& record)
@@ -398,6 +404,9 @@
 {
     if (!job.isFinal() || job.activeRuns > 0)
         return;
+    if (job.isScheduled())
+        job.removeUntouchedOccurrences();
+    occurrenceBudget_.update(job);
     finalJobs_.splice(finalJobs_.end(), openJobs_, openJobs_.iterator_to(job));
 }
 
@@ -407,6 +416,7 @@
     if (!job || !job->isFinal() || job->activeRuns > 0)
         return;
     finalJobs_.erase(finalJobs_.iterator_to(*job));
+    occurrenceBudget_.remove(*job);
     jobsWithCrashes_.erase(record.job);
     jobs_.erase(record.job);
 }
--- a/src/jobs/jobtable.h
+++ b/src/jobs/jobtable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "jobs/occurrencebudget.h"
 #include "jobs/snapshotcodec.h"
 #include "jobs/types/job.h"
 #include "jobs/types/records.h"
@@ -33,7 +34,8 @@
     /// Applies the next record of the log.
     void apply(const Record& record);
 
-    /// Starts the occurrences of scheduled jobs that are due by this wall-clock time, with all their tasks pending.
+    /// Starts the occurrences of scheduled jobs that are due by this wall-clock time, with all their tasks pending, as
+    /// far as few enough are under way; see Job::canStartOccurrence() and OccurrenceBudget.
     void startDueOccurrences(milliseconds wallTime);
 
     /// Restores the header and then each job of a snapshot; for a table to which no record was applied.
@@ -130,6 +132,7 @@
     ChangedJobList changedJobs_;
     std::set<JobId> jobsWithCrashes_; ///< Jobs with crash histories.
     std::set<JobId> scheduledJobs_; ///< Jobs with a schedule that may still start occurrences.
+    OccurrenceBudget occurrenceBudget_;
     JobList openJobs_;
     JobList finalJobs_;
     std::unordered_set<JobId> unknownCancellations_; ///< Jobs that were cancelled before their submission was read.
--- a/src/jobs/types/job.h
+++ b/src/jobs/types/job.h
@@ -59,6 +59,9 @@
 
     bool isDone() const;
 
+    /// Whether no task has ever run.
+    bool isUntouched() const;
+
     /// Whether every step that `step` depends on is done.
     bool isReady(const JobSpec& spec, std::size_t step) const;
 };
@@ -97,7 +100,10 @@
     std::uint32_t occurrenceCount() const { return spec.schedule.occurrences == 0 ? 1 : spec.schedule.occurrences; }
     bool isScheduled() const { return spec.schedule.occurrences > 0; }
 
-    /// Whether there is a next occurrence and few enough are under way.
+    /// Number of occurrences that have started and are not completed.
+    std::size_t openOccurrences() const { return occurrences.size() - completedOccurrences; }
+
+    /// Whether there is a next occurrence and few enough of this job are under way.
     bool canStartOccurrence() const;
 
     /// Wall-clock time at which an occurrence is due; zero, thus at once, for a job without a schedule.
@@ -111,6 +117,9 @@
     /// Returns the occurrence; creates it with pending tasks if it has not started.
     Occurrence& startOccurrence(std::uint32_t occurrence);
 
+    /// Removes the occurrences of which no task has ever run. startOccurrence() creates them again.
+    void removeUntouchedOccurrences();
+
     /// The task, or null when its occurrence has not started or the job has no such task.
     const Task* find(const TaskId& id) const;
 
