Entries: the memory of all accepted jobs is limited, and each takes less

Cause: each entry holds every job, 230 bytes for each step and 110 more in the backlog of the controller, and nothing limited their sum. Evidence: 300 such jobs take an entry from 9 to 124 MB; the record of the log makes the next one pay again.

A completed job drops its steps, tasks and payload, since only its state can be asked for. JobMemory estimates what the others take; the controller rejects a submission beyond job_memory_mb (default: a quarter of memory_limit_mb, at most 40) with 429 and Retry-After, before anything is stored. One queue and team may take four fifths of it, so that its flood leaves room for others. What the log already holds is served all the same. control.load tells job_bytes, and admission.memory the rejections.

The gate's and the table's cases use new functions.

--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -68,7 +68,7 @@
     , health_(context.clock, context.events)
     , adviceCache_(context.advice, context.clock, context.events, [this] { schedulePlan(); })
     , scheduler_(context.follower, context.clock, context.events, settings.remoteSlowdown)
-    , submissionGate_(gateContext(), settings.teamBurstJobs)
+    , submissionGate_(gateContext(), settings.teamBurstJobs, settings.jobMemoryLimit)
     , jobTimer_(context.clock, context.events)
     , planDelay_(planBatchingDelay)
 {
@@ -397,6 +397,7 @@
             { "blocked", load_.blockedPlans }, { "blocked_by", load_.blockedBy },
             { "lag_ms", std::int64_t(load_.maximumLag.count()) },
             { "open_jobs", std::uint64_t(context_.follower.table().openJobs().size()) },
+            { "job_bytes", std::uint64_t(context_.follower.table().memory().total()) },
             { "instances", std::uint64_t(sessions_.size()) }, { "starts", calls.starts }, { "stops", calls.stops },
             { "renewals", calls.renewals }, { "processor_ms", std::int64_t(processorTime.count()) },
             { "sent_bytes", used.bytesSent }, { "received_bytes", used.bytesReceived } });
@@ -432,6 +433,7 @@
         if (job && job->isFinal() && job->activeRuns > 0)
             stopRuns(*job);
     }
+    context_.follower.dropDetailsOfCompletedJobs();
 }
 
 // An instance is looked up by name, since a later incarnation may have replaced the session that changed.
--- a/src/control/internal/instanceviews.cpp
+++ b/src/control/internal/instanceviews.cpp
@@ -33,7 +33,7 @@
         const scheduling::StepId step = scheduling::stepOf(task);
         if (view.tasksByStep.empty() || !(view.tasksByStep.rbegin()->first == step)) {
             const jobs::Job* job = table.find(task.job);
-            spec = job ? &job->spec.steps[task.step] : nullptr;
+            spec = job && task.step < job->spec.steps.size() ? &job->spec.steps[task.step] : nullptr;
         }
         ++view.tasksByStep[step];
         if (spec)
--- a/src/control/internal/submissiongate.cpp
+++ b/src/control/internal/submissiongate.cpp
@@ -22,6 +22,8 @@
     constexpr milliseconds refreshInterval { 50 };
     constexpr std::chrono::microseconds refreshIntervalPerJob { 20 };
     constexpr milliseconds reportInterval { 1000 };
+    /// Jobs that wait end within seconds; failed and cancelled ones are forgotten within minutes.
+    constexpr milliseconds memoryRetryAfter { 5000 };
     /// Jobs received earlier no longer count against a rate of a job in three seconds or more.
     constexpr milliseconds rateMemory { 60000 };
 
@@ -33,10 +35,11 @@
 
 } // namespace
 
-SubmissionGate::SubmissionGate(SubmissionGateContext context, std::size_t burstJobs)
+SubmissionGate::SubmissionGate(SubmissionGateContext context, std::size_t burstJobs, std::size_t jobMemoryLimit)
     : context_(std::move(context))
     , inControlSince_(context_.clock.now())
     , rates_(burstJobs)
+    , jobMemoryLimit_(jobMemoryLimit)
 {
 }
 
@@ -71,15 +74,28 @@
 
 bool SubmissionGate::canReject() const
 {
-    const auto now = context_.clock.now();
-    return now - inControlSince_ >= learningTime && context_.follower.hasCaughtUp()
-        && now - context_.follower.coveredAsOf() < maximumLogAge;
+    return context_.clock.now() - inControlSince_ >= learningTime && isLogCurrent();
+}
+
+bool SubmissionGate::isLogCurrent() const
+{
+    return context_.follower.hasCaughtUp() && context_.clock.now() - context_.follower.coveredAsOf() < maximumLogAge;
+}
+
+bool SubmissionGate::hasMemoryFor(const jobs::JobSubmitted& submission) const
+{
+    const jobs::JobMemory& memory = context_.follower.table().memory();
+    return memory.hasRoomFor(submission.queue, submission.team, submission.spec, jobMemoryLimit_);
 }
 
 // A rejected job takes no token, since its caller submits it again.
 std::optional<milliseconds> SubmissionGate::examine(jobs::JobSubmitted& submission, bool mayReject)
 {
     submission.exceedsTeamRate = false;
+    if (mayReject && isLogCurrent() && !hasMemoryFor(submission)) {
+        ++rejectedForMemory_;
+        return memoryRetryAfter;
+    }
     if (!configuration_.teams)
         return std::nullopt;
     const auto now = context_.clock.now();
@@ -146,6 +162,10 @@
     if (now - reportedAt_ < reportInterval)
         return;
     reportedAt_ = now;
+    if (const auto rejected = std::exchange(rejectedForMemory_, 0); rejected > 0)
+        context_.events.write("admission.memory",
+            { { "rejected", rejected }, { "job_bytes", std::uint64_t(context_.follower.table().memory().total()) },
+                { "limit_bytes", std::uint64_t(jobMemoryLimit_) } });
     for (auto& [name, pool] : pools_) {
         const bool isRejecting = pool.admission.isRejecting(now);
         if (pool.accepted + pool.rejected > 0 || isRejecting)
--- a/src/control/internal/submissiongate.h
+++ b/src/control/internal/submissiongate.h
@@ -29,13 +29,13 @@
     std::function<const scheduling::PoolBacklog*(const std::string& pool)> findBacklog;
 };
 
-/// Marks the submissions that are beyond their team's rate, and rejects those that the fleet could not serve in time;
-/// see scheduling::AdmissionControl. Does nothing unless the configuration has teams.
+/// Rejects submissions for which the entries have no memory. Marks those that are beyond their team's rate, and rejects
+/// those that the fleet could not serve in time, see scheduling::AdmissionControl, if the configuration has teams.
 class SubmissionGate : public ISubmissionGate {
 public:
-    /// `burstJobs`: see scheduling::TeamRates. The controller takes control now: for a while it knows too little of the
-    /// fleet to reject anything.
-    SubmissionGate(SubmissionGateContext context, std::size_t burstJobs);
+    /// `burstJobs`: see scheduling::TeamRates. `jobMemoryLimit`: see ControlSettings. The controller takes control now:
+    /// for a while it knows too little of the fleet to tell what it could serve in time.
+    SubmissionGate(SubmissionGateContext context, std::size_t burstJobs, std::size_t jobMemoryLimit);
 
     /// Applies a newer configuration. The rates are restored from the table of jobs by the first one with teams.
     void setConfiguration(const fleet::FleetConfiguration& configuration);
@@ -62,6 +62,8 @@
 
     void restoreRates();
     bool canReject() const;
+    bool isLogCurrent() const;
+    bool hasMemoryFor(const jobs::JobSubmitted& submission) const;
     std::optional<foundation::milliseconds> decide(
         PoolState& pool, const fleet::Queue& queue, const jobs::JobSubmitted& submission, bool mayReject);
     void refresh(PoolState& pool, const std::string& name);
@@ -70,6 +72,8 @@
     foundation::SteadyTime inControlSince_;
     fleet::FleetConfiguration configuration_;
     scheduling::TeamRates rates_;
+    std::size_t jobMemoryLimit_;
+    std::uint64_t rejectedForMemory_ = 0; ///< Since the latest report.
     bool hasRestoredRates_ = false;
     std::map<std::string, std::int64_t> arriving_; ///< Thousandths of a core. Key: pool.
     std::map<std::string, PoolState> pools_;
--- a/src/control/tests/submissiongatetests.cpp
+++ b/src/control/tests/submissiongatetests.cpp
@@ -6,6 +6,7 @@
 #include "telemetry/tests/mocks/nulleventsink.h"
 
 #include <catch2/catch.hpp>
+#include <limits>
 
 using namespace turmericsill;
 using namespace turmericsill::control;
@@ -39,7 +40,8 @@
 /// A gate and a record store at a pool of four cores in full use, with a queue whose jobs have 2 s. The team "growers"
 /// may submit two jobs at once and one a second.
 struct GateFixture {
-    explicit GateFixture(bool hasTeams = true)
+    explicit GateFixture(bool hasTeams = true, std::size_t memoryLimit = std::numeric_limits<std::size_t>::max())
+        : jobMemoryLimit(memoryLimit)
     {
         fleet::Queue queue;
         queue.name = "calls";
@@ -122,6 +124,7 @@
         return rejected;
     }
 
+    std::size_t jobMemoryLimit;
     mocks::HeldLog log;
     foundation::mocks::ManualClock clock;
     foundation::TimerQueue timers;
@@ -134,12 +137,16 @@
     eventlog::JobFollower follower { log, log, clock, timers, {} };
     eventlog::ControllerWriter writer { log, clock, timers, noEvents, 1, 1, [](const foundation::Error&) {} };
     RecordStore records { follower, writer };
-    SubmissionGate gate { { follower, clock, events, [this](const std::string&) -> auto& { return instances;
-}, [this](const std::string&) { return &backlog; }
+    SubmissionGate gate { gateContext(), 1, jobMemoryLimit };
+
+private:
+    SubmissionGateContext gateContext()
+    {
+        return { follower, clock, events, [this](const std::string&) -> auto& { return instances;
+    }
+    , [this](const std::string&) { return &backlog; }
+};
 } // namespace
-, 1
-}
-;
 }
 ;
 
@@ -268,7 +275,7 @@
     fixture.passLearningTime();
     REQUIRE(fixture.flood(1, 50) > 0);
     jobs::JobSubmitted service = fixture.submission(101, "growers");
-    service.spec.steps.front().isLongRunning = true;
+    service.spec.steps.edit(0).isLongRunning = true;
     CHECK_FALSE(fixture.isRejected(service));
     jobs::JobSubmitted nightly = fixture.submission(102, "growers");
     nightly.spec.schedule = { 3, 60s, 60s };
@@ -320,3 +327,34 @@
     CHECK(fixture.events.sums["accepted"] == std::uint64_t(50 - rejected));
     CHECK(fixture.events.sums["beyond_rate"] == 48);
 }
+
+// Every entry holds every accepted job, so jobs that were accepted without end ended one entry after the other.
+TEST_CASE(
+    "submission gate: jobs for which the entries have no memory are rejected, with and without teams", "[control]")
+{
+    const bool hasTeams = GENERATE(false, true);
+    constexpr std::size_t limit = 1 << 20;
+    GateFixture fixture(hasTeams, limit);
+    fixture.gate.setConfiguration(fixture.configuration);
+    fixture.readLog();
+    const auto wideJob = [&](jobs::JobId id) {
+        jobs::JobSubmitted record = fixture.submission(id, "growers");
+        record.spec.steps = std::vector<jobs::StepSpec>(1000, record.spec.steps.front());
+        return record;
+    };
+    int rejected = 0;
+    for (jobs::JobId id = 1; id <= 20; ++id)
+        rejected += fixture.isRejected(wideJob(id)) ? 1 : 0;
+    CHECK(rejected > 0);
+    CHECK(rejected < 20);
+    CHECK(fixture.follower.table().memory().total() <= limit);
+    const auto receipt = fixture.store({ wideJob(21) });
+    REQUIRE(receipt);
+    REQUIRE(receipt->rejected.size() == 1);
+    CHECK(receipt->rejected.front().retryAfter > milliseconds(0));
+    // An ordinary job finds room, also beside the jobs of another team, and a repeated one is not rejected.
+    CHECK_FALSE(fixture.isRejected(fixture.submission(100, "millers")));
+    CHECK(fixture.store({ wideJob(1) })->rejected.empty());
+    // Entries of an earlier version cannot tell their callers of a rejection.
+    CHECK_FALSE(fixture.isRejected(wideJob(22), false));
+}
--- a/src/control/types/controlsettings.h
+++ b/src/control/types/controlsettings.h
@@ -3,6 +3,7 @@
 #include "control/types/leaseterms.h"
 
 #include <cstddef>
+#include <limits>
 
 namespace turmericsill::control {
 
@@ -17,6 +18,8 @@
     /// Whether runs are stored as jobs::RunBatch records, which earlier versions of this program cannot read.
     bool batchesRunRecords = true;
     bool compressesRecords = true; ///< The same for the compression of records.
+    /// Memory of all jobs, by jobs::estimatedMemory(), beyond which further ones are rejected.
+    std::size_t jobMemoryLimit = std::numeric_limits<std::size_t>::max();
     std::size_t teamBurstJobs = 20; ///< Jobs that a team may submit at once beyond a second's worth of its rate.
     milliseconds holderInterval { 3000 }; ///< Minimum time between the orders of two controllers for one machine.
     /// Duration of a task on another rack than that of its data, as a multiple of its duration there. Above 1, tasks
--- a/src/entryd/internal/entryprocess.cpp
+++ b/src/entryd/internal/entryprocess.cpp
@@ -164,6 +164,7 @@
     result.lease.duration = std::min(result.lease.duration, settings_.maximumLease);
     result.holderInterval = settings_.holderInterval;
     result.teamBurstJobs = settings_.teamBurstJobs;
+    result.jobMemoryLimit = settings::jobMemoryBytes(settings_);
     result.batchesRunRecords = settings_.batchesRunRecords;
     result.compressesRecords = settings_.compressesRecords;
     result.remoteSlowdown = settings_.remoteSlowdown;
--- a/src/entryd/tests/acceptedjobstests.cpp
+++ b/src/entryd/tests/acceptedjobstests.cpp
@@ -50,15 +50,21 @@
     return R"({"spec":"s","steps":[)" + steps + "]}";
 }
 
-/// A job of single-task steps that runs 1,000 times, all of them due at once.
-std::string scheduleOfSteps(int count)
+/// A job of single-task steps, with further fields. The steps differ from each other if `areDistinct`.
+std::string jobOfSmallSteps(int count, const std::string& fields, bool areDistinct = false)
 {
     std::string steps;
-    for (int i = 0; i < count; ++i)
-        steps += std::string(i == 0 ? "" : ",") + R"({"count":1,"cpu":1000,"mem_mb":64})";
-    return R"({"spec":"s","steps":[)" + steps + R"(],"repeats":1000,"first_ms":1})";
+    for (int i = 0; i < count; ++i) {
+        const int milliCores = areDistinct ? 1000 + i : 1000;
+        steps += std::string(i == 0 ? "" : ",") + R"({"count":1,"cpu":)" + std::to_string(milliCores)
+            + R"(,"mem_mb":64})";
+    }
+    return R"({"spec":"s","steps":[)" + steps + "]" + fields + "}";
 }
 
+/// A job that runs 1,000 times, all of them due at once.
+std::string scheduleOfSteps(int count) { return jobOfSmallSteps(count, R"(,"repeats":1000,"first_ms":1)"); }
+
 std::string jobIdOf(int number)
 {
     const std::string digits = std::to_string(number);
@@ -107,3 +113,22 @@
     std::this_thread::sleep_for(std::chrono::seconds(3));
     system.checkAlive();
 }
+
+// Each job is within the limits of one request, but the entries hold all of them.
+TEST_CASE("untrusted callers: many jobs of many steps do not exhaust the memory", "[untrusted]")
+{
+    const bool areDistinct = GENERATE(false, true);
+    EntryOnPlatform system;
+    int accepted = 0;
+    int refused = 0;
+    for (int number = 1; number <= 300; ++number) {
+        const std::string response = system.entry.submit(jobIdOf(number), jobOfSmallSteps(1000, "", areDistinct));
+        accepted += response.rfind("HTTP/1.1 200", 0) == 0;
+        refused += response.rfind("HTTP/1.1 429", 0) == 0 && response.find("Retry-After") != std::string::npos;
+    }
+    CHECK(accepted > 0);
+    CHECK(accepted + refused == 300);
+    system.checkAlive();
+    system.entry.restart();
+    system.checkAlive();
+}
--- a/src/eventlog/internal/jobfollower.cpp
+++ b/src/eventlog/internal/jobfollower.cpp
@@ -276,6 +276,8 @@
         else
             ++ownRecordsRead_;
     }
+    if (ownEpoch_ == 0)
+        table_->dropDetailsOfCompletedJobs();
     recordClaimTimes();
     recordRestartTimes();
     skipOwnRecords();
--- a/src/eventlog/jobfollower.h
+++ b/src/eventlog/jobfollower.h
@@ -132,6 +132,9 @@
     /// See JobTable::startDueOccurrences().
     void startDueOccurrences(foundation::milliseconds wallTime) { table_->startDueOccurrences(wallTime); }
 
+    /// See JobTable::dropDetailsOfCompletedJobs(). Without control it is done as the log is read.
+    void dropDetailsOfCompletedJobs() { table_->dropDetailsOfCompletedJobs(); }
+
     /// Ends control and rebuilds the table from the log, since it may contain records that were never appended.
     void endControl();
 
--- a/src/jobs/internal/job.cpp
+++ b/src/jobs/internal/job.cpp
@@ -130,6 +130,13 @@
         occurrence = occurrence->second.isUntouched() ? occurrences.erase(occurrence) : std::next(occurrence);
 }
 
+void Job::dropDetails()
+{
+    spec.payload = {};
+    spec.steps = {};
+    occurrences.clear();
+}
+
 const Task* Job::find(const TaskId& id) const
 {
     const auto found = occurrences.find(id.occurrence);
--- a/src/jobs/internal/jobtable.cpp
+++ b/src/jobs/internal/jobtable.cpp
@@ -98,11 +98,31 @@
     if (!job->crashHistories.empty())
         jobsWithCrashes_.insert(job->id);
     occurrenceBudget_.update(*job);
+    memory_.add(*job);
     markChanged(*job);
+    if (job->state() == JobState::Completed)
+        completedWithDetails_.push_back(job->id);
     const JobId id = job->id;
     jobs_.emplace(id, std::move(job));
 }
 
+// The histories of a job tell what has caused the crashes under the tasks of others, and refer to its steps. The end of
+// one member completes a gang, but the other members still run.
+void JobTable::dropDetailsOfCompletedJobs()
+{
+    for (const JobId id : completedWithDetails_) {
+        Job* job = findMutableJob(id);
+        const bool isGang = job
+            && std::any_of(
+                job->spec.steps.begin(), job->spec.steps.end(), [](const StepSpec& step) { return step.isGang; });
+        if (!job || isGang || !job->crashHistories.empty())
+            continue;
+        memory_.remove(*job);
+        job->dropDetails();
+    }
+    completedWithDetails_.clear();
+}
+
 void JobTable::restore(const SnapshotHeader& header)
 {
     claims_ = header.claims;
@@ -407,6 +427,8 @@
     if (job.isScheduled())
         job.removeUntouchedOccurrences();
     occurrenceBudget_.update(job);
+    if (job.state() == JobState::Completed)
+        completedWithDetails_.push_back(job.id);
     finalJobs_.splice(finalJobs_.end(), openJobs_, openJobs_.iterator_to(job));
 }
 
@@ -417,6 +439,7 @@
         return;
     finalJobs_.erase(finalJobs_.iterator_to(*job));
     occurrenceBudget_.remove(*job);
+    memory_.remove(*job);
     jobsWithCrashes_.erase(record.job);
     jobs_.erase(record.job);
 }
--- a/src/jobs/jobtable.h
+++ b/src/jobs/jobtable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "jobs/jobmemory.h"
 #include "jobs/occurrencebudget.h"
 #include "jobs/snapshotcodec.h"
 #include "jobs/types/job.h"
@@ -54,6 +55,13 @@
     /// The task, or null when its job is unknown, its occurrence has not started or the job has no such task.
     const Task* find(const TaskId& id) const;
 
+    /// Drops the details of the jobs that were completed since the previous call. What follows a change of a job has to
+    /// be done with by then.
+    void dropDetailsOfCompletedJobs();
+
+    /// Estimated memory of the jobs that are not completed.
+    const JobMemory& memory() const { return memory_; }
+
     /// Jobs that may still begin runs or that have active runs.
     const JobList& openJobs() const { return openJobs_; }
 
@@ -133,6 +141,8 @@
     std::set<JobId> jobsWithCrashes_; ///< Jobs with crash histories.
     std::set<JobId> scheduledJobs_; ///< Jobs with a schedule that may still start occurrences.
     OccurrenceBudget occurrenceBudget_;
+    JobMemory memory_;
+    std::vector<JobId> completedWithDetails_; ///< Jobs whose details dropDetailsOfCompletedJobs() drops.
     JobList openJobs_;
     JobList finalJobs_;
     std::unordered_set<JobId> unknownCancellations_; ///< Jobs that were cancelled before their submission was read.
--- a/src/jobs/tests/appendbuildertests.cpp
+++ b/src/jobs/tests/appendbuildertests.cpp
@@ -27,8 +27,8 @@
     std::vector<Record> records;
     for (JobId id = firstJob; id < firstJob + jobCount; ++id) {
         JobSubmitted submitted { id, "calls", "desk", milliseconds(1), {} };
-        submitted.spec.steps.emplace_back();
-        submitted.spec.steps.back().taskCount = taskCount;
+        submitted.spec.steps.push_back({});
+        submitted.spec.steps.edit(submitted.spec.steps.size() - 1).taskCount = taskCount;
         records.emplace_back(submitted);
     }
     return records;
--- a/src/jobs/tests/occurrencebudgettests.cpp
+++ b/src/jobs/tests/occurrencebudgettests.cpp
@@ -18,7 +18,7 @@
     JobSubmitted record { id, queue, "pool-1", milliseconds(1000), {} };
     StepSpec step;
     step.taskCount = 1;
-    record.spec.steps.assign(steps, step);
+    record.spec.steps = std::vector<StepSpec>(steps, step);
     record.spec.schedule = { occurrences, milliseconds(1), milliseconds(0) };
     table.apply(record);
 }
--- a/src/jobs/types/job.h
+++ b/src/jobs/types/job.h
@@ -120,6 +120,9 @@
     /// Removes the occurrences of which no task has ever run. startOccurrence() creates them again.
     void removeUntouchedOccurrences();
 
+    /// Drops what only a job that is not completed needs: its steps, their tasks and the payload.
+    void dropDetails();
+
     /// The task, or null when its occurrence has not started or the job has no such task.
     const Task* find(const TaskId& id) const;
 
--- a/src/scheduling/tests/plannerdifferentialtests.cpp
+++ b/src/scheduling/tests/plannerdifferentialtests.cpp
@@ -109,7 +109,7 @@
         for (std::int64_t step = 0; step < steps; ++step) {
             job->spec.steps.push_back(randomStep());
             if (step > 0 && oneIn(2))
-                job->spec.steps.back().dependsOn = { static_cast<std::uint32_t>(step - 1) };
+                job->spec.steps.edit(job->spec.steps.size() - 1).dependsOn = { static_cast<std::uint32_t>(step - 1) };
         }
         job->startOccurrence(0);
         if (oneIn(5))
--- a/src/scheduling/tests/plannertests.cpp
+++ b/src/scheduling/tests/plannertests.cpp
@@ -148,7 +148,7 @@
     job.occurrences.at(0).steps[0].done = 1;
     CHECK(latestStart(job, queue, submittedAt) == submittedAt + milliseconds(3000 - 400));
     CHECK(latestStart(job, nullptr, submittedAt) == foundation::SteadyTime::max());
-    job.spec.steps.front().isLongRunning = true;
+    job.spec.steps.edit(0).isLongRunning = true;
     CHECK(latestStart(job, queue, submittedAt) == foundation::SteadyTime::max());
 }
 
--- a/src/scheduling/tests/rackwaitstests.cpp
+++ b/src/scheduling/tests/rackwaitstests.cpp
@@ -315,7 +315,7 @@
     fixture.addInstance("i-1", "rack-1", { ms(300), ms(5000), ms(5000), ms(5000) });
     fixture.addInstance("i-2", "rack-2");
     fixture.addJob(1, 1);
-    fixture.addJob(2, 4).spec.steps[0].dataRack.clear();
+    fixture.addJob(2, 4).spec.steps.edit(0).dataRack.clear();
     const PoolPlan plan = fixture.plan(ms(0));
     CHECK(plan.placements.size() == 4);
     CHECK(plan.unplaced == jobs::Resources());
@@ -331,7 +331,7 @@
     fixture.addJob(2, 1);
     CHECK(fixture.plan(ms(0)).placements.empty());
     // The job with the lower number precedes the one that waits.
-    fixture.addJob(1, 1, ms(300)).spec.steps[0].dataRack.clear();
+    fixture.addJob(1, 1, ms(300)).spec.steps.edit(0).dataRack.clear();
     fixture.release("i-1", 1);
     const PoolPlan plan = fixture.plan(ms(320));
     REQUIRE(plan.placements.size() == 2);
@@ -349,7 +349,7 @@
     fixture.addJob(2, 1);
     CHECK(fixture.plan(ms(0)).placements.empty());
     fixture.instances.remove("i-2");
-    fixture.addJob(1, 1, ms(300)).spec.steps[0].dataRack.clear();
+    fixture.addJob(1, 1, ms(300)).spec.steps.edit(0).dataRack.clear();
     fixture.release("i-1", 1);
     const PoolPlan plan = fixture.plan(ms(320));
     REQUIRE(plan.placements.size() == 1);
@@ -405,9 +405,9 @@
     fixture.addInstance("i-1", "rack-1", { ms(200), ms(3000) });
     fixture.addInstance("i-2", "rack-2", { ms(3000), ms(3000) });
     jobs::Job& gang = fixture.addJob(1, 3);
-    gang.spec.steps[0].isGang = true;
-    gang.spec.steps[0].prefersOneRack = true;
-    gang.spec.steps[0].dataRack.clear();
+    gang.spec.steps.edit(0).isGang = true;
+    gang.spec.steps.edit(0).prefersOneRack = true;
+    gang.spec.steps.edit(0).dataRack.clear();
     CHECK(fixture.plan(ms(0)).placements.empty());
     CHECK(fixture.plan(ms(100)).placements.empty());
     fixture.release("i-1", 1);
@@ -427,7 +427,7 @@
         fixture.addInstance("i-1", "rack-1", { ms(300), ms(5000), ms(5000), ms(5000) });
         fixture.addInstance("i-2", "rack-2");
         jobs::Job& job = fixture.addJob(1, 1);
-        change(job.spec.steps[0]);
+        change(job.spec.steps.edit(0));
         fixture.backlog.update(job, &fixture.queue, startTime);
         return fixture.plan(ms(0)).placements.empty();
     };
--- a/src/scheduling/tests/relocationroomtests.cpp
+++ b/src/scheduling/tests/relocationroomtests.cpp
@@ -34,7 +34,7 @@
         return view;
     }
 
-    jobs::StepSpec& spec() { return job.spec.steps.front(); }
+    jobs::StepSpec& spec() { return job.spec.steps.edit(0); }
     jobs::TaskId task(std::uint32_t index) const { return { job.id, 0, 0, index }; }
 
     jobs::Job job;
--- a/src/settings/entrysettings.h
+++ b/src/settings/entrysettings.h
@@ -41,6 +41,9 @@
     std::size_t teamBurstJobs = 20;
     /// Factor by which a task takes longer away from its data or its group; 1 if it does not.
     double remoteSlowdown = 1;
+    /// Memory that accepted jobs may take on an entry; absent: the default. The same on all entries, since each holds all
+    /// jobs.
+    std::optional<std::size_t> jobMemoryMb;
     std::optional<std::size_t> memoryLimitMb; ///< Memory that the process may use; absent if it is not limited.
     std::optional<std::size_t> descriptorLimit; ///< File descriptors that the process may open; absent if unknown.
     /// Each absent one follows from the limits above; see requestMemoryBytes(), responseMemoryBytes() and
@@ -54,6 +57,9 @@
 /// Memory for the requests of all clients that were read and not yet handled, and for responses not yet written.
 std::size_t requestMemoryBytes(const EntrySettings& settings);
 
+/// Memory for the jobs that the fleet has accepted, each of which every entry holds.
+std::size_t jobMemoryBytes(const EntrySettings& settings);
+
 /// Memory for responses of the store, of instances and of other entries that are being received.
 std::size_t responseMemoryBytes(const EntrySettings& settings);
 
--- a/src/settings/internal/entrysettings.cpp
+++ b/src/settings/internal/entrysettings.cpp
@@ -4,6 +4,7 @@
 #include "settings/internal/fieldcopier.h"
 #include "settings/internal/memoryshare.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace turmericsill::settings {
@@ -18,6 +19,8 @@
     constexpr double minimumLogBytes = 8192; ///< Takes a job with the longest text that the platform allows.
     constexpr double maximumLogBytes = 1 << 30;
     constexpr std::size_t requestMemoryWithoutLimit = 64 * megabyte;
+    /// All entries hold the same jobs, so it does not follow from the memory of a larger machine.
+    constexpr std::size_t largestDefaultJobMemory = 40 * megabyte;
     constexpr std::size_t responseMemoryWithoutLimit = 256 * megabyte; ///< Enough for a page of the largest log read.
     /// Of 4,100 descriptors 1,100 are left for files, instances, other entries and the store.
     constexpr std::size_t callerConnectionsOf = 3000;
@@ -64,6 +67,7 @@
             { "descriptor_limit", FieldType::Integer, false, 256, 1 << 24, {} },
             { "request_memory_mb", FieldType::Integer, false, 4, 1 << 20, {} },
             { "response_memory_mb", FieldType::Integer, false, 8, 1 << 20, {} },
+            { "job_memory_mb", FieldType::Integer, false, 4, 1 << 20, {} },
             { "caller_connections", FieldType::Integer, false, 16, 1 << 24, {} },
             { "request_body_bytes", FieldType::Integer, false, 1024, maximumLogBytes, {} },
             { "run_records", FieldType::Choice, false, 0, 0,
@@ -101,6 +105,7 @@
         copier.copy("descriptor_limit", result.descriptorLimit);
         copier.copy("request_memory_mb", result.requestMemoryMb);
         copier.copy("response_memory_mb", result.responseMemoryMb);
+        copier.copy("job_memory_mb", result.jobMemoryMb);
         copier.copy("caller_connections", result.callerConnections);
         copier.copy("request_body_bytes", result.requestBodyBytes);
         const auto form = object.value("run_records", compressedRunRecords);
@@ -115,6 +120,8 @@
             document.addFault(faults, "/request_memory_mb", "expected at most half of memory_limit_mb");
         if (settings.memoryLimitMb && responseMemoryBytes(settings) > *settings.memoryLimitMb * megabyte / 2)
             document.addFault(faults, "/response_memory_mb", "expected at most half of memory_limit_mb");
+        if (settings.memoryLimitMb && jobMemoryBytes(settings) > *settings.memoryLimitMb * megabyte / 2)
+            document.addFault(faults, "/job_memory_mb", "expected at most half of memory_limit_mb");
         if (settings.descriptorLimit && maximumCallerConnections(settings) >= *settings.descriptorLimit)
             document.addFault(faults, "/caller_connections", "expected less than descriptor_limit");
         if (requestMemoryBytes(settings) < 2 * settings.requestBodyBytes)
@@ -133,6 +140,12 @@
     return memoryFor(settings.responseMemoryMb, settings.memoryLimitMb, responseMemoryWithoutLimit);
 }
 
+std::size_t jobMemoryBytes(const EntrySettings& settings)
+{
+    const std::size_t share = memoryFor(settings.jobMemoryMb, settings.memoryLimitMb, largestDefaultJobMemory);
+    return settings.jobMemoryMb ? share : std::min(share, largestDefaultJobMemory);
+}
+
 std::size_t maximumCallerConnections(const EntrySettings& settings)
 {
     if (settings.callerConnections)
--- a/src/settings/tests/entrysettingstests.cpp
+++ b/src/settings/tests/entrysettingstests.cpp
@@ -74,6 +74,7 @@
     REQUIRE(unlimited);
     CHECK(requestMemoryBytes(*unlimited) == 64 * megabyte);
     CHECK(responseMemoryBytes(*unlimited) == 256 * megabyte);
+    CHECK(jobMemoryBytes(*unlimited) == 40 * megabyte);
     CHECK(maximumCallerConnections(*unlimited) == 3000);
     CHECK(unlimited->requestBodyBytes == 262144);
     const auto limited = parseEntrySettings(
@@ -81,14 +82,20 @@
     REQUIRE(limited);
     CHECK(requestMemoryBytes(*limited) == 40 * megabyte);
     CHECK(responseMemoryBytes(*limited) == 40 * megabyte);
+    CHECK(jobMemoryBytes(*limited) == 40 * megabyte);
     CHECK(maximumCallerConnections(*limited) == 6000);
+    // All entries hold the same jobs: the memory of a larger machine is of no use.
+    const auto large = parseEntrySettings("entry.json", requiredFields + R"(, "memory_limit_mb": 512})", faults);
+    REQUIRE(large);
+    CHECK(jobMemoryBytes(*large) == 40 * megabyte);
     const auto chosen = parseEntrySettings("entry.json",
         requiredFields + R"(, "memory_limit_mb": 160, "descriptor_limit": 4100, "request_memory_mb": 30,
-    "response_memory_mb": 50, "caller_connections": 2000, "request_body_bytes": 100000})",
+    "response_memory_mb": 50, "job_memory_mb": 60, "caller_connections": 2000, "request_body_bytes": 100000})",
         faults);
     REQUIRE(chosen);
     CHECK(requestMemoryBytes(*chosen) == 30 * megabyte);
     CHECK(responseMemoryBytes(*chosen) == 50 * megabyte);
+    CHECK(jobMemoryBytes(*chosen) == 60 * megabyte);
     CHECK(maximumCallerConnections(*chosen) == 2000);
     CHECK(chosen->requestBodyBytes == 100000);
 }
@@ -102,6 +109,7 @@
     };
     CHECK(faultyField(R"(, "memory_limit_mb": 160, "request_memory_mb": 81)") == "/request_memory_mb");
     CHECK(faultyField(R"(, "memory_limit_mb": 160, "response_memory_mb": 81)") == "/response_memory_mb");
+    CHECK(faultyField(R"(, "memory_limit_mb": 160, "job_memory_mb": 81)") == "/job_memory_mb");
     CHECK(faultyField(R"(, "descriptor_limit": 4100, "caller_connections": 4100)") == "/caller_connections");
     CHECK(faultyField(R"(, "request_memory_mb": 4, "request_body_bytes": 3000000)") == "/request_body_bytes");
 }
