Job table: completed occurrences of a schedule keep no steps

A job that repeats goes on for as long as its caller wants, and each occurrence that had ended kept the state of all its steps and tasks on every entry until the job was final: about 13 KB for 100 steps of one task.

Now an occurrence of a scheduled job drops its steps when it is completed. A later record of a run has no effect.

The new case of occurrencebudgettests.cpp fails without the change (steps kept, in the table and in the restored one).

--- a/src/jobs/internal/job.cpp
+++ b/src/jobs/internal/job.cpp
@@ -126,8 +126,10 @@
 
 void Job::removeUntouchedOccurrences()
 {
-    for (auto occurrence = occurrences.begin(); occurrence != occurrences.end();)
-        occurrence = occurrence->second.isUntouched() ? occurrences.erase(occurrence) : std::next(occurrence);
+    for (auto entry = occurrences.begin(); entry != occurrences.end();) {
+        const bool isRemoved = !entry->second.isDone() && entry->second.isUntouched();
+        entry = isRemoved ? occurrences.erase(entry) : std::next(entry);
+    }
 }
 
 void Job::dropDetails()
--- a/src/jobs/internal/jobtable.cpp
+++ b/src/jobs/internal/jobtable.cpp
@@ -262,7 +262,10 @@
     if (!job || record.task.occurrence >= job->occurrenceCount() || record.task.step >= job->spec.steps.size()
         || record.task.index >= job->spec.steps[record.task.step].taskCount)
         return;
-    StepState& step = job->startOccurrence(record.task.occurrence).steps[record.task.step];
+    Occurrence& occurrence = job->startOccurrence(record.task.occurrence);
+    if (occurrence.steps.empty())
+        return; // The occurrence is completed.
+    StepState& step = occurrence.steps[record.task.step];
     occurrenceBudget_.update(*job);
     Task& task = step.tasks[record.task.index];
     if (task.phase != TaskPhase::Pending || record.run <= task.lastRun)
@@ -340,6 +343,8 @@
     if (!occurrence.isDone())
         return;
     ++job.completedOccurrences;
+    if (job.isScheduled())
+        occurrence.dropSteps();
     occurrenceBudget_.update(job);
 }
 
--- a/src/jobs/internal/snapshotcodec.cpp
+++ b/src/jobs/internal/snapshotcodec.cpp
@@ -56,8 +56,21 @@
                 crash.at(4).get<bool>(), crash.at(5).get<bool>(), crash.at(6).get<bool>(), crash.at(7).get<bool>() });
     }
 
-    json toJson(const Occurrence& occurrence)
+    // Earlier versions read the tasks of completed occurrences as well.
+    json completedSteps(const JobSpec& spec)
     {
+        Task done;
+        done.phase = TaskPhase::Done;
+        json steps = json::array();
+        for (const auto& step : spec.steps)
+            steps.push_back(json::array_t(step.taskCount, toJson(done)));
+        return steps;
+    }
+
+    json toJson(const Occurrence& occurrence, const JobSpec& spec)
+    {
+        if (occurrence.steps.empty())
+            return completedSteps(spec);
         json steps = json::array();
         for (const auto& step : occurrence.steps) {
             json tasks = json::array();
@@ -84,7 +97,10 @@
             }
             job.activeRuns += step.active;
         }
-        job.completedOccurrences += occurrence.isDone();
+        const bool isDone = occurrence.isDone();
+        job.completedOccurrences += isDone;
+        if (isDone && job.isScheduled())
+            occurrence.dropSteps();
     }
 
     /// Parses CBOR and passes it to `read`, turning exceptions of either into Errc::UnknownRecord.
@@ -122,7 +138,7 @@
 {
     json occurrences = json::array();
     for (const auto& [number, occurrence] : job.occurrences)
-        occurrences.push_back(json::array({ number, toJson(occurrence) }));
+        occurrences.push_back(json::array({ number, toJson(occurrence, job.spec) }));
     const JobSubmitted submitted { job.id, job.queue, job.pool, job.receivedAt, job.spec, job.maximumAttempts, job.team,
         job.exceedsTeamRate };
     json fields = json::array(
--- a/src/jobs/tests/occurrencebudgettests.cpp
+++ b/src/jobs/tests/occurrencebudgettests.cpp
@@ -117,3 +117,33 @@
     CHECK(table.find(JobId(1))->activeRuns == 0);
     CHECK(table.find(JobId(1))->state() == JobState::Cancelled);
 }
+
+// A schedule goes on for as long as its job, and each occurrence that had ended kept the state of all its tasks.
+TEST_CASE("occurrences: a completed one keeps no steps, and does not run again in a rebuilt table", "[jobs]")
+{
+    JobTable table;
+    submit(table, 1, "calls", 2, 3);
+    table.startDueOccurrences(afterAllDueTimes);
+    for (std::uint32_t step = 0; step < 2; ++step)
+        runTask(table, { 1, 1, step, 0 });
+    JobTable restored;
+    auto job = decodeJob(encodeJob(*table.find(JobId(1))));
+    REQUIRE(job);
+    restored.restore(std::move(*job));
+    for (JobTable* each : { &table, &restored }) {
+        const Job* kept = each->find(JobId(1));
+        CHECK(kept->occurrences.at(1).steps.empty());
+        CHECK(kept->occurrences.at(1).isDone());
+        CHECK(kept->completedOccurrences == 1);
+        each->startDueOccurrences(afterAllDueTimes);
+        CHECK(kept->openOccurrences() == 2);
+        // A run that an earlier record has ended.
+        each->apply(RunIntended { { 1, 1, 0, 0 }, 2, { "i-1", 7 } });
+        CHECK(kept->activeRuns == 0);
+        for (const std::uint32_t occurrence : { 0, 2 }) {
+            runTask(*each, { 1, occurrence, 0, 0 });
+            runTask(*each, { 1, occurrence, 1, 0 });
+        }
+        CHECK(kept->state() == JobState::Completed);
+    }
+}
--- a/src/jobs/types/job.h
+++ b/src/jobs/types/job.h
@@ -55,10 +55,15 @@
 
 /// One pass through all steps of a job; a scheduled job has several.
 struct Occurrence {
-    std::vector<StepState> steps;
+    std::vector<StepState> steps; ///< Empty in a completed occurrence of a scheduled job.
 
     bool isDone() const;
 
+    /// Releases the memory of the steps. Without steps, the occurrence counts as done.
+    void dropSteps() { std::vector<StepState>().swap(steps); }
+
+    bool isStepDone(std::size_t step) const { return steps.empty() || steps[step].isDone(); }
+
     /// Whether no task has ever run.
     bool isUntouched() const;
 
@@ -117,7 +122,8 @@
     /// Returns the occurrence; creates it with pending tasks if it has not started.
     Occurrence& startOccurrence(std::uint32_t occurrence);
 
-    /// Removes the occurrences of which no task has ever run. startOccurrence() creates them again.
+    /// Removes the occurrences that are not done and of which no task has ever run. startOccurrence() creates them
+    /// again.
     void removeUntouchedOccurrences();
 
     /// Drops what only a job that is not completed needs: its steps, their tasks and the payload.
--- a/src/scheduling/internal/rackwaits.cpp
+++ b/src/scheduling/internal/rackwaits.cpp
@@ -221,7 +221,7 @@
         return remove(job.id);
     for (auto wait = waits_.lower_bound({ job.id, 0, 0 }); wait != waits_.end() && wait->first.job == job.id;) {
         const auto occurrence = job.occurrences.find(wait->first.occurrence);
-        const bool isDone = occurrence == job.occurrences.end() || occurrence->second.steps[wait->first.step].isDone();
+        const bool isDone = occurrence == job.occurrences.end() || occurrence->second.isStepDone(wait->first.step);
         wait = isDone ? drop(wait) : std::next(wait);
     }
 }
