Waves: a machine in a full pool is emptied as room comes up, and lack of a place brings a machine to the pool

Two machines whose tasks found no place on the others of their pool waited 7.5 s, until another one was moved there. Which restriction of the task ruled the other machines out is not traced.

Now room that short tasks hold counts when an evacuation begins, since they end by themselves; a task is stopped only when there is room, as before, for which an evacuation waits 8 s (reason no-room). Only a place that cannot come up by itself defers a machine (no-place), and what has no place is a demand of its pool, so that a machine is moved there.

--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -141,8 +141,9 @@
     /// Instances of a pool that accept new tasks.
     const scheduling::InstanceIndex& instancesOf(const std::string& pool);
 
-    /// Room of a pool for tasks that are to be relocated; see PoolScheduler::relocationRoom().
-    std::unique_ptr<scheduling::RelocationRoom> relocationRoom(const std::string& pool, std::set<std::string> excluded);
+    /// Room of a pool for tasks that are to be relocated; see scheduling::RelocationRoom.
+    std::unique_ptr<scheduling::RelocationRoom> relocationRoom(
+        const std::string& pool, std::set<std::string> excluded, bool awaitsShortTasks);
 
     /// Pool in which the tasks of a job are placed.
     const std::string& poolOf(const jobs::Job& job) const { return scheduler_.poolOf(job); }
--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -461,10 +461,10 @@
 
 // A change of an instance would invalidate the room, so all of them are applied first.
 std::unique_ptr<scheduling::RelocationRoom> Controller::relocationRoom(
-    const std::string& pool, std::set<std::string> excluded)
+    const std::string& pool, std::set<std::string> excluded, bool awaitsShortTasks)
 {
     applySessionChanges();
-    return scheduler_.relocationRoom(pool, adviceCache_.validTickets(), std::move(excluded));
+    return scheduler_.relocationRoom(pool, adviceCache_.validTickets(), std::move(excluded), awaitsShortTasks);
 }
 
 bool Controller::requiresTicket(const Job& job) const
--- a/src/control/internal/deferredmaintenance.cpp
+++ b/src/control/internal/deferredmaintenance.cpp
@@ -19,9 +19,12 @@
     const std::string& machine, std::uint64_t wave, const BlockedEvacuation& blocked, milliseconds delay)
 {
     const auto now = clock_.now();
-    const auto [found, isNew] = deferrals_.try_emplace(machine, Deferral { wave, blocked.obstacle, now, now, now });
+    const auto [found, isNew]
+        = deferrals_.try_emplace(machine, Deferral { wave, blocked.obstacle, now, now, now, {}, {} });
     Deferral& deferral = found->second;
     deferral.retryAt = now + delay;
+    deferral.pool = blocked.pool;
+    deferral.unplaced = blocked.unplaced;
     const bool isChanged = deferral.obstacle != blocked.obstacle || deferral.wave != wave;
     if (!isNew && (!isChanged || now - deferral.reportedAt < reportInterval))
         return;
@@ -36,6 +39,19 @@
             { "since_ms", std::int64_t(since.count()) } });
 }
 
+std::map<std::string, jobs::Resources> DeferredMaintenance::unplacedByPool() const
+{
+    std::map<std::string, jobs::Resources> result;
+    for (const auto& [machine, deferral] : deferrals_) {
+        if (deferral.pool.empty())
+            continue;
+        jobs::Resources& largest = result[deferral.pool];
+        if (deferral.unplaced.milliCores > largest.milliCores)
+            largest = deferral.unplaced;
+    }
+    return result;
+}
+
 void DeferredMaintenance::end(const std::string& machine)
 {
     const auto found = deferrals_.find(machine);
--- a/src/control/internal/deferredmaintenance.h
+++ b/src/control/internal/deferredmaintenance.h
@@ -25,6 +25,10 @@
     /// Defers the maintenance of a machine, which is tried again after `delay`.
     void defer(const std::string& machine, std::uint64_t wave, const BlockedEvacuation& blocked, milliseconds delay);
 
+    /// Resources requested by the tasks of a deferred machine that have no place in their pool: of each pool the
+    /// machine with the most of them.
+    std::map<std::string, jobs::Resources> unplacedByPool() const;
+
     /// Ends the deferral of a machine, if it is deferred: it is being evacuated, or it has left the fleet.
     void end(const std::string& machine);
 
@@ -35,6 +39,8 @@
         foundation::SteadyTime since;
         foundation::SteadyTime retryAt;
         foundation::SteadyTime reportedAt;
+        std::string pool; ///< Pool of `unplaced`.
+        jobs::Resources unplaced;
     };
 
     const foundation::IClock& clock_;
--- a/src/control/internal/evacuationplanner.cpp
+++ b/src/control/internal/evacuationplanner.cpp
@@ -14,6 +14,14 @@
     /// Time after which a relocated task that has not started elsewhere competes for room like any other.
     constexpr milliseconds relocationTimeout { 5000 };
 
+    BlockedEvacuation makeBlocked(EvacuationObstacle obstacle, std::optional<TaskId> task)
+    {
+        BlockedEvacuation blocked;
+        blocked.obstacle = obstacle;
+        blocked.task = task;
+        return blocked;
+    }
+
     bool isRelocatable(const TrackedRun& run) { return run.isLongRunning && !run.isStopping; }
 
 } // namespace
@@ -25,6 +33,8 @@
         return "disruption-budget";
     case EvacuationObstacle::NoPlace:
         return "no-place";
+    case EvacuationObstacle::NoRoom:
+        return "no-room";
     case EvacuationObstacle::TeamCap:
         return "team-cap";
     case EvacuationObstacle::LastInService:
@@ -37,48 +47,69 @@
     return "order-refused";
 }
 
+void EvacuationPlanner::beginTick(std::set<std::string> leaving)
+{
+    leaving_ = std::move(leaving);
+    removeFinishedRelocations();
+}
+
 // The tasks of the other leaving instances get their places first, so that two instances are not each other's refuge.
-// Their steps use their budgets first as well: an instance that would only wait for its turn stays in service.
+// Room that short tasks hold counts: in a pool in full use there is never room for all tasks at once.
 std::optional<BlockedEvacuation> EvacuationPlanner::findObstacle(const InstanceSession& session)
 {
     if (!session.runs().empty() && isLastInService(session))
-        return BlockedEvacuation { EvacuationObstacle::LastInService, {} };
+        return makeBlocked(EvacuationObstacle::LastInService, {});
     const bool hasRelocatable = std::any_of(
         session.runs().begin(), session.runs().end(), [](const auto& run) { return isRelocatable(run.second); });
     if (!hasRelocatable)
         return std::nullopt;
-    Rooms rooms;
+    Rooms rooms { true, {} };
     reserveForRelocated(rooms, session);
     reserveForLeaving(rooms, session);
+    std::optional<BlockedEvacuation> withoutPlace;
     for (const auto& [task, run] : session.runs()) {
         const jobs::Job* job = follower_.table().find(task.job);
         if (!isRelocatable(run) || !job)
             continue;
         const jobs::StepSpec& spec = job->spec.steps[task.step];
-        if (spec.hasDisruptionBudget
-            && unavailableTasks(*job, task) + leavingInstancesOf(session, task) >= spec.disruptionBudget)
-            return BlockedEvacuation { EvacuationObstacle::DisruptionBudget, task };
+        if (spec.hasDisruptionBudget && unavailableTasks(*job, task) >= spec.disruptionBudget)
+            return makeBlocked(EvacuationObstacle::DisruptionBudget, task);
         if (controller_.exceedsTeamCap(job->team))
-            return BlockedEvacuation { EvacuationObstacle::TeamCap, task };
-        if (!reserve(rooms, session, task))
-            return BlockedEvacuation { EvacuationObstacle::NoPlace, task };
+            return makeBlocked(EvacuationObstacle::TeamCap, task);
+        if (reserve(rooms, session, task))
+            continue;
+        if (!withoutPlace)
+            withoutPlace = BlockedEvacuation { EvacuationObstacle::NoPlace, task, controller_.poolOf(*job), {} };
+        if (withoutPlace->pool == controller_.poolOf(*job))
+            withoutPlace->unplaced += scheduling::resourceRequest(spec);
     }
-    return std::nullopt;
+    return withoutPlace;
 }
 
 std::optional<BlockedEvacuation> EvacuationPlanner::findObstacle(const InstanceSession& session, const TaskId& task)
 {
     const jobs::Job* job = follower_.table().find(task.job);
     if (!job)
-        return BlockedEvacuation { EvacuationObstacle::NoPlace, task };
+        return makeBlocked(EvacuationObstacle::NoPlace, task);
     const jobs::StepSpec& spec = job->spec.steps[task.step];
     if (spec.hasDisruptionBudget && unavailableTasks(*job, task) >= spec.disruptionBudget)
-        return BlockedEvacuation { EvacuationObstacle::DisruptionBudget, task };
+        return makeBlocked(EvacuationObstacle::DisruptionBudget, task);
     if (controller_.exceedsTeamCap(job->team))
-        return BlockedEvacuation { EvacuationObstacle::TeamCap, task };
-    if (!hasPlace(session, task))
-        return BlockedEvacuation { EvacuationObstacle::NoPlace, task };
-    return std::nullopt;
+        return makeBlocked(EvacuationObstacle::TeamCap, task);
+    if (hasPlace(session, task))
+        return std::nullopt;
+    Rooms rooms { true, {} };
+    reserveForRelocated(rooms, session);
+    if (reserve(rooms, session, task))
+        return makeBlocked(EvacuationObstacle::NoRoom, task);
+    return BlockedEvacuation { EvacuationObstacle::NoPlace, task, controller_.poolOf(*job),
+        scheduling::resourceRequest(spec) };
+}
+
+bool EvacuationPlanner::isRelocating(const TaskId& task) const
+{
+    return std::any_of(relocations_.begin(), relocations_.end(),
+        [&](const auto& entry) { return scheduling::stepOf(entry.first) == scheduling::stepOf(task); });
 }
 
 bool EvacuationPlanner::hasPlace(const InstanceSession& session, const TaskId& task)
@@ -102,11 +133,11 @@
     const jobs::Job* job = follower_.table().find(task.job);
     if (!job)
         return false;
-    auto& room = rooms[controller_.poolOf(*job)];
+    auto& room = rooms.byPool[controller_.poolOf(*job)];
     if (!room) {
         std::set<std::string> excluded = leaving_;
         excluded.insert(session.incarnation().instance);
-        room = controller_.relocationRoom(controller_.poolOf(*job), std::move(excluded));
+        room = controller_.relocationRoom(controller_.poolOf(*job), std::move(excluded), rooms.awaitsShortTasks);
     }
     const bool isTicketRequired = controller_.requiresTicket(*job);
     const bool hasPlace = room->reserve(*job, task, isTicketRequired);
@@ -115,7 +146,7 @@
     return hasPlace;
 }
 
-void EvacuationPlanner::reserveForRelocated(Rooms& rooms, const InstanceSession& session)
+void EvacuationPlanner::removeFinishedRelocations()
 {
     const auto now = clock_.now();
     for (auto entry = relocations_.begin(); entry != relocations_.end();) {
@@ -123,12 +154,16 @@
         const jobs::Task* task = follower_.table().find(id);
         const bool isWaiting = task && task->lastRun == relocation.run && task->phase != jobs::TaskPhase::Done
             && now - relocation.since < relocationTimeout;
-        if (isWaiting)
-            reserve(rooms, session, id);
         entry = isWaiting ? std::next(entry) : relocations_.erase(entry);
     }
 }
 
+void EvacuationPlanner::reserveForRelocated(Rooms& rooms, const InstanceSession& session)
+{
+    for (const auto& [task, relocation] : relocations_)
+        reserve(rooms, session, task);
+}
+
 void EvacuationPlanner::reserveForLeaving(Rooms& rooms, const InstanceSession& session)
 {
     for (const auto& name : leaving_) {
@@ -177,18 +212,4 @@
     return unavailable;
 }
 
-std::uint32_t EvacuationPlanner::leavingInstancesOf(const InstanceSession& session, const TaskId& task) const
-{
-    const auto runsStep = [&](const std::string& name) {
-        const auto other = controller_.sessions().find(name);
-        if (other == controller_.sessions().end() || name == session.incarnation().instance)
-            return false;
-        const auto& runs = other->second->runs();
-        return std::any_of(runs.begin(), runs.end(), [&](const auto& run) {
-            return isRelocatable(run.second) && scheduling::stepOf(run.first) == scheduling::stepOf(task);
-        });
-    };
-    return static_cast<std::uint32_t>(std::count_if(leaving_.begin(), leaving_.end(), runsStep));
-}
-
 } // namespace turmericsill::control
--- a/src/control/internal/instanceviews.cpp
+++ b/src/control/internal/instanceviews.cpp
@@ -36,6 +36,8 @@
             spec = job && task.step < job->spec.steps.size() ? &job->spec.steps[task.step] : nullptr;
         }
         ++view.tasksByStep[step];
+        if (!run.isLongRunning)
+            view.shortTasks += run.resources;
         if (spec)
             scheduling::countTask(view, *spec);
         if (spec && remoteSlowdown > 1)
--- a/src/control/internal/machinemanager.cpp
+++ b/src/control/internal/machinemanager.cpp
@@ -31,6 +31,8 @@
     /// Time without progress after which an evacuation is cancelled: its machine is withheld from other work. Exceeds
     /// the time in which a relocated task is serving again.
     constexpr milliseconds evacuationTimeout { 2000 };
+    /// The same while the instances that could take a task are in use by short tasks, which end in seconds.
+    constexpr milliseconds roomTimeout { 8000 };
     /// Time after which the order for an empty machine may be assumed to fail also if it is repeated.
     constexpr milliseconds orderRetryTimeout { 8000 };
     constexpr milliseconds evacuationRetryInterval { 500 }; ///< Between checks whether a machine can be evacuated.
@@ -87,7 +89,7 @@
 void MachineManager::tick()
 {
     const auto now = context_.clock.now();
-    setLeavingInstances();
+    beginEvacuationTick();
     evacuateDrainingInstances();
     if (!isListing_ && now - lastListRequestAt_ >= listInterval())
         listMachines();
@@ -253,7 +255,7 @@
     const InstanceSessionPtr session = sessionOf(machines_.at(machine));
     std::optional<BlockedEvacuation> blocked;
     if (hasLastListFailed_)
-        blocked = BlockedEvacuation { EvacuationObstacle::MachineControl, {} };
+        blocked = BlockedEvacuation { EvacuationObstacle::MachineControl, {}, {}, {} };
     else if (session)
         blocked = evacuationPlanner_.findObstacle(*session);
     if (blocked)
@@ -279,17 +281,17 @@
     const auto found = operations_.find(machine);
     deferredMaintenance_.defer(machine, found->second.wave, blocked, cancelledEvacuationBackoff);
     operations_.erase(found);
-    setLeavingInstances();
+    beginEvacuationTick();
 }
 
-void MachineManager::setLeavingInstances()
+void MachineManager::beginEvacuationTick()
 {
     std::set<std::string> leaving;
     for (const auto& [machine, operation] : operations_) {
         if (const MachineReport* report = find(machine); report && !report->instance.empty())
             leaving.insert(report->instance);
     }
-    evacuationPlanner_.setLeaving(std::move(leaving));
+    evacuationPlanner_.beginTick(std::move(leaving));
 }
 
 void MachineManager::evacuateMachines()
@@ -327,7 +329,11 @@
         }
         if (!blocked)
             blocked = obstacle;
+        else if (obstacle->pool == blocked->pool)
+            blocked->unplaced += obstacle->unplaced;
     }
+    operation.unplacedPool = blocked ? blocked->pool : std::string();
+    operation.unplaced = blocked ? blocked->unplaced : jobs::Resources();
     if (!hasLongRunning) {
         const auto wave = waves_.find(operation.wave);
         const bool isLate = wave != waves_.end() && now > wave->second.deadline - shortTaskCutoff;
@@ -335,9 +341,11 @@
             requestMaintenance(machine, operation);
         return;
     }
+    hasProgress |= blocked && blocked->task && evacuationPlanner_.isRelocating(*blocked->task);
     if (hasProgress)
         operation.since = now;
-    if (blocked && now - operation.since >= evacuationTimeout)
+    const bool awaitsRoom = blocked && blocked->obstacle == EvacuationObstacle::NoRoom;
+    if (blocked && now - operation.since >= (awaitsRoom ? roomTimeout : evacuationTimeout))
         cancelEvacuation(machine, *blocked);
 }
 
@@ -381,7 +389,7 @@
                 return onMaintenanceNotOrdered(machine, ordered, result.error());
             if (*result != MachineOrderResult::Accepted) {
                 controller_.onMachineNotTakenDown(instance);
-                return cancelEvacuation(machine, { EvacuationObstacle::OrderRefused, {} });
+                return cancelEvacuation(machine, { EvacuationObstacle::OrderRefused, {}, {}, {} });
             }
             ordered.kind = OperationKind::Maintenance;
             ordered.isInProgress = true;
@@ -407,7 +415,7 @@
     const MachineReport* report = find(machine);
     if (report && !operation.hasUnansweredOrder)
         controller_.onMachineNotTakenDown(report->instance);
-    cancelEvacuation(machine, { EvacuationObstacle::MachineControl, {} });
+    cancelEvacuation(machine, { EvacuationObstacle::MachineControl, {}, {}, {} });
 }
 
 void MachineManager::reportWave(Wave& wave, bool completed)
@@ -447,6 +455,13 @@
         const double milliCores = used[pool] + static_cast<double>(demand.unplaced.milliCores);
         demand.growthMilliCoresPerSecond = trends_[pool].update(milliCores, context_.clock.now());
     }
+    // Machines that cannot be emptied for want of a place elsewhere wait for one that is moved to their pool.
+    for (const auto& [pool, unplaced] : deferredMaintenance_.unplacedByPool())
+        demands[pool].unplaced += unplaced;
+    for (const auto& [machine, operation] : operations_) {
+        if (!operation.unplacedPool.empty())
+            demands[operation.unplacedPool].unplaced += operation.unplaced;
+    }
     return demands;
 }
 
--- a/src/control/internal/poolscheduler.h
+++ b/src/control/internal/poolscheduler.h
@@ -69,10 +69,10 @@
 
     /// Room of a pool for tasks that are to be relocated. It must not outlive the next change of an instance.
     std::unique_ptr<scheduling::RelocationRoom> relocationRoom(
-        const std::string& pool, scheduling::StepTickets tickets, std::set<std::string> excluded)
+        const std::string& pool, scheduling::StepTickets tickets, std::set<std::string> excluded, bool awaitsShortTasks)
     {
         return std::make_unique<scheduling::RelocationRoom>(
-            pools_[pool].instances, std::move(tickets), std::move(excluded));
+            pools_[pool].instances, std::move(tickets), std::move(excluded), awaitsShortTasks);
     }
 
     /// Pool in which the tasks of a job are placed.
--- a/src/control/machinemanager.h
+++ b/src/control/machinemanager.h
@@ -63,6 +63,9 @@
         bool isInProgress = false; ///< The order was accepted, or an order to move was not answered.
         bool isRequestPending = false; ///< The answer to the order is pending.
         bool wasSeenDown = false;
+        /// Requested by the tasks that have no place in their pool, and that pool; for OperationKind::Evacuation.
+        jobs::Resources unplaced;
+        std::string unplacedPool;
         /// Since when no order for maintenance was answered, and whether one of them may still be carried out.
         std::optional<foundation::SteadyTime> orderFailingSince;
         bool hasUnansweredOrder = false;
@@ -82,7 +85,7 @@
     bool canEvacuate(const std::string& machine, std::uint64_t wave);
     void beginEvacuation(const std::string& machine, std::uint64_t wave, std::uint32_t underWay);
     void cancelEvacuation(const std::string& machine, const BlockedEvacuation& blocked);
-    void setLeavingInstances();
+    void beginEvacuationTick();
     void evacuateMachines();
     void evacuateDrainingInstances();
     void evacuateMachine(const std::string& machine, MachineOperation& operation);
--- a/src/scheduling/internal/relocationroom.cpp
+++ b/src/scheduling/internal/relocationroom.cpp
@@ -6,10 +6,12 @@
 
 namespace turmericsill::scheduling {
 
-RelocationRoom::RelocationRoom(InstanceIndex& instances, StepTickets tickets, std::set<std::string> excluded)
+RelocationRoom::RelocationRoom(
+    InstanceIndex& instances, StepTickets tickets, std::set<std::string> excluded, bool awaitsShortTasks)
     : instances_(instances)
     , tickets_(std::move(tickets))
     , excluded_(std::move(excluded))
+    , awaitsShortTasks_(awaitsShortTasks)
 {
 }
 
@@ -31,7 +33,8 @@
     waiting.request = spec.resourcesPerTask;
     PlanConstraints constraints;
     constraints.tickets = &tickets_;
-    IndexedInstance* instance = StepPlacer(instances_, job, waiting, constraints).findPermitted(excluded_);
+    IndexedInstance* instance
+        = StepPlacer(instances_, job, waiting, constraints).findPermitted(excluded_, awaitsShortTasks_);
     if (!instance)
         return false;
     instances_.addTask(*instance, waiting.id, spec);
--- a/src/scheduling/internal/stepplacer.cpp
+++ b/src/scheduling/internal/stepplacer.cpp
@@ -75,11 +75,15 @@
     return unplaced == 0;
 }
 
-IndexedInstance* StepPlacer::findPermitted(const std::set<std::string>& excluded) const
+IndexedInstance* StepPlacer::findPermitted(const std::set<std::string>& excluded, bool awaitsShortTasks) const
 {
     const InstanceIndex::Order& order = instances_.instances(spec_.requiredLabel);
-    const auto found = std::find_if(InstanceIndex::firstWithFreeCores(order, waiting_.need.milliCores), order.end(),
-        [&](const IndexedInstance* instance) { return !excluded.count(instance->name) && isAllowed(instance->view); });
+    const auto found = std::find_if(order.begin(), order.end(), [&](const IndexedInstance* instance) {
+        jobs::Resources room = instance->view.free;
+        if (awaitsShortTasks)
+            room += instance->view.shortTasks;
+        return !excluded.count(instance->name) && waiting_.need.fitsInto(room) && isPermitted(instance->view);
+    });
     return found == order.end() ? nullptr : *found;
 }
 
@@ -230,6 +234,12 @@
 }
 
 bool StepPlacer::isAllowed(const InstanceView& instance) const
+{
+    return isPermitted(instance) && waiting_.need.fitsInto(instance.free);
+}
+
+// Whether nothing but the room keeps a task from the instance.
+bool StepPlacer::isPermitted(const InstanceView& instance) const
 {
     if (!spec_.requiredLabel.empty() && !instance.report->hasLabel(spec_.requiredLabel))
         return false;
@@ -241,9 +251,7 @@
         return false;
     if (spec_.maximumPerInstance > 0 && tasksOn(instance) >= spec_.maximumPerInstance)
         return false;
-    if (spec_.isBestEffort && instance.latencySensitiveTasks > 0)
-        return false;
-    return waiting_.need.fitsInto(instance.free);
+    return !spec_.isBestEffort || instance.latencySensitiveTasks == 0;
 }
 
 std::uint32_t StepPlacer::tasksOn(const InstanceView& instance) const
--- a/src/scheduling/internal/stepplacer.h
+++ b/src/scheduling/internal/stepplacer.h
@@ -40,8 +40,8 @@
     bool isOutOfResources() const { return isOutOfResources_; }
 
     /// An instance, other than those in `excluded`, on which a further task of the step may start; null if there is
-    /// none.
-    IndexedInstance* findPermitted(const std::set<std::string>& excluded) const;
+    /// none. `awaitsShortTasks`: whether it is enough that the task fits once the short tasks there have ended.
+    IndexedInstance* findPermitted(const std::set<std::string>& excluded, bool awaitsShortTasks) const;
 
 private:
     /// Fields in order of significance; the smallest rank is the best.
@@ -64,6 +64,7 @@
     bool isAwaitedByOthers(const InstanceView& instance) const;
     bool isWaitingForRack(const IndexedInstance& instance, std::uint32_t index);
     std::int64_t roomFor(std::int64_t tasks, const InstanceIndex::Order& order) const;
+    bool isPermitted(const InstanceView& instance) const;
     bool isAllowed(const InstanceView& instance) const;
     std::uint32_t tasksOn(const InstanceView& instance) const;
     Rank rank(const IndexedInstance& instance, std::uint32_t index, const jobs::CrashHistory* suspicions) const;
--- a/src/scheduling/relocationroom.h
+++ b/src/scheduling/relocationroom.h
@@ -14,8 +14,10 @@
 /// index is as before when the object is destroyed; it must not change in between.
 class RelocationRoom {
 public:
-    /// Nothing is relocated to the instances in `excluded`.
-    RelocationRoom(InstanceIndex& instances, StepTickets tickets, std::set<std::string> excluded);
+    /// Nothing is relocated to the instances in `excluded`. `awaitsShortTasks`: whether the room that short tasks hold
+    /// counts, since they end by themselves.
+    RelocationRoom(
+        InstanceIndex& instances, StepTickets tickets, std::set<std::string> excluded, bool awaitsShortTasks);
     ~RelocationRoom();
 
     RelocationRoom(const RelocationRoom&) = delete;
@@ -34,6 +36,7 @@
     InstanceIndex& instances_;
     StepTickets tickets_;
     std::set<std::string> excluded_; ///< Names of instances.
+    bool awaitsShortTasks_;
     std::vector<Reservation> reservations_;
 };
 
--- a/src/scheduling/tests/relocationroomtests.cpp
+++ b/src/scheduling/tests/relocationroomtests.cpp
@@ -50,12 +50,12 @@
     RoomFixture fixture(5000);
     fixture.instances.update(fixture.viewOf("i-1"));
     {
-        RelocationRoom room(fixture.instances, {}, {});
+        RelocationRoom room(fixture.instances, {}, {}, false);
         CHECK(room.reserve(fixture.job, fixture.task(0), false));
         CHECK_FALSE(room.reserve(fixture.job, fixture.task(1), false));
     }
     CHECK(fixture.instances.freeMilliCores() == 8000);
-    RelocationRoom room(fixture.instances, {}, { "i-1" });
+    RelocationRoom room(fixture.instances, {}, { "i-1" }, false);
     CHECK_FALSE(room.reserve(fixture.job, fixture.task(0), false));
 }
 
@@ -80,6 +80,22 @@
     SECTION("ticket") { isTicketRequired = true; }
     SECTION("memory") { view.free.memoryMb = 99; }
     fixture.instances.update(std::move(view));
-    RelocationRoom room(fixture.instances, {}, {});
+    RelocationRoom room(fixture.instances, {}, {}, false);
     CHECK_FALSE(room.reserve(fixture.job, fixture.task(0), isTicketRequired));
 }
+
+// In a pool in full use there is never room for all tasks of a machine at once, so that its maintenance came too late.
+TEST_CASE("relocations: room that short tasks hold counts where their end is awaited", "[scheduling]")
+{
+    RoomFixture fixture(3000);
+    InstanceView view = fixture.viewOf("i-1");
+    view.free = { 1000, 8000, 0 };
+    view.shortTasks = { 5000, 4000, 0 };
+    fixture.instances.update(std::move(view));
+    RelocationRoom now(fixture.instances, {}, {}, false);
+    CHECK_FALSE(now.reserve(fixture.job, fixture.task(0), false));
+    RelocationRoom later(fixture.instances, {}, {}, true);
+    CHECK(later.reserve(fixture.job, fixture.task(0), false));
+    CHECK(later.reserve(fixture.job, fixture.task(1), false));
+    CHECK_FALSE(later.reserve(fixture.job, fixture.task(2), false));
+}
--- a/src/scheduling/types/poolview.h
+++ b/src/scheduling/types/poolview.h
@@ -52,6 +52,7 @@
     /// Capacity that no run holds, including runs that are being stopped. Negative while the runs exceed a capacity
     /// that has shrunk.
     jobs::Resources free;
+    jobs::Resources shortTasks; ///< Held by the runs of short tasks, which end by themselves.
     boost::container::flat_map<StepId, std::uint32_t> tasksByStep; ///< Number of tasks on the instance.
     std::uint32_t longRunningTasks = 0;
     std::uint32_t latencySensitiveTasks = 0; ///< Tasks with a latency target (StepSpec::latencyTarget).
