--- a/src/settings/entrysettings.h
+++ b/src/settings/entrysettings.h
@@ -41,8 +41,8 @@
     std::size_t teamBurstJobs = 20;
     /// Factor by which a task takes longer away from its data or its group; 1 if it does not.
     double remoteSlowdown = 1;
-    /// Memory that accepted jobs may take on an entry; absent: the default. The same on all entries, since each holds all
-    /// jobs.
+    /// Memory that accepted jobs may take on an entry; absent: the default. The same on all entries, since each holds
+    /// all jobs.
     std::optional<std::size_t> jobMemoryMb;
     std::optional<std::size_t> memoryLimitMb; ///< Memory that the process may use; absent if it is not limited.
     std::optional<std::size_t> descriptorLimit; ///< File descriptors that the process may open; absent if unknown.
