--- a/src/control/tests/submissiongatetests.cpp
+++ b/src/control/tests/submissiongatetests.cpp
@@ -92,7 +92,7 @@
         step.taskCount = 1;
         step.resourcesPerTask = { 1000, 100, 0 };
         step.estimatedDuration = 1s;
-        record.spec.steps.push_back(step);
+        record.spec.steps.add(step);
         return record;
     }
 
--- a/src/eventlog/tests/snapshotpartstests.cpp
+++ b/src/eventlog/tests/snapshotpartstests.cpp
@@ -16,7 +16,7 @@
 {
     jobs::Job job;
     job.id = 0xc100;
-    job.spec.steps.push_back({});
+    job.spec.steps.add({});
     job.spec.steps.edit(0).taskCount = taskCount;
     job.startOccurrence(0);
     return job;
--- a/src/jobs/internal/recordjson.cpp
+++ b/src/jobs/internal/recordjson.cpp
@@ -132,7 +132,7 @@
     record.receivedAt = milliseconds(fields.at(3).get<std::int64_t>());
     record.spec.payload = fields.at(4).get<std::string>();
     for (const auto& step : fields.at(5))
-        record.spec.steps.push_back(stepFromJson(step));
+        record.spec.steps.add(stepFromJson(step));
     record.spec.schedule.occurrences = fields.at(6).get<std::uint32_t>();
     record.spec.schedule.firstDueAt = milliseconds(fields.at(7).get<std::int64_t>());
     record.spec.schedule.interval = milliseconds(fields.at(8).get<std::int64_t>());
--- a/src/jobs/internal/steplist.cpp
+++ b/src/jobs/internal/steplist.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace turmericsill::jobs {
 
@@ -10,8 +11,9 @@
     /// Number of the latest distinct steps that a new one is compared with.
     constexpr std::ptrdiff_t comparedSteps = 8;
 
-    /// Memory of a text beside its object; short texts have none.
-    std::size_t heapBytes(const std::string& text) { return text.size() < sizeof(text) / 2 ? 0 : text.size(); }
+    constexpr std::size_t inlineTextBytes = 15; ///< Longer texts take memory beside their objects.
+
+    std::size_t heapBytes(const std::string& text) { return text.size() <= inlineTextBytes ? 0 : text.size(); }
 
 } // namespace
 
@@ -29,23 +31,23 @@
 StepList::StepList(std::initializer_list<StepSpec> steps)
 {
     for (const StepSpec& step : steps)
-        push_back(step);
+        add(step);
 }
 
-StepList::StepList(const std::vector<StepSpec>& steps)
+StepList::StepList(std::vector<StepSpec> steps)
 {
-    for (const StepSpec& step : steps)
-        push_back(step);
+    for (StepSpec& step : steps)
+        add(std::move(step));
 }
 
-void StepList::push_back(const StepSpec& step)
+void StepList::add(StepSpec step)
 {
     const auto end = distinct_.rend();
     const auto last
         = distinct_.rbegin() + std::min<std::ptrdiff_t>(comparedSteps, std::distance(distinct_.rbegin(), end));
     const auto equal = std::find(distinct_.rbegin(), last, step);
     if (equal == last)
-        distinct_.push_back(step);
+        distinct_.push_back(std::move(step));
     const auto position
         = equal == last ? distinct_.size() - 1 : static_cast<std::size_t>(std::distance(equal, end)) - 1;
     indexes_.push_back(static_cast<std::uint32_t>(position));
--- a/src/jobs/tests/appendbuildertests.cpp
+++ b/src/jobs/tests/appendbuildertests.cpp
@@ -27,7 +27,7 @@
     std::vector<Record> records;
     for (JobId id = firstJob; id < firstJob + jobCount; ++id) {
         JobSubmitted submitted { id, "calls", "desk", milliseconds(1), {} };
-        submitted.spec.steps.push_back({});
+        submitted.spec.steps.add({});
         submitted.spec.steps.edit(submitted.spec.steps.size() - 1).taskCount = taskCount;
         records.emplace_back(submitted);
     }
--- a/src/jobs/tests/compressiontests.cpp
+++ b/src/jobs/tests/compressiontests.cpp
@@ -15,7 +15,7 @@
     JobSubmitted result;
     result.job = 7;
     result.queue = "calls";
-    result.spec.steps.push_back({});
+    result.spec.steps.add({});
     for (std::size_t i = 0; i < payloadBytes; ++i)
         result.spec.payload += static_cast<char>('a' + random() % 16);
     return result;
--- a/src/jobs/tests/jobmemorytests.cpp
+++ b/src/jobs/tests/jobmemorytests.cpp
@@ -40,7 +40,7 @@
 {
     StepList steps;
     for (int i = 0; i < 1000; ++i)
-        steps.push_back(step(i % 2 == 0 ? 100 : 200));
+        steps.add(step(i % 2 == 0 ? 100 : 200));
     CHECK(steps.size() == 1000);
     CHECK(steps.memory() < 1000 * 16);
     CHECK(steps[998].resourcesPerTask.milliCores == 100);
--- a/src/jobs/tests/jobtests.cpp
+++ b/src/jobs/tests/jobtests.cpp
@@ -629,7 +629,7 @@
     JobSubmitted submitted;
     submitted.job = 7;
     submitted.queue = "calls";
-    submitted.spec.steps.push_back({});
+    submitted.spec.steps.add({});
     submitted.team = "growers";
     submitted.exceedsTeamRate = true;
     const auto record = decode(encode(Record(submitted), 0));
@@ -655,7 +655,7 @@
 TEST_CASE("records: a job without a team is stored as before", "[jobs]")
 {
     JobSubmitted submitted;
-    submitted.spec.steps.push_back({});
+    submitted.spec.steps.add({});
     const std::size_t size = encode(Record(submitted), 0).size();
     submitted.team = "t";
     CHECK(encode(Record(submitted), 0).size() > size);
--- a/src/jobs/types/steplist.h
+++ b/src/jobs/types/steplist.h
@@ -44,7 +44,7 @@
 
     StepList() = default;
     StepList(std::initializer_list<StepSpec> steps);
-    StepList(const std::vector<StepSpec>& steps);
+    StepList(std::vector<StepSpec> steps);
 
     std::size_t size() const { return indexes_.size(); }
     bool empty() const { return indexes_.empty(); }
@@ -54,7 +54,7 @@
     Iterator begin() const { return { *this, 0 }; }
     Iterator end() const { return { *this, size() }; }
 
-    void push_back(const StepSpec& step);
+    void add(StepSpec step);
 
     /// For changing a step, which shares its memory with no other one afterwards.
     StepSpec& edit(std::size_t index);
--- a/src/scheduling/tests/admissiontests.cpp
+++ b/src/scheduling/tests/admissiontests.cpp
@@ -299,7 +299,7 @@
         step.taskCount = count;
         step.resourcesPerTask = { 500, 100, 0 };
         step.estimatedDuration = 2s;
-        job.spec.steps.push_back(step);
+        job.spec.steps.add(step);
     }
     jobs::StepState& first = job.startOccurrence(0).steps.front();
     first.done = 3;
--- a/src/scheduling/tests/plannerdifferentialtests.cpp
+++ b/src/scheduling/tests/plannerdifferentialtests.cpp
@@ -107,7 +107,7 @@
         job->queue = queues[number(0, 3)];
         const auto steps = number(1, 3);
         for (std::int64_t step = 0; step < steps; ++step) {
-            job->spec.steps.push_back(randomStep());
+            job->spec.steps.add(randomStep());
             if (step > 0 && oneIn(2))
                 job->spec.steps.edit(job->spec.steps.size() - 1).dependsOn = { static_cast<std::uint32_t>(step - 1) };
         }
--- a/src/scheduling/tests/relocationroomtests.cpp
+++ b/src/scheduling/tests/relocationroomtests.cpp
@@ -17,7 +17,7 @@
         spec.taskCount = 4;
         spec.resourcesPerTask = { milliCores, 100, 0 };
         spec.isLongRunning = true;
-        job.spec.steps.push_back(spec);
+        job.spec.steps.add(spec);
         job.startOccurrence(0);
     }
 
