--- a/benchmarks/schedulingbench.cpp
+++ b/benchmarks/schedulingbench.cpp
@@ -56,7 +56,7 @@
         step.taskCount = tasksPerJob;
         step.resourcesPerTask = taskResources;
         step.estimatedDuration = foundation::milliseconds(600 + static_cast<std::int64_t>(id));
-        job->spec.steps.push_back(step);
+        job->spec.steps.add(step);
         job->startOccurrence(0);
         backlog.update(*job, &queue, {});
         jobsById[id] = std::move(job);
